Add the core types, the typed failures and the messages between services

Cause: services may not import each other, so they need one vocabulary of messages. Change: api holds identifiers, epochs, jobs, requests, the configuration document, one list of refusal and retry reasons with a counter each, and the messages.

--- /dev/null
+++ b/api/message/doc.go
@@ -0,0 +1,41 @@
+// Package message defines the messages that services and front ends exchange. The messages carry no
+// encoding; HTTP, net/rpc and the command line translate to and from them.
+package message
+
+import "encoding/gob"
+
+func init() {
+	for _, m := range forwardable {
+		gob.Register(m)
+	}
+}
+
+// forwardable lists the messages that travel between entry VMs.
+var forwardable = []any{
+	JobSubmit{},
+	JobCancel{},
+	JobStatus{},
+	JobList{},
+	JobReply{},
+	JobsReply{},
+	AccountShow{},
+	AccountReply{},
+	TicketIssue{},
+	TicketsReply{},
+	RequestSend{},
+	RequestStatus{},
+	RequestReply{},
+	ConfigGet{},
+	ConfigPropose{},
+	ConfigReply{},
+	ConfigLearned{},
+	Heartbeat{},
+	HeartbeatReply{},
+	Done{},
+}
+
+// Done acknowledges a message that has no other result.
+type Done struct{}
+
+// Kind implements kernel.Message.
+func (Done) Kind() string { return "done" }
--- /dev/null
+++ b/api/message/log.go
@@ -0,0 +1,60 @@
+package message
+
+import "github.com/verbenaflow/verbenaflow/api/model"
+
+// LogRecord is a durable record of one service. Replaying a record twice has the effect of replaying it once.
+type LogRecord struct {
+	// Service names the service that wrote the record and gets it back.
+	Service string
+	Data    []byte
+}
+
+// LogAppend asks the store service to make records durable in the fenced log of the own failure domain;
+// answered by LogAppended once they are. A service changes its own state before it appends, so that a
+// snapshot taken meanwhile includes the records. It fails with
+//   - failure.NotHolder if a higher epoch has sealed the log; the records are not in the log;
+//   - failure.StoreUnavailable if the store does not answer; the records may become durable later.
+type LogAppend struct {
+	Epoch   model.Epoch
+	Records []LogRecord
+}
+
+// LogAppended tells that records are durable.
+type LogAppended struct{}
+
+// LogReplayed is published once after each AuthorityChanged of a new holder.
+type LogReplayed struct {
+	Epoch model.Epoch
+	// Records holds the last snapshot and the records after it, in order. The log is sealed against
+	// earlier epochs.
+	Records []LogRecord
+	// Sealed is false if the store could not be read, so that records may be missing.
+	Sealed bool
+	// Complete lists the earlier epochs whose holders closed the log at a graceful handover and never
+	// worked without the store.
+	Complete []model.Epoch
+}
+
+// SnapshotGet asks a service for records that rebuild its whole state; answered by SnapshotReply.
+type SnapshotGet struct{ Epoch model.Epoch }
+
+// SnapshotReply carries the records of a snapshot.
+type SnapshotReply struct{ Records []LogRecord }
+
+// KindLogReplayed is the kind of LogReplayed, for subscriptions.
+const KindLogReplayed = "log_replayed"
+
+// Kind implements kernel.Message.
+func (LogAppend) Kind() string { return "log_append" }
+
+// Kind implements kernel.Message.
+func (LogAppended) Kind() string { return "log_appended" }
+
+// Kind implements kernel.Message.
+func (LogReplayed) Kind() string { return KindLogReplayed }
+
+// Kind implements kernel.Message.
+func (SnapshotGet) Kind() string { return "snapshot_get" }
+
+// Kind implements kernel.Message.
+func (SnapshotReply) Kind() string { return "snapshot_reply" }
--- /dev/null
+++ b/api/model/job.go
@@ -0,0 +1,100 @@
+package model
+
+import "time"
+
+// JobSpec is a caller's description of a gang job. All tasks run together or none runs.
+type JobSpec struct {
+	Account AccountID `json:"account"`
+	// Domain is the failure domain that must run the job; empty lets the entry VM choose.
+	Domain FailureDomain `json:"domain,omitempty"`
+	// Tasks is the gang size.
+	Tasks int `json:"tasks"`
+	// GPUsPerTask is 1, 2, 4 or 8; the accelerators of a task are adjacent in one worker.
+	GPUsPerTask int `json:"gpus_per_task"`
+	// Within is the smallest cell that must contain the whole gang; empty means the failure domain.
+	Within Level `json:"within,omitempty"`
+	// CoresPerTask and MemoryMBPerTask are declared needs; 0 means unspecified.
+	CoresPerTask    int `json:"cores_per_task,omitempty"`
+	MemoryMBPerTask int `json:"memory_mb_per_task,omitempty"`
+	// RunTime is the declared run time. It is a hint and may be far off.
+	RunTime time.Duration `json:"run_time"`
+	// Preemptible permits the job to use accelerators beyond the guarantee of its account.
+	Preemptible bool `json:"preemptible"`
+	// Urgent places the job before all others of the queue.
+	Urgent bool `json:"urgent,omitempty"`
+	// Key is the caller's idempotency key; a second submission with the same key returns the first job.
+	Key string `json:"key,omitempty"`
+	// Command is passed to the workers.
+	Command string `json:"command,omitempty"`
+}
+
+// GPUs returns the accelerators of the whole gang.
+func (s JobSpec) GPUs() int { return s.Tasks * s.GPUsPerTask }
+
+// JobState is the state of a job.
+type JobState string
+
+// States of a job.
+const (
+	JobQueued     JobState = "queued"
+	JobStarting   JobState = "starting"
+	JobRunning    JobState = "running"
+	JobPreempting JobState = "preempting"
+	JobSucceeded  JobState = "succeeded"
+	JobFailed     JobState = "failed"
+	JobCancelled  JobState = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s JobState) Final() bool {
+	return s == JobSucceeded || s == JobFailed || s == JobCancelled
+}
+
+// Job is a job as callers see it.
+type Job struct {
+	ID        JobID         `json:"id"`
+	Spec      JobSpec       `json:"spec"`
+	Domain    FailureDomain `json:"domain"`
+	State     JobState      `json:"state"`
+	Attempt   int           `json:"attempt"`
+	Placement Placement     `json:"placement,omitempty"`
+	Submitted time.Time     `json:"submitted"`
+	Started   time.Time     `json:"started,omitzero"`
+	Ended     time.Time     `json:"ended,omitzero"`
+	// Reason tells why the job waits, failed or was refused; empty if there is nothing to tell.
+	Reason string `json:"reason,omitempty"`
+}
+
+// TaskID identifies one attempt of one task of a gang.
+type TaskID struct {
+	Job     JobID `json:"job"`
+	Index   int   `json:"index"`
+	Attempt int   `json:"attempt"`
+}
+
+// TaskState is the state of a task on a worker.
+type TaskState string
+
+// States of a task on a worker. A held task occupies its accelerators but is fully throttled.
+const (
+	TaskHeld         TaskState = "held"
+	TaskRunning      TaskState = "running"
+	TaskCheckpointed TaskState = "checkpointed"
+	TaskSucceeded    TaskState = "succeeded"
+	TaskFailed       TaskState = "failed"
+	TaskStopped      TaskState = "stopped"
+)
+
+// Final reports whether the task has left the worker.
+func (s TaskState) Final() bool {
+	return s == TaskSucceeded || s == TaskFailed || s == TaskStopped
+}
+
+// TaskStatus is a worker's report on one task.
+type TaskStatus struct {
+	Task  TaskID    `json:"task"`
+	GPUs  GPUMask   `json:"gpus"`
+	State TaskState `json:"state"`
+	// Progress is the checkpointed share of the work, from 0 to 1.
+	Progress float64 `json:"progress,omitempty"`
+}
--- /dev/null
+++ b/api/names/names.go
@@ -0,0 +1,17 @@
+// Package names lists the services of a daemon. Services find each other by these names.
+package names
+
+// Names of the services of an entry VM's daemon.
+const (
+	Store      = "store"
+	Config     = "config"
+	Membership = "membership"
+	Authority  = "authority"
+	Scheduler  = "scheduler"
+	Workers    = "workers"
+	Dispatch   = "dispatch"
+	Executors  = "executors"
+	Peers      = "peers"
+	HTTP       = "http"
+	Admin      = "admin"
+)
