Add the services, the stand-ins and the two binaries as one thin path

Cause: a caller's job and request must pass from an entry VM to the back ends before any part grows.

--- /dev/null
+++ b/cmd/verbenaflowd/main.go
@@ -0,0 +1,55 @@
+// Command verbenaflowd is the daemon of an entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/verbenaflow/verbenaflow/node/daemon"
+	"github.com/verbenaflow/verbenaflow/node/settings"
+)
+
+// options are the flags of the daemon.
+type options struct {
+	Config string `long:"config" required:"true" description:"settings file (INI)"`
+	Check  bool   `long:"check" description:"check the settings and exit"`
+}
+
+// Exit codes of the daemon.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitUsage
+	}
+	s, err := settings.Load(o.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := daemon.Run(ctx, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/services/httpapi/config.go
@@ -0,0 +1,48 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// ConfigBody is the body of an answered configuration call.
+type ConfigBody struct {
+	Config model.Config `json:"config"`
+	AgeMS  int64        `json:"age_ms"`
+}
+
+// ChangeBody is the body of a configuration change.
+type ChangeBody struct {
+	Expect uint64               `json:"expect"`
+	Change message.ConfigChange `json:"change"`
+}
+
+func (a *api) showConfig(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	a.config(w, r, message.ConfigGet{})
+}
+
+func (a *api) changeConfig(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var in ChangeBody
+	if a.read(w, r, &in) {
+		a.config(w, r, message.ConfigPropose{Expect: in.Expect, Change: in.Change})
+	}
+}
+
+func (a *api) config(w http.ResponseWriter, r *http.Request, m kernel.Message) {
+	ctx, cancel := context.WithTimeout(r.Context(), defaultTimeout)
+	defer cancel()
+	reply, err := kernel.Call[message.ConfigReply](ctx, a.caller, names.Config, m)
+	if err != nil {
+		a.fail(w, failure.From(err))
+		return
+	}
+	write(w, http.StatusOK, ConfigBody{Config: reply.Config, AgeMS: reply.Age.Milliseconds()})
+}
--- /dev/null
+++ b/services/httpapi/handlers.go
@@ -0,0 +1,109 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+const (
+	// maxBody is the largest accepted request body in bytes.
+	maxBody = 1 << 20
+	// defaultTimeout is the time that a call waits if the caller sets none.
+	defaultTimeout = 10 * time.Second
+)
+
+// api translates HTTP calls to messages.
+type api struct {
+	caller  kernel.Caller
+	domain  model.FailureDomain
+	metrics *metrics.Set
+}
+
+// ErrorBody is the body of every failed call.
+type ErrorBody struct {
+	Code           string          `json:"code"`
+	Outcome        failure.Outcome `json:"outcome"`
+	Detail         string          `json:"detail,omitempty"`
+	RetryElsewhere bool            `json:"retry_elsewhere,omitempty"`
+}
+
+func (a *api) domainOr(d string) model.FailureDomain {
+	if d == "" {
+		return a.domain
+	}
+	return model.FailureDomain(d)
+}
+
+// forward sends a message to the holder of a failure domain and answers the call if that fails.
+func forward[T kernel.Message](a *api, w http.ResponseWriter, r *http.Request, f message.Forward, timeout time.Duration) (T, bool) {
+	f.Deadline = time.Now().Add(timeout)
+	// The call outlives a caller that disconnects, so that its outcome is recorded.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), f.Deadline)
+	defer cancel()
+	reply, err := kernel.Call[T](ctx, a.caller, names.Peers, f)
+	if err != nil {
+		a.fail(w, toFailure(err))
+		return reply, false
+	}
+	return reply, true
+}
+
+func toFailure(err error) *failure.Error {
+	var full *kernel.MailboxFullError
+	var stopped *kernel.StoppedError
+	switch {
+	case errors.As(err, &full):
+		return failure.New(failure.Overloaded, "%v", err)
+	case errors.As(err, &stopped):
+		return failure.New(failure.Draining, "%v", err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return failure.New(failure.DeadlineExceeded, "%v", err)
+	default:
+		return failure.From(err)
+	}
+}
+
+// read decodes a body and answers the call if the body is malformed or too large.
+func (a *api) read(w http.ResponseWriter, r *http.Request, out any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		a.fail(w, a.metrics.Refusal(failure.New(failure.TooLarge, "the body exceeds %d bytes", maxBody)))
+		return false
+	}
+	if err == nil {
+		dec := json.NewDecoder(strings.NewReader(string(body)))
+		dec.DisallowUnknownFields()
+		err = dec.Decode(out)
+	}
+	if err != nil {
+		a.fail(w, a.metrics.Refusal(failure.New(failure.Malformed, "%v", err)))
+		return false
+	}
+	return true
+}
+
+func (a *api) fail(w http.ResponseWriter, e *failure.Error) {
+	write(w, e.Reason.HTTPStatus(), ErrorBody{
+		Code: e.Reason.Code(), Outcome: e.Outcome, Detail: e.Detail, RetryElsewhere: e.RetryElsewhere,
+	})
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/services/peers/wire.go
@@ -0,0 +1,47 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// deliverMethod is the net/rpc method that delivers a message to a service of the called VM.
+const deliverMethod = "Peer.Deliver"
+
+// Request is the net/rpc form of a message to a service of another VM.
+type Request struct {
+	From model.VMID
+	To   string
+	Body kernel.Message
+	// Budget is the time that the caller still waits. Clocks of VMs are not compared.
+	Budget time.Duration
+}
+
+// Response is the net/rpc form of the answer.
+type Response struct {
+	Body    kernel.Message
+	Failure *failure.Error
+}
+
+// endpoint receives the calls of other VMs.
+type endpoint struct {
+	ctx    context.Context
+	caller kernel.Caller
+}
+
+// Deliver passes a message to a local service and returns its answer.
+func (p *endpoint) Deliver(req Request, resp *Response) error {
+	ctx, cancel := context.WithTimeout(p.ctx, req.Budget)
+	defer cancel()
+	m, err := p.caller.Call(ctx, kernel.Name(req.To), req.Body)
+	if err != nil {
+		resp.Failure = failure.From(translate(err))
+		return nil
+	}
+	resp.Body = m
+	return nil
+}
