--- /dev/null
+++ b/tests/rules/rules_test.go
@@ -0,0 +1,160 @@
+// Package rules checks the structure of the code base.
+package rules
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const (
+	root       = "../.."
+	modulePath = "github.com/verbenaflow/verbenaflow/"
+)
+
+// source is a parsed non-test file.
+type source struct {
+	path string
+	set  *token.FileSet
+	file *ast.File
+}
+
+func (s source) at(n ast.Node) string { return s.set.Position(n.Pos()).String() }
+
+func (s source) imports() []string {
+	var out []string
+	for _, i := range s.file.Imports {
+		p, _ := strconv.Unquote(i.Path.Value)
+		out = append(out, p)
+	}
+	return out
+}
+
+// sources parses the non-test files below a directory of the repository.
+func sources(t *testing.T, dir string) []source {
+	t.Helper()
+	var out []source
+	err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		set := token.NewFileSet()
+		f, err := parser.ParseFile(set, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		out = append(out, source{path: filepath.ToSlash(rel), set: set, file: f})
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestModuleImports guards against a module that imports one it must not know.
+func TestModuleImports(t *testing.T) {
+	allowed := map[string][]string{
+		"kernel":    {"kernel"},
+		"api":       {"api"},
+		"decisions": {"api", "decisions"},
+		"platform":  {"api", "platform"},
+		"services":  {"api", "decisions", "kernel", "platform", "services"},
+		"standins":  {"api", "kernel", "platform", "standins"},
+	}
+	for dir, ok := range allowed {
+		for _, s := range sources(t, dir) {
+			for _, imp := range s.imports() {
+				rest, own := strings.CutPrefix(imp, modulePath)
+				module, _, _ := strings.Cut(rest, "/")
+				if own && !slices.Contains(ok, module) {
+					t.Errorf("%s imports %s", s.path, imp)
+				}
+			}
+		}
+	}
+}
+
+// TestServicesAreIndependent guards against a service that calls another one directly instead of by message.
+func TestServicesAreIndependent(t *testing.T) {
+	for _, s := range sources(t, "services") {
+		own := strings.Split(s.path, "/")[1]
+		for _, imp := range s.imports() {
+			rest, ok := strings.CutPrefix(imp, modulePath+"services/")
+			if other, _, _ := strings.Cut(rest, "/"); ok && other != own {
+				t.Errorf("%s imports the service %s", s.path, other)
+			}
+		}
+	}
+}
+
+// TestDecisionsArePure guards against decisions that do I/O, read the clock or start goroutines.
+func TestDecisionsArePure(t *testing.T) {
+	forbidden := []string{"net", "net/http", "net/rpc", "os", "sync", "encoding/json", "encoding/gob", "log", "context"}
+	for _, s := range sources(t, "decisions") {
+		for _, imp := range s.imports() {
+			if slices.Contains(forbidden, imp) {
+				t.Errorf("%s imports %s", s.path, imp)
+			}
+		}
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			if sel, ok := n.(*ast.SelectorExpr); ok {
+				if x, ok := sel.X.(*ast.Ident); ok && x.Name == "time" && slices.Contains([]string{"Now", "Since", "Until", "After", "Sleep"}, sel.Sel.Name) {
+					t.Errorf("%s: reads the clock", s.at(n))
+				}
+			}
+			return true
+		})
+	}
+}
+
+// TestGoroutinesStartThroughConc guards against goroutines without an owner that waits for them.
+func TestGoroutinesStartThroughConc(t *testing.T) {
+	for _, dir := range []string{"kernel", "api", "decisions", "platform", "services", "standins", "node", "bench", "cmd"} {
+		for _, s := range sources(t, dir) {
+			ast.Inspect(s.file, func(n ast.Node) bool {
+				if g, ok := n.(*ast.GoStmt); ok {
+					t.Errorf("%s: go statement", s.at(g))
+				}
+				return true
+			})
+		}
+	}
+}
+
+// TestServicesShareNoMutex guards against state that more than one goroutine of a service changes.
+func TestServicesShareNoMutex(t *testing.T) {
+	for _, dir := range []string{"services", "standins"} {
+		for _, s := range sources(t, dir) {
+			ast.Inspect(s.file, func(n ast.Node) bool {
+				if sel, ok := n.(*ast.SelectorExpr); ok {
+					if x, ok := sel.X.(*ast.Ident); ok && x.Name == "sync" && strings.HasSuffix(sel.Sel.Name, "Mutex") {
+						t.Errorf("%s: mutex", s.at(n))
+					}
+				}
+				return true
+			})
+		}
+	}
+}
+
+// maxFileLines is the bound of the house style for one file.
+const maxFileLines = 500
+
+// TestFileLength guards against files that cannot be read in five minutes.
+func TestFileLength(t *testing.T) {
+	for _, dir := range []string{"kernel", "api", "decisions", "platform", "services", "standins", "node", "bench", "cmd"} {
+		for _, s := range sources(t, dir) {
+			if n := s.set.Position(s.file.End()).Line; n > maxFileLines {
+				t.Errorf("%s has %d lines", s.path, n)
+			}
+		}
+	}
+}
