Keep the configuration confirmed on every VM and never revert it

Cause: the first version read the store from each VM, lost the fate of a write whose answer was lost, and applied whatever the store returned. Ruled out: a push of every confirmation to all VMs (the document of 60 teams is tens of KB; a pull that names the known write identifier is about 150 bytes); placing ages with the receiver's clock at arrival (a run with that change lets two VMs that are cut off together keep each other fresh: TestCutDomainGoesStale fails). Change: one document ordered by version and write identifier; the holder watches the store, other VMs pull from it and fall back along a ring of sources; confirmations age through every hop; a proposal resolves a lost answer by the recent write identifiers; a store that comes back older is repaired; a starting VM waits for a peer's document.

--- a/api/message/config.go
+++ b/api/message/config.go
@@ -36,11 +36,23 @@
 	Age time.Duration
 }
 
-// ConfigLearned delivers a document that another VM applies; answered by ConfigReply.
-type ConfigLearned struct {
-	Config model.Config
-	// Age is the time since the sender last knew it to be current.
+// ConfigPull asks the config service of another VM for its document; answered by ConfigPulled as soon as
+// its write identifier differs from Have, or after Wait.
+type ConfigPull struct {
+	Have string
+	Wait time.Duration
+}
+
+// ConfigPulled is the answer to ConfigPull.
+type ConfigPulled struct {
+	// Config is empty if its write identifier is the one that the caller has.
+	Config  model.Config
+	WriteID string
+	// Age is the time since the document was last confirmed as current, when the answer was given.
 	Age time.Duration
+	// Held is the time for which the answer waited at its sender. The caller adds it to the time of its
+	// call to place Age in its own time without comparing clocks.
+	Held time.Duration
 }
 
 // ConfigChanged is published when the document or the time of its last confirmation changes.
@@ -63,7 +75,10 @@
 func (ConfigReply) Kind() string { return "config_reply" }
 
 // Kind implements kernel.Message.
-func (ConfigLearned) Kind() string { return "config_learned" }
+func (ConfigPull) Kind() string { return "config_pull" }
+
+// Kind implements kernel.Message.
+func (ConfigPulled) Kind() string { return "config_pulled" }
 
 // Kind implements kernel.Message.
 func (ConfigChanged) Kind() string { return KindConfigChanged }
--- a/api/model/config.go
+++ b/api/model/config.go
@@ -7,6 +7,8 @@
 	Version uint64 `json:"version"`
 	// WriteID identifies the write that made this version, so that a lost response can be resolved.
 	WriteID string `json:"write_id"`
+	// Recent lists the write identifiers of the latest versions, this one last.
+	Recent []string `json:"recent,omitempty"`
 	// InForce names the preset in force.
 	InForce string            `json:"in_force"`
 	Presets map[string]Preset `json:"presets"`
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -81,7 +81,7 @@
 	dialExecutor := func(a string) executor.Client { return executor.NewHTTPClient(a, executorConns) }
 	return kernel.New(observer{m},
 		store.New(kv.NewHTTPClient(s.Store, source), m).Spec(),
-		config.New(m).Spec(),
+		config.New(self, s.Members, m).Spec(),
 		peers.New(self, s.Members, l.peers, m).Spec(),
 		membership.New(self, s.Members, vmlist.NewHTTPClient(s.VMList, source)).Spec(),
 		workers.New(s.VM, s.Domain, dialWorker, m).Spec(),
--- a/services/config/service.go
+++ b/services/config/service.go
@@ -1,156 +1,156 @@
 // Package config is the service that owns the operators' configuration document.
+//
+// It keeps the document confirmed from the store or from another VM, answers the VMs that confirm theirs
+// from this one, and makes the operators' changes by compare-and-swap.
 package config
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
+	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/decisions/config"
 	"github.com/verbenaflow/verbenaflow/kernel"
-	"github.com/verbenaflow/verbenaflow/platform/kv"
 )
 
 const (
 	// Key is the store key of the document.
 	Key = "config"
-	// watchWait bounds one watch. Each answered watch confirms the document, which expires after 2 s.
-	watchWait = 500 * time.Millisecond
-	// watchRetry is the delay after a failed watch.
-	watchRetry = 250 * time.Millisecond
+	// bootTime is the time that a starting VM waits for a peer's document. The store may have gone back to
+	// an older one, which the VM must not apply before the newer one.
+	bootTime = time.Second
 )
 
-type watchDue struct{}
+type bootDone struct{}
 
 // Kind implements kernel.Message.
-func (watchDue) Kind() string { return "config_watch_due" }
+func (bootDone) Kind() string { return "config_boot_done" }
 
-// Service holds the document in force.
+// Service holds the document that this VM applies.
 type Service struct {
-	metrics   *metrics.Set
-	doc       model.Config
+	self     model.Member
+	metrics  *metrics.Set
+	view     config.View
+	selector config.Selector
+	members  []model.Member
+	holder   bool
+	booting  bool
+	// stored is the version of the store entry that was last read.
 	stored    uint64
-	confirmed time.Time
+	repairing bool
+	pulls     map[*pull]struct{}
 }
 
-// New returns the service.
-func New(m *metrics.Set) *Service { return &Service{metrics: m} }
+// New returns the service of one VM with the peers that its settings name.
+func New(self model.Member, peers []model.Member, m *metrics.Set) *Service {
+	s := &Service{self: self, metrics: m, booting: true, pulls: make(map[*pull]struct{})}
+	for _, p := range peers {
+		p.Alive = true
+		s.members = append(s.members, p)
+	}
+	return s
+}
 
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
-	return kernel.Spec{Name: names.Config, Service: s, After: []kernel.Name{names.Store}}
+	return kernel.Spec{
+		Name: names.Config, Service: s, After: []kernel.Name{names.Store, names.Peers},
+		Subscribes: []string{message.KindMembersChanged, message.KindAuthorityChanged},
+	}
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	c.After(0, watchDue{})
+	c.After(bootTime, bootDone{})
+	c.After(0, confirmDue{})
 	return nil
 }
 
 // Drain implements kernel.Service.
-func (s *Service) Drain(c *kernel.Context) { c.Drained() }
+func (s *Service) Drain(c *kernel.Context) {
+	for p := range s.pulls {
+		s.answerPull(p)
+	}
+	c.Drained()
+}
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
-	case watchDue:
-		s.watch(c)
+	case bootDone:
+		s.endBoot(c)
+	case confirmDue:
+		s.confirm(c)
+	case message.MembersChanged:
+		s.members = m.Members
+	case message.AuthorityChanged:
+		s.holder = m.Holder
+	case message.ConfigPull:
+		s.pull(c, e, m)
+	case pullDue:
+		s.answerPull(m.p)
 	case message.ConfigGet:
-		if s.doc.Version == 0 {
-			e.Fail(s.metrics.Refusal(failure.New(failure.ConfigUnavailable, "no configuration is known yet")))
-			return
-		}
-		e.Reply(s.reply())
+		s.get(e)
 	case message.ConfigPropose:
 		s.propose(c, e, m)
+	case proposalRetry:
+		s.readBack(c, m.p)
+	}
+}
+
+func (s *Service) get(e kernel.Envelope) {
+	if s.booting || s.view.Doc.Version == 0 {
+		e.Fail(s.metrics.Refusal(failure.New(failure.ConfigUnavailable, "no configuration is known yet")))
+		return
 	}
+	e.Reply(s.reply())
 }
 
 func (s *Service) reply() message.ConfigReply {
-	return message.ConfigReply{Config: s.doc, Age: time.Since(s.confirmed)}
+	return message.ConfigReply{Config: s.view.Doc, Age: s.view.Age(time.Now())}
 }
 
-func (s *Service) watch(c *kernel.Context) {
-	asked := time.Now()
-	c.Request(names.Store, message.StoreWatch{Key: Key, After: s.stored, Wait: watchWait}, func(m kernel.Message, err error) {
-		if err != nil {
-			c.After(watchRetry, watchDue{})
-			return
+// learn applies a document that was current at a local time and publishes what changed.
+func (s *Service) learn(c *kernel.Context, doc model.Config, at time.Time) {
+	before := s.view
+	s.view = s.view.Learn(doc, at)
+	if s.view.Doc.WriteID != before.Doc.WriteID {
+		klog.InfoS("configuration applied", "vm", s.self.VM, "version", s.view.Doc.Version, "in_force", s.view.Doc.InForce, "out", s.view.Doc.Out)
+		s.metrics.Gauge("config_version", int64(s.view.Doc.Version))
+		for p := range s.pulls {
+			s.answerPull(p)
 		}
-		s.learn(c, m.(message.StoreEntry), asked)
-		c.After(0, watchDue{})
-	})
+	}
+	if s.view.Confirmed != before.Confirmed {
+		s.publish(c)
+	}
 }
 
-// learn applies an entry of the store that was current at the given time or later.
-func (s *Service) learn(c *kernel.Context, e message.StoreEntry, at time.Time) {
-	s.stored = e.Version
-	var doc model.Config
-	if e.Version == 0 || json.Unmarshal(e.Value, &doc) != nil || doc.Version < s.doc.Version {
-		return
+func (s *Service) publish(c *kernel.Context) {
+	if !s.booting && s.view.Doc.Version > 0 {
+		c.Publish(message.ConfigChanged{Config: s.view.Doc, Confirmed: s.view.Confirmed})
 	}
-	s.doc, s.confirmed = doc, at
-	c.Publish(message.ConfigChanged{Config: s.doc, Confirmed: s.confirmed})
 }
 
-func (s *Service) propose(c *kernel.Context, e kernel.Envelope, m message.ConfigPropose) {
-	if m.Expect != s.doc.Version {
-		e.Fail(s.metrics.Refusal(failure.New(failure.ConfigConflict, "version %d is in force, not %d", s.doc.Version, m.Expect)))
-		return
+func (s *Service) endBoot(c *kernel.Context) {
+	if s.booting {
+		s.booting = false
+		s.publish(c)
 	}
-	next := apply(s.doc, m.Change)
-	next.Version++
-	next.WriteID = uuid.NewString()
-	value, err := json.Marshal(next)
-	if err != nil {
-		e.Fail(failure.New(failure.Internal, "encode configuration: %v", err))
-		return
-	}
-	asked := time.Now()
-	c.Request(names.Store, message.StorePut{Key: Key, Value: value, Expect: s.stored}, func(r kernel.Message, err error) {
-		var conflict *kv.ConflictError
-		switch {
-		case errors.As(err, &conflict):
-			e.Fail(s.metrics.Refusal(failure.New(failure.ConfigConflict, "another change was first")))
-		case err != nil:
-			e.Fail(s.metrics.Refusal(failure.New(failure.StoreUnavailable, "%v", err).WithOutcome(failure.Unknown)))
-		default:
-			entry := r.(message.StoreEntry)
-			entry.Value = value
-			s.learn(c, entry, asked)
-			e.Reply(s.reply())
-		}
-	})
 }
 
-// apply returns the document with one change.
-func apply(doc model.Config, ch message.ConfigChange) model.Config {
-	next := doc
-	next.Presets = make(map[string]model.Preset, len(doc.Presets)+1)
-	for name, p := range doc.Presets {
-		next.Presets[name] = p
-	}
-	next.Out = slices.Clone(doc.Out)
-	switch {
-	case ch.UsePreset != "":
-		next.InForce = ch.UsePreset
-	case ch.PutPreset != nil:
-		next.Presets[ch.PutPreset.Name] = ch.PutPreset.Preset
-		if next.InForce == "" {
-			next.InForce = ch.PutPreset.Name
-		}
-	case ch.TakeOut != "" && !slices.Contains(next.Out, ch.TakeOut):
-		next.Out = append(next.Out, ch.TakeOut)
-		slices.Sort(next.Out)
-	case ch.BringIn != "":
-		next.Out = slices.DeleteFunc(next.Out, func(d model.FailureDomain) bool { return d == ch.BringIn })
+// domains lists the failure domains that this VM knows.
+func (s *Service) domains() []model.FailureDomain {
+	out := []model.FailureDomain{s.self.Domain}
+	for _, m := range s.members {
+		out = append(out, m.Domain)
 	}
-	return next
+	slices.Sort(out)
+	return slices.Compact(out)
 }
