--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -50,7 +50,7 @@
 // New returns the service of one failure domain.
 func New(d model.FailureDomain, m *metrics.Set) *Service {
 	return &Service{
-		domain: d, metrics: m, planner: plan.New(),
+		domain: d, metrics: m, planner: plan.New(d),
 		jobs:    make(map[model.JobID]*job),
 		workers: make(map[model.WorkerID]*plan.Worker),
 	}
