Place gangs under guarantees with reclaim, reservation and moves

Ruled out: charging a used number of GPUs against a guarantee and repacking the rest, because the end of a task can then leave cells that no longer join; each used cell is pinned to one physical cell instead. When workers are lost or a policy makes the guarantees impossible, Result.Shortfall reports it, nothing running is stopped, and starts that would increase the deficit at any level are withheld. A non-preemptible job beyond its guarantee starts only where all guarantees stay reclaimable.

--- /dev/null
+++ b/decisions/plan/bucket.go
@@ -0,0 +1,134 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/queue"
+)
+
+// backfillDepth is the number of jobs of a bucket that are tried while a reservation is in force. Jobs of a
+// bucket differ in run time only, which matters only for backfill.
+const backfillDepth = 8
+
+// class is what decides whether a job fits now: jobs of one class fit or fail alike.
+type class struct {
+	account             model.AccountID
+	tasks, gpus         int
+	within              model.Level
+	cores, mem          int
+	preemptible, urgent bool
+}
+
+func classOf(s model.JobSpec) class {
+	return class{
+		account: s.Account, tasks: s.Tasks, gpus: s.GPUsPerTask, within: s.Within,
+		cores: s.CoresPerTask, mem: s.MemoryMBPerTask, preemptible: s.Preemptible, urgent: s.Urgent,
+	}
+}
+
+// bucket holds the waiting jobs of one class, in order of submission.
+type bucket struct {
+	class class
+	acct  *account
+	jobs  []*job
+	// failed is the version of the planner at which the jobs did not fit; nothing was freed since if it is
+	// the current one.
+	failed uint64
+	// noReserve is the time before which no reservation is made, because one proved useless.
+	noReserve time.Time
+}
+
+func (b *bucket) head() *job { return b.jobs[0] }
+
+// queueJob puts a job into its bucket.
+func (p *Planner) queueJob(j *job) {
+	c := classOf(j.Spec)
+	b := p.byClass[c]
+	if b == nil {
+		b = &bucket{class: c, acct: p.account(c.account)}
+		p.byClass[c] = b
+		p.buckets = append(p.buckets, b)
+	}
+	i, _ := slices.BinarySearchFunc(b.jobs, j, func(x, y *job) int {
+		return cmp.Or(x.Submitted.Compare(y.Submitted), cmp.Compare(x.Job, y.Job))
+	})
+	b.jobs = slices.Insert(b.jobs, i, j)
+	j.bucket, j.phase = b, waiting
+	b.acct.waiting++
+	if p.res != nil {
+		b.failed = 0
+	}
+}
+
+// unqueue takes a job out of its bucket.
+func (p *Planner) unqueue(j *job) {
+	b := j.bucket
+	if i := slices.Index(b.jobs, j); i >= 0 {
+		b.jobs = slices.Delete(b.jobs, i, i+1)
+	}
+	b.acct.waiting--
+	if len(b.jobs) == 0 {
+		p.dropEmptyBuckets()
+	}
+}
+
+func (p *Planner) dropEmptyBuckets() {
+	p.buckets = slices.DeleteFunc(p.buckets, func(b *bucket) bool {
+		if len(b.jobs) > 0 {
+			return false
+		}
+		delete(p.byClass, b.class)
+		if p.res != nil && p.res.bucket == b {
+			p.endReservation()
+		}
+		return true
+	})
+}
+
+// next returns the bucket whose first job comes next, or nil if none may fit.
+func (p *Planner) next(now time.Time) *bucket {
+	var best *bucket
+	var first queue.Candidate
+	for _, b := range p.buckets {
+		if b.failed == p.version {
+			continue
+		}
+		h := b.head()
+		c := queue.Candidate{Job: h.Job, Submitted: h.Submitted, Urgent: b.class.urgent, Share: p.share(b.acct)}
+		if best == nil || p.compare(c, first, now) < 0 {
+			best, first = b, c
+		}
+	}
+	return best
+}
+
+func (p *Planner) compare(a, b queue.Candidate, now time.Time) int {
+	if p.opts.Queue == FIFO {
+		return queue.CompareFIFO(a, b)
+	}
+	return queue.Compare(a, b, now)
+}
+
+// share returns an account's dominant usage divided by its fair share.
+func (p *Planner) share(a *account) float64 {
+	d := queue.Dominant([]int{a.gpus, a.cores, a.mem}, p.totals[:])
+	return d * float64(max(1, p.weights)) / float64(max(1, a.policy.Weight))
+}
+
+// estimate returns how long a job is expected to run from its start.
+func (p *Planner) estimate(j *job) time.Duration {
+	left := 1 - j.Progress
+	return time.Duration(float64(p.account(j.Spec.Account).correction.Estimate(j.Spec.RunTime)) * left)
+}
+
+// endsBy returns when a running job is expected to end. One that runs longer than estimated is expected to
+// run as long again as it has run.
+func (p *Planner) endsBy(j *job, now time.Time) time.Time {
+	if end := j.started.Add(p.estimate(j)); end.After(now) {
+		return end
+	}
+	return now.Add(now.Sub(j.started))
+}
--- /dev/null
+++ b/decisions/plan/oracle_test.go
@@ -0,0 +1,188 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/testseed"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix("100")
+	m.Run()
+}
+
+// oracle recomputes from the placements alone what must hold, by exhaustive search.
+type oracle struct {
+	domain  model.FailureDomain
+	workers []Worker
+	policy  model.Preset
+}
+
+// task is the use of one accelerator.
+type task struct {
+	job     model.JobID
+	account model.AccountID
+	// borrowed tasks may be preempted by other accounts.
+	borrowed bool
+}
+
+// use maps each accelerator in use to its task; it fails if one is in use twice.
+func use(jobs map[model.JobID]*job) (map[string]task, error) {
+	out := make(map[string]task)
+	for id, j := range jobs {
+		if j.phase != running {
+			continue
+		}
+		for _, s := range j.placement {
+			for i := range model.GPUsPerWorker {
+				if s.GPUs&(1<<i) == 0 {
+					continue
+				}
+				key := fmt.Sprintf("%s/%d", s.Worker, i)
+				if other, taken := out[key]; taken {
+					return nil, fmt.Errorf("%s is used by %s and %s", key, id, other.job)
+				}
+				out[key] = task{job: id, account: j.Spec.Account, borrowed: j.Spec.Preemptible && !j.fixed}
+			}
+		}
+	}
+	return out, nil
+}
+
+// need is one guaranteed cell.
+type need struct {
+	account model.AccountID
+	level   model.Level
+}
+
+// packs reports whether all guaranteed cells fit at once, by trying every assignment.
+func (o oracle) packs(used map[string]task) bool {
+	var needs []need
+	for _, l := range []model.Level{model.LevelRack, model.LevelWorker, model.LevelHalf, model.LevelGPU} {
+		for _, a := range []model.AccountID{"a", "b", "c"} {
+			for _, g := range o.policy.Accounts[a].Guarantees {
+				for _, c := range g.Cells {
+					for n := 0; c.Level == l && n < c.Count; n++ {
+						needs = append(needs, need{a, l})
+					}
+				}
+			}
+		}
+	}
+	return o.assign(needs, used, make(map[string]bool), 0)
+}
+
+func (o oracle) assign(needs []need, used map[string]task, taken map[string]bool, from int) bool {
+	if len(needs) == 0 {
+		return true
+	}
+	cells := o.cells(needs[0].level)
+	for i := from; i < len(cells); i++ {
+		if !o.open(cells[i], needs[0].account, used, taken) {
+			continue
+		}
+		for _, g := range cells[i] {
+			taken[g] = true
+		}
+		next := 0
+		if len(needs) > 1 && needs[1] == needs[0] {
+			next = i + 1
+		}
+		if o.assign(needs[1:], used, taken, next) {
+			return true
+		}
+		for _, g := range cells[i] {
+			delete(taken, g)
+		}
+	}
+	return false
+}
+
+func (o oracle) open(c []string, a model.AccountID, used map[string]task, taken map[string]bool) bool {
+	for _, g := range c {
+		if t, inUse := used[g]; taken[g] || (inUse && !t.borrowed && t.account != a) {
+			return false
+		}
+	}
+	return true
+}
+
+// cells lists the cells of a level whose workers are all usable.
+func (o oracle) cells(l model.Level) [][]string {
+	var out [][]string
+	racks := make(map[string][]string)
+	for _, w := range o.workers {
+		if !w.Usable {
+			continue
+		}
+		size := min(l.GPUs(), model.GPUsPerWorker)
+		for base := 0; base < model.GPUsPerWorker; base += size {
+			var c []string
+			for i := range size {
+				c = append(c, fmt.Sprintf("%s/%d", w.ID, base+i))
+			}
+			if l == model.LevelRack {
+				racks[w.Rack] = append(racks[w.Rack], c...)
+			} else {
+				out = append(out, c)
+			}
+		}
+	}
+	for _, c := range racks {
+		if len(c) == model.GPUsPerRack {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// gang fails if a start is not whole, not aligned or not within its cell.
+func (o oracle) gang(spec model.JobSpec, pl model.Placement) error {
+	if len(pl) != spec.Tasks {
+		return fmt.Errorf("%d slots for %d tasks", len(pl), spec.Tasks)
+	}
+	cells := make(map[string]bool)
+	for _, s := range pl {
+		aligned := false
+		for i := 0; i < model.GPUsPerWorker; i += spec.GPUsPerTask {
+			aligned = aligned || s.GPUs == model.GPUMask((1<<spec.GPUsPerTask)-1)<<i
+		}
+		if !aligned {
+			return fmt.Errorf("slot %v is not aligned", s)
+		}
+		for _, w := range o.workers {
+			if w.ID != s.Worker {
+				continue
+			}
+			if !w.Usable {
+				return fmt.Errorf("worker %s is not usable", w.ID)
+			}
+			switch spec.Within {
+			case model.LevelWorker:
+				cells[string(w.ID)] = true
+			case model.LevelRack:
+				cells[w.Rack] = true
+			}
+		}
+	}
+	if len(cells) > 1 {
+		return fmt.Errorf("gang within %s spans %v", spec.Within, cells)
+	}
+	return nil
+}
+
+func workersOf(racks, perRack int) []Worker {
+	var out []Worker
+	for r := range racks {
+		for w := range perRack {
+			out = append(out, Worker{ID: model.WorkerID(fmt.Sprintf("w%d%d", r, w)), Rack: fmt.Sprintf("r%d", r), Usable: true})
+		}
+	}
+	return out
+}
+
+func guarantees(cells ...model.CellCount) []model.Guarantee {
+	return []model.Guarantee{{Domain: "d", Cells: cells}}
+}
--- /dev/null
+++ b/decisions/plan/progress_test.go
@@ -0,0 +1,209 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/model"
+)
+
+func newPlanner(o Options, ws []Worker, accounts map[model.AccountID]model.AccountPolicy) *Planner {
+	p := NewWith("d", o)
+	p.SetWorkers(ws)
+	p.SetPolicy(model.Preset{Accounts: accounts})
+	return p
+}
+
+func waitingJob(id string, a model.AccountID, tasks, gpus int, preemptible bool) Waiting {
+	return Waiting{Job: model.JobID(id), Submitted: epoch, Spec: model.JobSpec{
+		Account: a, Tasks: tasks, GPUsPerTask: gpus, Preemptible: preemptible, RunTime: time.Hour,
+	}}
+}
+
+// TestReclaimPreemptsBorrowers guards against a guarantee that exists on paper only: borrowers keep the
+// accelerators, or others take them while the borrowers leave (P1).
+func TestReclaimPreemptsBorrowers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPlanner(Options{}, workersOf(2, 2), map[model.AccountID]model.AccountPolicy{
+		"a": {Guarantees: guarantees(model.CellCount{Level: model.LevelWorker, Count: 2})}, "b": {},
+	})
+	for i := range 40 {
+		p.Enqueue(waitingJob(fmt.Sprintf("b%02d", i), "b", 1, 1, true))
+	}
+	g.Expect(p.Round(epoch).Starts).To(gomega.HaveLen(32))
+	big := waitingJob("a1", "a", 2, 8, false)
+	p.Enqueue(big)
+	r := p.Round(epoch.Add(time.Minute))
+	g.Expect(r.Starts).To(gomega.BeEmpty())
+	g.Expect(r.Preempts).To(gomega.HaveLen(16))
+	for i, x := range r.Preempts {
+		g.Expect(x.For).To(gomega.Equal(big.Job))
+		p.Requeue(x.Job)
+		starts := p.Round(epoch.Add(time.Minute)).Starts
+		if i < len(r.Preempts)-1 {
+			g.Expect(starts).To(gomega.BeEmpty())
+		} else {
+			g.Expect(starts).To(gomega.HaveLen(1))
+			g.Expect(starts[0].Job).To(gomega.Equal(big.Job))
+		}
+	}
+}
+
+// TestReclaimTakesLeastLostWork guards against preempting long-running jobs while recent ones would do.
+func TestReclaimTakesLeastLostWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPlanner(Options{}, workersOf(1, 2), map[model.AccountID]model.AccountPolicy{
+		"a": {Guarantees: guarantees(model.CellCount{Level: model.LevelWorker, Count: 1})}, "b": {},
+	})
+	p.Enqueue(waitingJob("old", "b", 1, 8, true))
+	p.Round(epoch)
+	p.Enqueue(waitingJob("young", "b", 1, 8, true))
+	p.Round(epoch.Add(time.Hour))
+	p.Enqueue(waitingJob("a1", "a", 1, 8, false))
+	r := p.Round(epoch.Add(2 * time.Hour))
+	g.Expect(r.Preempts).To(gomega.Equal([]Preempt{{Job: "young", For: "a1", Reason: ReasonReclaim}}))
+}
+
+// TestUrgentStartsFirst guards against urgent work that waits behind others or for borrowers.
+func TestUrgentStartsFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPlanner(Options{}, workersOf(1, 1), map[model.AccountID]model.AccountPolicy{"b": {}, "c": {}})
+	p.Enqueue(waitingJob("b1", "b", 1, 8, true))
+	p.Round(epoch)
+	u := waitingJob("c1", "c", 1, 8, false)
+	u.Spec.Urgent = true
+	p.Enqueue(waitingJob("c0", "c", 1, 8, false))
+	p.Enqueue(u)
+	g.Expect(p.Round(epoch).Preempts).To(gomega.Equal([]Preempt{{Job: "b1", For: "c1", Reason: ReasonUrgent}}))
+	p.Requeue("b1")
+	g.Expect(p.Round(epoch).Starts[0].Job).To(gomega.Equal(u.Job))
+}
+
+// TestLargeJobIsNotStarved guards against a stream of small jobs that keeps a large job waiting.
+func TestLargeJobIsNotStarved(t *testing.T) {
+	for _, within := range []model.Level{model.LevelRack, model.LevelDomain} {
+		g := gomega.NewWithT(t)
+		g.Expect(roundsUntilLarge(Options{}, within)).To(gomega.BeNumerically("<=", 24), string(within))
+	}
+}
+
+// roundsUntilLarge counts the rounds, ten minutes apart, until a job of two whole workers starts in a
+// stream of small jobs whose true run time is 40 minutes and whose declared one is 5 minutes.
+func roundsUntilLarge(o Options, within model.Level) int {
+	const limit, perRound, runRounds = 200, 14, 4
+	p := newPlanner(o, workersOf(2, 2), map[model.AccountID]model.AccountPolicy{"a": {Weight: 1}, "b": {Weight: 1}})
+	ends := make(map[int][]model.JobID)
+	for n := range limit {
+		now := epoch.Add(time.Duration(n) * 10 * time.Minute)
+		for i := range perRound {
+			w := waitingJob(fmt.Sprintf("s%03d-%02d", n, i), "b", 1, 1, true)
+			w.Submitted, w.Spec.RunTime = now, 5*time.Minute
+			p.Enqueue(w)
+		}
+		if n == 2 {
+			w := waitingJob("large", "a", 2, 8, false)
+			w.Submitted, w.Spec.Within = now, within
+			p.Enqueue(w)
+		}
+		for _, id := range ends[n] {
+			p.Finish(id, now)
+		}
+		for _, s := range p.Round(now).Starts {
+			if s.Job == "large" {
+				return n
+			}
+			ends[n+runRounds] = append(ends[n+runRounds], s.Job)
+		}
+	}
+	return limit
+}
+
+// TestMovesMakeRoom guards against a gang that waits behind scattered borrowers although moving them is
+// cheap, and against repeated moves of one job.
+func TestMovesMakeRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := NewWith("d", Options{})
+	p.SetWorkers(workersOf(1, 2))
+	p.SetPolicy(model.Preset{Defragment: true, Accounts: map[model.AccountID]model.AccountPolicy{"a": {}, "b": {}}})
+	for i, mask := range []model.GPUMask{1, 1} {
+		w := waitingJob(fmt.Sprintf("b%d", i), "b", 1, 1, true)
+		w.Spec.RunTime = 10 * time.Hour
+		p.Adopt(w, model.Placement{{Worker: model.WorkerID(fmt.Sprintf("w0%d", i)), GPUs: mask}}, epoch)
+	}
+	p.Enqueue(waitingJob("a1", "a", 1, 8, false))
+	now := epoch.Add(2 * time.Hour)
+	r := p.Round(now)
+	g.Expect(r.Moves).To(gomega.HaveLen(1))
+	moved := r.Moves[0].Job
+	p.Requeue(moved)
+	r = p.Round(now)
+	g.Expect(r.Starts).To(gomega.HaveLen(2))
+	p.Finish("a1", now)
+	p.Adopt(waitingJob("c1", "b", 1, 4, false), model.Placement{{Worker: r.Starts[0].Placement[0].Worker, GPUs: 0x0f}}, now)
+	p.Enqueue(waitingJob("a2", "a", 1, 8, false))
+	g.Expect(p.Round(now.Add(time.Minute)).Moves).To(gomega.BeEmpty())
+	p.Remove("a2")
+	p.Enqueue(waitingJob("a3", "a", 1, 8, false))
+	g.Expect(p.Round(now.Add(2 * moveInterval)).Moves).To(gomega.HaveLen(2))
+}
+
+// TestAdoptDisplacesHolds guards against a start on accelerators that a job found running already uses.
+func TestAdoptDisplacesHolds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPlanner(Options{}, workersOf(1, 1), map[model.AccountID]model.AccountPolicy{"b": {}, "c": {}})
+	p.Enqueue(waitingJob("b1", "b", 1, 4, true))
+	p.Round(epoch)
+	u := waitingJob("c1", "c", 1, 8, false)
+	u.Spec.Urgent = true
+	p.Enqueue(u)
+	g.Expect(p.Round(epoch).Preempts).To(gomega.HaveLen(1))
+	p.Adopt(waitingJob("b2", "b", 1, 4, false), model.Placement{{Worker: "w00", GPUs: 0xf0}}, epoch)
+	p.Requeue("b1")
+	for _, s := range p.Round(epoch).Starts {
+		g.Expect(s.Job).NotTo(gomega.Equal(u.Job))
+	}
+}
+
+// TestCheck guards against accepting a job that can never run, and against refusing it without a reason.
+func TestCheck(t *testing.T) {
+	p := newPlanner(Options{}, workersOf(2, 2), map[model.AccountID]model.AccountPolicy{
+		"a": {Guarantees: guarantees(model.CellCount{Level: model.LevelWorker, Count: 3})},
+		"b": {QuotaGPUs: 16, MaxQueuedJobs: 1}, "c": {},
+	})
+	spec := func(a model.AccountID, tasks, gpus int, within model.Level, preemptible bool) model.JobSpec {
+		return model.JobSpec{Account: a, Tasks: tasks, GPUsPerTask: gpus, Within: within, Preemptible: preemptible}
+	}
+	cases := []struct {
+		spec model.JobSpec
+		want *failure.Error
+	}{
+		{spec("a", 0, 1, "", true), &failure.Error{Reason: failure.Malformed}},
+		{spec("a", 1, 3, "", true), &failure.Error{Reason: failure.Malformed}},
+		{spec("a", 1, 1, model.LevelHalf, true), &failure.Error{Reason: failure.Malformed}},
+		{spec("x", 1, 1, "", true), &failure.Error{Reason: failure.UnknownAccount}},
+		{spec("b", 3, 8, "", true), &failure.Error{Reason: failure.QuotaExceeded}},
+		{spec("c", 3, 8, model.LevelRack, true), &failure.Error{Reason: failure.NeverFits}},
+		{spec("c", 5, 8, "", true), &failure.Error{Reason: failure.NeverFits}},
+		{spec("c", 9, 1, model.LevelWorker, true), &failure.Error{Reason: failure.NeverFits}},
+		{spec("c", 2, 8, "", false), &failure.Error{Reason: failure.NeverFits}},
+		{spec("c", 2, 8, "", true), nil},
+		{spec("c", 1, 8, "", false), nil},
+		{spec("a", 4, 8, "", false), nil},
+	}
+	for _, c := range cases {
+		g := gomega.NewWithT(t)
+		got := p.Check(c.spec)
+		if c.want == nil {
+			g.Expect(got).To(gomega.BeNil(), "%+v", c.spec)
+			continue
+		}
+		g.Expect(got).To(gomega.MatchError(c.want), "%+v", c.spec)
+		g.Expect(got.Detail).NotTo(gomega.BeEmpty())
+	}
+	p.Enqueue(waitingJob("b1", "b", 2, 8, true))
+	gomega.NewWithT(t).Expect(p.Check(spec("b", 1, 1, "", true))).To(gomega.MatchError(&failure.Error{Reason: failure.QueueFull}))
+}
