--- a/decisions/plan/plan.go
+++ b/decisions/plan/plan.go
@@ -12,17 +12,26 @@
 
 // Worker is a worker as the planner sees it.
 type Worker struct {
-	ID   model.WorkerID
+	ID model.WorkerID
+	// Rack names the rack; a worker without one is adjacent to no other.
 	Rack string
 	// Usable is false while the worker may not receive new tasks.
 	Usable bool
+	// Cores and MemoryMB are the totals of the worker; 0 means unknown.
+	Cores    int
+	MemoryMB int
 }
 
 // Waiting is a job that waits for accelerators.
 type Waiting struct {
-	Job       model.JobID
-	Spec      model.JobSpec
+	Job  model.JobID
+	Spec model.JobSpec
+	// Submitted is the time of submission; it keeps the job's place after a requeue.
 	Submitted time.Time
+	// Attempt counts the attempts so far.
+	Attempt int
+	// Progress is the checkpointed share of the work, from 0 to 1.
+	Progress float64
 }
 
 // Start is a decision to start a gang.
@@ -31,91 +40,69 @@
 	Placement model.Placement
 }
 
-// Result lists the actions of one round.
-type Result struct {
-	Starts []Start
-	// Preempts lists running jobs that must give up their accelerators.
-	Preempts []model.JobID
-}
+// Reason tells why a running job must give up its accelerators.
+type Reason string
 
-// Planner holds the accelerators and the queue of one failure domain.
-type Planner struct {
-	workers []Worker
-	used    map[model.WorkerID]model.GPUMask
-	placed  map[model.JobID]model.Placement
-	queue   []Waiting
-}
+// Reasons of preemptions.
+const (
+	// ReasonReclaim means that an account reclaims its guaranteed shape.
+	ReasonReclaim Reason = "reclaim"
+	// ReasonUrgent means that an urgent job needs the accelerators.
+	ReasonUrgent Reason = "urgent"
+)
 
-// New returns a planner without workers.
-func New() *Planner {
-	return &Planner{
-		used:   make(map[model.WorkerID]model.GPUMask),
-		placed: make(map[model.JobID]model.Placement),
-	}
+// Preempt is a decision to checkpoint and stop a running job. Its accelerators stay reserved for the job
+// in For until the caller reports Requeue, Finish or Remove of the preempted job.
+type Preempt struct {
+	Job    model.JobID
+	For    model.JobID
+	Reason Reason
 }
 
-// SetWorkers replaces the known workers.
-func (p *Planner) SetWorkers(ws []Worker) { p.workers = ws }
+// Move is a decision to checkpoint a running job and restart it elsewhere, so that the job in For fits.
+// The accelerators are reserved as for a Preempt; after its Requeue the moved job starts again as usual.
+type Move struct {
+	Job model.JobID
+	For model.JobID
+}
 
-// Enqueue adds a waiting job.
-func (p *Planner) Enqueue(w Waiting) { p.queue = append(p.queue, w) }
+// Result lists the actions of one round.
+type Result struct {
+	Starts   []Start
+	Preempts []Preempt
+	Moves    []Move
+	// Shortfall lists the guaranteed cells that cannot be packed at present, because of lost workers, a
+	// change of policy or adopted jobs. Nothing running is stopped for it; starts that would increase it
+	// are withheld.
+	Shortfall []model.CellCount
+}
 
-// Adopt records a job that already runs on a placement.
-func (p *Planner) Adopt(job model.JobID, pl model.Placement) { p.occupy(job, pl) }
+// QueuePolicy orders the waiting jobs.
+type QueuePolicy uint8
 
-// Remove forgets a job, whether it waits or runs, and frees its accelerators.
-func (p *Planner) Remove(job model.JobID) {
-	for _, s := range p.placed[job] {
-		p.used[s.Worker] &^= s.GPUs
-	}
-	delete(p.placed, job)
-	for i, w := range p.queue {
-		if w.Job == job {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			return
-		}
-	}
-}
+// Queue policies.
+const (
+	// FairShare orders by dominant share and age.
+	FairShare QueuePolicy = iota
+	// FIFO orders by submission.
+	FIFO
+)
 
-// Round decides the starts for the current state and reserves their accelerators.
-func (p *Planner) Round(_ time.Time) Result {
-	var r Result
-	var rest []Waiting
-	for _, w := range p.queue {
-		pl, ok := p.firstFit(w.Spec)
-		if !ok {
-			rest = append(rest, w)
-			continue
-		}
-		p.occupy(w.Job, pl)
-		r.Starts = append(r.Starts, Start{Job: w.Job, Placement: pl})
-	}
-	p.queue = rest
-	return r
-}
+// PlacementPolicy selects among the placements that fit.
+type PlacementPolicy uint8
 
-func (p *Planner) occupy(job model.JobID, pl model.Placement) {
-	p.placed[job] = pl
-	for _, s := range pl {
-		p.used[s.Worker] |= s.GPUs
-	}
-}
+// Placement policies.
+const (
+	// BestFit fills broken cells first and spreads a gang over as few cells as possible.
+	BestFit PlacementPolicy = iota
+	// FirstFit takes the first cells that fit.
+	FirstFit
+)
 
-// firstFit places each task on the first aligned free accelerators.
-func (p *Planner) firstFit(spec model.JobSpec) (model.Placement, bool) {
-	taken := make(map[model.WorkerID]model.GPUMask)
-	var pl model.Placement
-	for _, w := range p.workers {
-		if !w.Usable {
-			continue
-		}
-		for base := 0; base < model.GPUsPerWorker && len(pl) < spec.Tasks; base += spec.GPUsPerTask {
-			mask := model.GPUMask((1<<spec.GPUsPerTask)-1) << base
-			if (p.used[w.ID]|taken[w.ID])&mask == 0 {
-				taken[w.ID] |= mask
-				pl = append(pl, model.Slot{Worker: w.ID, GPUs: mask})
-			}
-		}
-	}
-	return pl, len(pl) == spec.Tasks
+// Options select policies; the zero value holds the measured better ones.
+type Options struct {
+	Queue     QueuePolicy
+	Placement PlacementPolicy
+	// NoReservation turns off the reservation for the oldest large job, for comparison only.
+	NoReservation bool
 }
