--- a/kernel/context.go
+++ b/kernel/context.go
@@ -26,9 +26,14 @@
 }
 
 // Request delivers a message and runs done on this service's goroutine with the answer.
-// A refusal reaches done as an error before Request returns.
+// A refusal reaches done as an error before Request returns. If either service stops before the answer,
+// done receives an *UnansweredError: the message may have been processed.
 func (c *Context) Request(to Name, m Message, done func(Message, error)) {
 	r := c.r
+	if r.isStopped {
+		done(nil, &StoppedError{Name: c.Name()})
+		return
+	}
 	if len(r.unanswered) >= maxUnanswered {
 		done(nil, &TooManyRequestsError{Name: c.Name()})
 		return
@@ -42,7 +47,7 @@
 		default:
 		}
 	}
-	r.unanswered[id] = done
+	r.unanswered[id] = pending{to: to, done: done}
 	if err := r.kernel.deliver(to, Envelope{From: c.Name(), Body: m, port: port}); err != nil {
 		delete(r.unanswered, id)
 		done(nil, err)
@@ -80,12 +85,14 @@
 }
 
 // Spawn runs a task on its own goroutine. The task may block and owns the sockets it uses; its result,
-// if not nil, is delivered to this service. The task's context ends when the service stops.
+// if not nil, is delivered to this service. The task's context ends when the service stops. A panic stops
+// the kernel.
 func (c *Context) Spawn(task func(ctx context.Context) Message) {
 	r := c.r
 	ctx := r.ctx
 	r.tasks.Go(func() {
-		m := task(ctx)
+		var m Message
+		r.guard(func() { m = task(ctx) })
 		if m == nil {
 			return
 		}
--- a/kernel/errors.go
+++ b/kernel/errors.go
@@ -29,6 +29,23 @@
 
 func (e *StoppedError) Error() string { return fmt.Sprintf("service %q has stopped", e.Name) }
 
+// UnansweredError reports a message whose answer will not arrive because a service stopped. The message
+// may have been processed.
+type UnansweredError struct{ Name Name }
+
+func (e *UnansweredError) Error() string {
+	return fmt.Sprintf("service %q gave no answer before the stop", e.Name)
+}
+
+// PanicError reports a panic in a service or in one of its tasks. It stops the kernel.
+type PanicError struct {
+	Name  Name
+	Value any
+	Stack string
+}
+
+func (e *PanicError) Error() string { return fmt.Sprintf("service %q panicked: %v", e.Name, e.Value) }
+
 // ReplyTypeError reports an answer of another type than the caller asked for.
 type ReplyTypeError struct {
 	Name Name
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -6,6 +6,7 @@
 package kernel
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,7 @@
 	byName   map[Name]*runner
 	byKind   map[string][]*runner
 	started  chan struct{}
+	failed   chan error
 	running  atomic.Bool
 }
 
@@ -67,6 +69,7 @@
 		byName:   make(map[Name]*runner, len(specs)),
 		byKind:   make(map[string][]*runner),
 		started:  make(chan struct{}),
+		failed:   make(chan error, 1),
 	}
 	ordered, err := startOrder(specs)
 	if err != nil {
@@ -80,11 +83,16 @@
 			k.byKind[kind] = append(k.byKind[kind], r)
 		}
 	}
+	for _, r := range k.order {
+		r.ended = make(chan Name, len(k.order))
+	}
 	return k, nil
 }
 
 // Run starts all services, waits until ctx ends, drains the services in reverse start order and returns.
-// It returns a *StartError if a service does not start.
+// It returns a *StartError if a service does not start, after a drain of those that did, and a *PanicError
+// if a service or task panics. After a panic the services stop without a drain, because a drain would
+// depend on the failed service.
 func (k *Kernel) Run(ctx context.Context) error {
 	if !k.running.CompareAndSwap(false, true) {
 		return &RegistrationError{Reason: "kernel runs once"}
@@ -92,14 +100,40 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	n, err := k.startAll(&wg)
+	graceful := true
 	if err == nil {
 		close(k.started)
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case err = <-k.failed:
+			graceful = false
+		}
+	}
+	for _, r := range k.order[n:] {
+		r.abandon()
 	}
 	for i := n - 1; i >= 0; i-- {
-		k.order[i].shutdown(err == nil)
+		k.order[i].shutdown(graceful)
+	}
+	return cmp.Or(err, k.failure())
+}
+
+// fail records the first failure and stops the kernel.
+func (k *Kernel) fail(err error) {
+	select {
+	case k.failed <- err:
+	default:
+	}
+}
+
+// failure returns a failure that occurred during the drain, or nil.
+func (k *Kernel) failure() error {
+	select {
+	case err := <-k.failed:
+		return err
+	default:
+		return nil
 	}
-	return err
 }
 
 // Started returns a channel that is closed once all services have started.
@@ -115,7 +149,8 @@
 	return len(k.order), nil
 }
 
-// Call sends a message from outside the kernel and waits for the answer or the end of ctx.
+// Call sends a message from outside the kernel and waits for the answer or the end of ctx. It returns an
+// *UnansweredError if the service stops without an answer.
 func (k *Kernel) Call(ctx context.Context, to Name, m Message) (Message, error) {
 	type answer struct {
 		m   Message
@@ -136,6 +171,13 @@
 		return a.m, a.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-k.byName[to].finished:
+	}
+	select {
+	case a := <-ch:
+		return a.m, a.err
+	default:
+		return nil, &UnansweredError{Name: to}
 	}
 }
 
--- a/kernel/runner.go
+++ b/kernel/runner.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 )
 
 // maxUnanswered bounds the requests of one service that wait for an answer. The reply channel has
@@ -22,7 +25,11 @@
 	drain   chan struct{}
 	drained chan struct{}
 	stop    chan struct{}
-	stopped chan struct{}
+	// stopped is closed once the service handles no more messages, finished once its tasks have ended too.
+	stopped  chan struct{}
+	finished chan struct{}
+	// ended receives the names of other services that have finished. It has room for all of them.
+	ended chan Name
 
 	// The fields below belong to the service goroutine.
 	ctx         context.Context
@@ -30,9 +37,16 @@
 	tasks       conc.WaitGroup
 	timers      timerHeap
 	nextID      uint64
-	unanswered  map[uint64]func(Message, error)
+	unanswered  map[uint64]pending
 	unpublished map[publication]Message
 	isDrained   bool
+	isStopped   bool
+}
+
+// pending is a request that waits for its answer.
+type pending struct {
+	to   Name
+	done func(Message, error)
 }
 
 type reply struct {
@@ -59,7 +73,8 @@
 		drained:     make(chan struct{}),
 		stop:        make(chan struct{}),
 		stopped:     make(chan struct{}),
-		unanswered:  make(map[uint64]func(Message, error)),
+		finished:    make(chan struct{}),
+		unanswered:  make(map[uint64]pending),
 		unpublished: make(map[publication]Message),
 	}
 }
@@ -73,7 +88,7 @@
 	}
 	select {
 	case r.mailbox <- e:
-		return nil
+		return r.recheck()
 	default:
 		if r.kernel.observer != nil {
 			r.kernel.observer.Refused(r.spec.Name, e.Body.Kind())
@@ -82,19 +97,63 @@
 	}
 }
 
+// recheck fails an envelope that entered the mailbox after the service emptied it for the last time.
+func (r *runner) recheck() error {
+	select {
+	case <-r.stopped:
+		r.refuseRest()
+	default:
+	}
+	return nil
+}
+
 // run is the goroutine of the service.
 func (r *runner) run() {
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	c := &Context{r: r}
-	err := r.spec.Service.Start(c)
-	r.ready <- err
-	if err == nil {
-		r.loop(c)
-	}
+	r.guard(func() {
+		err := r.spec.Service.Start(c)
+		r.ready <- err
+		if err == nil {
+			r.loop(c)
+		}
+	})
 	r.cancel()
+	r.isStopped = true
 	close(r.stopped)
+	r.refuseRest()
+	r.guard(r.failUnanswered)
 	r.tasks.Wait()
+	r.finish()
+}
+
+// finish tells the other services that this one gives no more answers.
+func (r *runner) finish() {
+	for _, other := range r.kernel.order {
+		other.ended <- r.spec.Name
+	}
+	close(r.finished)
+}
+
+// abandon closes a service that never started.
+func (r *runner) abandon() {
+	close(r.stopped)
 	r.refuseRest()
+	close(r.finished)
+}
+
+// guard runs f and turns a panic into a failure of the kernel.
+func (r *runner) guard(f func()) {
+	p := panics.Try(f)
+	if p == nil {
+		return
+	}
+	err := &PanicError{Name: r.spec.Name, Value: p.Value, Stack: string(p.Stack)}
+	r.kernel.fail(err)
+	select {
+	case r.ready <- err:
+	default:
+	}
 }
 
 func (r *runner) loop(c *Context) {
@@ -110,6 +169,8 @@
 			r.spec.Service.Handle(c, Envelope{From: r.spec.Name, Body: m})
 		case a := <-r.replies:
 			r.answer(a)
+		case n := <-r.ended:
+			r.peerEnded(n)
 		case <-timer.C:
 			r.fireTimers(c)
 		case <-drain:
@@ -122,9 +183,30 @@
 }
 
 func (r *runner) answer(a reply) {
-	if f, ok := r.unanswered[a.id]; ok {
+	if p, ok := r.unanswered[a.id]; ok {
 		delete(r.unanswered, a.id)
-		f(a.m, a.err)
+		p.done(a.m, a.err)
+	}
+}
+
+// peerEnded fails the requests that a finished service left without an answer.
+func (r *runner) peerEnded(n Name) {
+	// Answers that the service gave before it finished are already in the channel.
+	for len(r.replies) > 0 {
+		r.answer(<-r.replies)
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.unanswered)) {
+		if r.unanswered[id].to == n {
+			r.answer(reply{id: id, err: &UnansweredError{Name: n}})
+		}
+	}
+}
+
+// failUnanswered ends the requests of this service when it stops, so that envelopes held by their
+// callbacks are answered. The receiver may still process them, so the error differs from StoppedError.
+func (r *runner) failUnanswered() {
+	for _, id := range slices.Sorted(maps.Keys(r.unanswered)) {
+		r.answer(reply{id: id, err: &UnansweredError{Name: r.unanswered[id].to}})
 	}
 }
 
