Complete the settings and refuse contradictory values

Cause: unknown sections were refused, but duplicate keys, missing sections, the own id or address among the peers, equal listen addresses and a failure domain in two regions were accepted, and no limit or duration could be set. Values were expanded by reference to other keys, which lets a short file grow without bound; raw values are read now.

--- /dev/null
+++ b/node/settings/reader.go
@@ -0,0 +1,194 @@
+package settings
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+)
+
+// namePattern permits the characters that store keys and tickets do not use as separators.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+const (
+	expectedName    = `a name of up to 64 letters, digits, ".", "_" and "-"`
+	expectedAddress = `an address "IP:port" with a port from 1 to 65535`
+)
+
+// sizeUnits maps units to bytes, the longer names first.
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"B", 1}}
+
+// reader collects the faults of a file.
+type reader struct {
+	file     *ini.File
+	problems []Problem
+}
+
+func (r *reader) problem(section, key, format string, args ...any) {
+	r.problems = append(r.problems, Problem{section, key, fmt.Sprintf(format, args...)})
+}
+
+// checkNames reports missing and unknown sections, unknown keys and keys that occur twice.
+func (r *reader) checkNames() {
+	for _, name := range required {
+		if !r.file.HasSection(name) {
+			r.problem(name, "-", "the section to be present")
+		}
+	}
+	for _, s := range r.file.Sections() {
+		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+			continue
+		}
+		known, ok := schema[s.Name()]
+		if !ok {
+			r.problem(s.Name(), "-", "one of the sections vm, listen, platform, peers, limits, timing, log")
+			continue
+		}
+		r.checkKeys(s, known)
+	}
+}
+
+func (r *reader) checkKeys(s *ini.Section, known []string) {
+	for _, k := range s.Keys() {
+		if known != nil && !slices.Contains(known, k.Name()) {
+			r.problem(s.Name(), k.Name(), "one of the keys %s", strings.Join(known, ", "))
+		}
+		if len(k.ValueWithShadows()) > 1 {
+			r.problem(s.Name(), k.Name(), "the key only once")
+		}
+	}
+}
+
+// value returns the text of a key without expansion of references to other keys.
+func (r *reader) value(section, key string) string {
+	if !r.has(section, key) {
+		return ""
+	}
+	return r.file.Section(section).Key(key).Value()
+}
+
+func (r *reader) name(section, key string) string {
+	v := r.value(section, key)
+	if !namePattern.MatchString(v) {
+		r.problem(section, key, expectedName)
+	}
+	return v
+}
+
+func (r *reader) address(section, key string) string {
+	v := r.value(section, key)
+	if !isAddress(v) {
+		r.problem(section, key, expectedAddress)
+	}
+	return v
+}
+
+func isAddress(v string) bool {
+	a, err := netip.ParseAddrPort(v)
+	return err == nil && a.Port() != 0
+}
+
+func (r *reader) number(section, key string, def, low, high int) int {
+	if !r.has(section, key) {
+		return def
+	}
+	n, err := strconv.Atoi(r.value(section, key))
+	if err != nil || n < low || n > high {
+		r.problem(section, key, "a number from %d to %d", low, high)
+		return def
+	}
+	return n
+}
+
+func (r *reader) has(section, key string) bool {
+	s, err := r.file.GetSection(section)
+	return err == nil && s.HasKey(key)
+}
+
+func (r *reader) duration(section, key string, def, low, high time.Duration) time.Duration {
+	if !r.has(section, key) {
+		return def
+	}
+	d, err := time.ParseDuration(r.value(section, key))
+	if err != nil || d < low || d > high {
+		r.problem(section, key, `a duration with a unit from %s to %s, such as "500ms" or "5s"`, low, high)
+		return def
+	}
+	return d
+}
+
+func (r *reader) size(section, key string, def, low, high int64) int64 {
+	if !r.has(section, key) {
+		return def
+	}
+	n, ok := parseSize(r.value(section, key))
+	if !ok || n < low || n > high {
+		r.problem(section, key, `a size with the unit B, KiB or MiB from %d B to %d MiB, such as "512KiB"`, low, high>>20)
+		return def
+	}
+	return n
+}
+
+// parseSize reads a size with a unit; false for any other form and for sizes that do not fit in 63 bits.
+func parseSize(v string) (int64, bool) {
+	for _, u := range sizeUnits {
+		if digits, ok := strings.CutSuffix(v, u.name); ok {
+			n, err := strconv.ParseUint(strings.TrimSpace(digits), 10, 40)
+			return int64(n) * u.bytes, err == nil
+		}
+	}
+	return 0, false
+}
+
+// certificate loads a certificate with its key if both files are named.
+func (r *reader) certificate(section, certKey, keyKey string) *tls.Certificate {
+	cert, key := r.value(section, certKey), r.value(section, keyKey)
+	switch {
+	case cert == "" && key == "":
+		return nil
+	case cert == "":
+		r.problem(section, certKey, "a certificate file, because %s is set", keyKey)
+		return nil
+	case key == "":
+		r.problem(section, keyKey, "a key file, because %s is set", certKey)
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		r.problem(section, certKey, "a PEM certificate that matches %s: %v", keyKey, err)
+		return nil
+	}
+	return &pair
+}
+
+// members reads lines of the form "vm = address domain region".
+func (r *reader) members() []model.Member {
+	s, err := r.file.GetSection("peers")
+	if err != nil {
+		return nil
+	}
+	var out []model.Member
+	for _, k := range s.Keys() {
+		f := strings.Fields(k.Value())
+		if len(f) != 3 || !isAddress(f[0]) || !namePattern.MatchString(f[1]) || !namePattern.MatchString(f[2]) || !namePattern.MatchString(k.Name()) {
+			r.problem("peers", k.Name(), `"name = IP:port domain region"`)
+			continue
+		}
+		out = append(out, model.Member{
+			VM: model.VMID(k.Name()), Address: f[0],
+			Domain: model.FailureDomain(f[1]), Region: model.Region(f[2]),
+		})
+	}
+	return out
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -2,10 +2,10 @@
 package settings
 
 import (
+	"crypto/tls"
 	"fmt"
-	"net"
-	"slices"
 	"strings"
+	"time"
 
 	"gopkg.in/ini.v1"
 
@@ -19,12 +19,44 @@
 	Region model.Region
 	// Listen addresses, each "IP:port".
 	HTTP, Peers, Admin string
+	// TLS is the certificate of the HTTP listener; nil serves plain HTTP.
+	TLS *tls.Certificate
 	// Addresses of the platform's services, each "IP:port".
 	Store, VMList string
 	// Members lists the other entry VMs.
 	Members []model.Member
+	// ExecutorConns bounds the connections of this VM to each executor.
+	ExecutorConns int
+	// MaxBody is the largest accepted body of an HTTP call in bytes.
+	MaxBody int64
+	// HeaderTimeout bounds the arrival of the header of an HTTP call.
+	HeaderTimeout time.Duration
+	// DrainTimeout bounds the HTTP calls in progress at a graceful shutdown.
+	DrainTimeout time.Duration
+	// Verbosity is the klog level up to which messages are logged.
+	Verbosity int
 }
 
+// Default values of optional settings.
+const (
+	// DefaultExecutorConns keeps the 7 entry VMs together below the 60 connections that an executor accepts.
+	DefaultExecutorConns = 8
+	// DefaultMaxBody is the largest value of the store, in bytes.
+	DefaultMaxBody       = 1 << 20
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultDrainTimeout  = 30 * time.Second
+)
+
+// Bounds of optional settings.
+const (
+	maxExecutorConns = 60
+	minBody          = 1 << 10
+	maxBody          = 64 << 20
+	minTimeout       = 100 * time.Millisecond
+	maxTimeout       = 10 * time.Minute
+	maxVerbosity     = 9
+)
+
 // Problem is one fault in the settings.
 type Problem struct{ Section, Key, Expected string }
 
@@ -42,98 +74,53 @@
 // schema lists the known keys of each section; a section without keys accepts any key.
 var schema = map[string][]string{
 	"vm":       {"id", "domain", "region"},
-	"listen":   {"http", "peers", "admin"},
+	"listen":   {"http", "peers", "admin", "tls_certificate", "tls_key"},
 	"platform": {"store", "vmlist"},
 	"peers":    nil,
+	"limits":   {"executor_connections", "max_body"},
+	"timing":   {"header_timeout", "drain_timeout"},
+	"log":      {"verbosity"},
 }
 
+// required lists the sections that every file has.
+var required = []string{"vm", "listen", "platform", "peers"}
+
 // Load reads a file or byte slice. It returns an *Error that lists every fault.
 func Load(source any) (Settings, error) {
-	file, err := ini.Load(source)
+	// Shadow values make a key that occurs twice visible.
+	options := ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true}
+	file, err := ini.LoadSources(options, source)
 	if err != nil {
 		return Settings{}, &Error{Problems: []Problem{{"-", "-", fmt.Sprintf("readable INI: %v", err)}}}
 	}
 	r := &reader{file: file}
-	r.checkUnknown()
-	s := Settings{
-		VM:     model.VMID(r.text("vm", "id")),
-		Domain: model.FailureDomain(r.text("vm", "domain")),
-		Region: model.Region(r.text("vm", "region")),
-		HTTP:   r.address("listen", "http"),
-		Peers:  r.address("listen", "peers"),
-		Admin:  r.address("listen", "admin"),
-		Store:  r.address("platform", "store"),
-		VMList: r.address("platform", "vmlist"),
-	}
-	s.Members = r.members()
+	r.checkNames()
+	s := r.settings()
+	r.checkAddresses(s)
+	r.checkMembers(s)
+	r.checkTimes(s)
 	if len(r.problems) > 0 {
 		return Settings{}, &Error{Problems: r.problems}
 	}
 	return s, nil
 }
 
-// reader collects the faults of a file.
-type reader struct {
-	file     *ini.File
-	problems []Problem
-}
-
-func (r *reader) problem(section, key, expected string) {
-	r.problems = append(r.problems, Problem{section, key, expected})
-}
-
-func (r *reader) checkUnknown() {
-	for _, s := range r.file.Sections() {
-		known, ok := schema[s.Name()]
-		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
-			continue
-		}
-		if !ok {
-			r.problem(s.Name(), "-", "no such section")
-			continue
-		}
-		for _, k := range s.Keys() {
-			if known != nil && !slices.Contains(known, k.Name()) {
-				r.problem(s.Name(), k.Name(), "no such key")
-			}
-		}
-	}
-}
-
-func (r *reader) text(section, key string) string {
-	v := r.file.Section(section).Key(key).String()
-	if v == "" {
-		r.problem(section, key, "a value")
-	}
-	return v
-}
-
-func (r *reader) address(section, key string) string {
-	v := r.file.Section(section).Key(key).String()
-	if !isAddress(v) {
-		r.problem(section, key, `an address "IP:port"`)
-	}
-	return v
-}
-
-func isAddress(v string) bool {
-	host, port, err := net.SplitHostPort(v)
-	return err == nil && net.ParseIP(host) != nil && port != ""
-}
-
-// members reads lines of the form "vm = address domain region".
-func (r *reader) members() []model.Member {
-	var out []model.Member
-	for _, k := range r.file.Section("peers").Keys() {
-		f := strings.Fields(k.String())
-		if len(f) != 3 || !isAddress(f[0]) {
-			r.problem("peers", k.Name(), `"IP:port domain region"`)
-			continue
-		}
-		out = append(out, model.Member{
-			VM: model.VMID(k.Name()), Address: f[0],
-			Domain: model.FailureDomain(f[1]), Region: model.Region(f[2]),
-		})
+func (r *reader) settings() Settings {
+	return Settings{
+		VM:            model.VMID(r.name("vm", "id")),
+		Domain:        model.FailureDomain(r.name("vm", "domain")),
+		Region:        model.Region(r.name("vm", "region")),
+		HTTP:          r.address("listen", "http"),
+		Peers:         r.address("listen", "peers"),
+		Admin:         r.address("listen", "admin"),
+		TLS:           r.certificate("listen", "tls_certificate", "tls_key"),
+		Store:         r.address("platform", "store"),
+		VMList:        r.address("platform", "vmlist"),
+		Members:       r.members(),
+		ExecutorConns: r.number("limits", "executor_connections", DefaultExecutorConns, 1, maxExecutorConns),
+		MaxBody:       r.size("limits", "max_body", DefaultMaxBody, minBody, maxBody),
+		HeaderTimeout: r.duration("timing", "header_timeout", DefaultHeaderTimeout, minTimeout, maxTimeout),
+		DrainTimeout:  r.duration("timing", "drain_timeout", DefaultDrainTimeout, minTimeout, maxTimeout),
+		Verbosity:     r.number("log", "verbosity", 0, 0, maxVerbosity),
 	}
-	return out
 }
