--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,23 @@
 	Refused(to Name, kind string)
 }
 
+// LifecycleObserver is an Observer that is also told how services start and stop. It is called on the
+// goroutine of Run.
+type LifecycleObserver interface {
+	Observer
+	// ServiceStarted reports a service whose Start succeeded.
+	ServiceStarted(n Name)
+	// ServiceDraining reports the begin of a drain.
+	ServiceDraining(n Name)
+	// ServiceStopped reports the end of a service; complete is false if its drain did not end in time.
+	ServiceStopped(n Name, complete bool)
+}
+
+// AbortError is the cause of a context that stops a kernel without a drain, as the end of a process does.
+type AbortError struct{}
+
+func (*AbortError) Error() string { return "kernel aborted" }
+
 // Kernel holds the registry of services. Registration ends when Run begins.
 type Kernel struct {
 	observer Observer
@@ -92,7 +110,7 @@
 // Run starts all services, waits until ctx ends, drains the services in reverse start order and returns.
 // It returns a *StartError if a service does not start, after a drain of those that did, and a *PanicError
 // if a service or task panics. After a panic the services stop without a drain, because a drain would
-// depend on the failed service.
+// depend on the failed service. The same holds if the cause of ctx is an *AbortError.
 func (k *Kernel) Run(ctx context.Context) error {
 	if !k.running.CompareAndSwap(false, true) {
 		return &RegistrationError{Reason: "kernel runs once"}
@@ -105,6 +123,8 @@
 		close(k.started)
 		select {
 		case <-ctx.Done():
+			var abort *AbortError
+			graceful = !errors.As(context.Cause(ctx), &abort)
 		case err = <-k.failed:
 			graceful = false
 		}
@@ -145,6 +165,9 @@
 		if err := <-r.ready; err != nil {
 			return i + 1, &StartError{Name: r.spec.Name, Cause: err}
 		}
+		if o, ok := k.observer.(LifecycleObserver); ok {
+			o.ServiceStarted(r.spec.Name)
+		}
 	}
 	return len(k.order), nil
 }
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -262,6 +262,33 @@
 	})
 }
 
+type lifecycle struct{ events []string }
+
+func (*lifecycle) Refused(Name, string)     {}
+func (l *lifecycle) ServiceStarted(n Name)  { l.events = append(l.events, "started "+string(n)) }
+func (l *lifecycle) ServiceDraining(n Name) { l.events = append(l.events, "draining "+string(n)) }
+func (l *lifecycle) ServiceStopped(n Name, complete bool) {
+	l.events = append(l.events, "stopped "+string(n)+" "+strconv.FormatBool(complete))
+}
+
+// TestLifecycleObserver guards against a drain that was cut short without a trace, and against an abort
+// that drains.
+func TestLifecycleObserver(t *testing.T) {
+	bubble(t, func(t *testing.T, g *gomega.WithT) {
+		l := &lifecycle{}
+		r := begin(t, l, Spec{Name: "a", Service: &fake{drain: func(*Context) {}}}, Spec{Name: "b", Service: &fake{}})
+		<-r.Started()
+		g.Expect(r.end()).To(gomega.Succeed())
+		g.Expect(l.events).To(gomega.Equal([]string{"started a", "started b", "draining b", "stopped b true", "draining a", "stopped a false"}))
+
+		k, err := New(nil, Spec{Name: "a", Service: &fake{drain: func(*Context) { t.Error("drained") }}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(&AbortError{})
+		g.Expect(k.Run(ctx)).To(gomega.Succeed())
+	})
+}
+
 // TestDrainHandlesMessages guards against a drain that abandons work in progress.
 func TestDrainHandlesMessages(t *testing.T) {
 	bubble(t, func(t *testing.T, g *gomega.WithT) {
--- a/kernel/runner.go
+++ b/kernel/runner.go
@@ -227,18 +227,33 @@
 
 // shutdown drains the service within its timeout, if asked to, and stops it.
 func (r *runner) shutdown(graceful bool) {
+	complete := graceful
+	o, observed := r.kernel.observer.(LifecycleObserver)
 	if graceful {
-		close(r.drain)
-		t := time.NewTimer(r.spec.DrainTimeout)
-		defer t.Stop()
-		select {
-		case <-r.drained:
-		case <-t.C:
-		case <-r.stopped:
+		if observed {
+			o.ServiceDraining(r.spec.Name)
 		}
+		complete = r.drainWithin()
 	}
 	close(r.stop)
 	<-r.stopped
+	if observed {
+		o.ServiceStopped(r.spec.Name, complete)
+	}
+}
+
+// drainWithin drains the service and reports whether it ended within the drain timeout.
+func (r *runner) drainWithin() bool {
+	close(r.drain)
+	t := time.NewTimer(r.spec.DrainTimeout)
+	defer t.Stop()
+	select {
+	case <-r.drained:
+		return true
+	case <-t.C:
+	case <-r.stopped:
+	}
+	return false
 }
 
 // refuseRest fails the envelopes that arrived too late to be handled.
