--- a/cmd/verbenaflowd/main.go
+++ b/cmd/verbenaflowd/main.go
@@ -9,8 +9,10 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/node/daemon"
+	"github.com/verbenaflow/verbenaflow/node/logging"
 	"github.com/verbenaflow/verbenaflow/node/settings"
 )
 
@@ -45,11 +47,23 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
+	if err := logging.Setup(os.Stderr, string(s.VM), "daemon", s.Verbosity); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return serve(s)
+}
+
+func serve(s settings.Settings) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// After the first signal the default action applies again, so that a second one ends the process.
+	defer context.AfterFunc(ctx, stop)()
 	if err := daemon.Run(ctx, s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		klog.ErrorS(err, "daemon failed")
+		klog.Flush()
 		return exitFailure
 	}
+	klog.Flush()
 	return 0
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
-	"net"
+	"time"
+
+	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/model"
@@ -26,70 +28,57 @@
 	"github.com/verbenaflow/verbenaflow/services/workers"
 )
 
-// executorConns is the number of connections that the VM opens to each executor. Together with the
-// connections of the other VMs it stays below the 60 that an executor accepts.
-const executorConns = 9
-
-// observer counts refused deliveries.
-type observer struct{ metrics *metrics.Set }
-
-// Refused implements kernel.Observer.
-func (o observer) Refused(to kernel.Name, _ string) { o.metrics.MailboxRefusal(string(to)) }
-
-// listeners are the sockets of one daemon.
-type listeners struct{ http, peers, admin net.Listener }
-
-// Run serves until ctx ends and then shuts down gracefully.
+// Run listens on the addresses of the settings, serves until ctx ends and then shuts down gracefully.
 func Run(ctx context.Context, s settings.Settings) error {
-	l, err := listen(s)
+	l, err := Listen(s)
 	if err != nil {
 		return err
 	}
-	k, err := assemble(s, l, metrics.New())
-	if err != nil {
-		l.close()
-		return err
-	}
-	return k.Run(ctx)
+	return Serve(ctx, s, l)
 }
 
-func listen(s settings.Settings) (listeners, error) {
-	var l listeners
-	for address, target := range map[string]*net.Listener{s.HTTP: &l.http, s.Peers: &l.peers, s.Admin: &l.admin} {
-		socket, err := net.Listen("tcp", address)
-		if err != nil {
-			l.close()
-			return listeners{}, err
-		}
-		*target = socket
+// Serve serves on open listeners, which it takes over, until ctx ends. It shuts down gracefully, or at once
+// if the cause of ctx is a *kernel.AbortError.
+func Serve(ctx context.Context, s settings.Settings, l Listeners) error {
+	defer l.Close()
+	o := &observer{vm: s.VM, metrics: metrics.New()}
+	k, err := assemble(s, l, o)
+	if err != nil {
+		return err
 	}
-	return l, nil
-}
-
-func (l listeners) close() {
-	for _, socket := range []net.Listener{l.http, l.peers, l.admin} {
-		if socket != nil {
-			socket.Close()
-		}
+	o.info("starting", "domain", s.Domain, "region", s.Region,
+		"http", l.HTTP.Addr(), "peers", l.Peers.Addr(), "admin", l.Admin.Addr(), "tls", s.TLS != nil,
+		"store", s.Store, "vmlist", s.VMList, "entry_vms", len(s.Members)+1,
+		"executor_connections", s.ExecutorConns, "max_body_bytes", s.MaxBody,
+		"header_timeout", s.HeaderTimeout.String(), "drain_timeout", s.DrainTimeout.String(), "verbosity", s.Verbosity)
+	began := time.Now()
+	if err := k.Run(ctx); err != nil {
+		klog.ErrorS(err, "stopped", "vm", s.VM, "service", serviceDaemon)
+		return err
 	}
+	o.info("stopped", "uptime_ms", time.Since(began).Milliseconds())
+	return nil
 }
 
-func assemble(s settings.Settings, l listeners, m *metrics.Set) (*kernel.Kernel, error) {
+func assemble(s settings.Settings, l Listeners, o *observer) (*kernel.Kernel, error) {
 	self := model.Member{VM: s.VM, Domain: s.Domain, Region: s.Region, Address: s.Peers}
 	source := string(s.Domain)
+	m := o.metrics
 	dialWorker := func(a string) worker.Client { return worker.NewHTTPClient(a) }
-	dialExecutor := func(a string) executor.Client { return executor.NewHTTPClient(a, executorConns) }
-	return kernel.New(observer{m},
+	dialExecutor := func(a string) executor.Client { return executor.NewHTTPClient(a, s.ExecutorConns) }
+	web := httpapi.Options{MaxBody: s.MaxBody, HeaderTimeout: s.HeaderTimeout, DrainTimeout: s.DrainTimeout, TLS: s.TLS}
+	return kernel.New(o,
+		// The admin listener starts first and drains last, so that health is visible all the time.
+		admin.New(l.Admin, m).Spec(),
 		store.New(kv.NewHTTPClient(s.Store, source), m).Spec(),
 		config.New(m).Spec(),
-		peers.New(self, s.Members, l.peers, m).Spec(),
+		peers.New(self, s.Members, l.Peers, m).Spec(),
 		membership.New(self, s.Members, vmlist.NewHTTPClient(s.VMList, source)).Spec(),
 		workers.New(s.VM, s.Domain, dialWorker, m).Spec(),
 		scheduler.New(s.Domain, m).Spec(),
 		executors.New(dialExecutor, m).Spec(),
 		dispatch.New(s.Domain, m).Spec(),
 		authority.New(s.VM, s.Domain).Spec(),
-		httpapi.New(s.Domain, l.http, m).Spec(),
-		admin.New(l.admin, m).Spec(),
+		httpapi.New(self, l.HTTP, web, m).Spec(),
 	)
 }
--- /dev/null
+++ b/node/daemon/observer.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// serviceDaemon names the daemon itself in log lines.
+const serviceDaemon = "daemon"
+
+// observer counts refused deliveries and logs the life of the services.
+type observer struct {
+	vm      model.VMID
+	metrics *metrics.Set
+}
+
+var _ kernel.LifecycleObserver = (*observer)(nil)
+
+// Refused implements kernel.Observer.
+func (o *observer) Refused(to kernel.Name, _ string) { o.metrics.MailboxRefusal(string(to)) }
+
+// ServiceStarted implements kernel.LifecycleObserver.
+func (o *observer) ServiceStarted(n kernel.Name) {
+	klog.InfoS("service started", "vm", o.vm, "service", n)
+}
+
+// ServiceDraining implements kernel.LifecycleObserver.
+func (o *observer) ServiceDraining(n kernel.Name) {
+	klog.InfoS("service draining", "vm", o.vm, "service", n)
+}
+
+// ServiceStopped implements kernel.LifecycleObserver.
+func (o *observer) ServiceStopped(n kernel.Name, complete bool) {
+	if !complete {
+		o.metrics.Event("drain_incomplete", 1)
+	}
+	klog.InfoS("service stopped", "vm", o.vm, "service", n, "drained", complete)
+}
+
+func (o *observer) info(msg string, keysAndValues ...any) {
+	klog.InfoS(msg, append([]any{"vm", o.vm, "service", serviceDaemon}, keysAndValues...)...)
+}
--- a/services/admin/service.go
+++ b/services/admin/service.go
@@ -3,35 +3,60 @@
 
 import (
 	"context"
+	"expvar"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
-// headerTimeout bounds the arrival of a request's header.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout bounds the arrival of a request's header.
+	headerTimeout = 5 * time.Second
+	// readyTimeout bounds a readiness check.
+	readyTimeout = time.Second
+)
+
+type (
+	readyGet   struct{}
+	readyReply struct{ problem string }
+)
+
+// Kind implements kernel.Message.
+func (readyGet) Kind() string { return "admin_ready_get" }
+
+// Kind implements kernel.Message.
+func (readyReply) Kind() string { return "admin_ready_reply" }
 
 // Service owns the admin listener.
 type Service struct {
-	listener net.Listener
-	metrics  *metrics.Set
+	listener   net.Listener
+	metrics    *metrics.Set
+	configured bool
+	draining   bool
 }
 
 // New returns the service. It takes over the listener.
 func New(l net.Listener, m *metrics.Set) *Service { return &Service{listener: l, metrics: m} }
 
 // Spec returns the registration of the service.
-func (s *Service) Spec() kernel.Spec { return kernel.Spec{Name: names.Admin, Service: s} }
+func (s *Service) Spec() kernel.Spec {
+	return kernel.Spec{
+		Name: names.Admin, Service: s,
+		Subscribes: []string{message.KindConfigChanged, message.KindDrainStarted},
+	}
+}
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	server := &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: s.routes(c.Caller()), ReadHeaderTimeout: headerTimeout}
 	listener := s.listener
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { server.Close() })
@@ -42,20 +67,66 @@
 	return nil
 }
 
-func (s *Service) routes() http.Handler {
+// Drain implements kernel.Service.
+func (s *Service) Drain(c *kernel.Context) { c.Drained() }
+
+// Handle implements kernel.Service.
+func (s *Service) Handle(_ *kernel.Context, e kernel.Envelope) {
+	switch m := e.Body.(type) {
+	case message.ConfigChanged:
+		s.configured = m.Config.Version > 0
+	case message.DrainStarted:
+		s.draining = true
+	case readyGet:
+		e.Reply(readyReply{problem: s.problem()})
+	}
+}
+
+// problem returns why the VM is not ready, or "".
+func (s *Service) problem() string {
+	switch {
+	case s.draining:
+		return "draining"
+	case !s.configured:
+		return "no configuration"
+	default:
+		return ""
+	}
+}
+
+func (s *Service) routes(caller kernel.Caller) http.Handler {
 	r := httprouter.New()
-	r.GET("/debug/vars", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(s.metrics.Var().String()))
-	})
+	r.GET("/debug/vars", s.showVars)
 	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
+	r.GET("/readyz", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		ctx, cancel := context.WithTimeout(r.Context(), readyTimeout)
+		defer cancel()
+		reply, err := kernel.Call[readyReply](ctx, caller, names.Admin, readyGet{})
+		switch {
+		case err != nil:
+			http.Error(w, "not ready: "+err.Error(), http.StatusServiceUnavailable)
+		case reply.problem != "":
+			http.Error(w, "not ready: "+reply.problem, http.StatusServiceUnavailable)
+		default:
+			_, _ = w.Write([]byte("ready\n"))
+		}
+	})
 	return r
 }
 
-// Drain implements kernel.Service.
-func (s *Service) Drain(c *kernel.Context) { c.Drained() }
-
-// Handle implements kernel.Service.
-func (s *Service) Handle(*kernel.Context, kernel.Envelope) {}
+// showVars writes the counters of this daemon and the variables of the process (cmdline, memstats).
+func (s *Service) showVars(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "application/json")
+	separator := "{\n"
+	show := func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "%s%q: %s", separator, kv.Key, kv.Value)
+		separator = ",\n"
+	}
+	if counters, ok := s.metrics.Var().(*expvar.Map); ok {
+		counters.Do(show)
+	}
+	expvar.Do(show)
+	fmt.Fprint(w, "\n}\n")
+}
--- /dev/null
+++ b/services/httpapi/httpapi_test.go
@@ -0,0 +1,120 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// recorder stands for the services behind the front end.
+type recorder struct {
+	got   []kernel.Message
+	reply kernel.Message
+	err   error
+}
+
+func (r *recorder) Call(_ context.Context, _ kernel.Name, m kernel.Message) (kernel.Message, error) {
+	r.got = append(r.got, m)
+	return r.reply, r.err
+}
+
+func serve(r *recorder, g *gate, req *http.Request) (int, ErrorBody) {
+	a := &api{caller: r, domain: "a", metrics: metrics.New(), maxBody: 256}
+	w := httptest.NewRecorder()
+	g.wrap(a).ServeHTTP(w, req)
+	var body ErrorBody
+	_ = json.Unmarshal(w.Body.Bytes(), &body)
+	return w.Code, body
+}
+
+// truncated is a body that breaks off.
+type truncated struct{}
+
+func (truncated) Read(p []byte) (int, error) { return copy(p, `{"account":`), io.ErrUnexpectedEOF }
+
+// TestMalformedInput guards against input that is half understood: every malformed call is refused as not
+// run, with a type, and reaches no service.
+func TestMalformedInput(t *testing.T) {
+	cases := []struct {
+		name, method, target string
+		body                 io.Reader
+		want                 failure.Reason
+	}{
+		{"empty", "POST", "/v1/jobs", strings.NewReader(""), failure.Malformed},
+		{"truncated JSON", "POST", "/v1/jobs", strings.NewReader(`{"account":"a"`), failure.Malformed},
+		{"truncated body", "POST", "/v1/jobs", truncated{}, failure.Malformed},
+		{"unknown key", "POST", "/v1/jobs", strings.NewReader(`{"acount":"a"}`), failure.Malformed},
+		{"repeated key", "POST", "/v1/jobs", strings.NewReader(`{"tasks":1,"tasks":2}`), failure.Malformed},
+		{"wrong type", "POST", "/v1/jobs", strings.NewReader(`{"tasks":"1"}`), failure.Malformed},
+		{"two values", "POST", "/v1/jobs", strings.NewReader(`{} {}`), failure.Malformed},
+		{"invalid UTF-8", "POST", "/v1/jobs", strings.NewReader("{\"account\":\"\xff\"}"), failure.Malformed},
+		{"deep nesting", "POST", "/v1/jobs", strings.NewReader(strings.Repeat("[", 100)), failure.Malformed},
+		{"oversized", "POST", "/v1/jobs", strings.NewReader(`{"account":"` + strings.Repeat("a", 256) + `"}`), failure.TooLarge},
+		{"no change", "POST", "/v1/config", strings.NewReader(`{"expect":1,"change":{}}`), failure.Malformed},
+		{"two changes", "POST", "/v1/config", strings.NewReader(`{"expect":1,"change":{"take_out":"a","bring_in":"b"}}`), failure.Malformed},
+		{"no jobs", "POST", "/v1/jobs/cancel", strings.NewReader(`{"account":"a","jobs":[]}`), failure.Malformed},
+		{"jobs of two domains", "POST", "/v1/jobs/cancel", strings.NewReader(`{"account":"a","jobs":["a/1","b/1"]}`), failure.Malformed},
+		{"job without domain", "GET", "/v1/job?id=1", nil, failure.Malformed},
+		{"no account", "GET", "/v1/account", nil, failure.Malformed},
+		{"wrong method", "DELETE", "/v1/jobs", nil, failure.Malformed},
+		{"unknown route", "GET", "/v2/jobs", nil, failure.NotFound},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := &recorder{}
+			status, body := serve(r, newGate(), httptest.NewRequest(c.method, c.target, c.body))
+			g.Expect(status).To(gomega.Equal(c.want.HTTPStatus()))
+			g.Expect(body.Code).To(gomega.Equal(c.want.Code()))
+			g.Expect(body.Outcome).To(gomega.Equal(failure.NotRun))
+			g.Expect(r.got).To(gomega.BeEmpty())
+		})
+	}
+}
+
+// TestErrorsOfTheKernel guards against an outcome that the kernel's error does not prove.
+func TestErrorsOfTheKernel(t *testing.T) {
+	for _, c := range []struct {
+		err       error
+		reason    failure.Reason
+		outcome   failure.Outcome
+		elsewhere bool
+	}{
+		{&kernel.MailboxFullError{}, failure.Overloaded, failure.NotRun, false},
+		{&kernel.StoppedError{}, failure.Draining, failure.NotRun, true},
+		{&kernel.UnansweredError{}, failure.Internal, failure.Unknown, false},
+		{context.DeadlineExceeded, failure.DeadlineExceeded, failure.Unknown, false},
+	} {
+		_, body := serve(&recorder{err: c.err}, newGate(), httptest.NewRequest("POST", "/v1/jobs", strings.NewReader(`{}`)))
+		want := ErrorBody{Code: c.reason.Code(), Outcome: c.outcome, RetryElsewhere: c.elsewhere, Detail: body.Detail}
+		gomega.NewWithT(t).Expect(body).To(gomega.Equal(want))
+	}
+}
+
+// TestClosedGate guards against new work that enters a draining VM, and against callers that cannot ask for
+// the outcome of their work meanwhile.
+func TestClosedGate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := &recorder{reply: message.AccountReply{Account: "a"}}
+	closed := newGate()
+	closed.close()
+	status, body := serve(r, closed, httptest.NewRequest("POST", "/v1/requests", strings.NewReader(`{}`)))
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(body).To(gomega.Equal(ErrorBody{
+		Code: "draining", Outcome: failure.NotRun, RetryElsewhere: true, Detail: "this VM is shutting down",
+	}))
+	g.Expect(r.got).To(gomega.BeEmpty())
+	status, _ = serve(r, closed, httptest.NewRequest("GET", "/v1/account?account=a", nil))
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+}
--- a/services/httpapi/service.go
+++ b/services/httpapi/service.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"k8s.io/klog/v2"
 
+	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
@@ -16,42 +19,86 @@
 )
 
 const (
-	// headerTimeout bounds the arrival of a request's header.
-	headerTimeout = 5 * time.Second
-	// drainTimeout bounds the requests in progress at a graceful shutdown.
-	drainTimeout = 30 * time.Second
+	defaultHeaderTimeout = 5 * time.Second
+	defaultDrainTimeout  = 30 * time.Second
+	defaultMaxBody       = 1 << 20
+	// drainNotice is the time that new work is refused with a typed answer before the listener may close,
+	// so that callers with an open connection learn of the drain from an answer and not from a reset.
+	drainNotice = 250 * time.Millisecond
+	// stopMargin is the time in which the server closes its connections after the drain timeout.
+	stopMargin = time.Second
 )
 
-type shutdownDone struct{}
+// Options are the settings of the service; zero values mean the defaults.
+type Options struct {
+	// MaxBody is the largest accepted body in bytes; 0 means 1 MiB.
+	MaxBody int64
+	// HeaderTimeout bounds the arrival of a header; 0 means 5 s.
+	HeaderTimeout time.Duration
+	// DrainTimeout bounds the calls in progress at a graceful shutdown; 0 means 30 s.
+	DrainTimeout time.Duration
+	// TLS is the certificate of the listener; nil serves plain HTTP.
+	TLS *tls.Certificate
+}
+
+type (
+	noticeDue    struct{}
+	idle         struct{}
+	shutdownDone struct{}
+)
+
+// Kind implements kernel.Message.
+func (noticeDue) Kind() string { return "http_drain_notice_due" }
+
+// Kind implements kernel.Message.
+func (idle) Kind() string { return "http_idle" }
 
 // Kind implements kernel.Message.
 func (shutdownDone) Kind() string { return "http_shutdown_done" }
 
 // Service owns the listener for callers and operators.
 type Service struct {
-	domain   model.FailureDomain
+	self     model.Member
 	listener net.Listener
 	metrics  *metrics.Set
+	options  Options
 	server   *http.Server
+	gate     *gate
+	view     view
 }
 
-// New returns the service of a VM in a failure domain. It takes over the listener.
-func New(d model.FailureDomain, l net.Listener, m *metrics.Set) *Service {
-	return &Service{domain: d, listener: l, metrics: m}
+// New returns the service of a VM. It takes over the listener.
+func New(self model.Member, l net.Listener, o Options, m *metrics.Set) *Service {
+	if o.MaxBody == 0 {
+		o.MaxBody = defaultMaxBody
+	}
+	if o.HeaderTimeout == 0 {
+		o.HeaderTimeout = defaultHeaderTimeout
+	}
+	if o.DrainTimeout == 0 {
+		o.DrainTimeout = defaultDrainTimeout
+	}
+	if o.TLS != nil {
+		l = tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{*o.TLS}, MinVersion: tls.VersionTLS12})
+	}
+	return &Service{self: self, listener: l, metrics: m, options: o, gate: newGate()}
 }
 
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{
-		Name: names.HTTP, Service: s, DrainTimeout: drainTimeout,
-		After: []kernel.Name{names.Peers, names.Scheduler, names.Dispatch, names.Config, names.Membership, names.Authority},
+		Name: names.HTTP, Service: s, DrainTimeout: s.options.DrainTimeout + stopMargin,
+		After: []kernel.Name{
+			names.Admin, names.Peers, names.Scheduler, names.Dispatch, names.Config, names.Membership, names.Authority,
+		},
+		Subscribes: []string{message.KindMembersChanged, message.KindAuthorityChanged, message.KindConfigChanged},
 	}
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	a := &api{caller: c.Caller(), domain: s.domain, metrics: s.metrics}
-	s.server = &http.Server{Handler: a.routes(), ReadHeaderTimeout: headerTimeout}
+	a := &api{caller: c.Caller(), domain: s.self.Domain, metrics: s.metrics, maxBody: s.options.MaxBody}
+	s.server = &http.Server{Handler: s.gate.wrap(a), ReadHeaderTimeout: s.options.HeaderTimeout}
 	server, listener := s.server, s.listener
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { server.Close() })
@@ -62,24 +109,53 @@
 	return nil
 }
 
-// Drain implements kernel.Service.
+// Drain refuses new work, waits for the calls in progress and closes the listener and its connections.
 func (s *Service) Drain(c *kernel.Context) {
-	server := s.server
-	c.Spawn(func(ctx context.Context) kernel.Message {
-		ctx, cancel := context.WithTimeout(ctx, drainTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-		return shutdownDone{}
-	})
+	s.gate.close()
+	c.Publish(message.DrainStarted{})
+	klog.InfoS("refusing new work", "vm", s.self.VM, "service", names.HTTP, "in_progress", s.gate.active.Load())
+	c.After(drainNotice, noticeDue{})
 }
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
-	if _, ok := e.Body.(shutdownDone); ok {
+	switch m := e.Body.(type) {
+	case message.MembersChanged:
+		s.view.members = m.Members
+	case message.AuthorityChanged:
+		s.view.authority = m
+	case message.ConfigChanged:
+		s.view.config = m
+	case statusGet:
+		e.Reply(s.status())
+	case noticeDue:
+		s.awaitIdle(c)
+	case idle:
+		s.shutdown(c)
+	case shutdownDone:
 		c.Drained()
 	}
 }
 
+// awaitIdle keeps the listener open while calls are in progress, so that new work gets a typed refusal.
+func (s *Service) awaitIdle(c *kernel.Context) {
+	g := s.gate
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		g.awaitIdle(ctx)
+		return idle{}
+	})
+}
+
+func (s *Service) shutdown(c *kernel.Context) {
+	server, timeout := s.server, s.options.DrainTimeout
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+		return shutdownDone{}
+	})
+}
+
 func (a *api) routes() http.Handler {
 	r := httprouter.New()
 	r.POST("/v1/jobs", a.submitJob)
@@ -91,5 +167,9 @@
 	r.GET("/v1/request", a.showRequest)
 	r.GET("/v1/config", a.showConfig)
 	r.POST("/v1/config", a.changeConfig)
+	r.GET("/v1/account", a.showAccount)
+	r.GET("/v1/status", a.showStatus)
+	r.NotFound = http.HandlerFunc(a.noRoute)
+	r.MethodNotAllowed = http.HandlerFunc(a.wrongMethod)
 	return r
 }
--- /dev/null
+++ b/services/httpapi/status.go
@@ -0,0 +1,112 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// view is what the other services have published last.
+type view struct {
+	members   []model.Member
+	authority message.AuthorityChanged
+	config    message.ConfigChanged
+}
+
+// HolderBody names the holder of a failure domain.
+type HolderBody struct {
+	Domain model.FailureDomain `json:"domain"`
+	// VM is empty and Epoch zero if no holder is known.
+	VM    model.VMID  `json:"vm,omitempty"`
+	Epoch model.Epoch `json:"epoch"`
+	// Out is true while operators have taken the failure domain out.
+	Out bool `json:"out"`
+}
+
+// StatusBody is the body of an answered status call.
+type StatusBody struct {
+	VM       model.VMID          `json:"vm"`
+	Domain   model.FailureDomain `json:"domain"`
+	Region   model.Region        `json:"region"`
+	Draining bool                `json:"draining"`
+	// ConfigVersion is 0 and ConfigAgeMS -1 while no configuration is known.
+	ConfigVersion uint64 `json:"config_version"`
+	ConfigAgeMS   int64  `json:"config_age_ms"`
+	// Preset names the preset in force.
+	Preset  string       `json:"preset,omitempty"`
+	Holders []HolderBody `json:"holders"`
+	// Members lists the other entry VMs as they were when their membership last changed.
+	Members []model.Member `json:"members"`
+}
+
+type (
+	statusGet   struct{}
+	statusReply struct{ body StatusBody }
+)
+
+// Kind implements kernel.Message.
+func (statusGet) Kind() string { return "http_status_get" }
+
+// Kind implements kernel.Message.
+func (statusReply) Kind() string { return "http_status_reply" }
+
+func (s *Service) status() statusReply {
+	v := s.view
+	body := StatusBody{
+		VM: s.self.VM, Domain: s.self.Domain, Region: s.self.Region, Draining: s.gate.closed.Load(),
+		ConfigVersion: v.config.Config.Version, ConfigAgeMS: -1, Preset: v.config.Config.InForce,
+		Members: slices.SortedFunc(slices.Values(v.members), func(a, b model.Member) int {
+			return strings.Compare(string(a.VM), string(b.VM))
+		}),
+		Holders: s.holders(),
+	}
+	if body.ConfigVersion > 0 {
+		body.ConfigAgeMS = time.Since(v.config.Confirmed).Milliseconds()
+	}
+	return statusReply{body}
+}
+
+// holders returns the holder with the highest epoch of each known failure domain, sorted by domain.
+func (s *Service) holders() []HolderBody {
+	self := s.self
+	if s.view.authority.Holder {
+		self.Holder = s.view.authority.Epoch
+	}
+	best := make(map[model.FailureDomain]HolderBody)
+	for _, m := range append([]model.Member{self}, s.view.members...) {
+		h, known := best[m.Domain]
+		if !known {
+			h = HolderBody{Domain: m.Domain, Out: s.view.config.Config.IsOut(m.Domain)}
+		}
+		if h.Epoch.Less(m.Holder) {
+			h.VM, h.Epoch = m.VM, m.Holder
+		}
+		best[m.Domain] = h
+	}
+	out := make([]HolderBody, 0, len(best))
+	for _, h := range best {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b HolderBody) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
+	return out
+}
+
+func (a *api) showStatus(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ctx, cancel := context.WithTimeout(r.Context(), defaultTimeout)
+	defer cancel()
+	reply, err := kernel.Call[statusReply](ctx, a.caller, names.HTTP, statusGet{})
+	if err != nil {
+		a.fail(w, toFailure(err))
+		return
+	}
+	write(w, http.StatusOK, reply.body)
+}
