Add the commands for callers and operators

verbenactl submits and follows jobs and requests, takes tickets and operates presets and failure domains, as tables or JSON with documented exit codes. It tries another entry VM only if a call certainly did not run.

--- /dev/null
+++ b/cmd/verbenactl/errors.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/model"
+)
+
+// Exit codes of verbenactl.
+const (
+	exitFailure  = 1
+	exitUsage    = 2
+	exitNotRun   = 3
+	exitUnknown  = 4
+	exitConflict = 5
+	exitPromise  = 6
+)
+
+const exitCodesHelp = `Exit codes: 0 success, 1 failure, 2 usage, 3 refused and not run, 4 outcome unknown, 5 conflict, ` +
+	`6 broken promise in the demo.`
+
+// transportError reports a call without a complete answer.
+type transportError struct {
+	server string
+	// outcome is NotRun if no byte of the call was sent, Unknown otherwise.
+	outcome failure.Outcome
+	cause   error
+}
+
+func (e *transportError) Error() string { return fmt.Sprintf("%s: %v", e.server, e.cause) }
+
+// Unwrap returns the cause.
+func (e *transportError) Unwrap() error { return e.cause }
+
+// jobError reports a job that ended without success.
+type jobError struct{ job model.Job }
+
+func (e *jobError) Error() string {
+	return fmt.Sprintf("job %s ended as %s: %s", e.job.ID, e.job.State, e.job.Reason)
+}
+
+// requestError names the request that failed, so that its outcome can be asked for.
+type requestError struct {
+	id    string
+	cause error
+}
+
+func (e *requestError) Error() string { return fmt.Sprintf("request %s: %v", e.id, e.cause) }
+
+// Unwrap returns the cause.
+func (e *requestError) Unwrap() error { return e.cause }
+
+// missingPresetError reports a preset that the configuration does not contain.
+type missingPresetError struct{ name string }
+
+func (e *missingPresetError) Error() string { return fmt.Sprintf("no preset %q", e.name) }
+
+// usageError reports flags that contradict each other.
+type usageError struct{ detail string }
+
+func (e *usageError) Error() string { return e.detail }
+
+// exitCode returns the exit code of a failed command.
+func exitCode(err error) int {
+	var f *flags.Error
+	var u *usageError
+	var e *failure.Error
+	var t *transportError
+	switch {
+	case errors.As(err, &f), errors.As(err, &u):
+		return exitUsage
+	case errors.As(err, &e):
+		return failureCode(e)
+	case errors.As(err, &t) && t.outcome == failure.NotRun:
+		return exitNotRun
+	case errors.As(err, &t):
+		return exitUnknown
+	default:
+		return exitFailure
+	}
+}
+
+func failureCode(e *failure.Error) int {
+	switch {
+	case e.Reason == failure.ConfigConflict, e.Reason == failure.KeyReused:
+		return exitConflict
+	case e.Outcome == failure.NotRun:
+		return exitNotRun
+	case e.Outcome == failure.Unknown:
+		return exitUnknown
+	default:
+		return exitFailure
+	}
+}
+
+// outcomeOf returns whether the work of a failed command ran, or "" if that has no meaning.
+func outcomeOf(err error) failure.Outcome {
+	var e *failure.Error
+	var t *transportError
+	switch {
+	case errors.As(err, &e):
+		return e.Outcome
+	case errors.As(err, &t):
+		return t.outcome
+	default:
+		return ""
+	}
+}
--- a/cmd/verbenactl/main.go
+++ b/cmd/verbenactl/main.go
@@ -2,33 +2,90 @@
 package main
 
 import (
-	"errors"
+	"io"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 )
 
-// Exit codes of verbenactl.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	p := flags.NewNamedParser("verbenactl", flags.Default)
-	addStandins(p)
-	if _, err := p.Parse(); err != nil {
-		var f *flags.Error
-		switch {
-		case flags.WroteHelp(err):
-			return 0
-		case errors.As(err, &f):
-			return exitUsage
-		default:
-			return exitFailure
-		}
+// run executes one command line and returns the exit code.
+func run(args []string, out, errOut io.Writer) int {
+	a := newApp(out, errOut)
+	p := flags.NewNamedParser("verbenactl", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = "Submits jobs and requests to verbenaflow and operates it.\n\n" + exitCodesHelp
+	if _, err := p.AddGroup("Global options", "", &a.options); err != nil {
+		return a.fail(err)
+	}
+	if err := a.addCommands(p); err != nil {
+		return a.fail(err)
+	}
+	if _, err := p.ParseArgs(args); err != nil {
+		return a.fail(err)
 	}
 	return 0
 }
+
+// node is a command or, if it has children, a group of commands.
+type node struct {
+	name, help string
+	command    any
+	children   []node
+}
+
+// adder is a parser or a command.
+type adder interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}
+
+func addAll(to adder, nodes []node) error {
+	for _, n := range nodes {
+		data := n.command
+		if data == nil {
+			data = &struct{}{}
+		}
+		c, err := to.AddCommand(n.name, n.help, n.help, data)
+		if err != nil {
+			return err
+		}
+		if err := addAll(c, n.children); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) addCommands(p *flags.Parser) error {
+	return addAll(p, []node{
+		{name: "job", help: "submit and follow jobs", children: []node{
+			{name: "submit", help: "submit a job", command: &jobSubmit{app: a}},
+			{name: "status", help: "show a job", command: &jobStatus{app: a}},
+			{name: "cancel", help: "cancel jobs of one failure domain", command: &jobCancel{app: a}},
+			{name: "list", help: "list the jobs of a failure domain", command: &jobList{app: a}},
+		}},
+		{name: "request", help: "send requests", children: []node{
+			{name: "send", help: "send a request and print its outcome", command: &requestSend{app: a}},
+			{name: "status", help: "show the outcome of a request", command: &requestStatus{app: a}},
+		}},
+		{name: "ticket", help: "take tickets for requests", children: []node{
+			{name: "take", help: "take tickets", command: &ticketTake{app: a}},
+		}},
+		{name: "preset", help: "operate presets", children: []node{
+			{name: "list", help: "list the presets", command: &presetList{app: a}},
+			{name: "show", help: "show a preset", command: &presetShow{app: a}},
+			{name: "use", help: "put a preset in force", command: &presetUse{app: a}},
+			{name: "put", help: "store a preset from a JSON file", command: &presetPut{app: a}},
+		}},
+		{name: "domain", help: "operate failure domains", children: []node{
+			{name: "out", help: "take a failure domain out of service", command: &domainMove{app: a, out: true}},
+			{name: "in", help: "bring a failure domain back", command: &domainMove{app: a}},
+			{name: "status", help: "show the failure domains", command: &domainStatus{app: a}},
+		}},
+		{name: "account", help: "show client accounts", children: []node{
+			{name: "show", help: "show the use of a client account", command: &accountShow{app: a}},
+		}},
+		{name: "status", help: "show an entry VM and its members", command: &status{app: a}},
+		{name: "standin", help: "run a stand-in of the platform", children: standins()},
+	})
+}
--- /dev/null
+++ b/cmd/verbenactl/main_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/services/httpapi"
+)
+
+// answer returns a server that gives one answer and counts its calls.
+func answer(t *testing.T, status int, body any, calls *int) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		*calls++
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func refused(r failure.Reason, elsewhere bool) httpapi.ErrorBody {
+	return httpapi.ErrorBody{Code: r.Code(), Outcome: r.Outcome(), RetryElsewhere: elsewhere}
+}
+
+func execute(args ...string) (int, string) {
+	var out, errOut bytes.Buffer
+	code := run(args, &out, &errOut)
+	return code, out.String() + errOut.String()
+}
+
+// TestExitCodes guards against scripts that take unfinished or failed work for done.
+func TestExitCodes(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   any
+		want   int
+	}{
+		{http.StatusOK, model.Job{ID: "a/1"}, 0},
+		{http.StatusForbidden, refused(failure.UnknownAccount, false), exitNotRun},
+		{http.StatusGatewayTimeout, refused(failure.DeadlineExceeded, false), exitUnknown},
+		{http.StatusBadGateway, refused(failure.ExecutorFailed, false), exitFailure},
+		{http.StatusConflict, refused(failure.ConfigConflict, false), exitConflict},
+		{http.StatusConflict, refused(failure.KeyReused, false), exitConflict},
+		{http.StatusBadGateway, "no failure", exitUnknown},
+		{http.StatusOK, "no job", exitUnknown},
+	} {
+		calls := 0
+		code, text := execute("--json", "--server", answer(t, c.status, c.body, &calls), "job", "submit", "--account", "acme")
+		gomega.NewWithT(t).Expect(code).To(gomega.Equal(c.want), "%v: %s", c.body, text)
+	}
+	for _, args := range [][]string{{"job", "submit"}, {"nothing"}, {"request", "send", "--account", "a", "--service", "s", "--key", "k", "--ticket", "t"}} {
+		code, _ := execute(args...)
+		gomega.NewWithT(t).Expect(code).To(gomega.Equal(exitUsage), "%v", args)
+	}
+}
+
+// TestFailover guards against work that runs twice because the client sent it to two entry VMs, and against
+// a client that gives up although the work certainly did not run.
+func TestFailover(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().String()
+	l.Close()
+	abort := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(abort.Close)
+	var ignored int
+	for _, c := range []struct {
+		name, first string
+		want, calls int
+	}{
+		{"connection refused", closed, 0, 1},
+		{"draining", answer(t, 503, refused(failure.Draining, true), &ignored), 0, 1},
+		{"not run without hint", answer(t, 503, refused(failure.DomainOut, false), &ignored), exitNotRun, 0},
+		{"unknown outcome with hint", answer(t, 504, refused(failure.DeadlineExceeded, true), &ignored), exitUnknown, 0},
+		{"connection cut", abort.URL, exitUnknown, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, calls := gomega.NewWithT(t), 0
+			second := answer(t, http.StatusOK, model.Job{ID: "a/1"}, &calls)
+			code, text := execute("--server", c.first, "--server", second, "job", "submit", "--account", "acme")
+			g.Expect(code).To(gomega.Equal(c.want), text)
+			g.Expect(calls).To(gomega.Equal(c.calls))
+		})
+	}
+	code, _ := execute("--server", closed, "status")
+	gomega.NewWithT(t).Expect(code).To(gomega.Equal(exitNotRun))
+}
--- /dev/null
+++ b/cmd/verbenactl/operate.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"encoding/json"
+	"maps"
+	"net/url"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/services/httpapi"
+)
+
+// changeOptions are the flags of commands that change the configuration.
+type changeOptions struct {
+	Expect *uint64 `long:"expect" description:"version that the change is based on; by default the current one"`
+}
+
+// change proposes one change against the version that the operator read.
+func (o changeOptions) change(a *app, ch message.ConfigChange) error {
+	c := a.client()
+	in := httpapi.ChangeBody{Change: ch}
+	if o.Expect != nil {
+		in.Expect = *o.Expect
+	} else {
+		current, err := readConfig(c)
+		if err != nil {
+			return err
+		}
+		in.Expect = current.Config.Version
+	}
+	var out httpapi.ConfigBody
+	if err := c.post("/v1/config", in, &out); err != nil {
+		return err
+	}
+	return a.show(out, []any{"VERSION", "PRESET", "OUT"}, []any{out.Config.Version, out.Config.InForce, out.Config.Out})
+}
+
+// readConfig returns the configuration; version 0 if none exists yet.
+func readConfig(c *client) (httpapi.ConfigBody, error) {
+	var out httpapi.ConfigBody
+	err := c.get("/v1/config", &out)
+	if errors.Is(err, &failure.Error{Reason: failure.ConfigUnavailable}) {
+		return httpapi.ConfigBody{}, nil
+	}
+	return out, err
+}
+
+type presetList struct{ app *app }
+
+// Execute implements flags.Commander.
+func (o *presetList) Execute([]string) error {
+	cfg, err := readConfig(o.app.client())
+	if err != nil {
+		return err
+	}
+	rows := [][]any{{"PRESET", "IN FORCE", "ACCOUNTS"}}
+	for _, name := range slices.Sorted(maps.Keys(cfg.Config.Presets)) {
+		rows = append(rows, []any{name, name == cfg.Config.InForce, len(cfg.Config.Presets[name].Accounts)})
+	}
+	return o.app.show(cfg.Config.Presets, rows...)
+}
+
+// presetArg is the positional argument of preset commands.
+type presetArg struct {
+	Name string `positional-arg-name:"NAME" required:"true"`
+}
+
+type presetShow struct {
+	app  *app
+	Args presetArg `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (o *presetShow) Execute([]string) error {
+	cfg, err := readConfig(o.app.client())
+	if err != nil {
+		return err
+	}
+	p, ok := cfg.Config.Presets[o.Args.Name]
+	if !ok {
+		return &missingPresetError{o.Args.Name}
+	}
+	rows := [][]any{{"ACCOUNT", "WEIGHT", "QUOTA", "GUARANTEES", "REQUESTS/S", "BURST", "MAX QUEUED"}}
+	for _, id := range slices.Sorted(maps.Keys(p.Accounts)) {
+		x := p.Accounts[id]
+		rows = append(rows, []any{id, x.Weight, x.QuotaGPUs, x.Guarantees, x.RequestsPerSecond, x.RequestBurst, x.MaxQueuedJobs})
+	}
+	return o.app.show(p, rows...)
+}
+
+type presetUse struct {
+	app *app
+	changeOptions
+	Args presetArg `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (o *presetUse) Execute([]string) error {
+	return o.change(o.app, message.ConfigChange{UsePreset: o.Args.Name})
+}
+
+type presetPut struct {
+	app *app
+	changeOptions
+	Args struct {
+		Name string `positional-arg-name:"NAME" required:"true"`
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (o *presetPut) Execute([]string) error {
+	f, err := os.Open(o.Args.File)
+	if err != nil {
+		return errors.Wrap(err, "preset file")
+	}
+	defer f.Close()
+	var p model.Preset
+	dec := json.NewDecoder(f)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&p); err != nil {
+		return errors.Wrapf(err, "preset file %s", o.Args.File)
+	}
+	return o.change(o.app, message.ConfigChange{PutPreset: &message.NamedPreset{Name: o.Args.Name, Preset: p}})
+}
+
+type domainMove struct {
+	app *app
+	out bool
+	changeOptions
+	Args struct {
+		Domain string `positional-arg-name:"DOMAIN" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (o *domainMove) Execute([]string) error {
+	d := model.FailureDomain(o.Args.Domain)
+	if o.out {
+		return o.change(o.app, message.ConfigChange{TakeOut: d})
+	}
+	return o.change(o.app, message.ConfigChange{BringIn: d})
+}
+
+type domainStatus struct{ app *app }
+
+// Execute implements flags.Commander.
+func (o *domainStatus) Execute([]string) error {
+	var s httpapi.StatusBody
+	if err := o.app.client().get("/v1/status", &s); err != nil {
+		return err
+	}
+	return o.app.show(s.Holders, holderRows(s)...)
+}
+
+func holderRows(s httpapi.StatusBody) [][]any {
+	rows := [][]any{{"DOMAIN", "HOLDER", "EPOCH", "OUT"}}
+	for _, h := range s.Holders {
+		rows = append(rows, []any{h.Domain, h.VM, h.Epoch, h.Out})
+	}
+	return rows
+}
+
+type status struct{ app *app }
+
+// Execute implements flags.Commander.
+func (o *status) Execute([]string) error {
+	var s httpapi.StatusBody
+	if err := o.app.client().get("/v1/status", &s); err != nil {
+		return err
+	}
+	rows := [][]any{
+		{"VM", "DOMAIN", "REGION", "DRAINING", "CONFIG", "AGE MS", "PRESET"},
+		{s.VM, s.Domain, s.Region, s.Draining, s.ConfigVersion, s.ConfigAgeMS, s.Preset},
+		{},
+	}
+	rows = append(append(rows, holderRows(s)...), []any{}, []any{"MEMBER", "DOMAIN", "REGION", "ALIVE", "LEAVING", "CONFIG"})
+	for _, m := range s.Members {
+		rows = append(rows, []any{m.VM, m.Domain, m.Region, m.Alive, m.Leaving, m.ConfigVersion})
+	}
+	return o.app.show(s, rows...)
+}
+
+type accountShow struct {
+	app    *app
+	Domain string `long:"domain" description:"failure domain; by default that of the entry VM"`
+	Args   struct {
+		Account string `positional-arg-name:"ACCOUNT" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (o *accountShow) Execute([]string) error {
+	q := url.Values{"account": {o.Args.Account}, "domain": {o.Domain}}
+	var r message.AccountReply
+	if err := o.app.client().get("/v1/account?"+q.Encode(), &r); err != nil {
+		return err
+	}
+	return o.app.show(r,
+		[]any{"ACCOUNT", "DOMAIN", "RUNNING GPUS", "QUEUED GPUS", "GUARANTEED GPUS", "QUOTA", "WEIGHT"},
+		[]any{r.Account, r.Domain, r.GPUsRunning, r.GPUsQueued, r.Guaranteed, r.Policy.QuotaGPUs, r.Policy.Weight})
+}
--- /dev/null
+++ b/cmd/verbenactl/request.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/services/httpapi"
+)
+
+type requestSend struct {
+	app        *app
+	Account    string        `long:"account" required:"true" description:"client account"`
+	Service    string        `long:"service" required:"true" description:"operation that the executor runs"`
+	Payload    string        `long:"payload" description:"text for the operation"`
+	Repeatable bool          `long:"repeatable" description:"permit more than one run"`
+	Ticket     string        `long:"ticket" description:"ticket; by default one is taken"`
+	Key        string        `long:"key" description:"idempotency key instead of a ticket"`
+	Timeout    time.Duration `long:"timeout" default:"10s" description:"time that the caller waits"`
+}
+
+// Execute implements flags.Commander.
+func (o *requestSend) Execute([]string) error {
+	if o.Ticket != "" && o.Key != "" {
+		return &usageError{"--ticket and --key exclude each other"}
+	}
+	c := o.app.client()
+	if o.Ticket == "" && o.Key == "" {
+		tickets, err := takeTickets(c, o.Account, "", 1)
+		if err != nil {
+			return err
+		}
+		o.Ticket = tickets[0]
+	}
+	in := httpapi.SendBody{
+		Ticket: o.Ticket, Key: o.Key, Account: model.AccountID(o.Account), Service: o.Service,
+		Repeatable: o.Repeatable, Payload: []byte(o.Payload), TimeoutMS: o.Timeout.Milliseconds(),
+	}
+	var out httpapi.RequestBody
+	if err := c.call(http.MethodPost, "/v1/requests", in, &out, o.Timeout); err != nil {
+		return &requestError{id: o.Ticket + o.Key, cause: err}
+	}
+	return o.app.showRequest(out)
+}
+
+type requestStatus struct {
+	app  *app
+	Args struct {
+		Request string `positional-arg-name:"REQUEST" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (o *requestStatus) Execute([]string) error {
+	var out httpapi.RequestBody
+	if err := o.app.client().get("/v1/request?id="+url.QueryEscape(o.Args.Request), &out); err != nil {
+		return err
+	}
+	return o.app.showRequest(out)
+}
+
+func (a *app) showRequest(r httpapi.RequestBody) error {
+	return a.show(r, []any{"REQUEST", "OUTCOME", "PENDING", "BODY"}, []any{r.Request, r.Outcome, r.Pending, string(r.Body)})
+}
+
+type ticketTake struct {
+	app     *app
+	Account string `long:"account" required:"true" description:"client account"`
+	Domain  string `long:"domain" description:"failure domain; by default that of the entry VM"`
+	Count   int    `long:"count" default:"1" description:"number of tickets"`
+}
+
+// Execute implements flags.Commander.
+func (o *ticketTake) Execute([]string) error {
+	tickets, err := takeTickets(o.app.client(), o.Account, o.Domain, o.Count)
+	if err != nil {
+		return err
+	}
+	rows := [][]any{{"TICKET"}}
+	for _, t := range tickets {
+		rows = append(rows, []any{t})
+	}
+	return o.app.show(tickets, rows...)
+}
+
+// takeTickets returns at least one ticket or an error.
+func takeTickets(c *client, account, domain string, count int) ([]string, error) {
+	if count < 1 {
+		return nil, &usageError{"--count must be positive"}
+	}
+	in := httpapi.TicketsBody{Account: model.AccountID(account), Domain: model.FailureDomain(domain), Count: count}
+	var tickets []string
+	if err := c.post("/v1/tickets", in, &tickets); err != nil {
+		return nil, err
+	}
+	if len(tickets) == 0 {
+		return nil, &usageError{"the server gave no ticket"}
+	}
+	return tickets, nil
+}
--- a/cmd/verbenactl/standin.go
+++ b/cmd/verbenactl/standin.go
@@ -9,8 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/standins/executor"
 	"github.com/verbenaflow/verbenaflow/standins/store"
@@ -80,17 +78,12 @@
 	})
 }
 
-// addStandins adds the stand-ins of the platform.
-func addStandins(p *flags.Parser) {
-	group, err := p.AddCommand("standin", "run a stand-in of the platform", "Run a small stand-in of one platform service.", &struct{}{})
-	if err != nil {
-		panic(err)
-	}
-	for name, c := range map[string]any{
-		"store": &storeCommand{}, "vmlist": &vmlistCommand{}, "worker": &workerCommand{}, "executor": &executorCommand{},
-	} {
-		if _, err := group.AddCommand(name, "run the "+name+" stand-in", "", c); err != nil {
-			panic(err)
-		}
+// standins returns the stand-ins of the platform.
+func standins() []node {
+	return []node{
+		{name: "store", help: "run the key-value store", command: &storeCommand{}},
+		{name: "vmlist", help: "run the list of VMs", command: &vmlistCommand{}},
+		{name: "worker", help: "run a worker", command: &workerCommand{}},
+		{name: "executor", help: "run an executor", command: &executorCommand{}},
 	}
 }
