Let the store stand-in count, record and show faults

Calls are counted by operation and source, accepted writes recorded in order, and an outage, cuts, slowness, lost answers, lease jitter and an older state are set at run time. Keys and values are bounded.

--- a/standins/store/store.go
+++ b/standins/store/store.go
@@ -1,9 +1,12 @@
-// Package store is a small stand-in for the platform's key-value service.
+// Package store is a small stand-in for the platform's key-value service. It counts and records what it is
+// asked to do and shows faults on request.
 package store
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/kernel"
@@ -11,6 +14,9 @@
 	"github.com/verbenaflow/verbenaflow/standins/host"
 )
 
+// MaxKey is the length of the longest key in bytes.
+const MaxKey = 512
+
 // call is one call of a client.
 type call struct {
 	path string
@@ -33,6 +39,11 @@
 type (
 	leaseDue struct{ id kv.LeaseID }
 	watchDue struct{ w *watcher }
+	// slowDue is a call that a slow store takes up now.
+	slowDue struct {
+		env  kernel.Envelope
+		call call
+	}
 )
 
 // Kind implements kernel.Message.
@@ -41,19 +52,10 @@
 // Kind implements kernel.Message.
 func (watchDue) Kind() string { return "watch_due" }
 
-type lease struct {
-	ttl    time.Duration
-	keys   map[string]bool
-	cancel func()
-}
-
-type watcher struct {
-	env  kernel.Envelope
-	key  string
-	done bool
-}
+// Kind implements kernel.Message.
+func (slowDue) Kind() string { return "slow_due" }
 
-// State holds the keys, leases and watches.
+// State holds the keys, leases, watches and faults.
 type State struct {
 	revision uint64
 	nextID   kv.LeaseID
@@ -61,6 +63,11 @@
 	bound    map[string]kv.LeaseID
 	leases   map[kv.LeaseID]*lease
 	watchers map[string][]*watcher
+	faults   Faults
+	random   *rand.Rand
+	counts   Counts
+	writes   []Written
+	saved    *snapshot
 }
 
 // New returns an empty store.
@@ -70,12 +77,14 @@
 		bound:    make(map[string]kv.LeaseID),
 		leases:   make(map[kv.LeaseID]*lease),
 		watchers: make(map[string][]*watcher),
+		random:   newRandom(0),
+		counts:   newCounts(),
 	}
 }
 
 // Run serves the store until ctx ends. It takes over the listener.
 func Run(ctx context.Context, l net.Listener, s *State) error {
-	var routes []host.Route
+	routes := controlRoutes()
 	for _, p := range []string{kv.PathGet, kv.PathPut, kv.PathDelete, kv.PathGrant, kv.PathKeepAlive, kv.PathRevoke, kv.PathWatch} {
 		routes = append(routes, host.JSON(p, func(c kv.Call) kernel.Message { return call{path: p, Call: c} }))
 	}
@@ -92,35 +101,68 @@
 func (s *State) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
 	case call:
-		s.call(c, e, m)
+		s.counts.add(m)
+		if s.faults.SlowMS > 0 {
+			c.After(time.Duration(s.faults.SlowMS)*time.Millisecond, slowDue{env: e, call: m})
+			return
+		}
+		s.take(c, e, m)
+	case slowDue:
+		s.take(c, m.env, m.call)
 	case leaseDue:
 		s.expire(m.id)
 	case watchDue:
 		s.answerWatch(m.w)
+	default:
+		s.control(e)
+	}
+}
+
+// take runs a call unless a fault hides the store from its source.
+func (s *State) take(c *kernel.Context, e kernel.Envelope, m call) {
+	if s.hidden(m.Source) {
+		e.Fail(&host.AbortError{})
+		return
+	}
+	if m.path == kv.PathWatch {
+		s.watch(c, e, m.Call)
+		return
+	}
+	answer, err := s.run(c, m)
+	lost := err == nil && m.path != kv.PathGet && s.loses()
+	if err == nil {
+		s.record(m, answer, lost)
+	}
+	switch {
+	case err != nil:
+		e.Fail(err)
+	case lost:
+		e.Fail(&host.AbortError{})
+	default:
+		e.Reply(answer)
 	}
 }
 
-func (s *State) call(c *kernel.Context, e kernel.Envelope, m call) {
+// run runs a call that is answered at once.
+func (s *State) run(c *kernel.Context, m call) (kernel.Message, error) {
 	switch m.path {
 	case kv.PathGet:
-		e.Reply(entryAnswer(s.get(m.Key)))
+		return entryAnswer(s.get(m.Key)), nil
 	case kv.PathPut:
-		s.put(e, m.Write)
+		return s.put(m.Write)
 	case kv.PathDelete:
-		if !s.expect(e, m.Write) {
-			return
+		if err := s.expect(m.Write); err != nil {
+			return nil, err
 		}
 		s.remove(m.Key)
-		e.Reply(entryAnswer{Key: m.Key})
+		return entryAnswer{Key: m.Key}, nil
 	case kv.PathGrant:
-		s.grant(c, e, time.Duration(m.TTLMS)*time.Millisecond)
+		return s.grant(c, time.Duration(m.TTLMS)*time.Millisecond), nil
 	case kv.PathKeepAlive:
-		s.keepAlive(c, e, m.Lease)
-	case kv.PathRevoke:
+		return s.keepAlive(c, m.Lease)
+	default:
 		s.expire(m.Lease)
-		e.Reply(leaseAnswer{})
-	case kv.PathWatch:
-		s.watch(c, e, m.Call)
+		return leaseAnswer{}, nil
 	}
 }
 
@@ -131,23 +173,26 @@
 	return kv.Entry{Key: key}
 }
 
-// expect answers with a conflict and returns false if the version is not the expected one.
-func (s *State) expect(e kernel.Envelope, w kv.Write) bool {
+// expect returns a conflict if the version is not the expected one.
+func (s *State) expect(w kv.Write) error {
 	if current := s.get(w.Key); current.Version != w.Expect {
-		e.Fail(&host.StatusError{Status: kv.StatusConflict, Body: current})
-		return false
+		return &host.StatusError{Status: kv.StatusConflict, Body: current}
 	}
-	return true
+	return nil
 }
 
-func (s *State) put(e kernel.Envelope, w kv.Write) {
+func (s *State) put(w kv.Write) (kernel.Message, error) {
 	l, ok := s.leases[w.Lease]
-	if w.Lease != 0 && !ok {
-		e.Fail(&host.StatusError{Status: kv.StatusLeaseExpired})
-		return
+	switch {
+	case w.Key == "" || len(w.Key) > MaxKey:
+		return nil, &host.StatusError{Status: http.StatusBadRequest, Body: "key length"}
+	case len(w.Value) > kv.MaxValue:
+		return nil, &host.StatusError{Status: http.StatusRequestEntityTooLarge, Body: "value size"}
+	case w.Lease != 0 && !ok:
+		return nil, &host.StatusError{Status: kv.StatusLeaseExpired}
 	}
-	if !s.expect(e, w) {
-		return
+	if err := s.expect(w); err != nil {
+		return nil, err
 	}
 	s.revision++
 	entry := kv.Entry{Key: w.Key, Value: w.Value, Version: s.revision}
@@ -158,14 +203,16 @@
 		s.bound[w.Key] = w.Lease
 	}
 	s.notify(w.Key)
-	e.Reply(entryAnswer{Key: w.Key, Version: entry.Version})
+	return entryAnswer{Key: w.Key, Version: entry.Version}, nil
 }
 
 func (s *State) unbind(key string) {
-	if id, ok := s.bound[key]; ok {
-		delete(s.leases[id].keys, key)
-		delete(s.bound, key)
+	id, ok := s.bound[key]
+	if !ok {
+		return
 	}
+	delete(s.leases[id].keys, key)
+	delete(s.bound, key)
 }
 
 func (s *State) remove(key string) {
@@ -177,75 +224,3 @@
 	s.unbind(key)
 	s.notify(key)
 }
-
-func (s *State) grant(c *kernel.Context, e kernel.Envelope, ttl time.Duration) {
-	s.nextID++
-	id := s.nextID
-	l := &lease{ttl: ttl, keys: make(map[string]bool)}
-	s.leases[id] = l
-	s.arm(c, id, l)
-	e.Reply(leaseAnswer{ID: id})
-}
-
-func (s *State) arm(c *kernel.Context, id kv.LeaseID, l *lease) {
-	if l.cancel != nil {
-		l.cancel()
-	}
-	l.cancel = c.After(l.ttl, leaseDue{id: id})
-}
-
-func (s *State) keepAlive(c *kernel.Context, e kernel.Envelope, id kv.LeaseID) {
-	l, ok := s.leases[id]
-	if !ok {
-		e.Fail(&host.StatusError{Status: kv.StatusLeaseExpired})
-		return
-	}
-	s.arm(c, id, l)
-	e.Reply(leaseAnswer{ID: id})
-}
-
-func (s *State) expire(id kv.LeaseID) {
-	l, ok := s.leases[id]
-	if !ok {
-		return
-	}
-	l.cancel()
-	for key := range l.keys {
-		s.remove(key)
-	}
-	delete(s.leases, id)
-}
-
-func (s *State) watch(c *kernel.Context, e kernel.Envelope, m kv.Call) {
-	if current := s.get(m.Key); current.Version != m.After {
-		e.Reply(entryAnswer(current))
-		return
-	}
-	w := &watcher{env: e, key: m.Key}
-	s.watchers[m.Key] = append(s.watchers[m.Key], w)
-	c.After(time.Duration(m.WaitMS)*time.Millisecond, watchDue{w: w})
-}
-
-func (s *State) answerWatch(w *watcher) {
-	if w.done {
-		return
-	}
-	w.done = true
-	rest := s.watchers[w.key][:0]
-	for _, o := range s.watchers[w.key] {
-		if o != w {
-			rest = append(rest, o)
-		}
-	}
-	s.watchers[w.key] = rest
-	w.env.Reply(entryAnswer(s.get(w.key)))
-}
-
-func (s *State) notify(key string) {
-	waiting := s.watchers[key]
-	delete(s.watchers, key)
-	for _, w := range waiting {
-		w.done = true
-		w.env.Reply(entryAnswer(s.get(key)))
-	}
-}
