--- /dev/null
+++ b/standins/vmlist/vmlist_test.go
@@ -0,0 +1,76 @@
+package vmlist
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+const lag = 2 * time.Second
+
+// TestList guards against a list that shows changes too early, out of order or to callers that are cut off,
+// and against one that loses the changes made while it was frozen.
+func TestList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k, err := kernel.New(nil, kernel.Spec{Name: "state", Service: New([]model.VM{{ID: "w1"}}, lag)})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		<-k.Started()
+		ask := func(m kernel.Message) (answer, error) { return kernel.Call[answer](t.Context(), k, "state", m) }
+		control := func(m kernel.Message) {
+			_, err := ask(m)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		// next returns the list after a revision and the time that it took to show.
+		next := func(after uint64, source string) (answer, time.Duration) {
+			begun := time.Now()
+			l, err := ask(query{After: after, WaitMS: 60_000, Source: source})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			return l, time.Since(begun)
+		}
+
+		control(Leaving{ID: "w1", Leaving: true})
+		l, took := next(1, "a")
+		g.Expect(took).To(gomega.Equal(lag))
+		g.Expect(l.VMs).To(gomega.Equal([]model.VM{{ID: "w1", Leaving: true}}))
+
+		control(set{{ID: "w1"}, {ID: "w2"}})
+		control(Leaving{ID: "w2", Leaving: true})
+		l, _ = next(2, "a")
+		g.Expect(l.Revision).To(gomega.BeNumerically(">", 2))
+		time.Sleep(time.Millisecond)
+		l, _ = next(0, "a")
+		g.Expect(l.VMs).To(gomega.Equal([]model.VM{{ID: "w1"}, {ID: "w2", Leaving: true}}))
+
+		control(Faults{Frozen: true, Cut: []string{"b"}})
+		_, err = ask(query{Source: "b"})
+		g.Expect(err).To(gomega.HaveOccurred(), "a caller that is cut off gets no list")
+		control(set{{ID: "w3"}})
+		time.Sleep(2 * lag)
+		frozen, _ := next(0, "a")
+		g.Expect(frozen).To(gomega.Equal(l))
+		control(Faults{})
+		l, took = next(frozen.Revision, "b")
+		g.Expect(took).To(gomega.BeZero())
+		g.Expect(l.VMs).To(gomega.Equal([]model.VM{{ID: "w3"}}))
+
+		begun := time.Now()
+		same, err := ask(query{After: l.Revision, WaitMS: 300})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(same.Revision).To(gomega.Equal(l.Revision))
+		g.Expect(time.Since(begun)).To(gomega.Equal(300 * time.Millisecond))
+		_, err = ask(Leaving{ID: "unknown"})
+		g.Expect(err).To(gomega.HaveOccurred())
+		cancel()
+		g.Expect(<-ended).To(gomega.Succeed())
+	})
+}
