--- a/cmd/verbenactl/app.go
+++ b/cmd/verbenactl/app.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/node/client"
 )
 
 // globals are the options of every command.
@@ -26,7 +28,15 @@
 
 func newApp(out, errOut io.Writer) *app { return &app{out: out, errOut: errOut} }
 
-func (a *app) client() *client { return newClient(a.options.Server) }
+func (a *app) client() *client.Client { return client.New(0, a.options.Server...) }
+
+// get reads a path from the entry VMs.
+func (a *app) get(path string, out any) error { return a.client().Get(context.Background(), path, out) }
+
+// post sends a call to the entry VMs.
+func (a *app) post(path string, in, out any) error {
+	return a.client().Post(context.Background(), path, in, out)
+}
 
 // failureBody is the JSON form of a failed command.
 type failureBody struct {
--- a/cmd/verbenactl/errors.go
+++ b/cmd/verbenactl/errors.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/node/client"
 )
 
 // Exit codes of verbenactl.
@@ -23,19 +24,6 @@
 const exitCodesHelp = `Exit codes: 0 success, 1 failure, 2 usage, 3 refused and not run, 4 outcome unknown, 5 conflict, ` +
 	`6 broken promise in the demo.`
 
-// transportError reports a call without a complete answer.
-type transportError struct {
-	server string
-	// outcome is NotRun if no byte of the call was sent, Unknown otherwise.
-	outcome failure.Outcome
-	cause   error
-}
-
-func (e *transportError) Error() string { return fmt.Sprintf("%s: %v", e.server, e.cause) }
-
-// Unwrap returns the cause.
-func (e *transportError) Unwrap() error { return e.cause }
-
 // jobError reports a job that ended without success.
 type jobError struct{ job model.Job }
 
@@ -69,13 +57,13 @@
 	var f *flags.Error
 	var u *usageError
 	var e *failure.Error
-	var t *transportError
+	var t *client.TransportError
 	switch {
 	case errors.As(err, &f), errors.As(err, &u):
 		return exitUsage
 	case errors.As(err, &e):
 		return failureCode(e)
-	case errors.As(err, &t) && t.outcome == failure.NotRun:
+	case errors.As(err, &t) && t.Outcome == failure.NotRun:
 		return exitNotRun
 	case errors.As(err, &t):
 		return exitUnknown
@@ -100,12 +88,12 @@
 // outcomeOf returns whether the work of a failed command ran, or "" if that has no meaning.
 func outcomeOf(err error) failure.Outcome {
 	var e *failure.Error
-	var t *transportError
+	var t *client.TransportError
 	switch {
 	case errors.As(err, &e):
 		return e.Outcome
 	case errors.As(err, &t):
-		return t.outcome
+		return t.Outcome
 	default:
 		return ""
 	}
--- a/cmd/verbenactl/job.go
+++ b/cmd/verbenactl/job.go
@@ -33,14 +33,13 @@
 		Tasks: o.Tasks, GPUsPerTask: o.GPUs, Within: model.Level(o.Within), RunTime: o.RunTime,
 		Preemptible: o.Preemptible, Urgent: o.Urgent, Key: o.Key, Command: o.Command,
 	}
-	c := o.app.client()
 	var j model.Job
-	if err := c.post("/v1/jobs", spec, &j); err != nil {
+	if err := o.app.post("/v1/jobs", spec, &j); err != nil {
 		return err
 	}
 	for o.Wait && !j.State.Final() {
 		time.Sleep(waitInterval)
-		if err := c.get("/v1/job?id="+url.QueryEscape(string(j.ID)), &j); err != nil {
+		if err := o.app.get("/v1/job?id="+url.QueryEscape(string(j.ID)), &j); err != nil {
 			return err
 		}
 	}
@@ -63,7 +62,7 @@
 // Execute implements flags.Commander.
 func (o *jobStatus) Execute([]string) error {
 	var j model.Job
-	if err := o.app.client().get("/v1/job?id="+url.QueryEscape(o.Args.Job), &j); err != nil {
+	if err := o.app.get("/v1/job?id="+url.QueryEscape(o.Args.Job), &j); err != nil {
 		return err
 	}
 	return o.app.showJobs(j, j)
@@ -84,7 +83,7 @@
 		in.Jobs = append(in.Jobs, model.JobID(j))
 	}
 	var jobs []model.Job
-	if err := o.app.client().post("/v1/jobs/cancel", in, &jobs); err != nil {
+	if err := o.app.post("/v1/jobs/cancel", in, &jobs); err != nil {
 		return err
 	}
 	return o.app.showJobs(jobs, jobs...)
@@ -100,7 +99,7 @@
 func (o *jobList) Execute([]string) error {
 	q := url.Values{"account": {o.Account}, "domain": {o.Domain}}
 	var jobs []model.Job
-	if err := o.app.client().get("/v1/jobs?"+q.Encode(), &jobs); err != nil {
+	if err := o.app.get("/v1/jobs?"+q.Encode(), &jobs); err != nil {
 		return err
 	}
 	return o.app.showJobs(jobs, jobs...)
--- a/cmd/verbenactl/operate.go
+++ b/cmd/verbenactl/operate.go
@@ -22,28 +22,27 @@
 
 // change proposes one change against the version that the operator read.
 func (o changeOptions) change(a *app, ch message.ConfigChange) error {
-	c := a.client()
 	in := httpapi.ChangeBody{Change: ch}
 	if o.Expect != nil {
 		in.Expect = *o.Expect
 	} else {
-		current, err := readConfig(c)
+		current, err := readConfig(a)
 		if err != nil {
 			return err
 		}
 		in.Expect = current.Config.Version
 	}
 	var out httpapi.ConfigBody
-	if err := c.post("/v1/config", in, &out); err != nil {
+	if err := a.post("/v1/config", in, &out); err != nil {
 		return err
 	}
 	return a.show(out, []any{"VERSION", "PRESET", "OUT"}, []any{out.Config.Version, out.Config.InForce, out.Config.Out})
 }
 
 // readConfig returns the configuration; version 0 if none exists yet.
-func readConfig(c *client) (httpapi.ConfigBody, error) {
+func readConfig(a *app) (httpapi.ConfigBody, error) {
 	var out httpapi.ConfigBody
-	err := c.get("/v1/config", &out)
+	err := a.get("/v1/config", &out)
 	if errors.Is(err, &failure.Error{Reason: failure.ConfigUnavailable}) {
 		return httpapi.ConfigBody{}, nil
 	}
@@ -54,7 +53,7 @@
 
 // Execute implements flags.Commander.
 func (o *presetList) Execute([]string) error {
-	cfg, err := readConfig(o.app.client())
+	cfg, err := readConfig(o.app)
 	if err != nil {
 		return err
 	}
@@ -77,7 +76,7 @@
 
 // Execute implements flags.Commander.
 func (o *presetShow) Execute([]string) error {
-	cfg, err := readConfig(o.app.client())
+	cfg, err := readConfig(o.app)
 	if err != nil {
 		return err
 	}
@@ -152,7 +151,7 @@
 // Execute implements flags.Commander.
 func (o *domainStatus) Execute([]string) error {
 	var s httpapi.StatusBody
-	if err := o.app.client().get("/v1/status", &s); err != nil {
+	if err := o.app.get("/v1/status", &s); err != nil {
 		return err
 	}
 	return o.app.show(s.Holders, holderRows(s)...)
@@ -171,7 +170,7 @@
 // Execute implements flags.Commander.
 func (o *status) Execute([]string) error {
 	var s httpapi.StatusBody
-	if err := o.app.client().get("/v1/status", &s); err != nil {
+	if err := o.app.get("/v1/status", &s); err != nil {
 		return err
 	}
 	rows := [][]any{
@@ -198,7 +197,7 @@
 func (o *accountShow) Execute([]string) error {
 	q := url.Values{"account": {o.Args.Account}, "domain": {o.Domain}}
 	var r message.AccountReply
-	if err := o.app.client().get("/v1/account?"+q.Encode(), &r); err != nil {
+	if err := o.app.get("/v1/account?"+q.Encode(), &r); err != nil {
 		return err
 	}
 	return o.app.show(r,
--- a/cmd/verbenactl/request.go
+++ b/cmd/verbenactl/request.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net/http"
 	"net/url"
 	"time"
@@ -25,9 +26,8 @@
 	if o.Ticket != "" && o.Key != "" {
 		return &usageError{"--ticket and --key exclude each other"}
 	}
-	c := o.app.client()
 	if o.Ticket == "" && o.Key == "" {
-		tickets, err := takeTickets(c, o.Account, "", 1)
+		tickets, err := takeTickets(o.app, o.Account, "", 1)
 		if err != nil {
 			return err
 		}
@@ -38,7 +38,7 @@
 		Repeatable: o.Repeatable, Payload: []byte(o.Payload), TimeoutMS: o.Timeout.Milliseconds(),
 	}
 	var out httpapi.RequestBody
-	if err := c.call(http.MethodPost, "/v1/requests", in, &out, o.Timeout); err != nil {
+	if err := o.app.client().Call(context.Background(), http.MethodPost, "/v1/requests", in, &out, o.Timeout); err != nil {
 		return &requestError{id: o.Ticket + o.Key, cause: err}
 	}
 	return o.app.showRequest(out)
@@ -54,7 +54,7 @@
 // Execute implements flags.Commander.
 func (o *requestStatus) Execute([]string) error {
 	var out httpapi.RequestBody
-	if err := o.app.client().get("/v1/request?id="+url.QueryEscape(o.Args.Request), &out); err != nil {
+	if err := o.app.get("/v1/request?id="+url.QueryEscape(o.Args.Request), &out); err != nil {
 		return err
 	}
 	return o.app.showRequest(out)
@@ -73,7 +73,7 @@
 
 // Execute implements flags.Commander.
 func (o *ticketTake) Execute([]string) error {
-	tickets, err := takeTickets(o.app.client(), o.Account, o.Domain, o.Count)
+	tickets, err := takeTickets(o.app, o.Account, o.Domain, o.Count)
 	if err != nil {
 		return err
 	}
@@ -85,13 +85,13 @@
 }
 
 // takeTickets returns at least one ticket or an error.
-func takeTickets(c *client, account, domain string, count int) ([]string, error) {
+func takeTickets(a *app, account, domain string, count int) ([]string, error) {
 	if count < 1 {
 		return nil, &usageError{"--count must be positive"}
 	}
 	in := httpapi.TicketsBody{Account: model.AccountID(account), Domain: model.FailureDomain(domain), Count: count}
 	var tickets []string
-	if err := c.post("/v1/tickets", in, &tickets); err != nil {
+	if err := a.post("/v1/tickets", in, &tickets); err != nil {
 		return nil, err
 	}
 	if len(tickets) == 0 {
--- a/cmd/verbenactl/client.go
+++ b/node/client/client.go
@@ -1,7 +1,9 @@
-package main
+// Package client calls the HTTP interface of the entry VMs.
+package client
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -24,14 +26,30 @@
 	maxAnswer = 64 << 20
 )
 
-// client calls the entry VMs.
-type client struct {
+// TransportError reports a call without a complete answer.
+type TransportError struct {
+	Server string
+	// Outcome is NotRun if no byte of the call was sent, Unknown otherwise.
+	Outcome failure.Outcome
+	Cause   error
+}
+
+func (e *TransportError) Error() string { return e.Server + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *TransportError) Unwrap() error { return e.Cause }
+
+// Client calls the entry VMs. It is safe for concurrent use.
+type Client struct {
 	servers []string
 	http    *http.Client
 }
 
-func newClient(servers []string) *client {
-	c := &client{http: &http.Client{
+// New returns a client of entry VMs, each "IP:port" or a URL. It keeps at most conns idle connections to each;
+// 0 means the default of net/http.
+func New(conns int, servers ...string) *Client {
+	c := &Client{http: &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: conns},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 	for _, s := range servers {
@@ -43,25 +61,29 @@
 	return c
 }
 
-func (c *client) get(path string, out any) error {
-	return c.call(http.MethodGet, path, nil, out, defaultCallTime)
+// Get reads a path and decodes the answer into out. Its errors are those of Call.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	return c.Call(ctx, http.MethodGet, path, nil, out, defaultCallTime)
 }
 
-func (c *client) post(path string, in, out any) error {
-	return c.call(http.MethodPost, path, in, out, defaultCallTime)
+// Post sends in as JSON and decodes the answer into out. Its errors are those of Call.
+func (c *Client) Post(ctx context.Context, path string, in, out any) error {
+	return c.Call(ctx, http.MethodPost, path, in, out, defaultCallTime)
 }
 
-// call tries the servers in turn while the call certainly did not run. It returns a *failure.Error or a
-// *transportError.
-func (c *client) call(method, path string, in, out any, timeout time.Duration) error {
+// Call tries the servers in turn while the call certainly did not run: a refusal that says so and permits
+// another server, or a refused connection. timeout is the time that a server may take.
+// It returns a *failure.Error or a *TransportError.
+func (c *Client) Call(ctx context.Context, method, path string, in, out any, timeout time.Duration) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return errors.Wrap(err, "encode the call")
 	}
-	c.http.Timeout = timeout + callMargin
+	ctx, cancel := context.WithTimeout(ctx, timeout+callMargin)
+	defer cancel()
 	var last error
 	for _, server := range c.servers {
-		last = c.callOne(server, method, path, body, out)
+		last = c.callOne(ctx, server, method, path, body, out)
 		if last == nil || !mayTryNext(last) {
 			return last
 		}
@@ -72,43 +94,43 @@
 // mayTryNext reports whether another server may get the same call.
 func mayTryNext(err error) bool {
 	var e *failure.Error
-	var t *transportError
+	var t *TransportError
 	switch {
 	case errors.As(err, &e):
 		return e.Outcome == failure.NotRun && e.RetryElsewhere
 	case errors.As(err, &t):
-		return t.outcome == failure.NotRun
+		return t.Outcome == failure.NotRun
 	default:
 		return false
 	}
 }
 
-func (c *client) callOne(server, method, path string, body []byte, out any) error {
+func (c *Client) callOne(ctx context.Context, server, method, path string, body []byte, out any) error {
 	var reader io.Reader
 	if method != http.MethodGet {
 		reader = bytes.NewReader(body)
 	}
-	req, err := http.NewRequest(method, server+path, reader)
+	req, err := http.NewRequestWithContext(ctx, method, server+path, reader)
 	if err != nil {
-		return &usageError{err.Error()}
+		return &TransportError{Server: server, Outcome: failure.NotRun, Cause: err}
 	}
 	// Without GetBody the transport does not send a call a second time.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return &transportError{server: server, outcome: sentOutcome(err), cause: err}
+		return &TransportError{Server: server, Outcome: sentOutcome(err), Cause: err}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return &transportError{server: server, outcome: failure.Unknown, cause: err}
+		return &TransportError{Server: server, Outcome: failure.Unknown, Cause: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return decodeFailure(server, resp.Status, text)
 	}
 	if err := json.Unmarshal(text, out); err != nil {
-		return &transportError{server: server, outcome: failure.Unknown, cause: err}
+		return &TransportError{Server: server, Outcome: failure.Unknown, Cause: err}
 	}
 	return nil
 }
@@ -127,7 +149,7 @@
 	reason, known := failure.ReasonOf(b.Code)
 	if err != nil || !known {
 		cause := errors.Newf("status %s without a failure of a known type", status)
-		return &transportError{server: server, outcome: failure.Unknown, cause: cause}
+		return &TransportError{Server: server, Outcome: failure.Unknown, Cause: cause}
 	}
 	return &failure.Error{Reason: reason, Outcome: b.Outcome, Detail: b.Detail, RetryElsewhere: b.RetryElsewhere}
 }
