--- a/services/config/confirm.go
+++ b/services/config/confirm.go
@@ -76,7 +76,10 @@
 		return false
 	}
 	if config.Newer(s.view.Doc, doc) {
-		s.repair(c, e)
+		// A document that was applied after the entry was asked for says nothing about the store.
+		if s.applied.Before(at) {
+			s.repair(c, e)
+		}
 		return false
 	}
 	s.learn(c, doc, at)
--- a/services/config/propose.go
+++ b/services/config/propose.go
@@ -50,7 +50,11 @@
 			s.refuse(p, failure.New(failure.StoreUnavailable, "%v", err))
 			return
 		}
-		if !s.learnEntry(c, entry, asked) {
+		if !s.learnEntry(c, entry, asked) && m.Expect < s.view.Doc.Version {
+			s.refuse(p, failure.New(failure.ConfigConflict, "version %d is in force; the change was made against version %d", s.view.Doc.Version, m.Expect))
+			return
+		}
+		if current, ok := decode(entry); !ok || config.Newer(s.view.Doc, current) {
 			s.refuse(p, failure.New(failure.StoreUnavailable, "the store holds an older or unreadable configuration"))
 			return
 		}
--- a/services/config/service.go
+++ b/services/config/service.go
@@ -41,6 +41,8 @@
 	members  []model.Member
 	holder   bool
 	booting  bool
+	// applied is the local time at which the document in force was applied.
+	applied time.Time
 	// stored is the version of the store entry that was last read.
 	stored    uint64
 	repairing bool
@@ -121,6 +123,7 @@
 	before := s.view
 	s.view = s.view.Learn(doc, at)
 	if s.view.Doc.WriteID != before.Doc.WriteID {
+		s.applied = time.Now()
 		klog.InfoS("configuration applied", "vm", s.self.VM, "version", s.view.Doc.Version, "in_force", s.view.Doc.InForce, "out", s.view.Doc.Out)
 		s.metrics.Gauge("config_version", int64(s.view.Doc.Version))
 		for p := range s.pulls {
--- a/tests/process/harness_test.go
+++ b/tests/process/harness_test.go
@@ -82,17 +82,31 @@
 	}
 }
 
-// freePorts reserves n distinct loopback addresses.
+// Ports of the daemons lie below the range that the system gives to outgoing connections, so that a daemon
+// that is restarted finds its port free.
+const (
+	firstPort = 10000
+	portRange = 20000
+)
+
+var nextPort = os.Getpid() * 97 % portRange
+
+// freePorts returns n distinct loopback addresses that no process listens on.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		if tries > portRange {
+			t.Fatal("no free ports")
+		}
+		nextPort = (nextPort + 1) % portRange
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		l.Close()
+		out = append(out, address)
 	}
 	return out
 }
