Add the embedded cluster and the demo

verbenactl demo runs three failure domains with 7 entry VMs in one process and prints result, time and evidence of each step. Lines of the standard logger, which net/rpc writes, become JSON lines too.

After: go test -race ./node/... passes.

--- a/cmd/verbenactl/errors.go
+++ b/cmd/verbenactl/errors.go
@@ -58,9 +58,12 @@
 	var u *usageError
 	var e *failure.Error
 	var t *client.TransportError
+	var d *demoError
 	switch {
 	case errors.As(err, &f), errors.As(err, &u):
 		return exitUsage
+	case errors.As(err, &d) && d.broken:
+		return exitPromise
 	case errors.As(err, &e):
 		return failureCode(e)
 	case errors.As(err, &t) && t.Outcome == failure.NotRun:
--- a/cmd/verbenactl/main.go
+++ b/cmd/verbenactl/main.go
@@ -86,6 +86,7 @@
 			{name: "show", help: "show the use of a client account", command: &accountShow{app: a}},
 		}},
 		{name: "status", help: "show an entry VM and its members", command: &status{app: a}},
+		{name: "demo", help: "run a cluster in this process and show its promises", command: &demoCommand{app: a}},
 		{name: "standin", help: "run a stand-in of the platform", children: standins()},
 	})
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	o.info("starting", "domain", s.Domain, "region", s.Region,
-		"http", l.HTTP.Addr(), "peers", l.Peers.Addr(), "admin", l.Admin.Addr(), "tls", s.TLS != nil,
+		"http", l.HTTP.Addr().String(), "peers", l.Peers.Addr().String(), "admin", l.Admin.Addr().String(), "tls", s.TLS != nil,
 		"store", s.Store, "vmlist", s.VMList, "entry_vms", len(s.Members)+1,
 		"executor_connections", s.ExecutorConns, "max_body_bytes", s.MaxBody,
 		"header_timeout", s.HeaderTimeout.String(), "drain_timeout", s.DrainTimeout.String(), "verbosity", s.Verbosity)
--- /dev/null
+++ b/node/demo/steps.go
@@ -0,0 +1,304 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/node/client"
+	"github.com/verbenaflow/verbenaflow/platform/httpjson"
+	"github.com/verbenaflow/verbenaflow/platform/worker"
+	"github.com/verbenaflow/verbenaflow/services/httpapi"
+	"github.com/verbenaflow/verbenaflow/standins/store"
+)
+
+// The client accounts of the demo.
+const (
+	guaranteed model.AccountID = "vestfjord"
+	borrower   model.AccountID = "dvorak"
+)
+
+const (
+	// longRun is the run time of a job that must still run when its step ends.
+	longRun = 60 * time.Second
+	// shortRun is the run time of a job that a step waits for.
+	shortRun = 300 * time.Millisecond
+	// outWatch is the time for which a failure domain that is out must start nothing.
+	outWatch = 1500 * time.Millisecond
+	// reclaimLimit is the time in which a guarantee must get its accelerators.
+	reclaimLimit = 5 * time.Second
+)
+
+func (d *demo) configure(ctx context.Context) (string, error) {
+	if err := d.standins.Post(ctx, store.PathFaults, store.Faults{Record: true}, &struct{}{}); err != nil {
+		return "", err
+	}
+	preset := model.Preset{Accounts: map[model.AccountID]model.AccountPolicy{
+		guaranteed: {Weight: 1, Guarantees: []model.Guarantee{
+			{Domain: "a", Cells: []model.CellCount{{Level: model.LevelWorker, Count: 2}}},
+		}},
+		borrower: {Weight: 1},
+	}}
+	version, err := d.change(ctx, message.ConfigChange{PutPreset: &message.NamedPreset{Name: "ordinary", Preset: preset}})
+	if err != nil {
+		return "", err
+	}
+	if err := d.inForce(ctx, version); err != nil {
+		return "", &brokenError{"P9", err.Error()}
+	}
+	writes, err := d.writes(ctx, "config")
+	return fmt.Sprintf("store: %d write of the document; version %d on %d VMs", len(writes), version, len(d.cluster.VMs())), err
+}
+
+// change makes one change against the version in force and returns the new version.
+func (d *demo) change(ctx context.Context, ch message.ConfigChange) (uint64, error) {
+	c := d.any()
+	var current, next httpapi.ConfigBody
+	err := await(ctx, "change of the configuration", func() (string, bool) {
+		err := c.Get(ctx, "/v1/config", &current)
+		if err != nil && !errors.Is(err, &failure.Error{Reason: failure.ConfigUnavailable}) {
+			return err.Error(), false
+		}
+		err = c.Post(ctx, "/v1/config", httpapi.ChangeBody{Expect: current.Config.Version, Change: ch}, &next)
+		return fmt.Sprint(err), err == nil
+	})
+	return next.Config.Version, err
+}
+
+// inForce waits until every running VM applies a version.
+func (d *demo) inForce(ctx context.Context, version uint64) error {
+	return await(ctx, fmt.Sprintf("version %d in force", version), func() (string, bool) {
+		for _, id := range d.cluster.VMs() {
+			if !d.cluster.Running(id) {
+				continue
+			}
+			s, err := d.status(ctx, id)
+			if err != nil || s.ConfigVersion < version {
+				return fmt.Sprintf("%s has %d, %v", id, s.ConfigVersion, err), false
+			}
+		}
+		return "", true
+	})
+}
+
+func (d *demo) status(ctx context.Context, id model.VMID) (httpapi.StatusBody, error) {
+	var s httpapi.StatusBody
+	err := client.New(0, d.cluster.HTTP(id)).Get(ctx, "/v1/status", &s)
+	return s, err
+}
+
+// submit submits a job and waits until it is in one of the states. It returns the job as last seen.
+func (d *demo) submit(ctx context.Context, spec model.JobSpec, states ...model.JobState) (model.Job, error) {
+	var j model.Job
+	err := await(ctx, "job accepted", func() (string, bool) {
+		err := d.any().Post(ctx, "/v1/jobs", spec, &j)
+		return fmt.Sprint(err), err == nil
+	})
+	if err != nil {
+		return j, err
+	}
+	return d.follow(ctx, j.ID, states...)
+}
+
+func (d *demo) follow(ctx context.Context, id model.JobID, states ...model.JobState) (model.Job, error) {
+	var j model.Job
+	err := await(ctx, fmt.Sprintf("job %s in state %v", id, states), func() (string, bool) {
+		if err := d.any().Get(ctx, "/v1/job?id="+url.QueryEscape(string(id)), &j); err != nil {
+			return err.Error(), false
+		}
+		for _, s := range states {
+			if j.State == s {
+				return "", true
+			}
+		}
+		return string(j.State), false
+	})
+	return j, err
+}
+
+func (d *demo) cancel(ctx context.Context, j model.Job) error {
+	var jobs []model.Job
+	in := httpapi.CancelBody{Account: j.Spec.Account, Jobs: []model.JobID{j.ID}}
+	return d.any().Post(ctx, "/v1/jobs/cancel", in, &jobs)
+}
+
+func (d *demo) gang(ctx context.Context) (string, error) {
+	spec := model.JobSpec{Account: borrower, Domain: "a", Tasks: 2, GPUsPerTask: 8, RunTime: shortRun, Preemptible: true}
+	j, err := d.submit(ctx, spec, model.JobSucceeded)
+	if err != nil {
+		return "", err
+	}
+	if len(j.Placement) != spec.Tasks {
+		return "", &brokenError{"P2", fmt.Sprintf("%d of %d tasks have a place", len(j.Placement), spec.Tasks)}
+	}
+	return fmt.Sprintf("job ran on %s and %s in attempt %d", j.Placement[0].Worker, j.Placement[1].Worker, j.Attempt), nil
+}
+
+func (d *demo) request(ctx context.Context) (string, error) {
+	c := d.any()
+	var tickets []string
+	err := await(ctx, "ticket", func() (string, bool) {
+		err := c.Post(ctx, "/v1/tickets", httpapi.TicketsBody{Account: guaranteed, Count: 1}, &tickets)
+		return fmt.Sprint(err), err == nil && len(tickets) == 1
+	})
+	if err != nil {
+		return "", err
+	}
+	in := httpapi.SendBody{Ticket: tickets[0], Account: guaranteed, Service: "certificate", Payload: []byte("batch 12")}
+	var first, second httpapi.RequestBody
+	if err := c.Post(ctx, "/v1/requests", in, &first); err != nil {
+		return "", err
+	}
+	if string(first.Body) != "certificate:batch 12" {
+		return "", &brokenError{"P4", fmt.Sprintf("answer %q", first.Body)}
+	}
+	in.Payload = []byte("batch 13")
+	err = c.Post(ctx, "/v1/requests", in, &second)
+	if err == nil && string(second.Body) != string(first.Body) {
+		return "", &brokenError{"P6", fmt.Sprintf("the same ticket gave %q", second.Body)}
+	}
+	return fmt.Sprintf("executor answered %q; second send: %v", first.Body, err), nil
+}
+
+func (d *demo) reclaim(ctx context.Context) (string, error) {
+	loan, err := d.submit(ctx, model.JobSpec{
+		Account: borrower, Domain: "a", Tasks: 4, GPUsPerTask: 8, RunTime: longRun, Preemptible: true,
+	}, model.JobRunning)
+	if err != nil {
+		return "", err
+	}
+	begun := time.Now()
+	own, err := d.submit(ctx, model.JobSpec{
+		Account: guaranteed, Domain: "a", Tasks: 2, GPUsPerTask: 8, RunTime: shortRun,
+	}, model.JobRunning, model.JobSucceeded)
+	took := time.Since(begun)
+	state, _ := d.follow(ctx, loan.ID, model.JobQueued, model.JobPreempting, model.JobStarting, model.JobRunning, model.JobFailed)
+	if cancelErr := errors.CombineErrors(d.cancel(ctx, loan), d.cancel(ctx, own)); cancelErr != nil {
+		return "", cancelErr
+	}
+	if err != nil || took > reclaimLimit {
+		return "", &brokenError{"P1", fmt.Sprintf("guaranteed job is %s after %s", own.State, took.Round(time.Millisecond))}
+	}
+	return fmt.Sprintf("guaranteed job ran on %v after %s; the borrower is %s", own.Placement, took.Round(time.Millisecond), state.State), nil
+}
+
+func (d *demo) takeOut(ctx context.Context) (string, error) {
+	version, err := d.change(ctx, message.ConfigChange{TakeOut: "b"})
+	if err != nil {
+		return "", err
+	}
+	if err := d.inForce(ctx, version); err != nil {
+		return "", &brokenError{"P9", err.Error()}
+	}
+	j, err := d.submit(ctx, model.JobSpec{
+		Account: borrower, Domain: "b", Tasks: 1, GPUsPerTask: 8, RunTime: shortRun, Preemptible: true,
+	}, model.JobQueued, model.JobStarting, model.JobRunning, model.JobSucceeded)
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(outWatch)
+	if j, err = d.follow(ctx, j.ID, model.JobQueued, model.JobStarting, model.JobRunning, model.JobSucceeded); err != nil {
+		return "", err
+	}
+	if j.State != model.JobQueued {
+		return "", &brokenError{"P3", fmt.Sprintf("job is %s in a failure domain that is out", j.State)}
+	}
+	if _, err := d.change(ctx, message.ConfigChange{BringIn: "b"}); err != nil {
+		return "", err
+	}
+	if j, err = d.follow(ctx, j.ID, model.JobSucceeded); err != nil {
+		return "", err
+	}
+	writes, err := d.writes(ctx, "config")
+	return fmt.Sprintf("job waited %s while out, then ran; store: %d writes of the document", outWatch, len(writes)), err
+}
+
+func (d *demo) loseHolder(ctx context.Context) (string, error) {
+	j, err := d.submit(ctx, model.JobSpec{
+		Account: borrower, Domain: "c", Tasks: 2, GPUsPerTask: 8, RunTime: longRun, Preemptible: true,
+	}, model.JobRunning)
+	if err != nil {
+		return "", err
+	}
+	old, err := d.holder(ctx, "c", model.Epoch{})
+	if err != nil {
+		return "", err
+	}
+	if err := d.cluster.Kill(old.VM); err != nil {
+		return "", err
+	}
+	defer func() { _ = d.cluster.Restart(old.VM) }()
+	next, err := d.holder(ctx, "c", old.Epoch)
+	if err != nil {
+		return "", err
+	}
+	now, err := d.follow(ctx, j.ID, model.JobRunning)
+	if err != nil {
+		return "", err
+	}
+	if now.Attempt != j.Attempt {
+		return "", errors.Newf("the job was started again (attempt %d)", now.Attempt)
+	}
+	workers, err := d.workersAt(ctx, next.Epoch, j.Placement)
+	if err != nil {
+		return "", err
+	}
+	epochs, err := d.writes(ctx, "fd/c/epoch")
+	if err != nil {
+		return "", err
+	}
+	evidence := fmt.Sprintf("%s follows %s; store: %d epochs of c; %d workers accept epoch %s; attempt %d goes on",
+		next.VM, old.VM, len(epochs), workers, next.Epoch, now.Attempt)
+	return evidence, d.cancel(ctx, now)
+}
+
+// holder waits for a holder of a failure domain with a higher epoch than after.
+func (d *demo) holder(ctx context.Context, domain model.FailureDomain, after model.Epoch) (httpapi.HolderBody, error) {
+	var out httpapi.HolderBody
+	err := await(ctx, fmt.Sprintf("holder of %s after epoch %s", domain, after), func() (string, bool) {
+		for _, id := range d.cluster.VMs() {
+			if !d.cluster.Running(id) || d.cluster.Domain(id) != domain {
+				continue
+			}
+			s, err := d.status(ctx, id)
+			if err != nil {
+				return err.Error(), false
+			}
+			for _, h := range s.Holders {
+				if h.Domain == domain && after.Less(h.Epoch) {
+					out = h
+					return "", true
+				}
+			}
+		}
+		return "none", false
+	})
+	return out, err
+}
+
+// workersAt counts the workers of a placement that accept no lower epoch than the given one. A worker refuses
+// the zero epoch and answers with its own, so the question changes nothing.
+func (d *demo) workersAt(ctx context.Context, epoch model.Epoch, p model.Placement) (int, error) {
+	n := 0
+	for _, vm := range d.cluster.Fleet() {
+		for _, slot := range p {
+			if string(slot.Worker) != vm.ID {
+				continue
+			}
+			var r worker.Report
+			if err := httpjson.NewClient(vm.Address, 1).Post(ctx, worker.PathExchange, worker.Exchange{}, &r); err != nil {
+				return n, err
+			}
+			if !r.Epoch.Less(epoch) {
+				n++
+			}
+		}
+	}
+	return n, nil
+}
--- a/node/logging/logging.go
+++ b/node/logging/logging.go
@@ -8,6 +8,7 @@
 	"context"
 	"flag"
 	"io"
+	"log"
 	"log/slog"
 	"strconv"
 
@@ -20,7 +21,7 @@
 	KeyService = "service"
 )
 
-// Setup sends klog messages up to a verbosity to w, one JSON object a line. vm and service are the values of
+// Setup sends klog messages up to a verbosity and lines of the standard logger to w, one JSON object a line. vm and service are the values of
 // lines that carry none. It is called once, before any goroutine logs.
 func Setup(w io.Writer, vm, service string, verbosity int) error {
 	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
@@ -28,7 +29,11 @@
 	if err := fs.Set("v", strconv.Itoa(verbosity)); err != nil {
 		return err
 	}
-	klog.SetSlogLogger(slog.New(newHandler(w, vm, service, verbosity)))
+	h := newHandler(w, vm, service, verbosity)
+	klog.SetSlogLogger(slog.New(h))
+	// Libraries such as net/rpc and net/http write to the standard logger.
+	log.SetFlags(0)
+	log.SetOutput(slog.NewLogLogger(h, slog.LevelInfo).Writer())
 	return nil
 }
 
