--- a/cmd/verbenactl/errors.go
+++ b/cmd/verbenactl/errors.go
@@ -42,6 +42,11 @@
 // Unwrap returns the cause.
 func (e *requestError) Unwrap() error { return e.cause }
 
+// noTicketError reports an empty answer to a call for tickets.
+type noTicketError struct{}
+
+func (*noTicketError) Error() string { return "the entry VM gave no ticket" }
+
 // missingPresetError reports a preset that the configuration does not contain.
 type missingPresetError struct{ name string }
 
--- a/cmd/verbenactl/request.go
+++ b/cmd/verbenactl/request.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	if len(tickets) == 0 {
-		return nil, &usageError{"the server gave no ticket"}
+		return nil, &noTicketError{}
 	}
 	return tickets, nil
 }
--- a/node/client/client.go
+++ b/node/client/client.go
@@ -39,6 +39,13 @@
 // Unwrap returns the cause.
 func (e *TransportError) Unwrap() error { return e.Cause }
 
+// UntypedStatusError reports a refusal without a failure of a known type, such as that of another server.
+type UntypedStatusError struct{ Status string }
+
+func (e *UntypedStatusError) Error() string {
+	return "status " + e.Status + " without a failure of a known type"
+}
+
 // Client calls the entry VMs. It is safe for concurrent use.
 type Client struct {
 	servers []string
@@ -148,8 +155,7 @@
 	err := json.Unmarshal(text, &b)
 	reason, known := failure.ReasonOf(b.Code)
 	if err != nil || !known {
-		cause := errors.Newf("status %s without a failure of a known type", status)
-		return &TransportError{Server: server, Outcome: failure.Unknown, Cause: cause}
+		return &TransportError{Server: server, Outcome: failure.Unknown, Cause: &UntypedStatusError{status}}
 	}
 	return &failure.Error{Reason: reason, Outcome: b.Outcome, Detail: b.Detail, RetryElsewhere: b.RetryElsewhere}
 }
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -58,6 +58,13 @@
 	return fmt.Sprintf("not within %s: %s (last seen: %s)", stepLimit, e.what, e.last)
 }
 
+// restartError reports a job that the new holder started again instead of adopting its tasks.
+type restartError struct{ attempt int }
+
+func (e *restartError) Error() string {
+	return fmt.Sprintf("the job was started again (attempt %d)", e.attempt)
+}
+
 // demo is the state that the steps share.
 type demo struct {
 	cluster  *embedded.Cluster
@@ -100,7 +107,7 @@
 	return s
 }
 
-// BrokenPromise reports whether a step broke a promise, and AllOK whether every step succeeded.
+// BrokenPromise reports whether a step broke a promise.
 func BrokenPromise(steps []Step) bool {
 	for _, s := range steps {
 		if s.Result == Broken {
--- a/node/demo/steps.go
+++ b/node/demo/steps.go
@@ -243,7 +243,7 @@
 		return "", err
 	}
 	if now.Attempt != j.Attempt {
-		return "", errors.Newf("the job was started again (attempt %d)", now.Attempt)
+		return "", &restartError{now.Attempt}
 	}
 	workers, err := d.workersAt(ctx, next.Epoch, j.Placement)
 	if err != nil {
--- a/services/httpapi/httpapi_test.go
+++ b/services/httpapi/httpapi_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
@@ -118,3 +120,30 @@
 	status, _ = serve(r, closed, httptest.NewRequest("GET", "/v1/account?account=a", nil))
 	g.Expect(status).To(gomega.Equal(http.StatusOK))
 }
+
+// TestTLS guards against a certificate in the settings that the listener does not use.
+func TestTLS(t *testing.T) {
+	g := gomega.NewWithT(t)
+	// The test server lends its certificate and a client that trusts it.
+	lender := httptest.NewTLSServer(nil)
+	defer lender.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	spec := New(model.Member{VM: "v1", Domain: "a"}, l, Options{TLS: &lender.TLS.Certificates[0]}, metrics.New()).Spec()
+	spec.After = nil
+	k, err := kernel.New(nil, spec)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx) }()
+	resp, err := lender.Client().Get("https://" + l.Addr().String() + "/v1/status")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	resp, err = http.Get("http://" + l.Addr().String() + "/v1/status")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusBadRequest), "plain HTTP on a TLS listener")
+	cancel()
+	g.Expect(<-ended).To(gomega.Succeed())
+}
