--- a/cmd/verbenactl/errors.go
+++ b/cmd/verbenactl/errors.go
@@ -42,6 +42,11 @@
 // Unwrap returns the cause.
 func (e *requestError) Unwrap() error { return e.cause }
 
+// noTicketError reports an empty answer to a call for tickets.
+type noTicketError struct{}
+
+func (*noTicketError) Error() string { return "the entry VM gave no ticket" }
+
 // missingPresetError reports a preset that the configuration does not contain.
 type missingPresetError struct{ name string }
 
@@ -58,9 +63,12 @@
 	var u *usageError
 	var e *failure.Error
 	var t *client.TransportError
+	var d *demoError
 	switch {
 	case errors.As(err, &f), errors.As(err, &u):
 		return exitUsage
+	case errors.As(err, &d) && d.broken:
+		return exitPromise
 	case errors.As(err, &e):
 		return failureCode(e)
 	case errors.As(err, &t) && t.Outcome == failure.NotRun:
