--- a/api/message/cluster.go
+++ b/api/message/cluster.go
@@ -46,6 +46,8 @@
 	// Holder is true while the VM holds its failure domain.
 	Holder bool
 	Epoch  model.Epoch
+	// Domain is the failure domain of the VM.
+	Domain model.FailureDomain
 }
 
 // Kinds of the published messages, for subscriptions.
--- a/api/message/log.go
+++ b/api/message/log.go
@@ -19,10 +19,16 @@
 	Records []LogRecord
 }
 
+// LogClose asks the store service to write the closing record of an epoch after all records that arrived
+// before it; answered by Done. Later records of the epoch are refused with failure.NotHolder. It fails like
+// LogAppend.
+type LogClose struct{ Epoch model.Epoch }
+
 // LogAppended tells that records are durable.
 type LogAppended struct{}
 
-// LogReplayed is published once after each AuthorityChanged of a new holder.
+// LogReplayed is published once after each AuthorityChanged of a new holder. If Sealed was false, it is
+// published again once the log could be read and sealed under the same epoch.
 type LogReplayed struct {
 	Epoch model.Epoch
 	// Records holds the last snapshot and the records after it, in order. The log is sealed against
@@ -47,6 +53,9 @@
 // Kind implements kernel.Message.
 func (LogAppend) Kind() string { return "log_append" }
 
+// Kind implements kernel.Message.
+func (LogClose) Kind() string { return "log_close" }
+
 // Kind implements kernel.Message.
 func (LogAppended) Kind() string { return "log_appended" }
 
