Run the membership decisions in their service

Ruled out: a publication per heartbeat; only a change of what others see is published. Not covered: the bytes on the wire at 28 VMs.

--- a/services/membership/service.go
+++ b/services/membership/service.go
@@ -8,6 +8,7 @@
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/decisions/member"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/vmlist"
 )
@@ -17,14 +18,19 @@
 	listWait = 5 * time.Second
 	// listRetry is the delay after a failed watch of the VM list.
 	listRetry = time.Second
-	// heartbeatEvery is the interval of heartbeats to the other entry VMs.
-	heartbeatEvery = time.Second
+	// tickEvery is the interval at which due heartbeats are sent and silent members expire. It divides the
+	// intervals of heartbeats.
+	tickEvery = 250 * time.Millisecond
+	// answerTimeout bounds the wait for the answer to a heartbeat.
+	answerTimeout = time.Second
+	// leaveTimeout bounds the wait for the answers to the last heartbeats of a leaving VM.
+	leaveTimeout = 2 * time.Second
 )
 
 type (
-	listDue      struct{}
-	heartbeatDue struct{}
-	listDone     struct {
+	listDue  struct{}
+	tickDue  struct{}
+	listDone struct {
 		list vmlist.List
 		err  error
 	}
@@ -34,45 +40,59 @@
 func (listDue) Kind() string { return "vm_list_due" }
 
 // Kind implements kernel.Message.
-func (heartbeatDue) Kind() string { return "heartbeat_due" }
+func (tickDue) Kind() string { return "membership_tick_due" }
 
 // Kind implements kernel.Message.
 func (listDone) Kind() string { return "vm_list_done" }
 
 // Service holds the known VMs.
 type Service struct {
-	self    model.Member
-	list    vmlist.Client
-	seen    uint64
-	vms     []model.VM
-	members map[model.VMID]model.Member
+	self  model.Member
+	list  vmlist.Client
+	seen  uint64
+	vms   []model.VM
+	table *member.Table
 }
 
 // New returns the service of one entry VM with the peers that its settings name.
 func New(self model.Member, peers []model.Member, list vmlist.Client) *Service {
-	s := &Service{self: self, list: list, members: make(map[model.VMID]model.Member)}
-	for _, p := range peers {
-		s.members[p.VM] = p
-	}
-	return s
+	return &Service{self: self, list: list, table: member.New(self, peers)}
 }
 
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
-	return kernel.Spec{Name: names.Membership, Service: s, Subscribes: []string{
-		message.KindAuthorityChanged, message.KindConfigChanged,
-	}}
+	return kernel.Spec{
+		Name: names.Membership, Service: s, DrainTimeout: leaveTimeout,
+		// The last heartbeats leave through the peers service.
+		After:      []kernel.Name{names.Peers},
+		Subscribes: []string{message.KindAuthorityChanged, message.KindConfigChanged},
+	}
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
 	c.After(0, listDue{})
-	c.After(0, heartbeatDue{})
+	c.After(0, tickDue{})
 	return nil
 }
 
-// Drain implements kernel.Service.
-func (s *Service) Drain(c *kernel.Context) { c.Drained() }
+// Drain implements kernel.Service. It tells every live member that this VM leaves.
+func (s *Service) Drain(c *kernel.Context) {
+	s.self.Leaving = true
+	left := 1
+	done := func() {
+		if left--; left == 0 {
+			c.Drained()
+		}
+	}
+	for _, m := range s.table.Members() {
+		if m.Alive {
+			left++
+			s.heartbeat(c, m, done)
+		}
+	}
+	done()
+}
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
@@ -81,9 +101,8 @@
 		s.watchList(c)
 	case listDone:
 		s.learnList(c, m)
-	case heartbeatDue:
-		s.sendHeartbeats(c)
-		c.After(heartbeatEvery, heartbeatDue{})
+	case tickDue:
+		s.tick(c)
 	case message.Heartbeat:
 		s.heard(c, m.Member)
 		e.Reply(message.HeartbeatReply{Member: s.self})
@@ -92,7 +111,7 @@
 		if m.Holder {
 			s.self.Holder = m.Epoch
 		}
-		s.sendHeartbeats(c)
+		s.announce(c)
 	case message.ConfigChanged:
 		s.self.ConfigVersion = m.Config.Version
 	}
@@ -115,39 +134,56 @@
 	}
 	if m.list.Revision != s.seen {
 		s.seen, s.vms = m.list.Revision, m.list.VMs
+		s.table.Listed(m.list.VMs)
 		s.publish(c)
 	}
 	c.After(0, listDue{})
 }
 
-func (s *Service) sendHeartbeats(c *kernel.Context) {
-	for _, m := range s.members {
-		f := message.Forward{
-			VM: m.VM, To: names.Membership, Body: message.Heartbeat{Member: s.self},
-			Deadline: time.Now().Add(heartbeatEvery),
+// tick sends the heartbeats that are due and publishes the members that have become dead.
+func (s *Service) tick(c *kernel.Context) {
+	for _, m := range s.table.Due(time.Now()) {
+		s.heartbeat(c, m, nil)
+	}
+	if s.table.Expire(time.Now()) {
+		s.publish(c)
+	}
+	c.After(tickEvery, tickDue{})
+}
+
+// announce tells all live members about a change of this VM at once.
+func (s *Service) announce(c *kernel.Context) {
+	for _, m := range s.table.Members() {
+		if m.Alive {
+			s.heartbeat(c, m, nil)
 		}
-		c.Request(names.Peers, f, func(r kernel.Message, err error) {
-			if reply, ok := r.(message.HeartbeatReply); ok && err == nil {
-				s.heard(c, reply.Member)
-			}
-		})
 	}
 }
 
+// heartbeat sends one heartbeat and runs done, if not nil, after its answer.
+func (s *Service) heartbeat(c *kernel.Context, m model.Member, done func()) {
+	f := message.Forward{
+		VM: m.VM, To: names.Membership, Body: message.Heartbeat{Member: s.self},
+		Deadline: time.Now().Add(answerTimeout),
+	}
+	c.Request(names.Peers, f, func(r kernel.Message, err error) {
+		if reply, ok := r.(message.HeartbeatReply); ok && err == nil {
+			s.heard(c, reply.Member)
+		}
+		if done != nil {
+			done()
+		}
+	})
+}
+
 func (s *Service) heard(c *kernel.Context, m model.Member) {
-	old := s.members[m.VM]
-	m.Alive, m.LastHeard = true, time.Now()
-	s.members[m.VM] = m
-	if !old.Alive || old.Holder != m.Holder || old.Leaving != m.Leaving {
+	if s.table.Heard(m, time.Now()) {
 		s.publish(c)
 	}
 }
 
 func (s *Service) publish(c *kernel.Context) {
-	out := message.MembersChanged{}
-	for _, m := range s.members {
-		out.Members = append(out.Members, m)
-	}
+	out := message.MembersChanged{Members: s.table.Members()}
 	for _, vm := range s.vms {
 		switch {
 		case vm.Domain != s.self.Domain:
