Share failed searches between buckets of a round

Cause: at 1,200 workers a round searched again for every waiting shape of every account, and a search within an exhausted guarantee tried every worker. After: a search that failed is not repeated until accelerators are freed, accounts without a guarantee share it, buckets are served from a heap, and the guarantee gives bounds and masks before a search.

--- a/decisions/guarantee/tracker.go
+++ b/decisions/guarantee/tracker.go
@@ -49,6 +49,8 @@
 	pins     [][model.GPUsPerWorker]*pin
 	unpinned map[model.AccountID]*Counts
 	need     Counts
+	// spare is the number of guaranteed accelerators of each account that its fixed tasks do not use.
+	spare map[model.AccountID]int
 }
 
 // New returns a tracker without tasks. usable tells for each worker index whether it can run tasks.
@@ -57,11 +59,13 @@
 		topo: t, avail: cell.NewInventory(t), usable: usable,
 		fixed: make([]model.GPUMask, t.Workers()), pins: make([][model.GPUsPerWorker]*pin, t.Workers()),
 		unpinned: make(map[model.AccountID]*Counts, len(guarantees)),
+		spare:    make(map[model.AccountID]int, len(guarantees)),
 	}
 	for a, c := range guarantees {
 		tr.unpinned[a] = &c
 		for l, n := range c {
 			tr.need[l] += n
+			tr.spare[a] += n * Levels[l].GPUs()
 		}
 	}
 	for w := range t.Workers() {
@@ -164,6 +168,7 @@
 		}
 		t.fixed[s.Worker] &^= bit
 		if p := t.pins[s.Worker][i]; p != nil {
+			t.spare[p.account]++
 			if p.used--; p.used == 0 {
 				t.bind(p, nil)
 			}
@@ -215,6 +220,7 @@
 	t.dissolve(a, w, m)
 	if p := t.pinOver(w, m); p != nil {
 		p.used += m.Count()
+		t.spare[a] -= m.Count()
 		t.fixed[w] |= m
 		return true
 	}
@@ -240,6 +246,7 @@
 func (t *Tracker) dissolve(a model.AccountID, w int, m model.GPUMask) {
 	for i := range model.GPUsPerWorker {
 		if p := t.pins[w][i]; p != nil && m&(1<<i) != 0 && p.account != a {
+			t.spare[p.account] += p.used
 			t.bind(p, nil)
 		}
 	}
@@ -284,6 +291,7 @@
 			}
 		}
 		t.bind(p, p)
+		t.spare[a] -= m.Count()
 		return true
 	}
 	return false
@@ -327,13 +335,3 @@
 }
 
 func trailing(m model.GPUMask) int { return bits.TrailingZeros8(uint8(m)) }
-
-// PinnedByOthers reports whether a cell on the worker is pinned by another account.
-func (t *Tracker) PinnedByOthers(w int, a model.AccountID) bool {
-	for _, p := range t.pins[w] {
-		if p != nil && p.account != a {
-			return true
-		}
-	}
-	return false
-}
--- a/decisions/plan/baseline.go
+++ b/decisions/plan/baseline.go
@@ -65,8 +65,15 @@
 // Round starts every waiting job that fits, in order of submission.
 func (p *Baseline) Round(time.Time) Result {
 	var r Result
+	// A shape that fails once fails for the rest of the round.
+	failed := make(map[class]bool)
 	p.queue = slices.DeleteFunc(p.queue, func(w Waiting) bool {
+		c := class{tasks: w.Spec.Tasks, gpus: w.Spec.GPUsPerTask, within: w.Spec.Within}
+		if failed[c] {
+			return false
+		}
 		pl, ok := p.firstFit(w.Spec)
+		failed[c] = !ok
 		if ok {
 			p.placed[w.Job] = pl
 			for _, s := range pl {
--- a/decisions/plan/bucket.go
+++ b/decisions/plan/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -88,21 +89,47 @@
 	})
 }
 
-// next returns the bucket whose first job comes next, or nil if none may fit.
-func (p *Planner) next(now time.Time) *bucket {
-	var best *bucket
-	var first queue.Candidate
+// turn is a bucket with the facts of its first job at the time they were read.
+type turn struct {
+	bucket *bucket
+	queue.Candidate
+}
+
+// turns is a heap of buckets; the one whose first job comes next is on top.
+type turns struct {
+	list []turn
+	less func(a, b queue.Candidate) bool
+}
+
+func (h *turns) Len() int           { return len(h.list) }
+func (h *turns) Less(i, j int) bool { return h.less(h.list[i].Candidate, h.list[j].Candidate) }
+func (h *turns) Swap(i, j int)      { h.list[i], h.list[j] = h.list[j], h.list[i] }
+
+// Push implements heap.Interface.
+func (h *turns) Push(x any) { h.list = append(h.list, x.(turn)) }
+
+// Pop implements heap.Interface.
+func (h *turns) Pop() any {
+	last := h.list[len(h.list)-1]
+	h.list = h.list[:len(h.list)-1]
+	return last
+}
+
+// newTurns returns the buckets that may fit now.
+func (p *Planner) newTurns(now time.Time) *turns {
+	h := &turns{less: func(a, b queue.Candidate) bool { return p.compare(a, b, now) < 0 }}
 	for _, b := range p.buckets {
-		if b.failed == p.version {
-			continue
-		}
-		h := b.head()
-		c := queue.Candidate{Job: h.Job, Submitted: h.Submitted, Urgent: b.class.urgent, Share: p.share(b.acct)}
-		if best == nil || p.compare(c, first, now) < 0 {
-			best, first = b, c
+		if b.failed != p.version {
+			h.list = append(h.list, turn{b, p.candidate(b)})
 		}
 	}
-	return best
+	heap.Init(h)
+	return h
+}
+
+func (p *Planner) candidate(b *bucket) queue.Candidate {
+	h := b.head()
+	return queue.Candidate{Job: h.Job, Submitted: h.Submitted, Urgent: b.class.urgent, Share: p.share(b.acct)}
 }
 
 func (p *Planner) compare(a, b queue.Candidate, now time.Time) int {
--- a/decisions/plan/planner.go
+++ b/decisions/plan/planner.go
@@ -81,6 +81,9 @@
 	res        *reservation
 	scratch    []model.GPUMask
 	candidates []candidate
+	// attempts holds the searches that failed at the version attemptsOf.
+	attempts   map[attempt]bool
+	attemptsOf uint64
 	probe      *Planner
 	fits       map[class]bool
 }
--- a/decisions/plan/round.go
+++ b/decisions/plan/round.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"container/heap"
 	"math/bits"
 	"slices"
 	"time"
@@ -32,11 +33,26 @@
 // passes bounds how often a round serves the queue again after a reservation was given up.
 const passes = 2
 
-// serve tries the buckets in order until nothing more fits.
+// serve tries the buckets in order until nothing more fits. A start only raises its account's share, so a
+// bucket whose facts changed since it was put in order is put back behind.
 func (p *Planner) serve(now time.Time, r *Result) {
-	for b := p.next(now); b != nil; b = p.next(now) {
-		if !p.tryBucket(b, now, r) {
-			b.failed = p.version
+	for h := p.newTurns(now); h.Len() > 0; h = p.newTurns(now) {
+		for h.Len() > 0 {
+			t := heap.Pop(h).(turn)
+			if len(t.bucket.jobs) == 0 {
+				continue
+			}
+			if c := p.candidate(t.bucket); c != t.Candidate {
+				heap.Push(h, turn{t.bucket, c})
+				continue
+			}
+			if p.tryBucket(t.bucket, now, r) {
+				if len(t.bucket.jobs) > 0 {
+					heap.Push(h, turn{t.bucket, p.candidate(t.bucket)})
+				}
+				continue
+			}
+			t.bucket.failed = p.version
 		}
 	}
 }
@@ -114,10 +130,42 @@
 		// A guarantee and urgent work come before a reservation.
 		s.barred = nil
 	}
+	key := s.attempt()
+	if s.only == nil && p.failedAt(key) {
+		return s, false
+	}
 	_, ok := s.find()
+	if !ok && s.only == nil {
+		p.attempts[key] = true
+	}
 	return s, ok
 }
 
+// attempt is what decides whether a search finds slots. Accounts without a guarantee share attempts.
+type attempt struct {
+	class                        class
+	take, covered, fixed, barred bool
+}
+
+func (s *search) attempt() attempt {
+	c := classOf(s.j.Spec)
+	c.preemptible = false
+	if !s.p.tracker.Guaranteed(c.account) || !s.fixed {
+		c.account = ""
+	}
+	return attempt{class: c, take: s.take, covered: s.covered, fixed: s.fixed, barred: s.barred != nil}
+}
+
+// failedAt reports whether an equal search failed since accelerators were last freed. What fails then
+// still fails, because starts only take accelerators.
+func (p *Planner) failedAt(key attempt) bool {
+	if p.attemptsOf != p.version {
+		p.attemptsOf = p.version
+		p.attempts = make(map[attempt]bool)
+	}
+	return p.attempts[key]
+}
+
 func (p *Planner) tryFree(j *job, now time.Time, r *Result, kind search) bool {
 	s, ok := p.searchAs(j, now, kind)
 	if !ok {
--- a/decisions/plan/search.go
+++ b/decisions/plan/search.go
@@ -26,6 +26,8 @@
 	// only limits the search to some workers, if it is not nil.
 	only  map[int]bool
 	slots []cell.Slot
+	// refused counts the slots that the tracker did not allow.
+	refused int
 }
 
 // candidate is a worker or a rack with its score; lower is better.
@@ -46,7 +48,7 @@
 // find returns the slots of the gang, by task index.
 func (s *search) find() ([]cell.Slot, bool) {
 	inv, spec := s.inventory(), s.j.Spec
-	if inv.Total(spec.GPUsPerTask) < spec.Tasks {
+	if inv.Total(spec.GPUsPerTask) < spec.Tasks || !s.guaranteeLeaves() {
 		return nil, false
 	}
 	defer s.clear()
@@ -68,6 +70,19 @@
 	return nil, false
 }
 
+// guaranteeLeaves reports whether the guarantees can leave enough accelerators at all.
+func (s *search) guaranteeLeaves() bool {
+	spare, n := s.p.tracker.Spare(s.j.Spec.Account), s.j.Spec.GPUs()
+	switch {
+	case s.covered:
+		return n <= spare
+	case s.fixed:
+		return n <= spare+max(0, s.p.tracker.Headroom())
+	default:
+		return true
+	}
+}
+
 func (s *search) inventory() *cell.Inventory {
 	if s.take {
 		return s.p.takeable
@@ -94,6 +109,9 @@
 	if s.fixed {
 		m &^= s.p.tracker.Foreign(w, s.j.Spec.Account)
 	}
+	if s.covered {
+		m &= s.p.tracker.Coverable(w, s.j.Spec.Account)
+	}
 	if s.take && !s.covered && s.j.Spec.Urgent {
 		for i, o := range s.p.owner[w] {
 			if o != nil && o.Spec.Urgent {
@@ -154,6 +172,7 @@
 	}
 	score := float64(s.mask(w).Count()) + float64(s.p.free.InRack(s.p.topo.RackOf[w], 1))/(2*model.GPUsPerRack)
 	if s.covered {
+		score += float64(s.p.tracker.InRack(s.p.topo.RackOf[w])) / (2 * model.GPUsPerRack)
 		score -= float64(model.GPUsPerWorker * s.p.tracker.Own(w, s.j.Spec.Account))
 	}
 	if s.take {
@@ -164,7 +183,7 @@
 
 // inOne tries to place the whole gang in one of the candidate workers.
 func (s *search) inOne(cs []candidate) bool {
-	for len(cs) > 0 {
+	for len(cs) > 0 && s.refused <= maxRefused {
 		best := 0
 		for i := range cs {
 			if cs[i].score < cs[best].score {
@@ -298,11 +317,14 @@
 func (s *search) fillWorker(w, n int) {
 	n = min(n, s.room(w))
 	for _, m := range s.blocksOf(w) {
-		if n == 0 {
+		if n == 0 || s.refused > maxRefused {
 			return
 		}
 		slot := cell.Slot{Worker: w, GPUs: m}
 		if s.fixed && !s.p.tracker.Allows(s.j.Spec.Account, slot, s.covered) {
+			if !s.covered {
+				s.refused++
+			}
 			continue
 		}
 		s.p.scratch[w] |= m
@@ -324,8 +346,12 @@
 	if s.p.opts.Placement == FirstFit || len(out) < 2 {
 		return out
 	}
+	var score [model.GPUsPerWorker]float64
+	for _, b := range out {
+		score[trailing(b)] = s.blockScore(w, m, b)
+	}
 	slices.SortStableFunc(out, func(a, b model.GPUMask) int {
-		return cmp.Compare(s.blockScore(w, m, a), s.blockScore(w, m, b))
+		return cmp.Compare(score[trailing(a)], score[trailing(b)])
 	})
 	return out
 }
@@ -374,6 +400,9 @@
 }
 
 const (
+	// maxRefused bounds the slots outside a guarantee that one search tries in vain. Refusals depend on the
+	// counts of whole cells, so further workers seldom differ. Searches within a guarantee are not bounded.
+	maxRefused = 64
 	// preemptCost is the cost of any preemption, in accelerator seconds; it outweighs the order of workers.
 	preemptCost = 1000.0
 	// maxCost keeps the sum of costs within the exact range of float64.
