Rule out waiting shapes by counts before a round orders them

Before: one job ends, single domain of 1,200 workers: median 15 ms, p95 39 ms (profile: 45% in the heap). Conclusion: go test ./decisions/plan passes.

--- a/decisions/plan/bucket.go
+++ b/decisions/plan/bucket.go
@@ -119,14 +119,25 @@
 func (p *Planner) newTurns(now time.Time) *turns {
 	h := &turns{less: func(a, b queue.Candidate) bool { return p.compare(a, b, now) < 0 }}
 	for _, b := range p.buckets {
-		if b.failed != p.version {
-			h.list = append(h.list, turn{b, p.candidate(b)})
+		if b.failed == p.version {
+			continue
 		}
+		if !p.mayFit(b) {
+			b.failed = p.version
+			continue
+		}
+		h.list = append(h.list, turn{b, p.candidate(b)})
 	}
 	heap.Init(h)
 	return h
 }
 
+// mayFit rules out most buckets by counts alone, before they are put in order.
+func (p *Planner) mayFit(b *bucket) bool {
+	n := b.class.tasks * b.class.gpus
+	return p.free.Total(b.class.gpus) >= b.class.tasks || b.class.urgent || p.tracker.Spare(b.class.account) >= n
+}
+
 func (p *Planner) candidate(b *bucket) queue.Candidate {
 	h := b.head()
 	return queue.Candidate{Job: h.Job, Submitted: h.Submitted, Urgent: b.class.urgent, Share: p.share(b.acct)}
