Measure the planner in virtual time and record the policies

Cause: the choice of queue and placement policies and the time of a round need figures. After: bench.RunPolicies compares six policies over sizes, loads and seeds with faults; bench.RunRounds measures rounds at 1,200 workers. Ruled out: other ageing periods; none of 10 min, 30 min and 2 h is better throughout.

--- /dev/null
+++ b/bench/policies_test.go
@@ -0,0 +1,41 @@
+package bench
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// TestRunPolicies guards against a policy that loses jobs in the loop, and against a table or CSV file
+// without all policies.
+func TestRunPolicies(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var table bytes.Buffer
+	path := filepath.Join(t.TempDir(), "out.csv")
+	err := RunPolicies(PolicyOptions{Scenarios: []string{"today"}, Seeds: []uint64{1}, Loads: []float64{0.3}}, &table, path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	content, err := os.ReadFile(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+	g.Expect(lines).To(gomega.HaveLen(1 + len(policies)))
+	for _, p := range policies {
+		g.Expect(table.String()).To(gomega.ContainSubstring(p.name))
+	}
+	for _, l := range lines[1:] {
+		f := strings.Split(l, ",")
+		g.Expect(f[len(f)-2]).To(gomega.Equal("0.000"), "unfinished jobs: %s", l)
+	}
+	g.Expect(RunPolicies(PolicyOptions{Scenarios: []string{"none"}}, &table, "")).To(gomega.HaveOccurred())
+}
+
+// TestRunRounds guards against a planner that does not end a round at 1,200 workers.
+func TestRunRounds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var table bytes.Buffer
+	g.Expect(RunRounds(&table, 2)).To(gomega.Succeed())
+	g.Expect(strings.Count(table.String(), "\n")).To(gomega.Equal(1 + 2*6))
+}
--- /dev/null
+++ b/bench/rounds.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/plan"
+)
+
+// roundTasks is the number of known tasks. Each uses at least one accelerator, so at most 9,600 of them run
+// on 1,200 workers and the others wait.
+const roundTasks = 26000
+
+// DefaultRoundSteps is the number of measured rounds per kind of change that gives a steady 95th percentile.
+const DefaultRoundSteps = 300
+
+// RunRounds measures the time of a round at 1,200 workers and 26,000 known tasks, split into 7 failure domains
+// and whole, and prints one line per kind of change. steps is the number
+// of rounds for a small change; larger ones take a tenth of it. The time includes the events of the round. It returns an
+// error of writing.
+func RunRounds(w io.Writer, steps int) error {
+	table := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "scenario\tchange\trounds\tmedian_ms\tp95_ms\tmax_ms\t")
+	for _, s := range scenarios[1:] {
+		measureRounds(table, s, steps)
+	}
+	return errors.Wrap(table.Flush(), "write the table")
+}
+
+// rounder measures the rounds of one failure domain.
+type rounder struct {
+	scenario
+	p       *plan.Planner
+	rng     *rand.Rand
+	now     time.Time
+	workers []plan.Worker
+	running []model.JobID
+	next    int
+}
+
+func measureRounds(w io.Writer, s scenario, steps int) {
+	r := &rounder{scenario: s, p: plan.New(domainName(0)), rng: rand.New(rand.NewPCG(1, 1)), now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)}
+	r.workers = s.workersOf()[0]
+	r.p.SetWorkers(r.workers)
+	r.p.SetPolicy(s.policy(true))
+	r.print(w, "fill", 1, func() {
+		for tasks := 0; tasks < roundTasks/s.domains; {
+			tasks += r.enqueue()
+		}
+	})
+	r.print(w, "one job ends", steps, func() { r.finish(1) })
+	r.print(w, "one job ends, one arrives", steps, func() { r.finish(1); r.enqueue() })
+	r.print(w, "one urgent job arrives", steps, func() { r.urgent() })
+	r.print(w, "100 jobs end, 100 arrive", max(1, steps/10), func() {
+		r.finish(100)
+		for range 100 {
+			r.enqueue()
+		}
+	})
+	r.print(w, "one worker is lost or returns", max(1, steps/10), func() {
+		i := r.rng.IntN(len(r.workers))
+		ws := append([]plan.Worker(nil), r.workers...)
+		ws[i].Usable = !ws[i].Usable
+		r.workers = ws
+		r.p.SetWorkers(ws)
+	})
+}
+
+func (r *rounder) print(w io.Writer, change string, n int, apply func()) {
+	var times []time.Duration
+	for range n {
+		r.now = r.now.Add(time.Minute)
+		begin := time.Now()
+		apply()
+		res := r.p.Round(r.now)
+		times = append(times, time.Since(begin))
+		r.apply(res)
+	}
+	ms := func(p int) float64 { return float64(percentile(times, p).Microseconds()) / 1000 }
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t\n", r.name, change, n, ms(50), ms(95), ms(100))
+}
+
+// apply lets all preempted and moved jobs leave at once.
+func (r *rounder) apply(res plan.Result) {
+	for _, s := range res.Starts {
+		r.running = append(r.running, s.Job)
+	}
+	for _, x := range res.Preempts {
+		r.p.Requeue(x.Job)
+	}
+	for _, x := range res.Moves {
+		r.p.Requeue(x.Job)
+	}
+}
+
+func (r *rounder) enqueue() int {
+	spec := r.draw(r.rng)
+	r.submit(spec)
+	return spec.Tasks
+}
+
+func (r *rounder) urgent() {
+	r.submit(model.JobSpec{Account: accountName(1 + r.rng.IntN(r.accounts-1)), Tasks: 1, GPUsPerTask: 4, Urgent: true, Preemptible: true})
+}
+
+func (r *rounder) submit(spec model.JobSpec) {
+	spec.RunTime = time.Duration(1+r.rng.IntN(300)) * time.Minute
+	r.next++
+	r.p.Enqueue(plan.Waiting{Job: model.JobID(fmt.Sprintf("j%06d", r.next)), Spec: spec, Submitted: r.now})
+}
+
+// finish ends n jobs that were started. One that was preempted since is removed from the queue.
+func (r *rounder) finish(n int) {
+	for ; n > 0 && len(r.running) > 0; n-- {
+		i := r.rng.IntN(len(r.running))
+		r.p.Finish(r.running[i], r.now)
+		r.running[i] = r.running[len(r.running)-1]
+		r.running = r.running[:len(r.running)-1]
+	}
+}
