Run requests through the ledger, limits, routing and retries

Cause: dispatch answered from a map in memory, retried nothing and ignored holder changes; executors refused at once when all slots were in use and reported a crossed answer as lost. Callers may send an idempotency key. Ruled out: accepting attempts from a VM without authority, since the slots of two VMs would add up. Conclusion: no fuzz test covers the services yet.

--- /dev/null
+++ b/services/executors/answer.go
@@ -0,0 +1,113 @@
+package executors
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/route"
+	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/executor"
+	"github.com/verbenaflow/verbenaflow/platform/httpjson"
+)
+
+// Events that are counted.
+const (
+	eventCrossed = "executor_answers_crossed"
+	eventDropped = "executor_answers_dropped"
+)
+
+// finish takes the end of an exchange with an executor. The answer may belong to another call.
+func (s *Service) finish(c *kernel.Context, m callDone) {
+	s.running--
+	var notSent *httpjson.NotSentError
+	var busy *executor.BusyError
+	switch {
+	case errors.As(m.err, &notSent):
+		s.table.Release(m.id, true, 0, time.Now())
+		s.notSent(m.call, failure.New(failure.NoExecutor, "%v", m.err))
+	case errors.As(m.err, &busy):
+		s.table.Release(m.id, false, 0, time.Now())
+		s.notSent(m.call, failure.New(failure.ExecutorBusy, "%v", m.err))
+	case m.err != nil:
+		s.table.Release(m.id, true, m.took, time.Now())
+		s.lost(c, m.call, failure.New(failure.ExecutorLost, "%v", m.err))
+	default:
+		s.match(c, m)
+	}
+	s.startQueued(c)
+}
+
+// match delivers an answer to the call that it belongs to.
+func (s *Service) match(c *kernel.Context, m callDone) {
+	got := route.Call{Request: m.answer.Request, Attempt: m.answer.Attempt}
+	whole := m.answer.Size == len(m.answer.Body)
+	result := route.MatchAnswer(m.call, got, whole, func(k route.Call) bool {
+		p, ok := s.calls[k]
+		return ok && p.sent
+	})
+	s.table.Release(m.id, result != route.Own, m.took, time.Now())
+	switch result {
+	case route.Drop:
+		s.metrics.Event(eventDropped, 1)
+	case route.Crossed:
+		s.metrics.Event(eventCrossed, 1)
+		s.deliver(got, m.answer)
+	case route.Own:
+		s.deliver(got, m.answer)
+		return
+	}
+	s.lost(c, m.call, failure.New(failure.ResponseInvalid, "the response belongs to another call or is truncated"))
+}
+
+// deliver answers a call with its own whole answer.
+func (s *Service) deliver(key route.Call, a executor.Answer) {
+	done := message.AttemptDone{Ran: true}
+	if a.Failed {
+		done.Failure = failure.New(failure.ExecutorFailed, "%s", a.Body)
+	} else {
+		done.Response = model.Response{Request: a.Request, Attempt: a.Attempt, Body: a.Body}
+	}
+	s.settle(key, done)
+}
+
+func (s *Service) notSent(key route.Call, f *failure.Error) {
+	p, ok := s.calls[key]
+	if !ok {
+		return
+	}
+	delete(s.calls, key)
+	p.env.Reply(message.AttemptDone{Executor: p.id, Failure: s.metrics.Refusal(f)})
+}
+
+// lost ends a call without an answer of its own. One that may not be repeated keeps waiting until its
+// deadline, because its answer may still arrive on the connection of another call.
+func (s *Service) lost(c *kernel.Context, key route.Call, f *failure.Error) {
+	p, ok := s.calls[key]
+	if !ok {
+		return
+	}
+	if wait := time.Until(p.attempt.Request.Deadline); !p.attempt.Request.Repeatable && s.running > 0 && wait > 0 {
+		c.After(wait, answerDue{key})
+		return
+	}
+	s.settle(key, message.AttemptDone{Failure: f})
+}
+
+func (s *Service) giveUp(key route.Call) {
+	s.settle(key, message.AttemptDone{Failure: failure.New(failure.ExecutorLost, "no answer before the deadline")})
+}
+
+// settle answers an attempt of which bytes may have been sent.
+func (s *Service) settle(key route.Call, done message.AttemptDone) {
+	p, ok := s.calls[key]
+	if !ok {
+		return
+	}
+	delete(s.calls, key)
+	done.Sent, done.Executor, done.Took = true, p.id, time.Since(p.started)
+	p.env.Reply(done)
+}
--- a/services/executors/service.go
+++ b/services/executors/service.go
@@ -5,32 +5,33 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/decisions/route"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/executor"
-	"github.com/verbenaflow/verbenaflow/platform/httpjson"
 )
 
 const (
-	// slotsPerExecutor is the number of requests that an executor runs at a time.
-	slotsPerExecutor = 8
 	// noticeWait bounds one watch of an executor's notice.
 	noticeWait = 10 * time.Second
 	// noticeRetry is the delay after a failed watch of a notice.
-	noticeRetry = time.Second
+	noticeRetry = 250 * time.Millisecond
+	// maxQueue bounds the attempts that wait for a slot.
+	maxQueue = 1024
+	// queueWait bounds the wait for a slot; then another failure domain may run the attempt.
+	queueWait = 100 * time.Millisecond
+	// drainTimeout bounds the calls in progress at a graceful shutdown.
+	drainTimeout = 30 * time.Second
 )
 
 type (
 	callDone struct {
 		id     model.ExecutorID
-		env    kernel.Envelope
-		call   executor.Call
+		call   route.Call
 		answer executor.Answer
 		err    error
 		took   time.Duration
@@ -38,9 +39,12 @@
 	noticeDue  struct{ id model.ExecutorID }
 	noticeDone struct {
 		id     model.ExecutorID
+		client executor.Client
 		notice executor.Notice
 		err    error
 	}
+	queueDue  struct{ call route.Call }
+	answerDue struct{ call route.Call }
 )
 
 // Kind implements kernel.Message.
@@ -52,52 +56,104 @@
 // Kind implements kernel.Message.
 func (noticeDone) Kind() string { return "executor_notice_done" }
 
-// backend is the state of one executor.
+// Kind implements kernel.Message.
+func (queueDue) Kind() string { return "executor_queue_due" }
+
+// Kind implements kernel.Message.
+func (answerDue) Kind() string { return "executor_answer_due" }
+
+// backend is the connection to one executor.
 type backend struct {
-	client   executor.Client
-	address  string
-	inFlight int
-	leaving  bool
-	notice   uint64
+	client  executor.Client
+	address string
+	notice  uint64
+}
+
+// call is an attempt that waits for a slot or for its answer.
+type call struct {
+	env     kernel.Envelope
+	attempt message.Attempt
+	started time.Time
+	sent    bool
+	id      model.ExecutorID
 }
 
 // Service runs attempts on executors within their slots.
 type Service struct {
 	dial     func(address string) executor.Client
 	metrics  *metrics.Set
+	holder   bool
+	draining bool
+	running  int
 	backends map[model.ExecutorID]*backend
+	table    *route.Table
+	calls    map[route.Call]*call
+	queue    []route.Call
 }
 
 // New returns the service; dial opens the client of an executor.
 func New(dial func(string) executor.Client, m *metrics.Set) *Service {
-	return &Service{dial: dial, metrics: m, backends: make(map[model.ExecutorID]*backend)}
+	return &Service{
+		dial: dial, metrics: m, backends: make(map[model.ExecutorID]*backend),
+		table: route.NewTable(), calls: make(map[route.Call]*call),
+	}
 }
 
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
-	return kernel.Spec{Name: names.Executors, Service: s, Subscribes: []string{message.KindMembersChanged}}
+	return kernel.Spec{Name: names.Executors, Service: s, DrainTimeout: drainTimeout, Subscribes: []string{
+		message.KindMembersChanged, message.KindAuthorityChanged,
+	}}
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(*kernel.Context) error { return nil }
 
-// Drain implements kernel.Service.
-func (s *Service) Drain(c *kernel.Context) { c.Drained() }
+// Drain implements kernel.Service. Calls in progress end before the service has drained.
+func (s *Service) Drain(c *kernel.Context) {
+	s.draining = true
+	s.checkDrained(c)
+}
+
+func (s *Service) checkDrained(c *kernel.Context) {
+	if s.draining && len(s.calls) == 0 {
+		c.Drained()
+	}
+}
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
 	case message.MembersChanged:
 		s.setExecutors(c, m.Executors)
+	case message.AuthorityChanged:
+		s.setHolder(m.Holder)
 	case message.Attempt:
 		s.attempt(c, e, m)
+	case queueDue:
+		s.expire(m.call)
 	case callDone:
-		s.finish(m)
+		s.finish(c, m)
+	case answerDue:
+		s.giveUp(m.call)
 	case noticeDue:
 		s.watchNotice(c, m.id)
 	case noticeDone:
 		s.learnNotice(c, m)
 	}
+	s.checkDrained(c)
+}
+
+// setHolder closes the idle connections of a VM that lost authority, so that the connections of all VMs
+// together stay below the number that an executor accepts.
+func (s *Service) setHolder(holder bool) {
+	s.holder = holder
+	if holder {
+		return
+	}
+	for _, b := range s.backends {
+		b.client.Close()
+	}
 }
 
 func (s *Service) setExecutors(c *kernel.Context, vms []model.VM) {
@@ -105,19 +161,21 @@
 	for _, vm := range vms {
 		id := model.ExecutorID(vm.ID)
 		known[id] = true
-		b, ok := s.backends[id]
-		if !ok || b.address != vm.Address {
-			b = &backend{client: s.dial(vm.Address), address: vm.Address}
-			s.backends[id] = b
+		if b, ok := s.backends[id]; !ok || b.address != vm.Address {
+			s.backends[id] = &backend{client: s.dial(vm.Address), address: vm.Address}
+			s.table.Remove(id)
 			s.watchNotice(c, id)
 		}
-		b.leaving = b.leaving || vm.Leaving
+		s.table.Add(id, vm.Leaving)
 	}
-	for id := range s.backends {
+	for id, b := range s.backends {
 		if !known[id] {
+			b.client.Close()
 			delete(s.backends, id)
+			s.table.Remove(id)
 		}
 	}
+	s.startQueued(c)
 }
 
 func (s *Service) watchNotice(c *kernel.Context, id model.ExecutorID) {
@@ -130,82 +188,94 @@
 		ctx, cancel := context.WithTimeout(ctx, noticeWait+time.Second)
 		defer cancel()
 		n, err := client.Notice(ctx, after, noticeWait)
-		return noticeDone{id: id, notice: n, err: err}
+		return noticeDone{id: id, client: client, notice: n, err: err}
 	})
 }
 
 func (s *Service) learnNotice(c *kernel.Context, m noticeDone) {
 	b, ok := s.backends[m.id]
-	if !ok {
+	if !ok || b.client != m.client {
 		return
 	}
 	if m.err != nil {
+		s.table.NoticeLost(m.id, time.Now())
 		c.After(noticeRetry, noticeDue{id: m.id})
 		return
 	}
-	b.leaving, b.notice = m.notice.Leaving, m.notice.Revision
-	c.After(0, noticeDue{id: m.id})
+	b.notice = m.notice.Revision
+	s.table.Notice(m.id, m.notice.Leaving, m.notice.Slots)
+	s.watchNotice(c, m.id)
+	s.startQueued(c)
 }
 
-// attempt runs a request on the executor with the fewest attempts in flight.
+// attempt runs a request on an executor or queues it for a slot.
 func (s *Service) attempt(c *kernel.Context, e kernel.Envelope, m message.Attempt) {
-	id, b := s.pick(m.Avoid)
-	if b == nil {
-		e.Reply(message.AttemptDone{Failure: s.metrics.Refusal(failure.New(failure.NoExecutor, "all slots are in use"))})
-		return
+	key, now := route.Call{Request: m.Request.ID, Attempt: m.Attempt}, time.Now()
+	_, duplicate := s.calls[key]
+	switch {
+	case s.draining:
+		s.refuse(e, failure.New(failure.Draining, "the VM is leaving"))
+	case !s.holder:
+		s.refuse(e, failure.New(failure.NotHolder, "the VM does not hold its failure domain"))
+	case duplicate:
+		s.refuse(e, failure.New(failure.TicketSpent, "attempt %d is in progress", m.Attempt).WithOutcome(failure.NotRun))
+	case s.table.Capacity(now) == 0:
+		s.refuse(e, failure.New(failure.NoExecutor, "no executor accepts requests"))
+	case len(s.queue) >= maxQueue:
+		s.refuse(e, failure.New(failure.QueueFull, "%d attempts wait for a slot", len(s.queue)))
+	default:
+		s.calls[key] = &call{env: e, attempt: m, started: now}
+		if !s.start(c, key) {
+			s.queue = append(s.queue, key)
+			c.After(min(queueWait, max(0, m.Request.Deadline.Sub(now))), queueDue{key})
+		}
+	}
+}
+
+// refuse answers an attempt of which nothing was sent.
+func (s *Service) refuse(e kernel.Envelope, f *failure.Error) {
+	e.Reply(message.AttemptDone{Failure: s.metrics.Refusal(f)})
+}
+
+// start sends a call if an executor has a free slot.
+func (s *Service) start(c *kernel.Context, key route.Call) bool {
+	p := s.calls[key]
+	id, ok := s.table.Acquire(p.attempt.Avoid, time.Now())
+	if !ok {
+		return false
 	}
-	b.inFlight++
-	client := b.client
-	call := executor.Call{Request: m.Request.ID, Attempt: m.Attempt, Service: m.Request.Service, Payload: m.Request.Payload}
-	deadline := m.Request.Deadline
+	p.sent, p.id, p.started = true, id, time.Now()
+	s.running++
+	r := p.attempt.Request
+	client, deadline := s.backends[id].client, r.Deadline
+	body := executor.Call{Request: r.ID, Attempt: key.Attempt, Service: r.Service, Payload: r.Payload}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		started := time.Now()
-		a, err := client.Execute(ctx, call)
-		return callDone{id: id, env: e, call: call, answer: a, err: err, took: time.Since(started)}
+		a, err := client.Execute(ctx, body)
+		return callDone{id: id, call: key, answer: a, err: err, took: time.Since(started)}
 	})
+	return true
 }
 
-func (s *Service) pick(avoid []model.ExecutorID) (model.ExecutorID, *backend) {
-	skip := make(map[model.ExecutorID]bool, len(avoid))
-	for _, id := range avoid {
-		skip[id] = true
-	}
-	var bestID model.ExecutorID
-	var best *backend
-	for id, b := range s.backends {
-		if b.leaving || b.inFlight >= slotsPerExecutor || skip[id] {
-			continue
-		}
-		if best == nil || b.inFlight < best.inFlight {
-			bestID, best = id, b
+// startQueued starts waiting attempts in their order until no slot is free.
+func (s *Service) startQueued(c *kernel.Context) {
+	waiting := s.queue[:0]
+	for _, key := range s.queue {
+		if p, ok := s.calls[key]; ok && !p.sent && !s.start(c, key) {
+			waiting = append(waiting, key)
 		}
 	}
-	return bestID, best
+	s.queue = waiting
 }
 
-func (s *Service) finish(m callDone) {
-	if b, ok := s.backends[m.id]; ok {
-		b.inFlight--
-	}
-	done := message.AttemptDone{Executor: m.id, Sent: true, Took: m.took}
-	var notSent *httpjson.NotSentError
-	var busy *executor.BusyError
-	a := m.answer
-	switch {
-	case errors.As(m.err, &notSent), errors.As(m.err, &busy):
-		done.Sent = false
-		done.Failure = failure.New(failure.NoExecutor, "%v", m.err)
-	case m.err != nil:
-		done.Failure = failure.New(failure.ExecutorLost, "%v", m.err)
-	case a.Request != m.call.Request || a.Attempt != m.call.Attempt || a.Size != len(a.Body):
-		done.Failure = failure.New(failure.ResponseInvalid, "response belongs to another call or is truncated")
-	case a.Failed:
-		done.Ran, done.Failure = true, failure.New(failure.ExecutorFailed, "%s", a.Body)
-	default:
-		done.Ran = true
-		done.Response = model.Response{Request: a.Request, Attempt: a.Attempt, Body: a.Body}
+// expire refuses an attempt that found no slot in time.
+func (s *Service) expire(key route.Call) {
+	p, ok := s.calls[key]
+	if !ok || p.sent {
+		return
 	}
-	m.env.Reply(done)
+	delete(s.calls, key)
+	s.refuse(p.env, failure.New(failure.NoExecutor, "all slots are in use"))
 }
--- a/services/httpapi/requests.go
+++ b/services/httpapi/requests.go
@@ -10,6 +10,7 @@
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/decisions/ledger"
 )
 
 // SendBody is the body of a request call.
@@ -63,9 +64,8 @@
 	if !a.read(w, r, &in) {
 		return
 	}
-	ticket, err := model.ParseTicket(in.Ticket)
-	if err != nil {
-		a.fail(w, failure.New(failure.Malformed, "%v", err))
+	id, ticket, f, ok := a.target(w, in.Account, in.Ticket, in.Key)
+	if !ok {
 		return
 	}
 	timeout := defaultTimeout
@@ -73,30 +73,44 @@
 		timeout = time.Duration(in.TimeoutMS) * time.Millisecond
 	}
 	req := model.Request{
-		ID: model.RequestID(ticket.String()), Account: in.Account, Service: in.Service,
+		ID: id, Account: in.Account, Service: in.Service,
 		Repeatable: in.Repeatable, Payload: in.Payload, Deadline: time.Now().Add(timeout),
 	}
-	f := message.Forward{Domain: ticket.Domain, To: names.Dispatch, Body: message.RequestSend{Request: req, Ticket: &ticket}}
+	f.Body = message.RequestSend{Request: req, Ticket: ticket}
 	if reply, ok := forward[message.RequestReply](a, w, r, f, timeout); ok {
 		write(w, http.StatusOK, requestBody(reply))
 	}
 }
 
 func (a *api) showRequest(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	ticket, err := model.ParseTicket(r.URL.Query().Get("id"))
-	if err != nil {
-		a.fail(w, failure.New(failure.Malformed, "%v", err))
+	q := r.URL.Query()
+	id, ticket, f, ok := a.target(w, model.AccountID(q.Get("account")), q.Get("id"), q.Get("key"))
+	if !ok {
 		return
 	}
-	f := message.Forward{
-		Domain: ticket.Domain, To: names.Dispatch, Idempotent: true,
-		Body: message.RequestStatus{Request: model.RequestID(ticket.String()), Ticket: &ticket},
-	}
+	f.Idempotent = true
+	f.Body = message.RequestStatus{Request: id, Ticket: ticket}
 	if reply, ok := forward[message.RequestReply](a, w, r, f, defaultTimeout); ok {
 		write(w, http.StatusOK, requestBody(reply))
 	}
 }
 
+// target returns the identifier of a request and a forward to its home. Exactly one of ticket and key is set;
+// otherwise the call is answered as malformed.
+func (a *api) target(w http.ResponseWriter, account model.AccountID, text, key string) (model.RequestID, *model.Ticket, message.Forward, bool) {
+	f := message.Forward{To: names.Dispatch, Key: key}
+	if key != "" && text == "" {
+		return ledger.KeyID(account, key), nil, f, true
+	}
+	ticket, err := model.ParseTicket(text)
+	if err != nil || key != "" {
+		a.fail(w, a.metrics.Refusal(failure.New(failure.Malformed, "expected one of a ticket and a key: %v", err)))
+		return "", nil, f, false
+	}
+	f.Domain = ticket.Domain
+	return model.RequestID(ticket.String()), &ticket, f, true
+}
+
 func requestBody(m message.RequestReply) RequestBody {
 	return RequestBody{Request: m.Request, Outcome: m.Outcome, Body: m.Body, Pending: m.Pending}
 }
--- a/services/peers/wire.go
+++ b/services/peers/wire.go
@@ -37,7 +37,11 @@
 func (p *endpoint) Deliver(req Request, resp *Response) error {
 	ctx, cancel := context.WithTimeout(p.ctx, req.Budget)
 	defer cancel()
-	m, err := p.caller.Call(ctx, kernel.Name(req.To), req.Body)
+	body := req.Body
+	if d, ok := body.(interface{ WithDeadline(time.Time) any }); ok {
+		body = d.WithDeadline(time.Now().Add(req.Budget)).(kernel.Message)
+	}
+	m, err := p.caller.Call(ctx, kernel.Name(req.To), body)
 	if err != nil {
 		resp.Failure = failure.From(translate(err))
 		return nil
