--- a/decisions/route/route.go
+++ b/decisions/route/route.go
@@ -16,9 +16,10 @@
 	ejectAfter = 3
 	// probeAfter is the time after which an avoided executor gets one attempt.
 	probeAfter = time.Second
-	// confirmWithin is the time after the last sign of an open notice watch during which an executor gets
-	// attempts. It stays below the 2 s in which a leaving executor must get nothing new.
-	confirmWithin = 1500 * time.Millisecond
+	// confirmWithin is the time after the last answer of the notice watch during which an executor gets
+	// attempts. It stays below the 2 s in which a leaving executor must get nothing new, even if the executor
+	// no longer answers its watch.
+	confirmWithin = 1750 * time.Millisecond
 	// weight is the part of a new measurement in the mean latency.
 	weight = 0.2
 )
@@ -29,12 +30,11 @@
 	slots         int
 	listLeaving   bool
 	noticeLeaving bool
-	// watching is true while a notice watch is open; lost is when the last one broke.
-	watching bool
-	lost     time.Time
-	failures int
-	failedAt time.Time
-	latency  time.Duration
+	// confirmed is when the executor last said whether it is leaving.
+	confirmed time.Time
+	failures  int
+	failedAt  time.Time
+	latency   time.Duration
 }
 
 // Table holds the executors of a failure domain. It is not safe for concurrent use.
@@ -58,23 +58,16 @@
 // Remove forgets an executor.
 func (t *Table) Remove(id model.ExecutorID) { delete(t.executors, id) }
 
-// Notice records an answer of the notice watch. slots 0 keeps the number of slots.
-func (t *Table) Notice(id model.ExecutorID, leaving bool, slots int) {
+// Notice records what the executor said at the time confirmed. slots 0 keeps the number of slots.
+func (t *Table) Notice(id model.ExecutorID, leaving bool, slots int, confirmed time.Time) {
 	if e, ok := t.executors[id]; ok {
-		e.watching, e.noticeLeaving = true, leaving
+		e.confirmed, e.noticeLeaving = confirmed, leaving
 		if slots > 0 {
 			e.slots = min(slots, Slots)
 		}
 	}
 }
 
-// NoticeLost records that the notice watch broke.
-func (t *Table) NoticeLost(id model.ExecutorID, now time.Time) {
-	if e, ok := t.executors[id]; ok && (e.watching || e.lost.IsZero()) {
-		e.watching, e.lost = false, now
-	}
-}
-
 // Capacity returns the number of slots of executors that accept attempts, free or not.
 func (t *Table) Capacity(now time.Time) int {
 	n := 0
@@ -87,10 +80,7 @@
 }
 
 func (e *Executor) accepts(now time.Time) bool {
-	if e.listLeaving || e.noticeLeaving {
-		return false
-	}
-	return e.watching || !e.lost.IsZero() && now.Sub(e.lost) < confirmWithin
+	return !e.listLeaving && !e.noticeLeaving && now.Sub(e.confirmed) < confirmWithin
 }
 
 // healthy reports whether the executor is not avoided, or is due for a probe.
--- a/services/dispatch/work.go
+++ b/services/dispatch/work.go
@@ -45,7 +45,9 @@
 	tried  []model.FailureDomain
 	// maybe is true if an attempt may have run without proof.
 	maybe bool
-	took  time.Duration
+	// ran is true if an attempt ran and failed; a repeatable request may then have further attempts.
+	ran  bool
+	took time.Duration
 }
 
 type (
@@ -182,6 +184,7 @@
 	}
 	w.took = done.Took
 	w.maybe = w.maybe || done.Sent && !done.Ran
+	w.ran = w.ran || done.Ran
 	switch {
 	case done.Failure == nil && done.Ran:
 		s.conclude(c, w, failure.Run, done.Response.Body, nil)
@@ -220,11 +223,7 @@
 	}
 	delay := retry.Delay(w.attempt, s.random)
 	if noRoom && w.domain == "" || time.Until(w.request.Deadline) <= delay || !s.budget.Allow() {
-		o := s.unproven(w)
-		if done.Ran {
-			o = failure.Run
-		}
-		s.conclude(c, w, o, nil, done.Failure)
+		s.conclude(c, w, s.unproven(w), nil, done.Failure)
 		return
 	}
 	s.metrics.Retry(retryReason(done.Failure.Reason))
@@ -237,9 +236,12 @@
 	}
 }
 
-// unproven returns the outcome of a request without an answer.
+// unproven returns the outcome of a request without a successful answer.
 func (s *Service) unproven(w *work) failure.Outcome {
-	if w.maybe {
+	switch {
+	case w.ran:
+		return failure.Run
+	case w.maybe:
 		return failure.Unknown
 	}
 	return failure.NotRun
--- a/services/executors/answer.go
+++ b/services/executors/answer.go
@@ -49,7 +49,8 @@
 		p, ok := s.calls[k]
 		return ok && p.sent
 	})
-	s.table.Release(m.id, result != route.Own, m.took, time.Now())
+	// A crossed answer is whole and shows that the executor works; only dropped ones count as failures.
+	s.table.Release(m.id, result == route.Drop, m.took, time.Now())
 	switch result {
 	case route.Drop:
 		s.metrics.Event(eventDropped, 1)
--- a/services/executors/service.go
+++ b/services/executors/service.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// noticeWait bounds one watch of an executor's notice.
-	noticeWait = 10 * time.Second
+	// noticeWait bounds one watch of an executor's notice. A watch that stays silent for longer shows that
+	// the executor may be leaving unseen; a watch of 10 s gave such executors new work for that time.
+	noticeWait = time.Second
+	// noticeMargin is the time that an answer of a watch may take on the way.
+	noticeMargin = 250 * time.Millisecond
 	// noticeRetry is the delay after a failed watch of a notice.
 	noticeRetry = 250 * time.Millisecond
 	// maxQueue bounds the attempts that wait for a slot.
@@ -42,6 +45,8 @@
 		client executor.Client
 		notice executor.Notice
 		err    error
+		// confirmed is the earliest time at which the executor may have answered.
+		confirmed time.Time
 	}
 	queueDue  struct{ call route.Call }
 	answerDue struct{ call route.Call }
@@ -67,6 +72,15 @@
 	client  executor.Client
 	address string
 	notice  uint64
+	// watching is true while a watch of the notice is open.
+	watching bool
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // call is an attempt that waits for a slot or for its answer.
@@ -127,7 +141,7 @@
 	case message.MembersChanged:
 		s.setExecutors(c, m.Executors)
 	case message.AuthorityChanged:
-		s.setHolder(m.Holder)
+		s.setHolder(c, m.Holder)
 	case message.Attempt:
 		s.attempt(c, e, m)
 	case queueDue:
@@ -144,15 +158,16 @@
 	s.checkDrained(c)
 }
 
-// setHolder closes the idle connections of a VM that lost authority, so that the connections of all VMs
-// together stay below the number that an executor accepts.
-func (s *Service) setHolder(holder bool) {
+// setHolder starts the watches of a new holder. A VM that lost authority ends its watches and closes its
+// idle connections, so that those of all VMs together stay below the number that an executor accepts.
+func (s *Service) setHolder(c *kernel.Context, holder bool) {
 	s.holder = holder
-	if holder {
-		return
-	}
-	for _, b := range s.backends {
-		b.client.Close()
+	for id, b := range s.backends {
+		if holder {
+			s.watchNotice(c, id)
+		} else {
+			b.client.Close()
+		}
 	}
 }
 
@@ -164,9 +179,9 @@
 		if b, ok := s.backends[id]; !ok || b.address != vm.Address {
 			s.backends[id] = &backend{client: s.dial(vm.Address), address: vm.Address}
 			s.table.Remove(id)
-			s.watchNotice(c, id)
 		}
 		s.table.Add(id, vm.Leaving)
+		s.watchNotice(c, id)
 	}
 	for id, b := range s.backends {
 		if !known[id] {
@@ -180,15 +195,20 @@
 
 func (s *Service) watchNotice(c *kernel.Context, id model.ExecutorID) {
 	b, ok := s.backends[id]
-	if !ok {
+	if !ok || !s.holder || b.watching {
 		return
 	}
+	b.watching = true
 	client, after := b.client, b.notice
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		ctx, cancel := context.WithTimeout(ctx, noticeWait+time.Second)
+		ctx, cancel := context.WithTimeout(ctx, noticeWait+noticeMargin)
 		defer cancel()
+		confirmed := time.Now()
 		n, err := client.Notice(ctx, after, noticeWait)
-		return noticeDone{id: id, client: client, notice: n, err: err}
+		if n.Revision == after {
+			confirmed = earlier(confirmed.Add(noticeWait), time.Now())
+		}
+		return noticeDone{id: id, client: client, notice: n, err: err, confirmed: confirmed}
 	})
 }
 
@@ -197,13 +217,13 @@
 	if !ok || b.client != m.client {
 		return
 	}
+	b.watching = false
 	if m.err != nil {
-		s.table.NoticeLost(m.id, time.Now())
 		c.After(noticeRetry, noticeDue{id: m.id})
 		return
 	}
 	b.notice = m.notice.Revision
-	s.table.Notice(m.id, m.notice.Leaving, m.notice.Slots)
+	s.table.Notice(m.id, m.notice.Leaving, m.notice.Slots, m.confirmed)
 	s.watchNotice(c, m.id)
 	s.startQueued(c)
 }
