Add the decisions for recovery and quarantine

Cause: a new holder had no rule for tasks that workers report, and a worker on which every task fails kept receiving tasks. recovery.Decide adopts a gang only if every member of its highest reported attempt runs or has succeeded, and stops all other live tasks. quarantine counts failures of different jobs per worker, withdraws them from the workers if a job fails on three, and admits one probe after a growing delay. Ruled out: adopting a gang with held members, because part of their hold time has passed unobserved.

--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -138,6 +138,12 @@
 	RetryResponseInvalid
 	RetryWorkerUnreachable
 	RetryGangStart
+	RetryGangHoldTimeout
+	RetryGangRefused
+	RetryGangMemberFailed
+	RetryGangDomainOut
+	RetryWorkerLost
+	RetryPreempted
 	retryReasonCount
 )
 
@@ -154,6 +160,12 @@
 	RetryResponseInvalid:   "response_invalid",
 	RetryWorkerUnreachable: "worker_unreachable",
 	RetryGangStart:         "gang_start",
+	RetryGangHoldTimeout:   "gang_hold_timeout",
+	RetryGangRefused:       "gang_refused",
+	RetryGangMemberFailed:  "gang_member_failed",
+	RetryGangDomainOut:     "gang_domain_out",
+	RetryWorkerLost:        "worker_lost",
+	RetryPreempted:         "preempted",
 }
 
 // RetryReasons returns all reasons of retries.
--- a/api/message/worker.go
+++ b/api/message/worker.go
@@ -1,6 +1,8 @@
 package message
 
 import (
+	"time"
+
 	"github.com/verbenaflow/verbenaflow/api/model"
 )
 
@@ -24,6 +26,11 @@
 	RunMS    int64
 	Progress float64
 	Command  string
+	// Record is an opaque job record that full reports return, so that a holder without the log can
+	// rebuild the job.
+	Record []byte
+	// NotAfter is the local time after which a hold or release is not sent any more; zero means no limit.
+	NotAfter time.Time
 }
 
 // WorkerCommand asks the workers service to send commands to a worker with the next exchange.
@@ -38,15 +45,23 @@
 	Worker model.WorkerID
 	Epoch  model.Epoch
 	// Full is true if Tasks lists all tasks of the worker.
-	Full    bool
-	Tasks   []model.TaskStatus
-	Refused []model.TaskID
+	Full     bool
+	Tasks    []model.TaskStatus
+	Refusals []TaskRefusal
+}
+
+// TaskRefusal tells that an operation on a task was not executed.
+type TaskRefusal struct {
+	Task model.TaskID
+	Op   TaskOp
 }
 
 // WorkerLost tells the scheduler that a worker does not answer.
 type WorkerLost struct {
 	Worker model.WorkerID
 	Epoch  model.Epoch
+	// LeaseEnds is the local time at which the lease of the worker's tasks has certainly lapsed.
+	LeaseEnds time.Time
 }
 
 // EpochRefused tells the authority service that a worker has accepted a higher epoch.
--- a/api/model/job.go
+++ b/api/model/job.go
@@ -97,4 +97,6 @@
 	State TaskState `json:"state"`
 	// Progress is the checkpointed share of the work, from 0 to 1.
 	Progress float64 `json:"progress,omitempty"`
+	// Record is the opaque job record that the holder gave with the hold command. Only full reports carry it.
+	Record []byte `json:"record,omitempty"`
 }
--- a/decisions/plan/plan.go
+++ b/decisions/plan/plan.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/model"
 )
 
@@ -16,6 +17,9 @@
 	Rack string
 	// Usable is false while the worker may not receive new tasks.
 	Usable bool
+	// Cores and MemoryMB are the worker's processors and memory in MB; 0 means unknown.
+	Cores    int
+	MemoryMB int
 }
 
 // Waiting is a job that waits for accelerators.
@@ -23,6 +27,9 @@
 	Job       model.JobID
 	Spec      model.JobSpec
 	Submitted time.Time
+	// Attempt counts the earlier starts; Progress is the checkpointed share of the work, from 0 to 1.
+	Attempt  int
+	Progress float64
 }
 
 // Start is a decision to start a gang.
@@ -31,11 +38,24 @@
 	Placement model.Placement
 }
 
+// Preempt is a decision to checkpoint and stop Job so that For can start.
+type Preempt struct {
+	Job    model.JobID
+	For    model.JobID
+	Reason string
+}
+
+// Move is a decision to checkpoint and stop Job, which restarts elsewhere, so that For can start.
+type Move struct {
+	Job model.JobID
+	For model.JobID
+}
+
 // Result lists the actions of one round.
 type Result struct {
-	Starts []Start
-	// Preempts lists running jobs that must give up their accelerators.
-	Preempts []model.JobID
+	Starts   []Start
+	Preempts []Preempt
+	Moves    []Move
 }
 
 // Planner holds the accelerators and the queue of one failure domain.
@@ -43,38 +63,74 @@
 	workers []Worker
 	used    map[model.WorkerID]model.GPUMask
 	placed  map[model.JobID]model.Placement
+	jobs    map[model.JobID]Waiting
 	queue   []Waiting
 }
 
-// New returns a planner without workers.
-func New() *Planner {
+// New returns a planner of a failure domain without workers.
+func New(model.FailureDomain) *Planner {
 	return &Planner{
 		used:   make(map[model.WorkerID]model.GPUMask),
 		placed: make(map[model.JobID]model.Placement),
+		jobs:   make(map[model.JobID]Waiting),
 	}
 }
 
 // SetWorkers replaces the known workers.
 func (p *Planner) SetWorkers(ws []Worker) { p.workers = ws }
 
+// SetPolicy sets the preset in force.
+func (p *Planner) SetPolicy(model.Preset) {}
+
+// Check returns why a job can never run, or nil.
+func (p *Planner) Check(spec model.JobSpec) *failure.Error {
+	if spec.Tasks < 1 || spec.GPUsPerTask < 1 || spec.GPUsPerTask > model.GPUsPerWorker {
+		return failure.New(failure.Malformed, "tasks and GPUs per task must be positive")
+	}
+	return nil
+}
+
 // Enqueue adds a waiting job.
-func (p *Planner) Enqueue(w Waiting) { p.queue = append(p.queue, w) }
+func (p *Planner) Enqueue(w Waiting) {
+	p.jobs[w.Job] = w
+	p.queue = append(p.queue, w)
+}
 
-// Adopt records a job that already runs on a placement.
-func (p *Planner) Adopt(job model.JobID, pl model.Placement) { p.occupy(job, pl) }
+// Adopt records a job that already runs on a placement since started.
+func (p *Planner) Adopt(w Waiting, pl model.Placement, _ time.Time) {
+	p.jobs[w.Job] = w
+	p.occupy(w.Job, pl)
+}
 
-// Remove forgets a job, whether it waits or runs, and frees its accelerators.
-func (p *Planner) Remove(job model.JobID) {
-	for _, s := range p.placed[job] {
-		p.used[s.Worker] &^= s.GPUs
+// Finish forgets a job that has ended.
+func (p *Planner) Finish(job model.JobID, _ time.Time) { p.Remove(job) }
+
+// Requeue returns a placed job to the queue and frees its accelerators.
+func (p *Planner) Requeue(job model.JobID) {
+	if w, ok := p.jobs[job]; ok {
+		p.Remove(job)
+		p.Enqueue(w)
 	}
-	delete(p.placed, job)
-	for i, w := range p.queue {
-		if w.Job == job {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			return
+}
+
+// Remove forgets jobs, whether they wait or run, and frees their accelerators.
+func (p *Planner) Remove(jobs ...model.JobID) {
+	gone := make(map[model.JobID]bool, len(jobs))
+	for _, job := range jobs {
+		gone[job] = true
+		for _, s := range p.placed[job] {
+			p.used[s.Worker] &^= s.GPUs
 		}
+		delete(p.placed, job)
+		delete(p.jobs, job)
 	}
+	var rest []Waiting
+	for _, w := range p.queue {
+		if !gone[w.Job] {
+			rest = append(rest, w)
+		}
+	}
+	p.queue = rest
 }
 
 // Round decides the starts for the current state and reserves their accelerators.
--- /dev/null
+++ b/decisions/quarantine/quarantine_test.go
@@ -0,0 +1,82 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/quarantine"
+)
+
+var start = time.Unix(1000, 0)
+
+func job(i int) model.JobID { return model.JobID(fmt.Sprint("j", i)) }
+
+// condemned returns a tracker with a quarantined worker "w" and the time at which its probe is due.
+func condemned() (*quarantine.Tracker, time.Time) {
+	q := quarantine.New()
+	for i := range quarantine.Threshold {
+		q.Failed("w", job(i), start)
+	}
+	return q, start.Add(quarantine.FirstDelay)
+}
+
+// TestWorkerThatFailsEveryJobIsProbedOnce guards against a failing worker that keeps taking jobs.
+func TestWorkerThatFailsEveryJobIsProbedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q, due := condemned()
+	g.Expect(q.Usable("w", start)).To(gomega.BeFalse())
+	next, ok := q.NextProbe(start)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(next).To(gomega.Equal(due))
+	g.Expect(q.Usable("w", due)).To(gomega.BeTrue())
+	g.Expect(q.Admit("w", job(7), due)).To(gomega.BeTrue())
+	g.Expect(q.Usable("w", due)).To(gomega.BeFalse())
+	g.Expect(q.Admit("w", job(8), due)).To(gomega.BeFalse())
+	g.Expect(q.Failed("w", job(7), due)).To(gomega.BeTrue())
+	g.Expect(q.Usable("w", due.Add(2*quarantine.FirstDelay-1))).To(gomega.BeFalse())
+	g.Expect(q.Usable("w", due.Add(2*quarantine.FirstDelay))).To(gomega.BeTrue())
+}
+
+// TestSuccessLiftsQuarantine guards against a repaired worker that stays unused.
+func TestSuccessLiftsQuarantine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q, due := condemned()
+	q.Admit("w", job(7), due)
+	g.Expect(q.Succeeded("w")).To(gomega.BeTrue())
+	g.Expect(q.Usable("w", due)).To(gomega.BeTrue())
+	q.Failed("w", job(8), due)
+	g.Expect(q.Usable("w", due)).To(gomega.BeTrue())
+}
+
+// TestCancelledProbeIsRepeated guards against a quarantine without end after a probe without a verdict.
+func TestCancelledProbeIsRepeated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q, due := condemned()
+	q.Admit("w", job(7), due)
+	g.Expect(q.Ended(job(7), true)).To(gomega.BeTrue())
+	g.Expect(q.Usable("w", due)).To(gomega.BeTrue())
+}
+
+// TestOneJobDoesNotQuarantine guards against workers that are blamed for a job that fails everywhere.
+func TestOneJobDoesNotQuarantine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := quarantine.New()
+	for range 10 {
+		q.Failed("w", job(0), start)
+	}
+	g.Expect(q.Usable("w", start)).To(gomega.BeTrue())
+	// Three jobs that fail on every worker quarantine none.
+	workers := []model.WorkerID{"a", "b", "c", "d"}
+	for i := range 3 {
+		for _, w := range workers {
+			q.Failed(w, job(10+i), start)
+		}
+	}
+	for _, w := range workers {
+		g.Expect(q.Usable(w, start)).To(gomega.BeTrue(), string(w))
+	}
+}
--- /dev/null
+++ b/decisions/recovery/recovery_test.go
@@ -0,0 +1,91 @@
+package recovery_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/testseed"
+	"github.com/verbenaflow/verbenaflow/decisions/recovery"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix("300")
+	os.Exit(m.Run())
+}
+
+var states = []model.TaskState{
+	model.TaskRunning, model.TaskRunning, model.TaskRunning, model.TaskSucceeded, model.TaskHeld, model.TaskFailed, model.TaskStopped,
+}
+
+// TestOnlyWholeGangsAreAdopted guards against a new holder that lets a part of a gang run on (P2), that
+// stops a whole one, or that forgets a task.
+func TestOnlyWholeGangsAreAdopted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := map[model.JobID]int{}
+		want := map[model.JobID]bool{}
+		var tasks []recovery.Task
+		for j := range rapid.IntRange(0, 4).Draw(t, "jobs") {
+			job := model.JobID(fmt.Sprint("j", j))
+			n := rapid.IntRange(1, 3).Draw(t, "size")
+			known := rapid.IntRange(0, 5).Draw(t, "known") > 0
+			if known {
+				sizes[job] = n
+			}
+			last := rapid.IntRange(1, 2).Draw(t, "attempts")
+			for a := 1; a <= last; a++ {
+				whole, before := known, len(tasks)
+				for i := range n {
+					if rapid.IntRange(0, 5).Draw(t, "missing") == 0 {
+						whole = false
+						continue
+					}
+					s := rapid.SampledFrom(states).Draw(t, "state")
+					whole = whole && (s == model.TaskRunning || s == model.TaskSucceeded)
+					id := model.TaskID{Job: job, Index: i, Attempt: a}
+					w := model.WorkerID(fmt.Sprint("w", len(tasks)))
+					tasks = append(tasks, recovery.Task{Worker: w, Status: model.TaskStatus{Task: id, State: s}})
+				}
+				// An attempt without any reported task is unknown to a new holder.
+				if len(tasks) > before {
+					want[job] = whole
+				}
+			}
+		}
+		shuffled := rapid.Permutation(tasks).Draw(t, "order")
+		r := recovery.Decide(shuffled, func(j model.JobID) (int, bool) { n, ok := sizes[j]; return n, ok })
+		check(t, r, tasks, want)
+	})
+}
+
+func check(t *rapid.T, r recovery.Result, tasks []recovery.Task, want map[model.JobID]bool) {
+	kept := map[model.TaskID]int{}
+	for _, g := range r.Adopt {
+		if !want[g.Job] {
+			t.Fatalf("adopted partial gang %s", g.Job)
+		}
+		delete(want, g.Job)
+		for i, task := range g.Tasks {
+			kept[task.Status.Task]++
+			if task.Status.Task.Index != i {
+				t.Fatalf("task %v at index %d", task.Status.Task, i)
+			}
+		}
+	}
+	for job, whole := range want {
+		if whole && r.Attempts[job] > 0 {
+			t.Fatalf("whole gang %s was not adopted", job)
+		}
+	}
+	for _, task := range r.Stop {
+		kept[task.Status.Task]++
+	}
+	for _, task := range tasks {
+		if n := kept[task.Status.Task]; n > 1 || n == 0 && !task.Status.State.Final() {
+			t.Fatalf("task %v has %d decisions", task.Status.Task, n)
+		}
+	}
+}
