--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -148,6 +148,12 @@
 	RetryGangStart
 	RetryNoExecutor
 	RetryOutcomeQuery
+	RetryGangHoldTimeout
+	RetryGangRefused
+	RetryGangMemberFailed
+	RetryGangDomainOut
+	RetryWorkerLost
+	RetryPreempted
 	retryReasonCount
 )
 
@@ -166,6 +172,12 @@
 	RetryGangStart:         "gang_start",
 	RetryNoExecutor:        "no_executor",
 	RetryOutcomeQuery:      "outcome_query",
+	RetryGangHoldTimeout:   "gang_hold_timeout",
+	RetryGangRefused:       "gang_refused",
+	RetryGangMemberFailed:  "gang_member_failed",
+	RetryGangDomainOut:     "gang_domain_out",
+	RetryWorkerLost:        "worker_lost",
+	RetryPreempted:         "preempted",
 }
 
 // RetryReasons returns all reasons of retries.
