--- a/api/message/log.go
+++ b/api/message/log.go
@@ -13,6 +13,8 @@
 // answered by LogAppended once they are. A service changes its own state before it appends, so that a
 // snapshot taken meanwhile includes the records. It fails with
 //   - failure.NotHolder if a higher epoch has sealed the log; the records are not in the log;
+//   - failure.TooLarge if the records exceed 600 kB; the records are not in the log, and the service must undo
+//     its change, because a later snapshot would include it;
 //   - failure.StoreUnavailable if the store does not answer; the records may become durable later.
 type LogAppend struct {
 	Epoch   model.Epoch
--- a/decisions/authority/machine.go
+++ b/decisions/authority/machine.go
@@ -66,6 +66,8 @@
 	m.now, m.out = now, nil
 	switch e := e.(type) {
 	case Started:
+		// A VM that has just started has not heard a live holder yet.
+		m.holderHeard = now
 		m.next()
 	case Woken:
 		if e.Number == m.wakes && m.call.ID == 0 && !m.draining {
--- a/decisions/fencedlog/snapshot.go
+++ b/decisions/fencedlog/snapshot.go
@@ -38,7 +38,7 @@
 	s.at = time.Time{}
 	switch s.step {
 	case snapNone:
-		if l.slots >= SnapshotSlots || l.bytes >= SnapshotBytes {
+		if !l.isClosing() && (l.slots >= SnapshotSlots || l.bytes >= SnapshotBytes) {
 			s.step, s.first = snapTaking, l.next
 			l.slots, l.bytes = 0, 0
 			l.emit(GetSnapshot{Epoch: l.epoch, First: s.first})
@@ -59,6 +59,11 @@
 	if s.step != snapTaking || e.First != s.first {
 		return // The answer to an earlier request may lack later records.
 	}
+	if l.phase != open || l.isClosing() {
+		// Appends that are refused after a closing began may be part of the state that was read.
+		l.snap = snapshot{}
+		return
+	}
 	if e.Failed {
 		l.snap = snapshot{at: l.now.Add(AppendTimeout)}
 		l.slots = SnapshotSlots
--- a/decisions/member/member.go
+++ b/decisions/member/member.go
@@ -54,6 +54,9 @@
 func New(self model.Member, peers []model.Member) *Table {
 	t := &Table{self: self, entries: make(map[model.VMID]*entry)}
 	for _, p := range peers {
+		if p.VM == self.VM {
+			continue
+		}
 		p.Alive, p.LastHeard = false, time.Time{}
 		t.entries[p.VM] = &entry{member: p, named: true}
 	}
