Remove an unused field of the request test

Cause: staticcheck refused it, so that ./test stopped before the tests. After: staticcheck is clean on tests/requests, services and standins.

--- a/tests/requests/harness_test.go
+++ b/tests/requests/harness_test.go
@@ -35,7 +35,6 @@
 	mode    storeMode
 	log     []message.LogRecord
 	sealed  model.Epoch
-	fence   model.Epoch
 	noPeers bool
 }
 
