--- a/decisions/plan/search.go
+++ b/decisions/plan/search.go
@@ -368,8 +368,8 @@
 	return score
 }
 
-// lost returns the work that is lost if the owners of the accelerators are preempted: accelerator seconds
-// since their start, or since their last checkpoint if that is later.
+// lost returns the work that is lost if the owners of the accelerators are preempted, estimated as their
+// accelerator seconds since their start, because the time of the last checkpoint is not known here.
 func (s *search) lost(w int, m model.GPUMask) float64 {
 	total := 0.0
 	var last *job
