Bound restarts and complete the use of the planner

The present planner never preempts urgent jobs, but the scheduler itself had no bound.

Changes: the backoff is reset only after 10 s of run time; a failure is counted also if the gang was being preempted; a start that was preempted before it was complete is repeated after the backoff. Finish is called only for jobs that succeeded, SetProgress before Requeue; a round is run at least once a minute while jobs wait; the shortfall of guarantees is a gauge and a log line on change. A new holder waits for the lease ends that were reported instead of a fixed time. The scheduler drains before authority.

A mutated copy in which the failure during a preemption is not counted fails TestFailureWhilePreempted.

--- a/decisions/gang/gang.go
+++ b/decisions/gang/gang.go
@@ -134,6 +134,11 @@
 	return g.every(func(m member) bool { return m.state == model.TaskSucceeded })
 }
 
+// Failed reports whether a member has failed, also if the gang was being stopped for another cause.
+func (g *Gang) Failed() bool {
+	return !g.every(func(m member) bool { return m.state != model.TaskFailed })
+}
+
 // Starting reports whether the gang has not been released completely.
 func (g *Gang) Starting() bool { return g.phase == Holding || g.phase == Releasing }
 
--- a/decisions/gang/gang_test.go
+++ b/decisions/gang/gang_test.go
@@ -314,3 +314,16 @@
 		t.Fatalf("actions %v, cause %s at the end of the release timeout", a, g.Cause())
 	}
 }
+
+// TestFailureWhilePreempted guards against a failed task that is not counted because its gang was being
+// preempted, so that the job starts again and again on a worker that fails every task.
+func TestFailureWhilePreempted(t *testing.T) {
+	now := time.Now()
+	g := gang.Adopt([]model.TaskStatus{{State: model.TaskRunning}, {State: model.TaskRunning}})
+	g.Preempt(time.Second, now)
+	g.Observe(0, model.TaskStatus{State: model.TaskFailed}, now)
+	g.Observe(1, model.TaskStatus{State: model.TaskStopped}, now)
+	if g.Phase() != gang.Ended || g.Cause() != gang.Preempted || !g.Failed() {
+		t.Fatalf("phase %s, cause %s, failed %v", g.Phase(), g.Cause(), g.Failed())
+	}
+}
--- a/services/scheduler/calls.go
+++ b/services/scheduler/calls.go
@@ -43,6 +43,10 @@
 // unready returns why the service cannot answer callers, or nil.
 func (s *Service) unready() *failure.Error {
 	switch {
+	case s.draining:
+		f := failure.New(failure.Draining, "this VM shuts down")
+		f.RetryElsewhere = true
+		return f
 	case s.epoch.IsZero():
 		return failure.New(failure.NotHolder, "this VM does not hold %s", s.domain)
 	case s.recovery != nil:
--- a/services/scheduler/gangs.go
+++ b/services/scheduler/gangs.go
@@ -125,7 +125,7 @@
 
 func (s *Service) started(c *kernel.Context, j *job, now time.Time) {
 	j.Started = now
-	j.failedStarts, j.retry = 0, nil
+	j.failedStarts = 0
 	s.setState(j, model.JobRunning)
 	c.After(healthyAfter, healthyDue{epoch: s.epoch, job: j.ID, attempt: j.Attempt})
 }
@@ -151,6 +151,8 @@
 
 func (s *Service) healthyDue(m healthyDue) {
 	if j := s.current(m.epoch, m.job, m.attempt); j != nil && j.gang.Phase() == gang.Running {
+		// Not earlier, so that a job on a worker that fails every task waits longer each time.
+		j.retry = nil
 		s.healthy(j)
 	}
 }
@@ -174,13 +176,16 @@
 		s.end(j, model.JobSucceeded, "", now)
 	case j.cancelled:
 		s.end(j, model.JobCancelled, "", now)
-	case cause == gang.Preempted || cause == gang.DomainOut:
+	case g.Failed():
+		s.retryOrFail(c, j, gang.MemberFailed, g.Started(), now)
+	case cause == gang.Preempted && g.Started() || cause == gang.DomainOut:
 		s.metrics.Retry(retryReasons[cause])
 		j.Placement = nil
 		s.setState(j, model.JobQueued)
+		s.planner.SetProgress(j.ID, j.progress)
 		s.planner.Requeue(j.ID)
 	default:
-		s.retryOrFail(c, j, g, now)
+		s.retryOrFail(c, j, cause, g.Started(), now)
 	}
 	if s.tracker.Ended(j.ID, j.State.Final()) {
 		s.workersChanged = true
@@ -188,14 +193,14 @@
 	s.requestRound(c)
 }
 
-// retryOrFail starts a failed gang again after a delay, up to the bounds. A lost worker is not the job's
-// fault and does not count.
-func (s *Service) retryOrFail(c *kernel.Context, j *job, g *gang.Gang, now time.Time) {
-	cause := g.Cause()
+// retryOrFail starts a failed gang again after a delay, up to the bounds. A lost worker and a preemption are
+// not the job's fault and do not count. The delay after a start that was preempted before it was complete
+// keeps two jobs from preempting each other in a loop.
+func (s *Service) retryOrFail(c *kernel.Context, j *job, cause gang.Cause, started bool, now time.Time) {
 	switch {
 	case cause == gang.MemberFailed:
 		j.failures++
-	case cause != gang.WorkerLost && !g.Started():
+	case cause != gang.WorkerLost && cause != gang.Preempted && !started:
 		j.failedStarts++
 	}
 	switch {
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -115,10 +115,10 @@
 // end gives a job its final state.
 func (s *Service) end(j *job, state model.JobState, reason model.JobReason, now time.Time) {
 	if j.planned {
-		if state == model.JobCancelled {
-			s.planner.Remove(j.ID)
-		} else {
+		if state == model.JobSucceeded {
 			s.planner.Finish(j.ID, now)
+		} else {
+			s.planner.Remove(j.ID) // Its run time says nothing about the declared run times of its account.
 		}
 	}
 	j.planned, j.backingOff, j.Ended, j.Reason = false, false, now, string(reason)
--- a/services/scheduler/recover.go
+++ b/services/scheduler/recover.go
@@ -191,9 +191,11 @@
 // queueRest hands the jobs without a gang to the planner in the order of their submission. If a worker is
 // lost, a job that was started before waits until the lease of its unseen tasks has lapsed.
 func (s *Service) queueRest(c *kernel.Context, now time.Time) {
-	lost := false
+	lapsed := now
 	for _, w := range s.workers {
-		lost = lost || w.lost
+		if w.lost && w.leaseEnds.After(lapsed) {
+			lapsed = w.leaseEnds
+		}
 	}
 	var rest []*job
 	for _, j := range s.jobs {
@@ -208,9 +210,9 @@
 		switch {
 		case j.cancelled:
 			s.end(j, model.JobCancelled, "", now)
-		case lost && j.Attempt > 0:
+		case lapsed.After(now) && j.Attempt > 0:
 			j.backingOff = true
-			c.After(gang.Lease, retryDue{epoch: s.epoch, job: j.ID})
+			c.After(lapsed.Sub(now), retryDue{epoch: s.epoch, job: j.ID})
 		default:
 			s.enqueue(j)
 		}
--- a/services/scheduler/reports.go
+++ b/services/scheduler/reports.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if w := s.workers[m.Worker]; w != nil {
-		w.reported, w.lost = false, true
+		w.reported, w.lost, w.leaseEnds = false, true, m.LeaseEnds
 		s.workersChanged = true
 	}
 	if s.recovery != nil {
--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -14,6 +14,9 @@
 	configValid = 2 * time.Second
 	// roundDelay collects the events of a burst into one round.
 	roundDelay = 10 * time.Millisecond
+	// roundEvery is the interval of rounds without an event while jobs wait, because the age of a job changes
+	// its place in the queue.
+	roundEvery = time.Minute
 	// resendDelay is the delay after commands were refused by a full mailbox.
 	resendDelay = 50 * time.Millisecond
 	// checkpointBound and urgentCheckpointBound bound a checkpoint before the job is stopped anyway. Urgent
@@ -29,6 +32,7 @@
 // Timers that act on the state of an epoch carry it.
 type (
 	roundDue  struct{}
+	ageDue    struct{ epoch model.Epoch }
 	resendDue struct{}
 	probeDue  struct{ epoch model.Epoch }
 	clearDue  struct {
@@ -54,6 +58,9 @@
 // Kind implements kernel.Message.
 func (roundDue) Kind() string { return "round_due" }
 
+// Kind implements kernel.Message.
+func (ageDue) Kind() string { return "queue_age_due" }
+
 // Kind implements kernel.Message.
 func (resendDue) Kind() string { return "resend_due" }
 
@@ -78,6 +85,10 @@
 	case roundDue:
 		s.roundPending = false
 		s.round(c)
+	case ageDue:
+		if m.epoch == s.epoch {
+			s.round(c)
+		}
 	case resendDue:
 		s.resendPending = false
 	case appendDue:
@@ -131,7 +142,7 @@
 // round applies the decisions of the planner.
 func (s *Service) round(c *kernel.Context) {
 	now := time.Now()
-	if _, blocked := s.blocked(now); blocked || s.epoch.IsZero() || s.recovery != nil {
+	if _, blocked := s.blocked(now); blocked || s.draining || s.epoch.IsZero() || s.recovery != nil {
 		return
 	}
 	s.updateWorkers(c, now)
@@ -148,7 +159,23 @@
 		s.reserved[m.For] = true
 		s.preempt(c, m.Job, m.For, now)
 	}
-	s.metrics.Gauge("jobs_ended_kept", int64(len(s.ended)))
+	s.reportShortfall(r.Shortfall)
+	s.reportGauges()
+	s.planNextRound(c)
+}
+
+// planNextRound sets the timer of the next round without an event, while jobs wait.
+func (s *Service) planNextRound(c *kernel.Context) {
+	if s.cancelRound != nil {
+		s.cancelRound()
+		s.cancelRound = nil
+	}
+	for _, n := range s.queued {
+		if n > 0 {
+			s.cancelRound = c.After(roundEvery, ageDue{epoch: s.epoch})
+			return
+		}
+	}
 }
 
 // updateWorkers tells the planner which workers are usable, and plans the next probe.
@@ -201,6 +228,11 @@
 func (s *Service) preempt(c *kernel.Context, id, waiting model.JobID, now time.Time) {
 	j := s.jobs[id]
 	if j == nil || j.gang == nil {
+		s.planner.Remove(id) // It occupies nothing, and the planner would wait for its end.
+		if j != nil && j.planned {
+			s.enqueue(j)
+			s.requestRound(c)
+		}
 		return
 	}
 	bound := checkpointBound
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -22,6 +22,9 @@
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
+// drainTimeout bounds the drain; an append during an outage of the store does not end.
+const drainTimeout = 3 * time.Second
+
 // planner is the part of plan.Planner that the service uses.
 type planner interface {
 	SetWorkers([]plan.Worker)
@@ -32,6 +35,7 @@
 	Finish(model.JobID, time.Time)
 	Remove(...model.JobID)
 	Requeue(model.JobID)
+	SetProgress(model.JobID, float64)
 	Round(time.Time) plan.Result
 }
 
@@ -41,6 +45,8 @@
 	// reported is true once a full report has arrived under the epoch and the worker is not lost.
 	reported bool
 	lost     bool
+	// leaseEnds is the time by which the lease of a lost worker has lapsed.
+	leaseEnds time.Time
 }
 
 // Service queues jobs, starts gangs and follows their tasks.
@@ -71,12 +77,17 @@
 	log      journal
 	commands map[model.WorkerID][]message.TaskCommand
 	reserved map[model.JobID]bool
-	outSince time.Time
+	// shortfall is the last reported number of guaranteed cells that cannot be packed, by level.
+	shortfall []model.CellCount
+	outSince  time.Time
 
+	draining       bool
 	workersChanged bool
 	roundPending   bool
 	resendPending  bool
 	probeAt        time.Time
+	// cancelRound cancels the timer of the next round without an event.
+	cancelRound func()
 }
 
 // New returns the service of one failure domain.
@@ -89,16 +100,29 @@
 
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
-	return kernel.Spec{Name: names.Scheduler, Service: s, Mailbox: 16384, After: []kernel.Name{names.Workers, names.Store}, Subscribes: []string{
-		message.KindAuthorityChanged, message.KindConfigChanged, message.KindMembersChanged, message.KindLogReplayed,
-	}}
+	return kernel.Spec{
+		Name: names.Scheduler, Service: s, Mailbox: 16384, Subscribes: []string{
+			message.KindAuthorityChanged, message.KindConfigChanged, message.KindMembersChanged, message.KindLogReplayed,
+		},
+		// The last records of the scheduler precede the closing record that the drain of authority appends.
+		After: []kernel.Name{names.Workers, names.Store, names.Authority}, DrainTimeout: drainTimeout,
+	}
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(*kernel.Context) error { return nil }
 
-// Drain implements kernel.Service.
-func (s *Service) Drain(c *kernel.Context) { c.Drained() }
+// Drain starts no more tasks, and ends once all changes are in the log or the log does not accept them.
+func (s *Service) Drain(c *kernel.Context) {
+	s.draining = true
+	s.finishEvent(c)
+}
+
+// drained reports whether nothing is left that an append could save.
+func (s *Service) drained() bool {
+	return s.epoch.IsZero() || s.recovery != nil || s.log.closed ||
+		!s.log.inFlight && len(s.log.order) == 0 && len(s.commands) == 0
+}
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
@@ -129,6 +153,9 @@
 func (s *Service) finishEvent(c *kernel.Context) {
 	s.sendCommands(c)
 	s.flush(c)
+	if s.draining && s.drained() {
+		c.Drained()
+	}
 }
 
 // setAuthority drops all state of the earlier epoch and begins the recovery of a new one.
--- a/tests/scheduling/oracle_test.go
+++ b/tests/scheduling/oracle_test.go
@@ -10,6 +10,13 @@
 	standin "github.com/verbenaflow/verbenaflow/standins/worker"
 )
 
+// maxStarts bounds the starts of one job within startsWithin. Each exchange of a start takes several
+// milliseconds, so that a loop without a delay has hundreds.
+const (
+	maxStarts    = 8
+	startsWithin = 10 * time.Second
+)
+
 // event is a true state change of a task at a worker.
 type event struct {
 	standin.Entry
@@ -46,6 +53,7 @@
 		attempts[e.Task.Job][e.Task.Attempt] = append(attempts[e.Task.Job][e.Task.Attempt], e)
 	}
 	for job, byAttempt := range attempts {
+		r.checkStartRate(job, byAttempt)
 		r.checkOverlap(job, byAttempt)
 		for _, es := range byAttempt {
 			r.checkGang(es)
@@ -122,6 +130,20 @@
 	return partialBound
 }
 
+// checkStartRate requires that a job is not started and stopped in a loop.
+func (r *run) checkStartRate(job model.JobID, byAttempt map[int][]event) {
+	var starts []time.Time
+	for _, es := range byAttempt {
+		starts = append(starts, es[0].at)
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	for i := maxStarts; i < len(starts); i++ {
+		if d := starts[i].Sub(starts[i-maxStarts]); d < startsWithin {
+			r.t.Fatalf("%s: started %d times in %v", job, maxStarts+1, d)
+		}
+	}
+}
+
 // checkOverlap requires that an attempt starts only when no task of an earlier one runs.
 func (r *run) checkOverlap(job model.JobID, byAttempt map[int][]event) {
 	for a, es := range byAttempt {
--- a/tests/scheduling/scheduling_test.go
+++ b/tests/scheduling/scheduling_test.go
@@ -102,13 +102,7 @@
 
 func (r *run) setOut(out bool) {
 	r.block("out", out)
-	r.locked(func() {
-		r.config.Version++
-		r.config.Out = nil
-		if out {
-			r.config.Out = []model.FailureDomain{domain}
-		}
-	})
+	r.world.setOut(out)
 }
 
 func (r *run) setStale(stale bool) {
@@ -127,7 +121,11 @@
 	r.elect(sealed)
 	r.failovers = append(r.failovers, time.Now())
 	time.Sleep(500 * time.Millisecond)
-	r.locked(func() { old.cut = !resumes })
+	r.locked(func() {
+		if resumes {
+			old.cut, old.resumed = false, time.Now()
+		}
+	})
 }
 
 func (r *run) faults(id model.WorkerID, f standin.Faults) {
--- a/tests/scheduling/world_test.go
+++ b/tests/scheduling/world_test.go
@@ -37,6 +37,10 @@
 
 const domain = "a"
 
+// stepDownAfter is the time after which a resumed holder finds that its own lease has expired. Until then only
+// its epoch keeps it from acting.
+const stepDownAfter = time.Second
+
 // oneWay is the network delay to a worker. It is not zero, so that the order of events shows in their times.
 const oneWay = time.Millisecond
 
@@ -123,6 +127,17 @@
 	f()
 }
 
+// setOut takes the failure domain out or brings it back.
+func (w *world) setOut(out bool) {
+	w.locked(func() {
+		w.config.Version++
+		w.config.Out = nil
+		if out {
+			w.config.Out = []model.FailureDomain{domain}
+		}
+	})
+}
+
 // append is the fenced log.
 func (w *world) append(m message.LogAppend) error {
 	w.mu.Lock()
@@ -154,8 +169,10 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	metrics *metrics.Set
-	// cut is guarded by the world's mutex.
-	cut bool
+	// cut and resumed are guarded by the world's mutex. resumed is the time at which a holder whose lease in
+	// the store has expired goes on.
+	cut     bool
+	resumed time.Time
 }
 
 // elect starts a holder under a higher epoch. sealed is false for a claim in a store outage.
@@ -172,7 +189,7 @@
 	dial := func(address string) worker.Client { return &link{holder: h, id: model.WorkerID(address)} }
 	k, err := kernel.New(nil,
 		kernel.Spec{Name: names.Store, Service: &fakeStore{w}},
-		kernel.Spec{Name: names.Authority, Service: &fakeAuthority{world: w, holder: h, sealed: sealed}, After: []kernel.Name{names.Scheduler}},
+		kernel.Spec{Name: names.Authority, Service: &fakeAuthority{world: w, holder: h, sealed: sealed}, After: []kernel.Name{names.Store}},
 		workers.New(h.vm, domain, dial, h.metrics).Spec(),
 		scheduler.New(domain, h.metrics).Spec(),
 	)
@@ -293,12 +310,18 @@
 func (s *fakeAuthority) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch e.Body.(type) {
 	case confirmDue:
+		stepDown := false
 		s.world.locked(func() {
+			stepDown = !s.holder.resumed.IsZero() && time.Since(s.holder.resumed) >= stepDownAfter
 			if !s.world.stale {
 				s.world.confirm = time.Now()
 			}
 			c.Publish(message.ConfigChanged{Config: s.world.config, Confirmed: s.world.confirm})
 		})
+		if stepDown {
+			c.Publish(message.AuthorityChanged{})
+			return
+		}
 		c.After(500*time.Millisecond, confirmDue{})
 	case message.EpochRefused:
 		c.Publish(message.AuthorityChanged{})
