--- a/services/scheduler/calls.go
+++ b/services/scheduler/calls.go
@@ -18,6 +18,9 @@
 // control traffic of 5 KB a second.
 const maxCommand = 2048
 
+// maxKey bounds an idempotency key in bytes; it is part of the record.
+const maxKey = 256
+
 // call answers callers and operators.
 func (s *Service) call(c *kernel.Context, e kernel.Envelope) {
 	if f := s.unready(); f != nil {
@@ -82,11 +85,17 @@
 }
 
 // confirm makes the submitted job runnable. If the second record fails the job may run, since the record
-// may become durable.
+// may become durable, unless the failure and the snapshots prove that it does not.
 func (s *Service) confirm(c *kernel.Context, e kernel.Envelope, j *job) {
 	j.confirmed = true
 	s.changed(j)
+	snapshots := s.log.snapshots
 	s.await([]*job{j}, func(f *failure.Error) {
+		if f != nil && notAppended(f) && s.log.snapshots == snapshots && j.State == model.JobQueued && !j.cancelled {
+			s.drop(j)
+			s.refuse(e, f.WithOutcome(failure.NotRun))
+			return
+		}
 		if f != nil {
 			s.refuse(e, f.WithOutcome(failure.Unknown))
 			return
@@ -99,6 +108,7 @@
 // admit queues a confirmed job. After a failed append it waits for the next one.
 func (s *Service) admit(c *kernel.Context, j *job, f *failure.Error) {
 	switch {
+	case s.jobs[j.ID] != j: // The submission was undone.
 	case f != nil && f.Reason == failure.NotHolder:
 	case f != nil:
 		s.await([]*job{j}, func(f *failure.Error) { s.admit(c, j, f) })
@@ -116,7 +126,7 @@
 	}
 	s.await([]*job{j}, func(f *failure.Error) {
 		switch {
-		case f != nil && j.confirmed:
+		case f != nil && j.confirmed && s.jobs[j.ID] == j:
 			s.refuse(e, f.WithOutcome(failure.Unknown))
 		case f != nil:
 			s.refuse(e, f.WithOutcome(failure.NotRun))
@@ -142,6 +152,9 @@
 	if len(spec.Command) > maxCommand {
 		return failure.New(failure.TooLarge, "command of %d bytes exceeds %d", len(spec.Command), maxCommand)
 	}
+	if len(spec.Key) > maxKey {
+		return failure.New(failure.TooLarge, "idempotency key of %d bytes exceeds %d", len(spec.Key), maxKey)
+	}
 	bound := policy.MaxQueuedJobs
 	if bound == 0 {
 		bound = defaultMaxQueued
--- a/services/scheduler/journal.go
+++ b/services/scheduler/journal.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// maxBatch bounds the records of one append, so that a cancellation of thousands of jobs stays below
-	// the 1 MB of a store value.
-	maxBatch = 256
+	// maxBatch and maxBatchBytes bound the records of one append, so that a cancellation of thousands of
+	// jobs stays below the 600 kB of a slot of the log.
+	maxBatch      = 256
+	maxBatchBytes = 400_000
 	// appendRetry is the delay after a failed append of records that nobody waits for.
 	appendRetry = 500 * time.Millisecond
 )
@@ -46,6 +47,8 @@
 	waiters []*waiter
 	// partial is true if the log could not be read, so that jobs may be missing.
 	partial bool
+	// snapshots counts the snapshots given; they contain changes that are not in the log yet.
+	snapshots int
 }
 
 // waiter runs done once versions of jobs are durable or an append of one of them has failed.
@@ -116,19 +119,7 @@
 	if s.log.inFlight || s.log.delayed || s.log.closed || len(s.log.order) == 0 || s.epoch.IsZero() || s.recovery != nil {
 		return
 	}
-	n := min(maxBatch, len(s.log.order))
-	batch := make(map[model.JobID]uint64, n)
-	var records []message.LogRecord
-	for _, id := range s.log.order[:n] {
-		j := s.jobs[id]
-		if j == nil || !s.log.dirty[id] {
-			continue
-		}
-		delete(s.log.dirty, id)
-		batch[id] = j.version
-		records = append(records, message.LogRecord{Service: names.Scheduler, Data: s.encode(j)})
-	}
-	s.log.order = slices.Clone(s.log.order[n:])
+	batch, records := s.nextBatch()
 	if len(records) == 0 {
 		return
 	}
@@ -144,6 +135,49 @@
 	})
 }
 
+// nextBatch takes the oldest changes up to the bounds of one append. It takes at least one.
+func (s *Service) nextBatch() (map[model.JobID]uint64, []message.LogRecord) {
+	batch := make(map[model.JobID]uint64)
+	var records []message.LogRecord
+	n, size := 0, 0
+	for _, id := range s.log.order {
+		j := s.jobs[id]
+		if j == nil || !s.log.dirty[id] {
+			n++
+			continue
+		}
+		data := s.encode(j)
+		if size += len(data); len(records) == maxBatch || len(records) > 0 && size > maxBatchBytes {
+			break
+		}
+		n++
+		delete(s.log.dirty, id)
+		batch[id] = j.version
+		records = append(records, message.LogRecord{Service: names.Scheduler, Data: data})
+	}
+	s.log.order = slices.Clone(s.log.order[n:])
+	return batch, records
+}
+
+// appendFailure returns the typed failure of an append. A request that was not delivered is overload.
+func appendFailure(err error) *failure.Error {
+	var full *kernel.MailboxFullError
+	var many *kernel.TooManyRequestsError
+	if errors.As(err, &full) || errors.As(err, &many) {
+		return failure.New(failure.Overloaded, "%v", err)
+	}
+	f := failure.From(err)
+	if f.Reason == failure.Internal {
+		return failure.New(failure.StoreUnavailable, "%v", err)
+	}
+	return f
+}
+
+// notAppended reports whether the failure proves that the records are not in the log and never will be.
+func notAppended(f *failure.Error) bool {
+	return f.Reason == failure.TooLarge || f.Reason == failure.Overloaded
+}
+
 // appended applies the result of an append.
 func (s *Service) appended(c *kernel.Context, batch map[model.JobID]uint64, err error) {
 	if err != nil {
@@ -168,10 +202,7 @@
 // appendFailed tells the waiters and keeps the records for a later append, because jobs go on without the
 // store and their records must follow.
 func (s *Service) appendFailed(c *kernel.Context, batch map[model.JobID]uint64, err error) {
-	f := failure.From(err)
-	if f.Reason == failure.Internal {
-		f = failure.New(failure.StoreUnavailable, "%v", err)
-	}
+	f := appendFailure(err)
 	for id := range batch {
 		if j := s.jobs[id]; j != nil && !s.log.dirty[id] {
 			s.log.dirty[id] = true
@@ -226,6 +257,7 @@
 		e.Fail(s.metrics.Refusal(failure.New(failure.NotHolder, "no state under epoch %s", m.Epoch)))
 		return
 	}
+	s.log.snapshots++
 	var out message.SnapshotReply
 	for _, j := range s.jobs {
 		if j.confirmed {
--- a/tests/scheduling/world_test.go
+++ b/tests/scheduling/world_test.go
@@ -3,12 +3,14 @@
 package scheduling
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -61,7 +63,12 @@
 	confirm time.Time
 	down    bool
 	// lost makes appends of an unavailable store durable although they fail.
-	lost    bool
+	lost bool
+	// refuse is the failure of the appends whose records hold the text refuseIf.
+	refuse   error
+	refuseIf string
+	// closed is the time at which the holder's authority drained.
+	closed  time.Time
 	epoch   model.Epoch
 	records []message.LogRecord
 	logged  []logged
@@ -146,6 +153,11 @@
 		w.refused[m.Epoch]++
 		return failure.New(failure.NotHolder, "log is sealed")
 	}
+	if w.refuse != nil && slices.ContainsFunc(m.Records, func(r message.LogRecord) bool {
+		return bytes.Contains(r.Data, []byte(w.refuseIf))
+	}) {
+		return w.refuse
+	}
 	if !w.down || w.lost {
 		w.records = append(w.records, m.Records...)
 		for _, r := range m.Records {
@@ -189,9 +201,9 @@
 	dial := func(address string) worker.Client { return &link{holder: h, id: model.WorkerID(address)} }
 	k, err := kernel.New(nil,
 		kernel.Spec{Name: names.Store, Service: &fakeStore{w}},
-		kernel.Spec{Name: names.Authority, Service: &fakeAuthority{world: w, holder: h, sealed: sealed}, After: []kernel.Name{names.Store}},
 		workers.New(h.vm, domain, dial, h.metrics).Spec(),
 		scheduler.New(domain, h.metrics).Spec(),
+		kernel.Spec{Name: names.Authority, Service: &fakeAuthority{world: w, holder: h, sealed: sealed}, After: []kernel.Name{names.Store}},
 	)
 	if err != nil {
 		panic(err)
@@ -304,7 +316,10 @@
 }
 
 // Drain implements kernel.Service.
-func (s *fakeAuthority) Drain(c *kernel.Context) { c.Drained() }
+func (s *fakeAuthority) Drain(c *kernel.Context) {
+	s.world.locked(func() { s.world.closed = time.Now() })
+	c.Drained()
+}
 
 // Handle implements kernel.Service.
 func (s *fakeAuthority) Handle(c *kernel.Context, e kernel.Envelope) {
