--- a/tests/scheduling/exchange_test.go
+++ b/tests/scheduling/exchange_test.go
@@ -3,14 +3,22 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"os"
+	"os/exec"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/worker"
+	"github.com/verbenaflow/verbenaflow/services/workers"
 	standin "github.com/verbenaflow/verbenaflow/standins/worker"
 )
 
@@ -102,19 +110,121 @@
 	}
 }
 
-// BenchmarkExchange measures the CPU time of both sides of an idle exchange.
-func BenchmarkExchange(b *testing.B) {
-	for _, n := range []int{0, 8, 32} {
-		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
-			x := newExchanger(b, n)
-			b.ResetTimer()
-			before := cpu()
-			for range b.N {
-				x.exchange(b)
-			}
-			b.ReportMetric(float64((cpu()-before).Microseconds())/float64(b.N), "cpu-µs/op")
-		})
+// holderWorkers is the number of workers of one holder: 1,200 workers in seven failure domains.
+const holderWorkers = 172
+
+// holderTime is the measured time of BenchmarkHolder; each worker has five exchanges in it.
+const holderTime = 10 * time.Second
+
+// BenchmarkHolder measures the CPU time of a holder that keeps the links to holderWorkers idle workers. The
+// workers run in a child process, so that only the side of the holder is counted.
+func BenchmarkHolder(b *testing.B) {
+	address := startWorkerProcess(b)
+	vms := make([]model.VM, holderWorkers)
+	for i := range vms {
+		vms[i] = model.VM{ID: fmt.Sprint("w", i), Role: model.RoleWorker, Domain: domain, Address: address}
+	}
+	sink := &reportSink{}
+	dial := func(a string) worker.Client {
+		return &countingClient{Client: worker.NewHTTPClient(a), n: &sink.exchanges}
+	}
+	k, err := kernel.New(nil,
+		kernel.Spec{Name: names.Scheduler, Service: sink},
+		kernel.Spec{Name: names.Authority, Service: &holderAnnouncer{vms}, After: []kernel.Name{names.Workers}},
+		workers.New("v0", domain, dial, nil).Spec(),
+	)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = k.Run(ctx); close(done) }()
+	time.Sleep(4 * time.Second) // The connections are open and the exchanges are spread.
+	b.ResetTimer()
+	before, first := cpu(), sink.exchanges.Load()
+	for range b.N {
+		time.Sleep(holderTime)
+	}
+	used, n := cpu()-before, sink.exchanges.Load()-first
+	b.ReportMetric(float64(used.Microseconds())/float64(n), "cpu-µs/exchange")
+	b.ReportMetric(100*float64(used)/float64(holderTime)/float64(b.N), "%core")
+	b.ReportMetric(float64(n)/float64(b.N), "exchanges/op")
+	cancel()
+	<-done
+}
+
+// countingClient counts the exchanges.
+type countingClient struct {
+	worker.Client
+	n *atomic.Int64
+}
+
+func (c *countingClient) Exchange(ctx context.Context, x worker.Exchange) (worker.Report, error) {
+	r, err := c.Client.Exchange(ctx, x)
+	if err == nil {
+		c.n.Add(1)
+	}
+	return r, err
+}
+
+// reportSink takes the place of the scheduler.
+type reportSink struct{ exchanges atomic.Int64 }
+
+func (*reportSink) Start(*kernel.Context) error             { return nil }
+func (*reportSink) Handle(*kernel.Context, kernel.Envelope) {}
+func (*reportSink) Drain(c *kernel.Context)                 { c.Drained() }
+
+// holderAnnouncer publishes the workers and the authority.
+type holderAnnouncer struct{ vms []model.VM }
+
+func (a *holderAnnouncer) Start(c *kernel.Context) error {
+	c.Publish(message.MembersChanged{Workers: a.vms})
+	c.Publish(message.AuthorityChanged{Holder: true, Epoch: model.Epoch{Store: 1}})
+	return nil
+}
+func (*holderAnnouncer) Handle(*kernel.Context, kernel.Envelope) {}
+func (*holderAnnouncer) Drain(c *kernel.Context)                 { c.Drained() }
+
+// workerProcessEnv makes the test binary serve exchanges instead of running tests.
+const workerProcessEnv = "VERBENAFLOW_TEST_WORKER_PROCESS"
+
+// startWorkerProcess starts a child process that answers every exchange with the same report.
+func startWorkerProcess(tb testing.TB) (address string) {
+	tb.Helper()
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), workerProcessEnv+"=1")
+	in, err := child.StdinPipe()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	out, err := child.StdoutPipe()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if err := child.Start(); err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = in.Close(); _ = child.Wait() })
+	if _, err := fmt.Fscanln(out, &address); err != nil {
+		tb.Fatal(err)
+	}
+	return address
+}
+
+// serveWorkerProcess is the child process. It ends with its standard input.
+func serveWorkerProcess() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
 	}
+	fmt.Println(l.Addr())
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, `{"accepted":true,"epoch":{"store":1,"outage":0},"number":1,"full":false}`)
+		}))
+	}()
+	_, _ = io.Copy(io.Discard, os.Stdin)
 }
 
 // cpu returns the CPU time of the process.
--- a/tests/scheduling/world_test.go
+++ b/tests/scheduling/world_test.go
@@ -31,6 +31,10 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(workerProcessEnv) != "" {
+		serveWorkerProcess()
+		return
+	}
 	testseed.Fix("40")
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
