Send the record of a job once per job and worker

Cause: a full report of 32 tasks of one job had 19,402 bytes if every task carried the record, beyond the 5 KB a second of a node; the scheduler gave the record only to task 0, so that a gang whose task 0 had succeeded could not be rebuilt without the log. Changes: the first hold of a job on each worker carries the record; the worker keeps it while a task of the job has not ended and returns it with the first such task. TestControlTraffic now bounds the full report too. Not bounded: eight jobs with commands of 2 kB each on one worker, whose records exceed 5 KB in one exchange.

--- a/api/model/job.go
+++ b/api/model/job.go
@@ -97,6 +97,7 @@
 	State TaskState `json:"state"`
 	// Progress is the checkpointed share of the work, from 0 to 1.
 	Progress float64 `json:"progress,omitempty"`
-	// Record is the opaque job record that the holder gave with the hold command. Only full reports carry it.
+	// Record is the opaque job record that the holder gave with a hold command. Only full reports carry it,
+	// once for each job with a task that has not ended.
 	Record []byte `json:"record,omitempty"`
 }
--- a/services/scheduler/gangs.go
+++ b/services/scheduler/gangs.go
@@ -65,6 +65,7 @@
 			actions = j.gang.Cancel(gang.DomainOut, now)
 		}
 	}
+	recorded := make(map[model.WorkerID]bool)
 	for _, a := range actions {
 		slot := j.Placement[a.Index]
 		cmd := message.TaskCommand{
@@ -75,8 +76,9 @@
 			cmd.GPUs, cmd.Progress = slot.GPUs, j.progress
 			cmd.RunMS, cmd.Command = j.Spec.RunTime.Milliseconds(), j.Spec.Command
 			cmd.NotAfter = s.startsUntil()
-			if a.Index == 0 {
-				cmd.Record = s.encode(j) // One member carries the record; a gang without it is not whole.
+			if !recorded[slot.Worker] {
+				recorded[slot.Worker] = true
+				cmd.Record = s.encode(j) // A worker keeps it for all its tasks of the job.
 			}
 		case gang.Release:
 			cmd.NotAfter = s.startsUntil()
--- a/standins/worker/tasks.go
+++ b/standins/worker/tasks.go
@@ -20,7 +20,6 @@
 type task struct {
 	status  model.TaskStatus
 	shown   model.TaskStatus
-	record  []byte
 	work    time.Duration
 	changed uint64
 	// version counts the state changes and shownVersion is that of shown, so that a lagging report never
@@ -116,9 +115,11 @@
 	}
 	s.tasks[cmd.Task] = &task{
 		status: model.TaskStatus{Task: cmd.Task, GPUs: cmd.GPUs, Progress: cmd.Progress},
-		record: cmd.Record,
 		work:   time.Duration(cmd.RunMS) * time.Millisecond,
 	}
+	if cmd.Record != nil {
+		s.records[cmd.Task.Job] = cmd.Record
+	}
 	s.set(c, cmd.Task, model.TaskHeld)
 	s.tasks[cmd.Task].timer = c.After(time.Duration(cmd.HoldMS)*time.Millisecond, holdDue{task: cmd.Task})
 	return ""
@@ -192,6 +193,7 @@
 	s.record(t)
 	if to.Final() {
 		s.forgetOldest(id)
+		s.forgetRecord(id.Job)
 	}
 	show := showDue{status: t.status, version: t.version}
 	if s.faults.LagMS > 0 {
@@ -215,6 +217,16 @@
 	}
 }
 
+// forgetRecord drops the record of a job whose tasks have all ended.
+func (s *State) forgetRecord(job model.JobID) {
+	for id, t := range s.tasks {
+		if id.Job == job && !t.status.State.Final() {
+			return
+		}
+	}
+	delete(s.records, job)
+}
+
 func (s *State) stopAll(c *kernel.Context) {
 	for id, t := range s.tasks {
 		if !t.status.State.Final() {
--- a/standins/worker/worker.go
+++ b/standins/worker/worker.go
@@ -80,6 +80,8 @@
 	holder  model.VMID
 	number  uint64
 	tasks   map[model.TaskID]*task
+	// records holds the record of each job with a task that has not ended.
+	records map[model.JobID][]byte
 	ended   []model.TaskID
 	history []Entry
 	first   int
@@ -88,7 +90,9 @@
 }
 
 // New returns an idle worker.
-func New() *State { return &State{started: time.Now(), tasks: make(map[model.TaskID]*task)} }
+func New() *State {
+	return &State{started: time.Now(), tasks: make(map[model.TaskID]*task), records: make(map[model.JobID][]byte)}
+}
 
 // Run serves the worker until ctx ends. It takes over the listener.
 func Run(ctx context.Context, l net.Listener, s *State) error {
@@ -164,18 +168,28 @@
 		if t.shown.State == "" || !out.Full && t.changed <= x.Seen {
 			continue
 		}
-		status := t.shown
-		if out.Full {
-			status.Record = t.record
-		}
-		out.Tasks = append(out.Tasks, status)
+		out.Tasks = append(out.Tasks, t.shown)
 	}
 	slices.SortFunc(out.Tasks, func(a, b model.TaskStatus) int { return compareTasks(a.Task, b.Task) })
+	if out.Full {
+		s.addRecords(out.Tasks)
+	}
 	s.number++
 	out.Number = s.number
 	return out
 }
 
+// addRecords gives the record of each job to its first reported task that has not ended.
+func (s *State) addRecords(tasks []model.TaskStatus) {
+	given := make(map[model.JobID]bool)
+	for i, t := range tasks {
+		if !t.State.Final() && !given[t.Task.Job] {
+			given[t.Task.Job] = true
+			tasks[i].Record = s.records[t.Task.Job]
+		}
+	}
+}
+
 func compareTasks(a, b model.TaskID) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Index, b.Index))
 }
--- a/tests/scheduling/exchange_test.go
+++ b/tests/scheduling/exchange_test.go
@@ -45,9 +45,8 @@
 }
 
 func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
+	c.bytes.Add(int64(len(p))) // Before the peer can receive the last byte and read the counter.
+	return c.Conn.Write(p)
 }
 
 // exchanger is a stand-in worker over loopback with n tasks, of which eight run and the others have ended.
@@ -72,7 +71,10 @@
 	x.next = worker.Exchange{Holder: "vm-0001", Epoch: model.Epoch{Store: 1234}, Domain: "r1-fd3", LeaseMS: 6000}
 	for i := range n {
 		task := model.TaskID{Job: "r1-fd3/7b0c9a52-3d0e-4a7a-9a58-0c3cf2f9d001", Index: i, Attempt: 1}
-		hold := worker.Command{Op: worker.OpHold, Task: task, GPUs: 1 << (i % 8), HoldMS: 6000, RunMS: 3_600_000, Record: make([]byte, 350)}
+		hold := worker.Command{Op: worker.OpHold, Task: task, GPUs: 1 << (i % 8), HoldMS: 6000, RunMS: 3_600_000}
+		if i == 0 { // The scheduler gives the record of a job once.
+			hold.Record = make([]byte, 350)
+		}
 		x.next.Commands = append(x.next.Commands, hold, worker.Command{Op: worker.OpRelease, Task: task})
 		if i < n-8 {
 			x.next.Commands = append(x.next.Commands, worker.Command{Op: worker.OpStop, Task: task})
@@ -103,7 +105,11 @@
 		x := newExchanger(t, n)
 		idle := x.exchange(t)
 		x.next.Seen = 0
-		t.Logf("%d tasks: %d bytes idle, %d bytes with a full report", n, idle, x.exchange(t))
+		full := x.exchange(t)
+		t.Logf("%d tasks: %d bytes idle, %d bytes with a full report", n, idle, full)
+		if full > trafficBound {
+			t.Errorf("%d tasks: full report of %d bytes", n, full)
+		}
 		if idle > trafficBound/5 {
 			t.Errorf("%d tasks: idle exchange of %d bytes", n, idle)
 		}
--- a/tests/scheduling/promises_test.go
+++ b/tests/scheduling/promises_test.go
@@ -239,3 +239,27 @@
 		}
 	})
 }
+
+// TestOutageHolderKeepsGangs guards against a holder without the log that stops running gangs because no
+// worker returned the record of their job.
+func TestOutageHolderKeepsGangs(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		job := w.mustSubmit(t, model.JobSpec{Tasks: 4, GPUsPerTask: 4, RunTime: time.Minute})
+		time.Sleep(5 * time.Second)
+		w.locked(func() { w.down, w.current().cut = true, true })
+		w.elect(false)
+		time.Sleep(2 * time.Minute)
+		succeeded := 0
+		for _, e := range w.history(t, job) {
+			if e.State == model.TaskStopped || e.Task.Attempt > 1 {
+				t.Fatalf("%v became %s", e.Task, e.State)
+			}
+			if e.State == model.TaskSucceeded {
+				succeeded++
+			}
+		}
+		if succeeded != 4 {
+			t.Fatalf("%d of 4 tasks succeeded", succeeded)
+		}
+	})
+}
