Report jobs and accelerators as gauges and job changes as log lines

Cause: operators could not see queue, use, borrowing, fragmentation and start times of a failure domain. Changes: gauges of jobs by state, of used, free and borrowed accelerators and of fragmentation in thousandths; counters of first starts and their waiting time in milliseconds, separately for urgent jobs; one log line for each change of a job's state, none for a task. After: TestGuaranteeIsReclaimed requires the gauges of a full domain (16 used, 0 free, 16 borrowed, 4 running); tests/scheduling, tests/rules and node/embedded pass with -race. Fragmentation and start times have no test.

--- a/services/scheduler/calls.go
+++ b/services/scheduler/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
@@ -100,6 +101,7 @@
 			s.refuse(e, f.WithOutcome(failure.Unknown))
 			return
 		}
+		klog.InfoS("job accepted", "job", j.ID, "account", j.Spec.Account, "gpus", j.Spec.GPUs(), "urgent", j.Spec.Urgent)
 		s.answer(e, j)
 	})
 	s.await([]*job{j}, func(f *failure.Error) { s.admit(c, j, f) })
@@ -276,13 +278,6 @@
 			out.GPUsRunning += j.Spec.GPUs()
 		}
 	}
-	for _, g := range policy.Guarantees {
-		if g.Domain != s.domain {
-			continue
-		}
-		for _, cells := range g.Cells {
-			out.Guaranteed += cells.Count * cells.Level.GPUs()
-		}
-	}
+	out.Guaranteed = s.guaranteed(policy)
 	e.Reply(out)
 }
--- a/services/scheduler/gangs.go
+++ b/services/scheduler/gangs.go
@@ -128,6 +128,7 @@
 func (s *Service) started(c *kernel.Context, j *job, now time.Time) {
 	j.Started = now
 	j.failedStarts = 0
+	s.countStart(j)
 	s.setState(j, model.JobRunning)
 	c.After(healthyAfter, healthyDue{epoch: s.epoch, job: j.ID, attempt: j.Attempt})
 }
--- a/services/scheduler/gauges.go
+++ b/services/scheduler/gauges.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"math/bits"
 	"slices"
 
 	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/cell"
 )
 
 // jobStates lists the states of jobs that have not ended; the ended ones are counted by event.
@@ -29,23 +31,86 @@
 // reportGauges sets the gauges of jobs by state and of accelerators.
 func (s *Service) reportGauges() {
 	counts := make(map[model.JobState]int64)
-	used := 0
+	occupied := make(map[model.WorkerID]model.GPUMask)
+	byAccount := make(map[model.AccountID]int)
 	for _, j := range s.jobs {
+		if !j.confirmed {
+			continue
+		}
 		counts[j.State]++
-		if j.gang != nil {
-			used += j.Spec.GPUs()
+		if j.gang == nil {
+			continue
+		}
+		byAccount[j.Spec.Account] += j.Spec.GPUs()
+		for _, slot := range j.Placement {
+			occupied[slot.Worker] |= slot.GPUs
 		}
 	}
 	for _, state := range jobStates {
 		s.metrics.Gauge("jobs_"+string(state), counts[state])
 	}
-	total := 0
-	for _, w := range s.workers {
-		if w.reported {
-			total += model.GPUsPerWorker
+	s.metrics.Gauge("jobs_ended_kept", int64(len(s.ended)))
+	s.metrics.Gauge("gpus_borrowed", int64(s.borrowed(byAccount)))
+	s.reportCells(occupied)
+}
+
+// borrowed returns the accelerators that accounts use beyond their guarantees.
+func (s *Service) borrowed(used map[model.AccountID]int) int {
+	n := 0
+	policies := s.config.Config.Current().Accounts
+	for account, gpus := range used {
+		n += max(0, gpus-s.guaranteed(policies[account]))
+	}
+	return n
+}
+
+// guaranteed returns the accelerators of an account's guarantee in the own failure domain.
+func (s *Service) guaranteed(p model.AccountPolicy) int {
+	n := 0
+	for _, g := range p.Guarantees {
+		if g.Domain != s.domain {
+			continue
+		}
+		for _, cells := range g.Cells {
+			n += cells.Count * cells.Level.GPUs()
+		}
+	}
+	return n
+}
+
+// reportCells sets the gauges of used and free accelerators of the workers that report, and of their
+// fragmentation in thousandths.
+func (s *Service) reportCells(occupied map[model.WorkerID]model.GPUMask) {
+	var known []cell.Worker
+	for _, id := range s.order {
+		if w := s.workers[id]; w.reported {
+			known = append(known, cell.Worker{ID: id, Rack: w.rack})
+		}
+	}
+	topo := cell.NewTopology(known)
+	free := cell.NewInventory(topo)
+	used := 0
+	for _, w := range known {
+		mask := occupied[w.ID]
+		used += bits.OnesCount8(uint8(mask))
+		if i, ok := topo.Index(w.ID); ok {
+			free.Set(i, ^mask)
 		}
 	}
 	s.metrics.Gauge("gpus_used", int64(used))
-	s.metrics.Gauge("gpus_free", int64(max(0, total-used)))
-	s.metrics.Gauge("jobs_ended_kept", int64(len(s.ended)))
+	s.metrics.Gauge("gpus_free", int64(len(known)*model.GPUsPerWorker-used))
+	s.metrics.Gauge("fragmentation_permille", int64(1000*free.Fragmentation()))
+}
+
+// countStart counts the time from the submission of a job to its first complete start.
+func (s *Service) countStart(j *job) {
+	if j.Attempt > 1 {
+		return
+	}
+	kind := "job"
+	if j.Spec.Urgent {
+		kind = "urgent_job"
+	}
+	s.metrics.Event(kind+"_first_starts", 1)
+	s.metrics.Event(kind+"_first_start_wait_ms", j.Started.Sub(j.Submitted).Milliseconds())
 }
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/decisions/gang"
@@ -76,6 +77,8 @@
 	if to == model.JobQueued {
 		s.queued[j.Spec.Account]++
 	}
+	klog.InfoS("job state changed", "job", j.ID, "account", j.Spec.Account, "from", j.State, "to", to,
+		"attempt", j.Attempt, "reason", j.Reason)
 	j.State = to
 	s.changed(j)
 }
--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -141,8 +141,12 @@
 
 // round applies the decisions of the planner.
 func (s *Service) round(c *kernel.Context) {
+	if s.epoch.IsZero() || s.recovery != nil {
+		return
+	}
+	defer s.reportGauges()
 	now := time.Now()
-	if _, blocked := s.blocked(now); blocked || s.draining || s.epoch.IsZero() || s.recovery != nil {
+	if _, blocked := s.blocked(now); blocked || s.draining {
 		return
 	}
 	s.updateWorkers(c, now)
@@ -160,7 +164,6 @@
 		s.preempt(c, m.Job, m.For, now)
 	}
 	s.reportShortfall(r.Shortfall)
-	s.reportGauges()
 	s.planNextRound(c)
 }
 
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -173,6 +173,7 @@
 	early := s.early
 	s.early = nil
 	if epoch.IsZero() {
+		s.reportGauges() // The next holder counts the jobs.
 		return
 	}
 	s.recovery = newRecovering()
--- a/tests/scheduling/promises_test.go
+++ b/tests/scheduling/promises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"slices"
 	"testing"
 	"time"
@@ -101,6 +102,7 @@
 					}))
 				}
 				time.Sleep(30 * time.Second)
+				w.requireGauges(t, map[string]string{"gpus_used": "16", "gpus_free": "0", "gpus_borrowed": "16", "jobs_running": "4"})
 				asked := time.Now()
 				job := w.submitFor(t, "acme", model.JobSpec{Tasks: 2, GPUsPerTask: 4, RunTime: 20 * time.Second})
 				time.Sleep(reclaimBound)
@@ -117,6 +119,17 @@
 	}
 }
 
+// requireGauges guards against gauges that do not follow the state.
+func (w *world) requireGauges(t *testing.T, want map[string]string) {
+	t.Helper()
+	gauges := w.current().metrics.Var().(*expvar.Map).Get("gauges").(*expvar.Map)
+	for name, v := range want {
+		if got := gauges.Get(name); got == nil || got.String() != v {
+			t.Errorf("gauge %s is %v instead of %s", name, got, v)
+		}
+	}
+}
+
 // requireRunning requires that all n members of a job run by now.
 func (w *world) requireRunning(t *testing.T, job model.JobID, n int, asked time.Time) {
 	t.Helper()
