Take over the jobs of a log that becomes readable later

Cause: the store service publishes LogReplayed a second time once the log of an outage claim can be read, and the scheduler ignored it, so that waiting jobs stayed unknown until the next change of the holder. Changes: the second replay adds the missing jobs, queues them and applies cancellations that an earlier holder had recorded for running jobs. Before: TestLateReplayQueuesJobs fails in a copy that ignores the second replay. After: it passes; tests/scheduling, tests/rules and node/embedded pass with -race. The late cancellation has no test.

--- a/services/scheduler/recover.go
+++ b/services/scheduler/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -54,13 +55,62 @@
 
 // replay loads the job records of the log.
 func (s *Service) replay(c *kernel.Context, m message.LogReplayed) {
-	if s.stale(m.Epoch, m) || s.recovery == nil || s.recovery.replayed {
+	switch {
+	case s.stale(m.Epoch, m):
+	case s.recovery == nil && s.log.partial && m.Sealed:
+		s.replayLate(c, m)
+	case s.recovery == nil || s.recovery.replayed && (!s.log.partial || !m.Sealed):
+	default:
+		s.recovery.replayed = true
+		s.log.partial = !m.Sealed
+		for id, j := range latestRecords(m.Records) {
+			if s.jobs[id] == nil {
+				s.load(j)
+			}
+		}
+		s.sortEnded()
+		s.recover(c)
+	}
+}
+
+// replayLate adds the jobs of a log that could not be read when the state was rebuilt. What runs by now goes
+// on, unless its job was cancelled.
+func (s *Service) replayLate(c *kernel.Context, m message.LogReplayed) {
+	now := time.Now()
+	s.log.partial = false
+	for id, recorded := range latestRecords(m.Records) {
+		j := s.jobs[id]
+		if j == nil {
+			s.load(recorded)
+			continue
+		}
+		j.failures = max(j.failures, recorded.failures)
+		if recorded.cancelled && !j.State.Final() && !j.cancelled {
+			s.cancelLate(c, j, now)
+		}
+	}
+	s.sortEnded()
+	s.queueRest(c, now)
+	klog.InfoS("log replayed late", "domain", s.domain, "epoch", s.epoch, "jobs", len(s.jobs))
+	s.requestRound(c)
+}
+
+// cancelLate applies a cancellation that an earlier holder had recorded.
+func (s *Service) cancelLate(c *kernel.Context, j *job, now time.Time) {
+	j.cancelled = true
+	if j.gang == nil {
+		s.end(j, model.JobCancelled, "", now)
 		return
 	}
-	s.recovery.replayed = true
-	s.log.partial = !m.Sealed
+	s.changed(j)
+	s.apply(j, j.gang.Cancel(gang.Canceled, now))
+	s.follow(c, j, now)
+}
+
+// latestRecords returns the last record of each confirmed job.
+func latestRecords(records []message.LogRecord) map[model.JobID]*job {
 	latest := make(map[model.JobID]*job)
-	for _, r := range m.Records {
+	for _, r := range records {
 		if r.Service != names.Scheduler {
 			continue
 		}
@@ -71,13 +121,12 @@
 		}
 		latest[j.ID] = j
 	}
-	for _, j := range latest {
-		if j.confirmed {
-			s.load(j)
-		}
-	}
+	maps.DeleteFunc(latest, func(_ model.JobID, j *job) bool { return !j.confirmed })
+	return latest
+}
+
+func (s *Service) sortEnded() {
 	slices.SortFunc(s.ended, func(a, b model.JobID) int { return s.jobs[a].Ended.Compare(s.jobs[b].Ended) })
-	s.recover(c)
 }
 
 // load enters a recorded job. Until a gang of it is adopted it counts as waiting.
@@ -199,7 +248,7 @@
 	}
 	var rest []*job
 	for _, j := range s.jobs {
-		if !j.State.Final() && j.gang == nil {
+		if j.confirmed && !j.State.Final() && j.gang == nil && !j.planned && !j.backingOff {
 			rest = append(rest, j)
 		}
 	}
--- a/tests/scheduling/promises_test.go
+++ b/tests/scheduling/promises_test.go
@@ -276,3 +276,29 @@
 		}
 	})
 }
+
+// TestLateReplayQueuesJobs guards against accepted jobs that wait until the next change of the holder because
+// the log could not be read when the holder took over.
+func TestLateReplayQueuesJobs(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		runs := w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 8, RunTime: time.Minute})
+		time.Sleep(time.Second)
+		waits := w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 8, RunTime: 10 * time.Second})
+		w.locked(func() { w.down, w.current().cut = true, true })
+		h := w.elect(false)
+		time.Sleep(20 * time.Second)
+		w.locked(func() { w.down = false })
+		replay := message.LogReplayed{Epoch: h.epoch, Sealed: true, Records: slices.Clone(w.records)}
+		for range 2 {
+			if err := h.kernel.Send(names.Scheduler, replay); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * time.Minute)
+		for _, job := range []model.JobID{runs, waits} {
+			if _, done := w.runTime(t, job); !done || w.history(t, job)[0].Task.Attempt != 1 {
+				t.Errorf("job %s did not succeed in its first attempt", job)
+			}
+		}
+	})
+}
