Keep the configured address of a peer until the peer is replaced

Ruled out: a leak of the relay itself (its own test passes). Change: the configured address stays until the VM advertises, or the list shows, another address than before. Before: v-a0 applied version 2 while it was cut off.

--- a/decisions/member/member.go
+++ b/decisions/member/member.go
@@ -42,6 +42,19 @@
 	// named is set if the settings name the VM, listed if the VM list shows it.
 	named, listed bool
 	sent          time.Time
+	// advertised and shown are the last addresses in a heartbeat and in the VM list.
+	advertised, shown string
+}
+
+// moveTo applies an address that a source gives, where last is the one that it gave before. The address of the
+// settings may lead through a relay that the VM does not know of, so it stays until a source gives another
+// address than before: then the VM was replaced.
+func (e *entry) moveTo(address string, last *string) {
+	before := *last
+	*last = address
+	if !e.named || before != "" && before != address {
+		e.member.Address = address
+	}
 }
 
 // Table holds the other entry VMs as one VM sees them.
@@ -74,9 +87,11 @@
 		t.entries[m.VM] = e
 	}
 	old := e.member
-	m.Alive, m.LastHeard = true, now
+	advertised := m.Address
+	m.Alive, m.LastHeard, m.Address = true, now, old.Address
 	e.member = m
-	return !same(old, m)
+	e.moveTo(advertised, &e.advertised)
+	return !same(old, e.member)
 }
 
 // same reports whether two views of a member differ only in what every heartbeat changes.
@@ -106,10 +121,10 @@
 		if e.member.Alive {
 			continue
 		}
-		m := e.member
-		m.VM, m.Domain, m.Region, m.Address, m.Leaving = id, vm.Domain, vm.Region, vm.Address, vm.Leaving
-		changed = changed || !same(e.member, m)
-		e.member = m
+		old := e.member
+		e.member.VM, e.member.Domain, e.member.Region, e.member.Leaving = id, vm.Domain, vm.Region, vm.Leaving
+		e.moveTo(vm.Address, &e.shown)
+		changed = changed || !same(old, e.member)
 	}
 	return t.forget() || changed
 }
--- a/decisions/member/member_test.go
+++ b/decisions/member/member_test.go
@@ -26,6 +26,8 @@
 		heard := map[model.VMID]model.Member{}
 		listed := map[model.VMID]bool{}
 		sent := map[model.VMID]time.Time{}
+		// The settings' address of a VM counts until the VM advertises another address than before.
+		advertised, moved := "", false
 		vm := func(i int) model.Member {
 			m := model.Member{VM: model.VMID(fmt.Sprint("v", i)), Domain: "a"}
 			if i >= 3 {
@@ -45,6 +47,10 @@
 				m.Address = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "address")
 				m.Leaving = rapid.Bool().Draw(t, "leaving")
 				table.Heard(m, now)
+				if m.VM == named.VM {
+					moved = moved || advertised != "" && advertised != m.Address
+					advertised = m.Address
+				}
 				if m.VM != self.VM {
 					m.LastHeard = now
 					heard[m.VM] = m
@@ -92,6 +98,9 @@
 					if m.Alive != alive || (table.State(m.VM, now) == member.Dead) == alive {
 						t.Fatalf("%s alive: %v, want %v", m.VM, m.Alive, alive)
 					}
+					if m.VM == named.VM && !moved {
+						last.Address = named.Address
+					}
 					if alive && (m.Address != last.Address || m.Leaving != last.Leaving) {
 						t.Fatalf("%s differs from its last heartbeat: %+v", m.VM, m)
 					}
