--- a/tests/process/fleet_test.go
+++ b/tests/process/fleet_test.go
@@ -288,19 +288,3 @@
 		return j.State
 	}
 }
-
-// counter returns a counter of a daemon by its group and name.
-func (f *fleet) counter(v *daemon, group, name string) float64 {
-	var vars map[string]json.RawMessage
-	if _, err := call(v.admin+"/debug/vars", nil, &vars); err != nil {
-		return -1
-	}
-	var groups map[string]map[string]float64
-	raw := vars["verbenaflow"]
-	if raw == nil {
-		data, _ := json.Marshal(vars)
-		raw = data
-	}
-	_ = json.Unmarshal(raw, &groups)
-	return groups[group][name]
-}
