--- a/tests/process/faults_test.go
+++ b/tests/process/faults_test.go
@@ -16,8 +16,8 @@
 	"github.com/verbenaflow/verbenaflow/standins/store"
 )
 
-// gang is a job that fills both workers of a failure domain.
-func gang(d model.FailureDomain, run time.Duration) model.JobSpec {
+// fullGang is a job that fills both workers of a failure domain.
+func fullGang(d model.FailureDomain, run time.Duration) model.JobSpec {
 	return model.JobSpec{Account: "acme", Domain: d, Tasks: 2, GPUsPerTask: 8, RunTime: run, Preemptible: true}
 }
 
@@ -72,7 +72,7 @@
 	f.prepare()
 	vms := f.in("a")
 	holder := f.waitHolder(vms[0], nil)
-	job := f.submit(vms[0], gang("a", 12*time.Second))
+	job := f.submit(vms[0], fullGang("a", 12*time.Second))
 	eventually(t, f.state(vms[0], job)).Should(gomega.Equal(model.JobRunning))
 	var others []*daemon
 	for _, v := range vms {
@@ -106,7 +106,7 @@
 			other = v
 		}
 	}
-	job := f.submit(other, gang("a", 15*time.Second))
+	job := f.submit(other, fullGang("a", 15*time.Second))
 	eventually(t, f.state(other, job)).Should(gomega.Equal(model.JobRunning))
 	l := startLoad([]*daemon{other})
 	time.Sleep(time.Second)
@@ -149,11 +149,17 @@
 	first := f.submit(inside, small)
 	eventually(t, f.state(inside, first)).Should(gomega.Equal(model.JobSucceeded))
 
+	// The waiting jobs could start when the gang ends, which is after the failure domain was taken out.
+	filling := f.submit(inside, fullGang("a", 6*time.Second))
+	eventually(t, f.state(inside, filling)).Should(gomega.Equal(model.JobRunning))
+	for range 5 {
+		f.submit(inside, small)
+	}
 	f.cut("a")
 	b := f.in("b")[0]
 	eventually(t, func() string { return f.change(b, message.ConfigChange{TakeOut: "a"}) }).Should(gomega.BeEmpty())
 	out := time.Now()
-	for time.Since(out) < 8*time.Second {
+	for time.Since(out) < 9*time.Second {
 		post(inside.url+"/v1/jobs", small, nil)
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -199,7 +205,7 @@
 	f.checkAnswers(answers)
 	eventually(t, f.state(v, long)).Should(gomega.Equal(model.JobSucceeded))
 	checkOneAttempt(t, f, long)
-	after := f.submit(v, gang("a", 200*time.Millisecond))
+	after := f.submit(v, fullGang("a", 200*time.Millisecond))
 	eventually(t, f.state(v, after)).Should(gomega.Equal(model.JobSucceeded))
 }
 
