Check the demo's promises against what the stand-ins recorded

Cause: the demo judged gangs and requests by the answers of the entry VMs alone, so a partial gang or a second run of a request would have passed. Before: evidence was the placement and the answer. After: attempts, tasks that ran, epochs and runs are read from the workers and executors. A partial gang or a falling epoch breaks P2, a task in a failure domain that is out P3, a second run P6.

--- a/node/demo/steps.go
+++ b/node/demo/steps.go
@@ -16,6 +16,7 @@
 	"github.com/verbenaflow/verbenaflow/platform/worker"
 	"github.com/verbenaflow/verbenaflow/services/httpapi"
 	"github.com/verbenaflow/verbenaflow/standins/store"
+	standin "github.com/verbenaflow/verbenaflow/standins/worker"
 )
 
 // The client accounts of the demo.
@@ -137,7 +138,8 @@
 	if len(j.Placement) != spec.Tasks {
 		return "", &brokenError{"P2", fmt.Sprintf("%d of %d tasks have a place", len(j.Placement), spec.Tasks)}
 	}
-	return fmt.Sprintf("job ran on %s and %s in attempt %d", j.Placement[0].Worker, j.Placement[1].Worker, j.Attempt), nil
+	seen, err := d.gangEvidence(ctx, j)
+	return fmt.Sprintf("job ran on %s and %s; %s", j.Placement[0].Worker, j.Placement[1].Worker, seen), err
 }
 
 func (d *demo) request(ctx context.Context) (string, error) {
@@ -163,7 +165,8 @@
 	if err == nil && string(second.Body) != string(first.Body) {
 		return "", &brokenError{"P6", fmt.Sprintf("the same ticket gave %q", second.Body)}
 	}
-	return fmt.Sprintf("executor answered %q; second send: %v", first.Body, err), nil
+	seen, runErr := d.runEvidence(ctx, first.Request)
+	return fmt.Sprintf("executor answered %q; second send: %v; %s", first.Body, err, seen), runErr
 }
 
 func (d *demo) reclaim(ctx context.Context) (string, error) {
@@ -179,13 +182,15 @@
 	}, model.JobRunning, model.JobSucceeded)
 	took := time.Since(begun)
 	state, _ := d.follow(ctx, loan.ID, model.JobQueued, model.JobPreempting, model.JobStarting, model.JobRunning, model.JobFailed)
+	seen, gangErr := d.gangEvidence(ctx, own)
 	if cancelErr := errors.CombineErrors(d.cancel(ctx, loan), d.cancel(ctx, own)); cancelErr != nil {
 		return "", cancelErr
 	}
 	if err != nil || took > reclaimLimit {
 		return "", &brokenError{"P1", fmt.Sprintf("guaranteed job is %s after %s", own.State, took.Round(time.Millisecond))}
 	}
-	return fmt.Sprintf("guaranteed job ran on %v after %s; the borrower is %s", own.Placement, took.Round(time.Millisecond), state.State), nil
+	return fmt.Sprintf("guaranteed job ran on %v after %s; the borrower is %s; %s",
+		own.Placement, took.Round(time.Millisecond), state.State, seen), gangErr
 }
 
 func (d *demo) takeOut(ctx context.Context) (string, error) {
@@ -209,14 +214,25 @@
 	if j.State != model.JobQueued {
 		return "", &brokenError{"P3", fmt.Sprintf("job is %s in a failure domain that is out", j.State)}
 	}
+	hs, err := histories[standin.History](ctx, d, model.RoleWorker, "b", standin.PathHistory)
+	if err != nil {
+		return "", err
+	}
+	if n := len(attempts(hs, j.ID)); n > 0 {
+		return "", &brokenError{"P3", fmt.Sprintf("workers recorded %d attempts in a failure domain that is out", n)}
+	}
 	if _, err := d.change(ctx, message.ConfigChange{BringIn: "b"}); err != nil {
 		return "", err
 	}
 	if j, err = d.follow(ctx, j.ID, model.JobSucceeded); err != nil {
 		return "", err
 	}
+	seen, err := d.gangEvidence(ctx, j)
+	if err != nil {
+		return "", err
+	}
 	writes, err := d.writes(ctx, "config")
-	return fmt.Sprintf("job waited %s while out, then ran; store: %d writes of the document", outWatch, len(writes)), err
+	return fmt.Sprintf("no task in %s while out; %s; store: %d writes of the document", outWatch, seen, len(writes)), err
 }
 
 func (d *demo) loseHolder(ctx context.Context) (string, error) {
@@ -249,12 +265,16 @@
 	if err != nil {
 		return "", err
 	}
+	seen, err := d.gangEvidence(ctx, now)
+	if err != nil {
+		return "", err
+	}
 	epochs, err := d.writes(ctx, "fd/c/epoch")
 	if err != nil {
 		return "", err
 	}
-	evidence := fmt.Sprintf("%s follows %s; store: %d epochs of c; %d workers accept epoch %s; attempt %d goes on",
-		next.VM, old.VM, len(epochs), workers, next.Epoch, now.Attempt)
+	evidence := fmt.Sprintf("%s follows %s; store: %d epochs of c; %d workers accept epoch %s; attempt %d goes on; %s",
+		next.VM, old.VM, len(epochs), workers, next.Epoch, now.Attempt, seen)
 	return evidence, d.cancel(ctx, now)
 }
 
