Add presets for peaks and maintenance, and request status by key

Cause: an idempotency key whose outcome is unknown could not be asked for on the command line, and only one of the three preset examples existed.

--- a/cmd/verbenactl/main_test.go
+++ b/cmd/verbenactl/main_test.go
@@ -11,7 +11,9 @@
 	"github.com/onsi/gomega"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/config"
 	"github.com/verbenaflow/verbenaflow/services/httpapi"
 )
 
@@ -57,7 +59,7 @@
 		code, text := execute("--json", "--server", answer(t, c.status, c.body, &calls), "job", "submit", "--account", "acme")
 		gomega.NewWithT(t).Expect(code).To(gomega.Equal(c.want), "%v: %s", c.body, text)
 	}
-	for _, args := range [][]string{{"job", "submit"}, {"nothing"}, {"request", "send", "--account", "a", "--service", "s", "--key", "k", "--ticket", "t"}} {
+	for _, args := range [][]string{{"job", "submit"}, {"nothing"}, {"request", "send", "--account", "a", "--service", "s", "--key", "k", "--ticket", "t"}, {"request", "status"}, {"request", "status", "t", "--key", "k", "--account", "a"}, {"request", "status", "--key", "k"}} {
 		code, _ := execute(args...)
 		gomega.NewWithT(t).Expect(code).To(gomega.Equal(exitUsage), "%v", args)
 	}
@@ -96,3 +98,15 @@
 	code, _ := execute("--server", closed, "status")
 	gomega.NewWithT(t).Expect(code).To(gomega.Equal(exitNotRun))
 }
+
+// TestExamplePresets guards against example files that operators cannot load.
+func TestExamplePresets(t *testing.T) {
+	for _, name := range []string{"ordinary", "peak", "maintenance"} {
+		g := gomega.NewWithT(t)
+		p, err := readPreset("../../examples/" + name + ".json")
+		g.Expect(err).NotTo(gomega.HaveOccurred(), name)
+		g.Expect(p.Accounts).NotTo(gomega.BeEmpty(), name)
+		_, f := config.Propose(model.Config{}, 0, message.ConfigChange{PutPreset: &message.NamedPreset{Name: name, Preset: p}}, "w", nil)
+		g.Expect(f).To(gomega.BeNil(), name)
+	}
+}
--- a/cmd/verbenactl/operate.go
+++ b/cmd/verbenactl/operate.go
@@ -114,18 +114,24 @@
 
 // Execute implements flags.Commander.
 func (o *presetPut) Execute([]string) error {
-	f, err := os.Open(o.Args.File)
+	p, err := readPreset(o.Args.File)
 	if err != nil {
-		return errors.Wrap(err, "preset file")
+		return err
 	}
-	defer f.Close()
+	return o.change(o.app, message.ConfigChange{PutPreset: &message.NamedPreset{Name: o.Args.Name, Preset: p}})
+}
+
+// readPreset reads a preset from a JSON file. It refuses unknown keys.
+func readPreset(file string) (model.Preset, error) {
 	var p model.Preset
+	f, err := os.Open(file)
+	if err != nil {
+		return p, errors.Wrap(err, "preset file")
+	}
+	defer f.Close()
 	dec := json.NewDecoder(f)
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&p); err != nil {
-		return errors.Wrapf(err, "preset file %s", o.Args.File)
-	}
-	return o.change(o.app, message.ConfigChange{PutPreset: &message.NamedPreset{Name: o.Args.Name, Preset: p}})
+	return p, errors.Wrapf(dec.Decode(&p), "preset file %s", file)
 }
 
 type domainMove struct {
--- a/cmd/verbenactl/request.go
+++ b/cmd/verbenactl/request.go
@@ -45,16 +45,22 @@
 }
 
 type requestStatus struct {
-	app  *app
-	Args struct {
-		Request string `positional-arg-name:"REQUEST" required:"true"`
+	app     *app
+	Account string `long:"account" description:"client account of the idempotency key"`
+	Key     string `long:"key" description:"idempotency key instead of a ticket"`
+	Args    struct {
+		Request string `positional-arg-name:"REQUEST" description:"ticket of the request"`
 	} `positional-args:"true"`
 }
 
 // Execute implements flags.Commander.
 func (o *requestStatus) Execute([]string) error {
+	if (o.Args.Request == "") == (o.Key == "") || (o.Key == "") != (o.Account == "") {
+		return &usageError{"give either a ticket, or --account and --key"}
+	}
 	var out httpapi.RequestBody
-	if err := o.app.get("/v1/request?id="+url.QueryEscape(o.Args.Request), &out); err != nil {
+	q := url.Values{"id": {o.Args.Request}, "account": {o.Account}, "key": {o.Key}}
+	if err := o.app.get("/v1/request?"+q.Encode(), &out); err != nil {
 		return err
 	}
 	return o.app.showRequest(out)
