--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -41,8 +41,10 @@
 
 // TestExample guards against an example file that the daemon refuses.
 func TestExample(t *testing.T) {
-	_, err := Load("../../examples/verbenaflowd.ini")
-	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	for _, name := range []string{"verbenaflowd", "vm-a2", "vm-a3"} {
+		_, err := Load("../../examples/" + name + ".ini")
+		gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred(), name)
+	}
 }
 
 // refusals maps a change of the valid file to the section and key that must be named.
