Measure the cost per worker, job and entry VM

Cause: nothing measured what the services cost at several sizes, so that docs/CAPACITY.md could not be derived. verbenactl bench runs the policies, the planner rounds and the slopes; bench fleet serves the stand-in workers and the store from a process that the user starts, because a process of the system starts no other, and their processor time must not count. Before: no command. After: parts holder, vms, store, appends, recovery and memory, with medians of repeated runs, least-squares lines and CSV. Ruled out: node/embedded, whose listeners cannot be wrapped to count bytes and whose stand-ins are in the measured process. Runs: go test -race ./bench/slopes ./tests/rules ./cmd/... passes.

--- /dev/null
+++ b/cmd/verbenactl/bench.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaflow/verbenaflow/bench"
+	"github.com/verbenaflow/verbenaflow/bench/slopes"
+	"github.com/verbenaflow/verbenaflow/node/logging"
+)
+
+// csvOption is the flag of benchmarks that write a file.
+type csvOption struct {
+	CSV string `long:"csv" description:"file for the values as CSV"`
+}
+
+type benchPolicies struct {
+	app *app
+	csvOption
+	Scenarios []string  `long:"scenario" description:"size: today, large-7 or large-1; may be given several times"`
+	Seeds     []uint64  `long:"seed" description:"seed of the drawn jobs; may be given several times"`
+	Loads     []float64 `long:"offered" description:"offered load as part of the capacity; may be given several times"`
+}
+
+// Execute implements flags.Commander.
+func (o *benchPolicies) Execute([]string) error {
+	options := bench.PolicyOptions{Scenarios: o.Scenarios, Seeds: o.Seeds, Loads: o.Loads}
+	return bench.RunPolicies(options, o.app.out, o.CSV)
+}
+
+type benchRounds struct {
+	app   *app
+	Steps int `long:"steps" default:"300" description:"rounds for each kind of change"`
+}
+
+// Execute implements flags.Commander.
+func (o *benchRounds) Execute([]string) error {
+	if o.Steps < 1 {
+		return &usageError{"--steps must be positive"}
+	}
+	return bench.RunRounds(o.app.out, o.Steps)
+}
+
+type benchSlopes struct {
+	app *app
+	csvOption
+	Parts           []string      `long:"part" choice:"holder" choice:"vms" choice:"store" choice:"appends" choice:"recovery" choice:"memory" description:"measurement; by default all; may be given several times, as all sizes"`
+	Fleet           string        `long:"fleet" description:"address of a bench fleet in another process; by default the stand-ins run in this process and count"`
+	Window          time.Duration `long:"window" default:"3s" description:"length of one measurement"`
+	Repeat          int           `long:"repeat" default:"1" description:"runs of each part, of which the median is printed"`
+	Workers         []int         `long:"workers" description:"workers of the holder part"`
+	Tasks           []int         `long:"tasks" description:"known tasks per worker of the holder part, rising"`
+	VMs             []int         `long:"vms" description:"entry VMs, multiples of 7"`
+	Domains         []int         `long:"domains" description:"failure domains of the store part"`
+	Appends         []int         `long:"appends" description:"log records a second"`
+	Jobs            []int         `long:"jobs" description:"jobs of the recovery and memory parts"`
+	RecoveryWorkers []int         `long:"recovery-workers" description:"workers of the recovery part, at least 2"`
+}
+
+// Execute implements flags.Commander.
+func (o *benchSlopes) Execute([]string) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	if err := logging.Setup(io.Discard, "bench", "slopes", 0); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return slopes.Run(ctx, slopes.Options{
+		Parts: o.Parts, Fleet: o.Fleet, Window: o.Window, Repeat: o.Repeat, Workers: o.Workers, Tasks: o.Tasks,
+		VMs: o.VMs, Domains: o.Domains, Appends: o.Appends, Jobs: o.Jobs, RecoveryWorkers: o.RecoveryWorkers,
+	}, o.app.out, o.CSV)
+}
+
+func (o *benchSlopes) check() error {
+	if o.Window <= 0 || o.Repeat < 1 {
+		return &usageError{"--window and --repeat must be positive"}
+	}
+	for _, s := range []struct {
+		flag  string
+		sizes []int
+		least int
+	}{
+		{"--workers", o.Workers, 1},
+		{"--tasks", o.Tasks, 0},
+		{"--vms", o.VMs, 7},
+		{"--domains", o.Domains, 1},
+		{"--appends", o.Appends, 0},
+		{"--jobs", o.Jobs, 2},
+		{"--recovery-workers", o.RecoveryWorkers, 2},
+	} {
+		for i, n := range s.sizes {
+			if n < s.least || s.flag == "--vms" && n%7 != 0 || s.flag == "--tasks" && i > 0 && n < s.sizes[i-1] {
+				return &usageError{s.flag + " is out of range"}
+			}
+		}
+	}
+	return nil
+}
+
+type benchFleet struct {
+	app *app
+	listenOption
+	Workers int `long:"workers" default:"200" description:"number of stand-in workers"`
+}
+
+// Execute implements flags.Commander.
+func (o *benchFleet) Execute([]string) error {
+	if o.Workers < 0 {
+		return &usageError{"--workers must not be negative"}
+	}
+	return o.serve(func(ctx context.Context, l net.Listener) error {
+		return errors.Wrap(slopes.ServeFleet(ctx, l, o.Workers), "fleet")
+	})
+}
+
+// benchmarks returns the benchmark commands. They use the exit codes of all commands: 0 after a complete run,
+// 1 if a measurement failed, 2 for refused flags.
+func (a *app) benchmarks() []node {
+	return []node{
+		{name: "policies", help: "compare queue and placement policies in virtual time", command: &benchPolicies{app: a}},
+		{name: "rounds", help: "measure planner rounds at 1,200 workers", command: &benchRounds{app: a}},
+		{name: "slopes", help: "measure cost per worker, job and entry VM. Exit codes: 0 complete, 1 a measurement failed, 2 usage", command: &benchSlopes{app: a}},
+		{name: "fleet", help: "run stand-in workers and a store for bench slopes until SIGTERM", command: &benchFleet{app: a}},
+	}
+}
--- a/cmd/verbenactl/main.go
+++ b/cmd/verbenactl/main.go
@@ -88,6 +88,7 @@
 		{name: "status", help: "show an entry VM and its members", command: &status{app: a}},
 		{name: "demo", help: "run a cluster in this process and show its promises", command: &demoCommand{app: a}},
 		{name: "load", help: "send requests and jobs at a fixed rate", command: &loadCommand{app: a}},
+		{name: "bench", help: "measure policies, planner rounds and the cost per worker, job and VM", children: a.benchmarks()},
 		{name: "standin", help: "run a stand-in of the platform", children: standins()},
 	})
 }
