Measure requests, and appends to a store that takes milliseconds

Cause: group commit does not batch against a stand-in that answers at once, and the caller's path had no figure. Before: appends against an undelayed store; no measurement of requests.

--- a/bench/slopes/parts.go
+++ b/bench/slopes/parts.go
@@ -199,11 +199,18 @@
 	return t, nil
 }
 
-// appendPart measures the store calls of the log at several rates of records.
+// appendPart measures the store calls of the log of one failure domain at several rates of records, with a
+// store that answers after o.StoreDelay.
 func appendPart(ctx context.Context, o *Options) (Table, error) {
 	t := Table{Title: "appends", Keys: 1, Columns: []string{"records_per_s", "puts_per_s", "gets_per_s", "deletes_per_s", "records_done_per_s"}}
 	for _, rate := range o.Appends {
-		err := o.withFleet(ctx, 1, func(_ string, s fleetState) error { return o.appendRow(ctx, &t, s, rate) })
+		err := o.withFleet(ctx, 1, func(_ string, s fleetState) error {
+			if err := setStoreDelay(ctx, s.Store, o.StoreDelay); err != nil {
+				return err
+			}
+			err := o.appendRow(ctx, &t, s, rate)
+			return errors.CombineErrors(err, setStoreDelay(ctx, s.Store, 0))
+		})
 		if err != nil {
 			return t, err
 		}
--- a/bench/slopes/slopes.go
+++ b/bench/slopes/slopes.go
@@ -14,7 +14,7 @@
 
 // Options select the measurements and their sizes. Empty lists and zero values mean the defaults.
 type Options struct {
-	// Parts names the measurements: holder, vms, store, appends, recovery and memory; empty means all.
+	// Parts names the measurements: holder, vms, store, appends, recovery, memory and requests; empty means all.
 	Parts []string
 	// Fleet is the address of a fleet in another process; see ServeFleet. If it is empty, the stand-ins run in this process
 	// and their processor time and memory are included in the figures.
@@ -30,8 +30,12 @@
 	VMs []int
 	// Domains are the numbers of failure domains of the store part.
 	Domains []int
+	// Requests are requests a second.
+	Requests []int
 	// Appends are log records a second.
 	Appends []int
+	// StoreDelay is the time that the store takes for each call of the appends part.
+	StoreDelay time.Duration
 	// Jobs are the jobs in the log of the recovery and memory parts.
 	Jobs []int
 	// RecoveryWorkers are the numbers of workers of the recovery part, at least 2.
@@ -55,6 +59,7 @@
 	{"appends", appendPart},
 	{"recovery", recoveryPart},
 	{"memory", memoryPart},
+	{"requests", requestsPart},
 }
 
 // PartNames lists the measurements.
@@ -70,6 +75,9 @@
 // which are spread evenly.
 const defaultWindow = 3 * time.Second
 
+// defaultStoreDelay stands for a store that answers in milliseconds.
+const defaultStoreDelay = 5 * time.Millisecond
+
 func (o *Options) complete() error {
 	for _, name := range o.Parts {
 		if !slices.Contains(PartNames(), name) {
@@ -85,12 +93,16 @@
 	set(&o.Tasks, 0, 8, 21)
 	set(&o.VMs, 7, 14, 21, 28)
 	set(&o.Domains, 1, 3, 5, 7)
+	set(&o.Requests, 25, 50, 100, 200)
 	set(&o.Appends, 0, 10, 100, 1000)
 	set(&o.Jobs, 100, 400, 1000, 2500)
 	set(&o.RecoveryWorkers, 25, 200)
 	if o.Window <= 0 {
 		o.Window = defaultWindow
 	}
+	if o.StoreDelay <= 0 {
+		o.StoreDelay = defaultStoreDelay
+	}
 	o.Repeat = max(1, o.Repeat)
 	return nil
 }
--- a/bench/slopes/vms.go
+++ b/bench/slopes/vms.go
@@ -37,11 +37,13 @@
 	wg      conc.WaitGroup
 	cancel  context.CancelCauseFunc
 	peers   traffic
+	servers []string
 	clients []*client.Client
 }
 
-// newCluster starts perDomain daemons in each of several failure domains with the store at an address.
-func newCluster(domains, perDomain int, storeAddress string) (*cluster, error) {
+// newCluster starts perDomain daemons in each of several failure domains with the store of a fleet, and gives
+// the executors to the first failure domain.
+func newCluster(domains, perDomain int, f fleetState, executors []string) (*cluster, error) {
 	c := &cluster{}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	c.cancel = cancel
@@ -49,12 +51,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "list of VMs")
 	}
-	c.wg.Go(func() { _ = vmlist.Run(ctx, l, vmlist.New(nil, lag)) })
-	all, listeners, err := reserve(domains, perDomain, storeAddress, l.Addr().String())
+	all, listeners, err := reserve(domains, perDomain, f.Store, l.Addr().String())
 	if err != nil {
-		c.abort()
+		l.Close()
 		return nil, err
 	}
+	var vms []model.VM
+	for i, a := range executors {
+		vms = append(vms, model.VM{ID: fmt.Sprintf("e%d", i), Role: model.RoleExecutor, Domain: all[0].Domain, Region: all[0].Region, Address: a})
+	}
+	c.wg.Go(func() { _ = vmlist.Run(ctx, l, vmlist.New(vms, lag)) })
 	for i, s := range all {
 		for k, o := range all {
 			if k != i {
@@ -63,6 +69,7 @@
 		}
 		sockets := listeners[i]
 		sockets.Peers = countingListener{sockets.Peers, &c.peers}
+		c.servers = append(c.servers, s.HTTP)
 		c.clients = append(c.clients, client.New(1, s.HTTP))
 		c.wg.Go(func() { _ = daemon.Serve(ctx, s, sockets) })
 	}
@@ -110,7 +117,7 @@
 	}
 	preset := model.Preset{Accounts: map[model.AccountID]model.AccountPolicy{}}
 	for a := range teams {
-		preset.Accounts[model.AccountID(fmt.Sprintf("team-%02d", a))] = model.AccountPolicy{Weight: 1 + i%2}
+		preset.Accounts[team(a)] = model.AccountPolicy{Weight: 1 + i%2}
 	}
 	in := httpapi.ChangeBody{Expect: expect, Change: message.ConfigChange{PutPreset: &message.NamedPreset{Name: "ordinary", Preset: preset}}}
 	var out httpapi.ConfigBody
@@ -136,6 +143,8 @@
 // teams is the number of accounts of the configuration.
 const teams = 60
 
+func team(a int) model.AccountID { return model.AccountID(fmt.Sprintf("team-%02d", a)) }
+
 // applied returns once a VM applies a version of the configuration or a later one.
 func applied(ctx context.Context, cl *client.Client, version uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -195,7 +204,7 @@
 
 func (o *Options) clusterRow(ctx context.Context, t *Table, domains, perDomain int, key float64) error {
 	return o.withFleet(ctx, 0, func(address string, s fleetState) error {
-		c, err := newCluster(domains, perDomain, s.Store)
+		c, err := newCluster(domains, perDomain, s, nil)
 		if err != nil {
 			return err
 		}
--- a/cmd/verbenactl/bench.go
+++ b/cmd/verbenactl/bench.go
@@ -51,7 +51,7 @@
 type benchSlopes struct {
 	app *app
 	csvOption
-	Parts           []string      `long:"part" choice:"holder" choice:"vms" choice:"store" choice:"appends" choice:"recovery" choice:"memory" description:"measurement; by default all; may be given several times, as all sizes"`
+	Parts           []string      `long:"part" choice:"holder" choice:"vms" choice:"store" choice:"appends" choice:"recovery" choice:"memory" choice:"requests" description:"measurement; by default all; may be given several times, as all sizes"`
 	Fleet           string        `long:"fleet" description:"address of a bench fleet in another process; by default the stand-ins run in this process and count"`
 	Window          time.Duration `long:"window" default:"3s" description:"length of one measurement"`
 	Repeat          int           `long:"repeat" default:"1" description:"runs of each part, of which the median is printed"`
@@ -60,6 +60,8 @@
 	VMs             []int         `long:"vms" description:"entry VMs, multiples of 7"`
 	Domains         []int         `long:"domains" description:"failure domains of the store part"`
 	Appends         []int         `long:"appends" description:"log records a second"`
+	Requests        []int         `long:"requests" description:"requests a second"`
+	StoreDelay      time.Duration `long:"store-delay" default:"5ms" description:"time that the store takes for a call of the appends part"`
 	Jobs            []int         `long:"jobs" description:"jobs of the recovery and memory parts"`
 	RecoveryWorkers []int         `long:"recovery-workers" description:"workers of the recovery part, at least 2"`
 }
@@ -76,13 +78,13 @@
 	defer stop()
 	return slopes.Run(ctx, slopes.Options{
 		Parts: o.Parts, Fleet: o.Fleet, Window: o.Window, Repeat: o.Repeat, Workers: o.Workers, Tasks: o.Tasks,
-		VMs: o.VMs, Domains: o.Domains, Appends: o.Appends, Jobs: o.Jobs, RecoveryWorkers: o.RecoveryWorkers,
+		VMs: o.VMs, Domains: o.Domains, Appends: o.Appends, StoreDelay: o.StoreDelay, Jobs: o.Jobs, Requests: o.Requests, RecoveryWorkers: o.RecoveryWorkers,
 	}, o.app.out, o.CSV)
 }
 
 func (o *benchSlopes) check() error {
-	if o.Window <= 0 || o.Repeat < 1 {
-		return &usageError{"--window and --repeat must be positive"}
+	if o.Window <= 0 || o.Repeat < 1 || o.StoreDelay < time.Millisecond {
+		return &usageError{"--window and --repeat must be positive, and --store-delay at least 1ms"}
 	}
 	for _, s := range []struct {
 		flag  string
@@ -94,6 +96,7 @@
 		{"--vms", o.VMs, 7},
 		{"--domains", o.Domains, 1},
 		{"--appends", o.Appends, 0},
+		{"--requests", o.Requests, 1},
 		{"--jobs", o.Jobs, 2},
 		{"--recovery-workers", o.RecoveryWorkers, 2},
 	} {
