Measure the memory of entry VMs against the state before their start

Cause: the memory of daemons that were aborted in the same process stays reachable, so that later clusters of one run showed that of earlier ones: 6.6 MB per VM in the first, 75 MB in the fifth. Ruled out: growth while a daemon runs; the total of the fifth cluster, 525 MB, is that of the first four clusters, 483 MB, and 46 MB as in the first one. What keeps it reachable was not determined. After: the heap before the start is subtracted.

--- a/bench/slopes/vms.go
+++ b/bench/slopes/vms.go
@@ -204,6 +204,8 @@
 
 func (o *Options) clusterRow(ctx context.Context, t *Table, domains, perDomain int, key float64) error {
 	return o.withFleet(ctx, 0, func(address string, s fleetState) error {
+		// The memory of an aborted daemon stays reachable in this process.
+		heap, stacks := heapKB()
 		c, err := newCluster(domains, perDomain, s, nil)
 		if err != nil {
 			return err
@@ -218,6 +220,8 @@
 		if err != nil {
 			return err
 		}
+		n := float64(len(c.clients))
+		row[1], row[2] = round(row[1]-heap/n), round(row[2]-stacks/n)
 		var times []float64
 		for i := range changes {
 			took, err := c.change(ctx, i+1)
