Place tasks by cores and memory, with and without accelerators

Cause: a task needed at least one accelerator, cores and memory were checked for free workers only, nothing kept them for a holding job, and a reclaim counted the cores of borrowers as in use.

Now GPUsPerTask 0 with at least one core is accepted. Tasks without accelerators use at most half of a worker's cores and memory, so a task with accelerators within its part of the other half never waits for them; a job beyond that part may have a reservation. A reclaim or urgent job counts the load of borrowers that it may preempt as available and preempts as many as it needs. A holding job keeps its cores and memory. A worker of unknown cores runs no task without accelerators.

Ruled out: no limit for tasks without accelerators and preemption on demand, because tasks that are not preemptible would stay next to free accelerators.

Mutated copies, one run each of ./decisions/plan: without further victims, without the half, without the core limit and without kept cores the oracle fails ("w00 runs 17 cores" of 16); without a reservation beyond the part TestJobBeyondItsShareIsNotStarved fails; with borrowers' cores counted as in use TestReclaimTakesCoresOfBorrowers fails.

After: go test -race ./decisions/... ./tests/rules passes.

--- a/api/model/job.go
+++ b/api/model/job.go
@@ -9,7 +9,8 @@
 	Domain FailureDomain `json:"domain,omitempty"`
 	// Tasks is the gang size.
 	Tasks int `json:"tasks"`
-	// GPUsPerTask is 1, 2, 4 or 8; the accelerators of a task are adjacent in one worker.
+	// GPUsPerTask is 0, 1, 2, 4 or 8; the accelerators of a task are adjacent in one worker. A task without
+	// accelerators declares at least one core.
 	GPUsPerTask int `json:"gpus_per_task"`
 	// Within is the smallest cell that must contain the whole gang; empty means the failure domain.
 	Within Level `json:"within,omitempty"`
--- a/api/model/member.go
+++ b/api/model/member.go
@@ -21,6 +21,9 @@
 	Rack    string        `json:"rack,omitempty"`
 	Address string        `json:"address"`
 	Leaving bool          `json:"leaving,omitempty"`
+	// Cores and MemoryMB are the totals of a worker; 0 means unknown.
+	Cores    int `json:"cores,omitempty"`
+	MemoryMB int `json:"memory_mb,omitempty"`
 }
 
 // Member is an entry VM as the others see it.
--- a/decisions/plan/bucket.go
+++ b/decisions/plan/bucket.go
@@ -135,6 +135,9 @@
 // mayFit rules out most buckets by counts alone, before they are put in order.
 func (p *Planner) mayFit(b *bucket) bool {
 	n := b.class.tasks * b.class.gpus
+	if n == 0 {
+		return true
+	}
 	return p.free.Total(b.class.gpus) >= b.class.tasks || b.class.urgent || p.tracker.Spare(b.class.account) >= n
 }
 
--- a/decisions/plan/check.go
+++ b/decisions/plan/check.go
@@ -16,8 +16,10 @@
 	switch {
 	case s.Tasks < 1:
 		return failure.New(failure.Malformed, "tasks must be at least 1, got %d", s.Tasks)
-	case !slices.Contains([]int{1, 2, 4, 8}, s.GPUsPerTask):
-		return failure.New(failure.Malformed, "GPUs per task must be 1, 2, 4 or 8, got %d", s.GPUsPerTask)
+	case !slices.Contains([]int{0, 1, 2, 4, 8}, s.GPUsPerTask):
+		return failure.New(failure.Malformed, "GPUs per task must be 0, 1, 2, 4 or 8, got %d", s.GPUsPerTask)
+	case s.GPUsPerTask == 0 && s.CoresPerTask < 1:
+		return failure.New(failure.Malformed, "a task without GPUs must declare at least 1 core, got %d", s.CoresPerTask)
 	case !slices.Contains([]model.Level{"", model.LevelWorker, model.LevelRack, model.LevelDomain}, s.Within):
 		return failure.New(failure.Malformed, "within must be worker, rack or domain, got %q", s.Within)
 	case s.CoresPerTask < 0 || s.MemoryMBPerTask < 0 || s.RunTime < 0:
--- a/decisions/plan/events.go
+++ b/decisions/plan/events.go
@@ -138,8 +138,8 @@
 				taken |= 1 << i
 			}
 		}
-		p.coresUsed[s.Worker] += j.Spec.CoresPerTask
-		p.memUsed[s.Worker] += j.Spec.MemoryMBPerTask
+		p.usage[s.Worker] = p.usage[s.Worker].plus(j, 1)
+		p.on[s.Worker] = append(p.on[s.Worker], j)
 		kept = append(kept, cell.Slot{Worker: s.Worker, GPUs: taken})
 		p.refresh(s.Worker)
 	}
@@ -160,8 +160,9 @@
 				p.owner[s.Worker][i] = nil
 			}
 		}
-		p.coresUsed[s.Worker] -= j.Spec.CoresPerTask
-		p.memUsed[s.Worker] -= j.Spec.MemoryMBPerTask
+		p.usage[s.Worker] = p.usage[s.Worker].plus(j, -1)
+		i := slices.Index(p.on[s.Worker], j)
+		p.on[s.Worker] = slices.Delete(p.on[s.Worker], i, i+1)
 		if j.fixed {
 			p.tracker.Release(s)
 		}
@@ -174,12 +175,13 @@
 	j.slots, j.placement = nil, nil
 }
 
-// reserve keeps the accelerators of a holding job for it.
+// reserve keeps the accelerators, cores and memory of a holding job for it.
 func (p *Planner) reserve(j *job) {
 	a := p.account(j.Spec.Account)
 	a.gpus += j.Spec.GPUs()
 	for _, s := range j.slots {
 		p.reserved[s.Worker] |= s.GPUs
+		p.usage[s.Worker] = p.usage[s.Worker].plus(j, 1)
 		p.refresh(s.Worker)
 	}
 }
@@ -189,6 +191,7 @@
 	p.account(j.Spec.Account).gpus -= j.Spec.GPUs()
 	for _, s := range j.slots {
 		p.reserved[s.Worker] &^= s.GPUs
+		p.usage[s.Worker] = p.usage[s.Worker].plus(j, -1)
 		p.refresh(s.Worker)
 	}
 }
--- a/decisions/plan/machine_test.go
+++ b/decisions/plan/machine_test.go
@@ -49,10 +49,12 @@
 func (m *machine) each(f func(*Planner)) { f(m.p); f(m.twin) }
 
 func drawSpec(t *rapid.T) model.JobSpec {
+	gpus := rapid.SampledFrom([]int{0, 1, 2, 4, 8}).Draw(t, "gpus")
 	return model.JobSpec{
+		CoresPerTask: rapid.IntRange(0, 6).Draw(t, "cores"), MemoryMBPerTask: rapid.IntRange(0, 12).Draw(t, "memory"),
 		Account:     rapid.SampledFrom([]model.AccountID{"a", "b", "c"}).Draw(t, "account"),
 		Tasks:       rapid.IntRange(1, 3).Draw(t, "tasks"),
-		GPUsPerTask: rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "gpus"),
+		GPUsPerTask: gpus,
 		Within:      rapid.SampledFrom([]model.Level{"", model.LevelWorker, model.LevelRack}).Draw(t, "within"),
 		RunTime:     time.Duration(rapid.IntRange(1, 100).Draw(t, "minutes")) * time.Minute,
 		Preemptible: rapid.Bool().Draw(t, "preemptible"),
@@ -189,6 +191,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if err := m.loads(m.p.jobs); err != nil {
+		t.Fatal(err)
+	}
 	if len(m.p.jobs) != len(m.specs) {
 		t.Fatalf("%d jobs are known, want %d", len(m.p.jobs), len(m.specs))
 	}
--- a/decisions/plan/oracle_test.go
+++ b/decisions/plan/oracle_test.go
@@ -51,6 +51,31 @@
 	return out, nil
 }
 
+// loads fails if the running tasks of a worker need more cores or memory than it has, or those without
+// accelerators more than half.
+func (o oracle) loads(jobs map[model.JobID]*job) error {
+	for _, w := range o.workers {
+		var cores, mem, cpuCores, cpuMem int
+		for _, j := range jobs {
+			for _, s := range j.placement {
+				if j.phase != running || s.Worker != w.ID {
+					continue
+				}
+				cores += j.Spec.CoresPerTask
+				mem += j.Spec.MemoryMBPerTask
+				if j.Spec.GPUsPerTask == 0 {
+					cpuCores += j.Spec.CoresPerTask
+					cpuMem += j.Spec.MemoryMBPerTask
+				}
+			}
+		}
+		if cores > w.Cores || mem > w.MemoryMB || 2*cpuCores > w.Cores || 2*cpuMem > w.MemoryMB {
+			return fmt.Errorf("%s runs %d cores and %d MB, of them %d and %d without accelerators", w.ID, cores, mem, cpuCores, cpuMem)
+		}
+	}
+	return nil
+}
+
 // need is one guaranteed cell.
 type need struct {
 	account model.AccountID
@@ -145,8 +170,8 @@
 	}
 	cells := make(map[string]bool)
 	for _, s := range pl {
-		aligned := false
-		for i := 0; i < model.GPUsPerWorker; i += spec.GPUsPerTask {
+		aligned := spec.GPUsPerTask == 0 && s.GPUs == 0
+		for i := 0; i < model.GPUsPerWorker && spec.GPUsPerTask > 0; i += spec.GPUsPerTask {
 			aligned = aligned || s.GPUs == model.GPUMask((1<<spec.GPUsPerTask)-1)<<i
 		}
 		if !aligned {
@@ -177,7 +202,7 @@
 	var out []Worker
 	for r := range racks {
 		for w := range perRack {
-			out = append(out, Worker{ID: model.WorkerID(fmt.Sprintf("w%d%d", r, w)), Rack: fmt.Sprintf("r%d", r), Usable: true})
+			out = append(out, Worker{ID: model.WorkerID(fmt.Sprintf("w%d%d", r, w)), Rack: fmt.Sprintf("r%d", r), Usable: true, Cores: 16, MemoryMB: 32})
 		}
 	}
 	return out
--- a/decisions/plan/planner.go
+++ b/decisions/plan/planner.go
@@ -56,22 +56,25 @@
 
 // Planner holds the accelerators and the queue of one failure domain.
 type Planner struct {
-	domain     model.FailureDomain
-	opts       Options
-	policy     model.Preset
-	weights    int
-	accounts   map[model.AccountID]*account
-	jobs       map[model.JobID]*job
-	buckets    []*bucket
-	byClass    map[class]*bucket
-	workers    []Worker
-	changed    bool
-	version    uint64
-	topo       *cell.Topology
-	info       []Worker
-	totals     [3]int
-	coresUsed  []int
-	memUsed    []int
+	domain   model.FailureDomain
+	opts     Options
+	policy   model.Preset
+	weights  int
+	accounts map[model.AccountID]*account
+	jobs     map[model.JobID]*job
+	buckets  []*bucket
+	byClass  map[class]*bucket
+	workers  []Worker
+	changed  bool
+	version  uint64
+	topo     *cell.Topology
+	info     []Worker
+	totals   [3]int
+	usage    []usage
+	// on lists the running jobs of each worker, one entry per task.
+	on [][]*job
+	// least is the least load that tasks without accelerators leave on a worker.
+	least      load
 	owner      [][model.GPUsPerWorker]*job
 	reserved   []model.GPUMask
 	free       *cell.Inventory
@@ -178,7 +181,7 @@
 			p.totals[2] += w.MemoryMB
 		}
 	}
-	p.coresUsed, p.memUsed = make([]int, n), make([]int, n)
+	p.usage, p.on, p.least = make([]usage, n), make([][]*job, n), leastLeft(p.info)
 	p.owner, p.reserved = make([][model.GPUsPerWorker]*job, n), make([]model.GPUMask, n)
 	p.scratch = make([]model.GPUMask, n)
 	p.free, p.takeable = cell.NewInventory(p.topo), cell.NewInventory(p.topo)
@@ -241,6 +244,9 @@
 
 // charge records a running preemptible job against the guarantee of its account, if that covers it.
 func (p *Planner) charge(j *job) bool {
+	if j.Spec.GPUsPerTask == 0 {
+		return false
+	}
 	for i, s := range j.slots {
 		if !p.tracker.Allows(j.Spec.Account, s, true) {
 			for _, done := range j.slots[:i] {
--- a/decisions/plan/reserve.go
+++ b/decisions/plan/reserve.go
@@ -26,6 +26,13 @@
 	workers map[int]bool
 	list    []int
 	until   time.Time
+	// cores is true if the job also waits for the tasks without accelerators on its workers.
+	cores bool
+}
+
+// bars reports whether the reservation keeps a job of another bucket out that ends after it is due.
+func (r *reservation) bars(j *job) bool {
+	return r.bucket != j.bucket && (j.Spec.GPUsPerTask > 0 || r.cores)
 }
 
 func (r *reservation) valid(p *Planner) bool {
@@ -40,7 +47,7 @@
 // drained reports whether all workers of the reservation are free.
 func (r *reservation) drained(p *Planner) bool {
 	for _, w := range r.list {
-		if p.free.Mask(w).Count() < model.GPUsPerWorker {
+		if p.free.Mask(w).Count() < model.GPUsPerWorker || (r.cores && len(p.on[w]) > 0) {
 			return false
 		}
 	}
@@ -86,7 +93,7 @@
 	for _, b := range p.buckets {
 		q := b.acct.policy.QuotaGPUs
 		n := b.class.tasks * b.class.gpus
-		if n < largeGPUs || now.Before(b.noReserve) || (q > 0 && b.acct.gpus+n > q) {
+		if (n < largeGPUs && !p.beyondShare(b.class)) || now.Before(b.noReserve) || (q > 0 && b.acct.gpus+n > q) {
 			continue
 		}
 		if best == nil || b.head().Submitted.Before(best.head().Submitted) {
@@ -134,7 +141,7 @@
 			continue
 		}
 		if n := b.perWorker(p.info[w]); n > 0 {
-			out = append(out, drain{worker: w, at: p.freeAt(w, now), cap: n})
+			out = append(out, drain{worker: w, at: p.freeAt(w, p.beyondShare(b.class), now), cap: n})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b drain) int { return a.at.Compare(b.at) })
@@ -143,22 +150,16 @@
 
 // perWorker returns how many tasks of the bucket an empty worker holds.
 func (b *bucket) perWorker(w Worker) int {
-	n := model.GPUsPerWorker / b.class.gpus
-	if b.class.cores > 0 && w.Cores > 0 {
-		n = min(n, w.Cores/b.class.cores)
-	}
-	if b.class.mem > 0 && w.MemoryMB > 0 {
-		n = min(n, w.MemoryMB/b.class.mem)
-	}
-	return n
+	return tasksWithin(load{b.class.cores, b.class.mem}, w.total(), load{}, model.GPUsPerWorker/b.class.gpus)
 }
 
-// freeAt returns when all jobs of a worker are expected to have ended.
-func (p *Planner) freeAt(w int, now time.Time) time.Time {
+// freeAt returns when all jobs of a worker are expected to have ended; those without accelerators count only
+// if cores is true.
+func (p *Planner) freeAt(w int, cores bool, now time.Time) time.Time {
 	at := now
 	var last *job
-	for _, j := range p.owner[w] {
-		if j == nil || j == last {
+	for _, j := range p.on[w] {
+		if j == last || (j.Spec.GPUsPerTask == 0 && !cores) {
 			continue
 		}
 		last = j
@@ -171,7 +172,7 @@
 
 // targetIn selects the first workers in order that hold a job of the bucket without breaking a guarantee.
 func (p *Planner) targetIn(b *bucket, ds []drain) *reservation {
-	r := &reservation{bucket: b, workers: make(map[int]bool)}
+	r := &reservation{bucket: b, workers: make(map[int]bool), cores: p.beyondShare(b.class)}
 	left := b.class.tasks
 	for _, d := range ds {
 		if left <= 0 {
--- /dev/null
+++ b/decisions/plan/resources_test.go
@@ -0,0 +1,89 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/model"
+)
+
+func coreJob(id string, a model.AccountID, tasks, gpus, cores int, preemptible bool) Waiting {
+	w := waitingJob(id, a, tasks, gpus, preemptible)
+	w.Spec.CoresPerTask = cores
+	return w
+}
+
+// TestCoresLeaveAcceleratorsUsable guards against small tasks without accelerators that take the cores next
+// to free accelerators, and against such tasks on a worker of unknown cores.
+func TestCoresLeaveAcceleratorsUsable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPlanner(Options{}, workersOf(1, 2), map[model.AccountID]model.AccountPolicy{"b": {QuotaGPUs: 1}, "c": {}})
+	for i := range 40 {
+		p.Enqueue(coreJob(fmt.Sprintf("b%02d", i), "b", 1, 0, 1, false))
+	}
+	g.Expect(p.Round(epoch).Starts).To(gomega.HaveLen(2 * 8))
+	for i := range 20 {
+		p.Enqueue(coreJob(fmt.Sprintf("c%02d", i), "c", 1, 1, 1, false))
+	}
+	g.Expect(p.Round(epoch).Starts).To(gomega.HaveLen(2 * 8))
+
+	unknown := []Worker{{ID: "w0", Usable: true}}
+	p = newPlanner(Options{}, unknown, nil)
+	g.Expect(p.Check(coreJob("x", "b", 1, 0, 1, false).Spec)).To(gomega.MatchError(&failure.Error{Reason: failure.NeverFits}))
+	g.Expect(p.Check(coreJob("x", "b", 1, 0, 0, false).Spec)).To(gomega.MatchError(&failure.Error{Reason: failure.Malformed}))
+}
+
+// TestReclaimTakesCoresOfBorrowers guards against a guarantee that is not reclaimed because borrowers hold
+// the cores, whether they hold the accelerators or not, and against another start on those cores while they
+// leave (P1).
+func TestReclaimTakesCoresOfBorrowers(t *testing.T) {
+	for _, gpus := range []int{0, 4} {
+		g := gomega.NewWithT(t)
+		p := newPlanner(Options{}, workersOf(1, 1), map[model.AccountID]model.AccountPolicy{
+			"a": {Guarantees: guarantees(model.CellCount{Level: model.LevelWorker, Count: 1})}, "b": {},
+		})
+		p.Enqueue(coreJob("b1", "b", 1, gpus, 8, true))
+		p.Enqueue(coreJob("b2", "b", 1, 4, 8, true))
+		g.Expect(p.Round(epoch).Starts).To(gomega.HaveLen(2))
+		p.Enqueue(coreJob("a1", "a", 1, 8, 16, false))
+		g.Expect(p.Round(epoch).Preempts).To(gomega.HaveLen(2))
+		p.Enqueue(coreJob("b3", "b", 1, 0, 8, true))
+		p.Requeue("b1")
+		g.Expect(p.Round(epoch).Starts).To(gomega.BeEmpty())
+		p.Requeue("b2")
+		starts := p.Round(epoch).Starts
+		g.Expect(starts).To(gomega.HaveLen(1))
+		g.Expect(starts[0].Job).To(gomega.Equal(model.JobID("a1")))
+	}
+}
+
+// TestJobBeyondItsShareIsNotStarved guards against a stream of tasks without accelerators that keeps a job
+// waiting which needs more cores than its accelerators' share.
+func TestJobBeyondItsShareIsNotStarved(t *testing.T) {
+	p := newPlanner(Options{}, workersOf(1, 1), map[model.AccountID]model.AccountPolicy{"a": {}, "b": {}})
+	p.Enqueue(coreJob("first", "b", 1, 0, 2, true))
+	p.Round(epoch)
+	p.Enqueue(coreJob("wide", "a", 1, 1, 16, false))
+	running := []model.JobID{"first"}
+	for n := range 20 {
+		now := epoch.Add(time.Duration(n) * time.Hour)
+		w := coreJob(fmt.Sprintf("s%02d", n), "b", 1, 0, 2, true)
+		w.Submitted = now
+		p.Enqueue(w)
+		for _, s := range p.Round(now).Starts {
+			if s.Job == "wide" {
+				return
+			}
+			running = append(running, s.Job)
+		}
+		if len(running) > 1 || n == 5 {
+			p.Finish(running[0], now)
+			running = running[1:]
+		}
+	}
+	t.Fatal("the job with 16 cores did not start within 20 rounds")
+}
--- a/decisions/plan/round.go
+++ b/decisions/plan/round.go
@@ -88,7 +88,7 @@
 // tryBucket starts or holds one job of the bucket.
 func (p *Planner) tryBucket(b *bucket, now time.Time, r *Result) bool {
 	q := b.acct.policy.QuotaGPUs
-	if q > 0 && b.acct.gpus+b.class.tasks*b.class.gpus > q {
+	if n := b.class.tasks * b.class.gpus; q > 0 && n > 0 && b.acct.gpus+n > q {
 		return false
 	}
 	depth := 1
@@ -106,7 +106,7 @@
 // tryJob places a job: within the guarantee on free accelerators, else on any free ones, else within the
 // guarantee by preempting borrowers, else, if it is urgent, by preempting any borrowers that are not.
 func (p *Planner) tryJob(j *job, now time.Time, r *Result) bool {
-	guaranteed := p.tracker.Guaranteed(j.Spec.Account)
+	guaranteed := j.Spec.GPUsPerTask > 0 && p.tracker.Guaranteed(j.Spec.Account)
 	fixed := !j.Spec.Preemptible
 	if guaranteed && p.tryFree(j, now, r, search{covered: true, fixed: true}) {
 		return true
@@ -205,6 +205,7 @@
 			}
 		}
 	}
+	victims = append(victims, p.coreVictims(j, s)...)
 	for _, v := range victims {
 		p.refreshAll(v.slots)
 	}
--- a/decisions/plan/search.go
+++ b/decisions/plan/search.go
@@ -39,7 +39,7 @@
 
 func (p *Planner) newSearch(j *job, now time.Time) *search {
 	s := &search{p: p, j: j, now: now}
-	if p.res != nil && p.res.bucket != j.bucket && now.Add(p.estimate(j)).After(p.res.until) {
+	if p.res != nil && p.res.bars(j) && now.Add(p.estimate(j)).After(p.res.until) {
 		s.barred = p.res.workers
 	}
 	return s
@@ -47,6 +47,10 @@
 
 // find returns the slots of the gang, by task index.
 func (s *search) find() ([]cell.Slot, bool) {
+	if s.j.Spec.GPUsPerTask == 0 {
+		ok := s.findCores()
+		return s.slots, ok
+	}
 	inv, spec := s.inventory(), s.j.Spec
 	if inv.Total(spec.GPUsPerTask) < spec.Tasks || !s.guaranteeLeaves() {
 		return nil, false
@@ -122,19 +126,6 @@
 	return m
 }
 
-// room returns how many tasks the worker's cores and memory permit. In a search that takes from borrowers,
-// the resources of those are not counted as free, which is cautious.
-func (s *search) room(w int) int {
-	spec, info, n := s.j.Spec, s.p.info[w], model.GPUsPerWorker
-	if spec.CoresPerTask > 0 && info.Cores > 0 {
-		n = min(n, (info.Cores-s.p.coresUsed[w])/spec.CoresPerTask)
-	}
-	if spec.MemoryMBPerTask > 0 && info.MemoryMB > 0 {
-		n = min(n, (info.MemoryMB-s.p.memUsed[w])/spec.MemoryMBPerTask)
-	}
-	return max(0, n)
-}
-
 // blocksIn returns how many tasks fit on a worker.
 func (s *search) blocksIn(w int) int {
 	n := cell.Blocks(s.mask(w), s.j.Spec.GPUsPerTask)
