Send failure reasons between VMs by code

Cause: gob sent the number of a reason, and the numbers of two versions differ during a rolling upgrade that inserts a reason. Ruled out: text marshalling, which net/rpc's gob ignores. After: reasons travel by code; an unknown code becomes internal and keeps the outcome that was sent.

--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -129,6 +129,16 @@
 	return Internal, false
 }
 
+// GobEncode implements gob.GobEncoder. The code travels instead of the number, because the numbers of two
+// versions differ during a rolling upgrade.
+func (r Reason) GobEncode() ([]byte, error) { return []byte(r.Code()), nil }
+
+// GobDecode implements gob.GobDecoder. A code that this version does not know becomes Internal.
+func (r *Reason) GobDecode(code []byte) error {
+	*r, _ = ReasonOf(string(code))
+	return nil
+}
+
 // RetryReason is the typed cause of a retry. Each retry reason has one counter.
 type RetryReason uint8
 
