--- a/bench/slopes/holder.go
+++ b/bench/slopes/holder.go
@@ -71,7 +71,7 @@
 		workers.New(vm, d, dial, m).Spec(),
 		scheduler.New(d, m).Spec(),
 		kernel.Spec{Name: names.Dispatch, Service: &noDispatch{}},
-		kernel.Spec{Name: names.Authority, Service: n, After: []kernel.Name{names.Scheduler, names.Dispatch}},
+		kernel.Spec{Name: names.Authority, Service: n},
 	)
 	if err != nil {
 		return nil, errors.Wrap(err, "holder")
--- a/tests/process/pairs_test.go
+++ b/tests/process/pairs_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -117,7 +118,7 @@
 	t.Logf("%d jobs accepted; answers: %v", len(jobs), tally(answers))
 	for _, job := range jobs {
 		v := f.in(job.Domain)[0]
-		eventually(t, func() bool { return f.state(v, job)().Final() }).Should(gomega.BeTrue(), "job %s ends", job.ID)
+		eventually(t, func() bool { return f.state(v, job)().Final() }).Should(gomega.BeTrue(), func() string { return f.describe(v) })
 	}
 	f.checkAnswers(answers)
 	gomega.NewWithT(t).Expect(tally(answers)[failure.Run]).To(gomega.BeNumerically(">", 0))
@@ -126,6 +127,17 @@
 	}
 }
 
+// describe lists the jobs of a VM's failure domain.
+func (f *fleet) describe(v *daemon) string {
+	var jobs []model.Job
+	_, err := call(v.url+"/v1/jobs", nil, &jobs)
+	text := fmt.Sprintf("jobs of %s (%v):", v.domain, err)
+	for _, j := range jobs {
+		text += fmt.Sprintf("\n%s %s attempt %d, %s, submitted %s ago", j.ID, j.State, j.Attempt, j.Reason, time.Since(j.Submitted).Round(time.Second))
+	}
+	return text
+}
+
 // injectPair injects two different faults, heals them and lets the system recover.
 func (f *fleet) injectPair(random *rand.Rand) {
 	order := random.Perm(len(faults))[:2]
