--- a/cmd/verbenactl/main_test.go
+++ b/cmd/verbenactl/main_test.go
@@ -110,3 +110,17 @@
 		g.Expect(f).To(gomega.BeNil(), name)
 	}
 }
+
+// TestWaitShowsLastState guards against a job that is shown with the reason of an earlier state.
+func TestWaitShowsLastState(t *testing.T) {
+	g := gomega.NewWithT(t)
+	states := []model.Job{{ID: "a/1", State: model.JobQueued, Reason: "resources"}, {ID: "a/1", State: model.JobSucceeded}}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(states[0])
+		states = states[len(states)-1:]
+	}))
+	defer s.Close()
+	code, text := execute("--server", s.URL, "job", "submit", "--account", "acme", "--wait")
+	g.Expect(code).To(gomega.Equal(0), text)
+	g.Expect(text).NotTo(gomega.ContainSubstring("resources"))
+}
--- a/node/client/client.go
+++ b/node/client/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"reflect"
 	"strings"
 	"syscall"
 	"time"
@@ -136,6 +137,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return decodeFailure(server, resp.Status, text)
 	}
+	// Keys that the answer omits must not keep the values of an earlier answer.
+	if v := reflect.ValueOf(out); v.Kind() == reflect.Pointer && !v.IsNil() {
+		v.Elem().SetZero()
+	}
 	if err := json.Unmarshal(text, out); err != nil {
 		return &TransportError{Server: server, Outcome: failure.Unknown, Cause: err}
 	}
