--- a/node/demo/evidence.go
+++ b/node/demo/evidence.go
@@ -100,7 +100,7 @@
 		}
 	}
 	last := all[j.Attempt]
-	return fmt.Sprintf("workers: %d attempt(s), %d of %d tasks ran in attempt %d, epoch %s", len(all), last.ran, j.Spec.Tasks, j.Attempt, last.epoch), nil
+	return fmt.Sprintf("workers: %d attempt(s), %d of %d tasks ran in attempt %d under epoch %s", len(all), last.ran, j.Spec.Tasks, j.Attempt, last.epoch), nil
 }
 
 // runEvidence checks that the executors of all failure domains ran a request exactly once.
