Drain forwarded calls and keep shared connections through failures

Cause: peers ended its drain while net/rpc still wrote answers to other VMs, and new forwarded work was accepted until dispatch drained. One expired call closed the connection of all others, its response was written while it was read, and a refusal after a lost answer was reported as not run. Ruled out: a codec that counts answers; net/rpc already writes all of them at the end of its input, so a read deadline on each connection is enough.

--- a/services/dispatch/service.go
+++ b/services/dispatch/service.go
@@ -45,9 +45,11 @@
 	members    []model.Member
 	region     model.Region
 	slots      int
-	draining   bool
-	closing    bool
-	tenure     int
+	// leaving refuses new requests; draining also ends the service after those in progress.
+	leaving  bool
+	draining bool
+	closing  bool
+	tenure   int
 }
 
 // New returns the service of one failure domain.
@@ -66,6 +68,7 @@
 		After: []kernel.Name{names.Executors, names.Store, names.Peers, names.Authority},
 		Subscribes: []string{
 			message.KindAuthorityChanged, message.KindLogReplayed, message.KindMembersChanged, message.KindConfigChanged,
+			message.KindDrainStarted,
 		},
 	}
 }
@@ -87,6 +90,8 @@
 		s.setMembers(c, m)
 	case message.ConfigChanged:
 		s.limits.SetPolicies(m.Config.Current().Accounts)
+	case message.DrainStarted:
+		s.leaving = true
 	case message.SnapshotGet:
 		e.Reply(message.SnapshotReply{Records: encode(s.ledger.Snapshot())})
 	case message.IntentRecord, message.IntentQuery:
@@ -139,7 +144,7 @@
 }
 
 func (s *Service) issue(e kernel.Envelope, count int) {
-	if s.draining {
+	if s.leaving {
 		e.Fail(s.metrics.Refusal(drainingFailure()))
 		return
 	}
@@ -196,7 +201,7 @@
 
 // Drain implements kernel.Service. New requests are refused; requests in progress end first.
 func (s *Service) Drain(c *kernel.Context) {
-	s.draining = true
+	s.leaving, s.draining = true, true
 	s.checkDrained(c)
 }
 
--- a/services/dispatch/work.go
+++ b/services/dispatch/work.go
@@ -116,7 +116,7 @@
 
 func (s *Service) admit(r model.Request, now time.Time) *failure.Error {
 	switch {
-	case s.draining:
+	case s.leaving:
 		return drainingFailure()
 	case !now.Before(r.Deadline):
 		return failure.New(failure.DeadlineExceeded, "the deadline has passed").WithOutcome(failure.NotRun)
@@ -204,8 +204,13 @@
 func lostAttempt(err error) message.AttemptDone {
 	var full *kernel.MailboxFullError
 	var many *kernel.TooManyRequestsError
-	if errors.As(err, &full) || errors.As(err, &many) {
+	var unknown *kernel.UnknownServiceError
+	var stopped *kernel.StoppedError
+	switch {
+	case errors.As(err, &full), errors.As(err, &many):
 		return message.AttemptDone{Failure: failure.New(failure.Overloaded, "%v", err)}
+	case errors.As(err, &unknown), errors.As(err, &stopped):
+		return message.AttemptDone{Failure: failure.New(failure.NoExecutor, "%v", err)}
 	}
 	f := failure.From(err)
 	return message.AttemptDone{Sent: f.Outcome != failure.NotRun, Failure: f}
--- a/services/executors/service.go
+++ b/services/executors/service.go
@@ -94,9 +94,11 @@
 
 // Service runs attempts on executors within their slots.
 type Service struct {
-	dial     func(address string) executor.Client
-	metrics  *metrics.Set
-	holder   bool
+	dial    func(address string) executor.Client
+	metrics *metrics.Set
+	holder  bool
+	// leaving refuses the attempts of other VMs; draining refuses all.
+	leaving  bool
 	draining bool
 	running  int
 	backends map[model.ExecutorID]*backend
@@ -116,7 +118,7 @@
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{Name: names.Executors, Service: s, DrainTimeout: drainTimeout, Subscribes: []string{
-		message.KindMembersChanged, message.KindAuthorityChanged,
+		message.KindMembersChanged, message.KindAuthorityChanged, message.KindDrainStarted,
 	}}
 }
 
@@ -142,6 +144,8 @@
 		s.setExecutors(c, m.Executors)
 	case message.AuthorityChanged:
 		s.setHolder(c, m.Holder)
+	case message.DrainStarted:
+		s.leaving = true
 	case message.Attempt:
 		s.attempt(c, e, m)
 	case queueDue:
@@ -233,8 +237,10 @@
 	key, now := route.Call{Request: m.Request.ID, Attempt: m.Attempt}, time.Now()
 	_, duplicate := s.calls[key]
 	switch {
-	case s.draining:
-		s.refuse(e, failure.New(failure.Draining, "the VM is leaving"))
+	case s.draining, s.leaving && e.From == "":
+		f := failure.New(failure.Draining, "the VM is leaving")
+		f.RetryElsewhere = true
+		s.refuse(e, f)
 	case !s.holder:
 		s.refuse(e, failure.New(failure.NotHolder, "the VM does not hold its failure domain"))
 	case duplicate:
--- /dev/null
+++ b/services/peers/deliver.go
@@ -0,0 +1,213 @@
+package peers
+
+import (
+	"context"
+	"net/rpc"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// delivery is a message on its way to a VM.
+type delivery struct {
+	env     kernel.Envelope
+	forward message.Forward
+	// attempt counts from 1.
+	attempt int
+	// maybe is true if an earlier attempt may have been processed.
+	maybe bool
+}
+
+// fail ends a delivery. A failure of the last attempt says nothing about an earlier one that was lost.
+func (d delivery) fail(f *failure.Error) {
+	if d.maybe && f.Outcome == failure.NotRun {
+		f = f.WithOutcome(failure.Unknown)
+	}
+	d.env.Fail(f)
+}
+
+// forward delivers a message to a VM, or to the holder of a failure domain.
+func (s *Service) forward(c *kernel.Context, d delivery) {
+	target := d.forward.VM
+	if target == "" {
+		target = s.holderOf(d.forward.Domain)
+	}
+	switch target {
+	case "":
+		s.retry(c, d, failure.New(failure.NoHolder, "no holder of %s is known", d.forward.Domain))
+	case s.self.VM:
+		s.deliverLocal(c, d)
+	default:
+		s.deliverRemote(c, d, target)
+	}
+}
+
+func (s *Service) holderOf(d model.FailureDomain) model.VMID {
+	if s.holder && d == s.self.Domain {
+		return s.self.VM
+	}
+	var best model.Member
+	for _, m := range s.members {
+		if m.Domain == d && best.Holder.Less(m.Holder) {
+			best = m
+		}
+	}
+	return best.VM
+}
+
+func (s *Service) deliverLocal(c *kernel.Context, d delivery) {
+	c.Request(kernel.Name(d.forward.To), d.forward.Body, func(m kernel.Message, err error) {
+		if err != nil {
+			s.settle(c, d, failure.From(translate(err)))
+			return
+		}
+		d.env.Reply(m)
+	})
+}
+
+func (s *Service) deliverRemote(c *kernel.Context, d delivery, to model.VMID) {
+	if s.calls >= maxCalls {
+		d.fail(s.metrics.Refusal(failure.New(failure.Overloaded, "%d calls to other VMs are in flight", s.calls)))
+		return
+	}
+	if !s.circuit(to).allow(time.Now()) {
+		s.retry(c, d, failure.New(failure.HomeUnreachable, "%s does not answer", to))
+		return
+	}
+	s.calls++
+	l, address := s.links[to], s.members[to].Address
+	if l != nil {
+		l.calls++
+	}
+	done := callDone{delivery: d, vm: to, link: l}
+	req := Request{From: s.self.VM, To: d.forward.To, Body: d.forward.Body}
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		ctx, cancel := context.WithDeadline(ctx, d.forward.Deadline)
+		defer cancel()
+		if done.link == nil {
+			if done.link, done.err = dial(ctx, address); done.err != nil {
+				return done
+			}
+		}
+		req.Budget = time.Until(d.forward.Deadline)
+		done.response, done.sent, done.err = call(ctx, done.link.client, req)
+		return done
+	})
+}
+
+// call makes one remote call. sent is false if no byte of it was written. A response that arrives after the
+// end of ctx is written to memory that nobody reads.
+func call(ctx context.Context, client *rpc.Client, req Request) (resp Response, sent bool, err error) {
+	late := new(Response)
+	pending := client.Go(deliverMethod, req, late, make(chan *rpc.Call, 1))
+	select {
+	case <-pending.Done:
+		// A link is closed without calls only, so that this error tells of a connection that had ended before.
+		return *late, !errors.Is(pending.Error, rpc.ErrShutdown), pending.Error
+	case <-ctx.Done():
+		return Response{}, true, ctx.Err()
+	}
+}
+
+// finish takes the result of a remote delivery.
+func (s *Service) finish(c *kernel.Context, m callDone) {
+	s.calls--
+	defer s.checkDrained(c)
+	s.circuit(m.vm).record(m.err == nil || m.sent, time.Now())
+	s.release(m)
+	switch {
+	case m.err == nil && m.response.Failure != nil:
+		s.settle(c, m.delivery, m.response.Failure)
+	case m.err == nil:
+		m.env.Reply(m.response.Body)
+	default:
+		s.lost(c, m)
+	}
+}
+
+// lost continues a delivery that got no answer.
+func (s *Service) lost(c *kernel.Context, m callDone) {
+	f := failure.New(failure.HomeUnreachable, "%s: %v", m.vm, m.err)
+	m.maybe = m.maybe || m.sent
+	switch {
+	case !m.sent || m.forward.Idempotent:
+		s.retry(c, m.delivery, f)
+	case s.queryOutcome(c, m):
+	default:
+		m.fail(s.metrics.Refusal(f))
+	}
+}
+
+// settle answers with a failure, unless another delivery may succeed.
+func (s *Service) settle(c *kernel.Context, d delivery, f *failure.Error) {
+	if f.Reason == failure.NotHolder || f.Reason == failure.Draining && d.forward.VM == "" {
+		s.retry(c, d, f)
+		return
+	}
+	d.fail(f)
+}
+
+func (s *Service) retry(c *kernel.Context, d delivery, last *failure.Error) {
+	f := d.forward
+	if f.VM != "" || d.attempt >= maxForwards || time.Until(f.Deadline) < forwardDelay || !s.budget.Allow() {
+		d.fail(s.metrics.Refusal(last))
+		return
+	}
+	s.metrics.Retry(failure.RetryForward)
+	// Half of the delay is random, so that the callers of a lost holder do not return at the same time.
+	delay := forwardDelay/2 + time.Duration(s.random.Int64N(int64(forwardDelay/2)))
+	d.attempt++
+	c.After(delay, forwardDue{d})
+}
+
+// queryOutcome replaces a request whose answer was lost by questions for its outcome, which are safe to
+// repeat. It returns false if the message is no request. The holder does not run a request on a question.
+func (s *Service) queryOutcome(c *kernel.Context, m callDone) bool {
+	send, ok := m.forward.Body.(message.RequestSend)
+	if !ok || time.Until(m.forward.Deadline) < forwardDelay {
+		return false
+	}
+	f := m.forward
+	f.Body = message.RequestStatus{Request: send.Request.ID, Ticket: send.Ticket}
+	f.Idempotent = true
+	s.metrics.Retry(failure.RetryOutcomeQuery)
+	c.After(forwardDelay, queryDue{env: m.env, forward: f})
+	return true
+}
+
+// askOutcome asks once and repeats the question while the request is in progress, up to its deadline.
+func (s *Service) askOutcome(c *kernel.Context, q queryDue) {
+	c.Request(names.Peers, q.forward, func(reply kernel.Message, err error) {
+		status, ok := reply.(message.RequestReply)
+		switch {
+		case err == nil && ok && !status.Pending:
+			q.env.Reply(status)
+		case time.Until(q.forward.Deadline) >= forwardDelay && (err == nil || transient(failure.From(err).Reason)):
+			c.After(forwardDelay, q)
+		case err != nil:
+			f := failure.From(err)
+			if transient(f.Reason) {
+				f = f.WithOutcome(failure.Unknown)
+			}
+			q.env.Fail(s.metrics.Refusal(f))
+		default:
+			q.env.Fail(s.metrics.Refusal(failure.New(failure.DeadlineExceeded, "the request is in progress")))
+		}
+	})
+}
+
+// transient reports whether a later question may be answered.
+func transient(r failure.Reason) bool {
+	switch r {
+	case failure.HomeUnreachable, failure.NoHolder, failure.NotHolder, failure.NotFound, failure.Overloaded, failure.Draining, failure.DeadlineExceeded:
+		return true
+	default:
+		return false
+	}
+}
--- a/services/peers/errors.go
+++ b/services/peers/errors.go
@@ -13,11 +13,16 @@
 func translate(err error) error {
 	var full *kernel.MailboxFullError
 	var stopped *kernel.StoppedError
+	var unknown *kernel.UnknownServiceError
 	switch {
 	case errors.As(err, &full):
 		return failure.New(failure.Overloaded, "%v", err)
 	case errors.As(err, &stopped):
-		return failure.New(failure.Draining, "%v", err)
+		f := failure.New(failure.Draining, "%v", err)
+		f.RetryElsewhere = true
+		return f
+	case errors.As(err, &unknown):
+		return failure.New(failure.Internal, "%v", err).WithOutcome(failure.NotRun)
 	case errors.Is(err, context.DeadlineExceeded):
 		return failure.New(failure.DeadlineExceeded, "%v", err)
 	default:
--- /dev/null
+++ b/services/peers/peers_test.go
@@ -0,0 +1,219 @@
+package peers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// TestLostAnswer guards against a second delivery of a message that may not be repeated, and against a lost
+// answer that is reported as not run.
+func TestLostAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		body       kernel.Message
+		idempotent bool
+		reaches    string
+	}{
+		{"idempotent", message.TicketIssue{Count: 1}, true, "ticket_issue"},
+		{"request", message.RequestSend{}, false, "request_status"},
+		{"other", message.JobSubmit{}, false, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g, got := gomega.NewWithT(t), make(kinds, 8)
+			b := newVM(t, "b", nil, got.handle).run()
+			a := newVM(t, "a", []model.Member{cutting(t, b.member)}, nil).run()
+			_, f := a.send(test.body, test.idempotent, ample)
+			if test.reaches == "" {
+				g.Expect(f).NotTo(gomega.BeNil())
+				g.Expect(f.Outcome).To(gomega.Equal(failure.Unknown))
+				g.Expect(got).To(gomega.BeEmpty())
+				return
+			}
+			g.Expect(f).To(gomega.BeNil())
+			g.Expect(got).To(gomega.HaveLen(1))
+			g.Expect(<-got).To(gomega.Equal(test.reaches))
+		})
+	}
+}
+
+// TestLostThenRefused guards against a refusal of the second attempt that hides that the first one may have
+// been processed.
+func TestLostThenRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) { e.Fail(failure.New(failure.Overloaded, "")) }).run()
+	a := newVM(t, "a", []model.Member{cutting(t, b.member)}, nil).run()
+	_, f := a.send(message.TicketIssue{}, true, ample)
+	g.Expect(f.Reason).To(gomega.Equal(failure.Overloaded))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.Unknown))
+}
+
+// TestHolderChange guards against a call that fails because the holder changed while it was on its way.
+func TestHolderChange(t *testing.T) {
+	g, got := gomega.NewWithT(t), make(kinds, 8)
+	c := newVM(t, "c", nil, got.handle).run()
+	c.member.Holder.Store = 2
+	var a *vm
+	b := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) {
+		a.publish(message.MembersChanged{Members: []model.Member{c.member}})
+		e.Fail(failure.New(failure.NotHolder, "released"))
+	}).run()
+	a = newVM(t, "a", []model.Member{b.member}, nil).run()
+	m, f := a.send(message.JobSubmit{}, false, ample)
+	expectAnswer(g, m, f)
+	g.Expect(got).To(gomega.HaveLen(1))
+}
+
+// TestCircuit guards against calls that wait for an unreachable VM, and against a VM that stays shut out
+// after its return.
+func TestCircuit(t *testing.T) {
+	g, k, now := gomega.NewWithT(t), &circuit{}, time.Unix(0, 0)
+	for range circuitAfter {
+		g.Expect(k.allow(now)).To(gomega.BeTrue())
+		k.record(false, now)
+	}
+	g.Expect(k.allow(now.Add(probeEvery - 1))).To(gomega.BeFalse())
+	now = now.Add(probeEvery)
+	g.Expect(k.allow(now)).To(gomega.BeTrue(), "probe")
+	g.Expect(k.allow(now)).To(gomega.BeFalse(), "second probe")
+	k.record(false, now)
+	g.Expect(k.allow(now.Add(probeEvery - 1))).To(gomega.BeFalse())
+	g.Expect(k.allow(now.Add(probeEvery))).To(gomega.BeTrue())
+	k.record(true, now)
+	g.Expect(k.allow(now)).To(gomega.BeTrue())
+	g.Expect(k.allow(now)).To(gomega.BeTrue())
+}
+
+// TestUnreachableVM guards against a connect that fails and is reported as possibly processed.
+func TestUnreachableVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newVM(t, "b", nil, nil)
+	b.service.listener.Close()
+	a := newVM(t, "a", []model.Member{b.member}, nil).run()
+	_, f := a.send(message.JobSubmit{}, false, ample)
+	g.Expect(f.Reason).To(gomega.Equal(failure.HomeUnreachable))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
+}
+
+// TestDeadlineBudget guards against a deadline that is compared between the clocks of two VMs, and against
+// work that begins after its caller has left.
+func TestDeadlineBudget(t *testing.T) {
+	g, deadlines := gomega.NewWithT(t), make(chan time.Time, 2)
+	b := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) {
+		deadlines <- e.Body.(message.RequestSend).Request.Deadline
+		e.Reply(message.Done{})
+	}).run()
+	a := newVM(t, "a", []model.Member{b.member}, nil).run()
+	begin := time.Now()
+	m, f := a.send(message.RequestSend{}, false, time.Hour)
+	expectAnswer(g, m, f)
+	g.Expect(<-deadlines).To(gomega.BeTemporally("~", begin.Add(time.Hour), 30*time.Minute))
+	var resp Response
+	g.Expect((&endpoint{context.Background(), b.k}).Deliver(Request{To: "dispatch", Body: message.RequestSend{}}, &resp)).To(gomega.Succeed())
+	g.Expect(resp.Failure.Reason).To(gomega.Equal(failure.DeadlineExceeded))
+	g.Expect(resp.Failure.Outcome).To(gomega.Equal(failure.NotRun))
+	g.Expect(deadlines).To(gomega.BeEmpty())
+	resp = Response{}
+	g.Expect((&endpoint{context.Background(), b.k}).Deliver(Request{To: "dispatch", Budget: ample}, &resp)).To(gomega.Succeed())
+	g.Expect(resp.Failure.Reason).To(gomega.Equal(failure.Malformed))
+}
+
+// largeAnswer exceeds the socket buffers, so that an answer that is not awaited is cut off.
+const largeAnswer = 32 << 20
+
+// TestDrainWritesAnswers guards promise P8: a VM that shuts down writes the whole answers of the calls in
+// progress, and new calls are refused as not run.
+func TestDrainWritesAnswers(t *testing.T) {
+	g, held := gomega.NewWithT(t), make(chan kernel.Envelope, 1)
+	b := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) { held <- e }).run()
+	a := newVM(t, "a", []model.Member{b.member}, nil).run()
+	sizes := make(chan int, 1)
+	go func() {
+		m, _ := a.send(message.JobSubmit{}, false, ample)
+		reply, _ := m.(message.RequestReply)
+		sizes <- len(reply.Body)
+	}()
+	e := <-held
+	b.stop()
+	e.Reply(message.RequestReply{Body: make([]byte, largeAnswer)})
+	b.finish()
+	g.Expect(<-b.done).To(gomega.Succeed())
+	g.Expect(<-sizes).To(gomega.Equal(largeAnswer))
+	_, f := a.send(message.JobSubmit{}, false, ample)
+	g.Expect(f).NotTo(gomega.BeNil())
+	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
+}
+
+// TestStoppedServiceRefuses guards against a call that a stopping VM refuses without the hint to go elsewhere.
+func TestStoppedServiceRefuses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := failure.From(translate(&kernel.StoppedError{Name: "dispatch"}))
+	g.Expect(f.Reason).To(gomega.Equal(failure.Draining))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
+	g.Expect(f.RetryElsewhere).To(gomega.BeTrue())
+	f = failure.From(translate(&kernel.UnansweredError{Name: "dispatch"}))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.Unknown))
+}
+
+// TestBoundedCalls guards against calls without bound to a VM that does not answer.
+func TestBoundedCalls(t *testing.T) {
+	g, got := gomega.NewWithT(t), make(kinds, 8)
+	b := newVM(t, "b", nil, got.handle).run()
+	a := newVM(t, "a", []model.Member{b.member}, nil)
+	a.service.calls = maxCalls
+	a.run()
+	t.Cleanup(func() { a.service.calls = 0 })
+	_, f := a.send(message.JobSubmit{}, false, ample)
+	g.Expect(f.Reason).To(gomega.Equal(failure.Overloaded))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
+	g.Expect(got).To(gomega.BeEmpty())
+}
+
+// TestReplacedVM guards against calls to the old address of a VM that was replaced under the same name, and
+// against a replacement that cuts off a call in progress.
+func TestReplacedVM(t *testing.T) {
+	g, held, got := gomega.NewWithT(t), make(chan kernel.Envelope, 2), make(kinds, 8)
+	old := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) { held <- e }).run()
+	a := newVM(t, "a", []model.Member{old.member}, nil).run()
+	results := make(chan *failure.Error, 2)
+	send := func() { _, f := a.send(message.JobSubmit{}, false, ample); results <- f }
+	go send()
+	(<-held).Reply(message.Done{})
+	g.Expect(<-results).To(gomega.BeNil())
+	go send()
+	e := <-held
+	b := newVM(t, "b", nil, got.handle).run()
+	a.publish(message.MembersChanged{Members: []model.Member{b.member}})
+	m, f := a.send(message.JobSubmit{}, false, ample)
+	expectAnswer(g, m, f)
+	g.Expect(got).To(gomega.HaveLen(1))
+	e.Reply(message.Done{})
+	g.Expect(<-results).To(gomega.BeNil())
+}
+
+// TestExpiredCall guards against an expired call that cuts off the others of its connection, and against a
+// late answer that is written while its response is read.
+func TestExpiredCall(t *testing.T) {
+	g, held := gomega.NewWithT(t), make(chan kernel.Envelope, 4)
+	b := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) { held <- e }).run()
+	a := newVM(t, "a", []model.Member{b.member}, nil).run()
+	results := make(chan *failure.Error, 2)
+	send := func() { _, f := a.send(message.JobSubmit{}, false, ample); results <- f }
+	go send()
+	(<-held).Reply(message.Done{})
+	g.Expect(<-results).To(gomega.BeNil())
+	go send()
+	long := <-held
+	_, f := a.send(message.JobSubmit{}, false, 50*time.Millisecond)
+	g.Expect(f.Outcome).To(gomega.Equal(failure.Unknown))
+	(<-held).Reply(message.RequestReply{Body: make([]byte, 1<<20)})
+	long.Reply(message.Done{})
+	g.Expect(<-results).To(gomega.BeNil())
+}
--- a/services/peers/wire.go
+++ b/services/peers/wire.go
@@ -35,6 +35,14 @@
 
 // Deliver passes a message to a local service and returns its answer.
 func (p *endpoint) Deliver(req Request, resp *Response) error {
+	switch {
+	case req.Body == nil:
+		resp.Failure = failure.New(failure.Malformed, "the call has no message")
+		return nil
+	case req.Budget <= 0:
+		resp.Failure = failure.New(failure.DeadlineExceeded, "the caller no longer waits").WithOutcome(failure.NotRun)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(p.ctx, req.Budget)
 	defer cancel()
 	body := req.Body
