--- a/tests/scheduling/promises_test.go
+++ b/tests/scheduling/promises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"slices"
 	"testing"
 	"time"
@@ -101,6 +102,7 @@
 					}))
 				}
 				time.Sleep(30 * time.Second)
+				w.requireGauges(t, map[string]string{"gpus_used": "16", "gpus_free": "0", "gpus_borrowed": "16", "jobs_running": "4"})
 				asked := time.Now()
 				job := w.submitFor(t, "acme", model.JobSpec{Tasks: 2, GPUsPerTask: 4, RunTime: 20 * time.Second})
 				time.Sleep(reclaimBound)
@@ -117,6 +119,17 @@
 	}
 }
 
+// requireGauges guards against gauges that do not follow the state.
+func (w *world) requireGauges(t *testing.T, want map[string]string) {
+	t.Helper()
+	gauges := w.current().metrics.Var().(*expvar.Map).Get("gauges").(*expvar.Map)
+	for name, v := range want {
+		if got := gauges.Get(name); got == nil || got.String() != v {
+			t.Errorf("gauge %s is %v instead of %s", name, got, v)
+		}
+	}
+}
+
 // requireRunning requires that all n members of a job run by now.
 func (w *world) requireRunning(t *testing.T, job model.JobID, n int, asked time.Time) {
 	t.Helper()
@@ -239,3 +252,53 @@
 		}
 	})
 }
+
+// TestOutageHolderKeepsGangs guards against a holder without the log that stops running gangs because no
+// worker returned the record of their job.
+func TestOutageHolderKeepsGangs(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		job := w.mustSubmit(t, model.JobSpec{Tasks: 4, GPUsPerTask: 4, RunTime: time.Minute})
+		time.Sleep(5 * time.Second)
+		w.locked(func() { w.down, w.current().cut = true, true })
+		w.elect(false)
+		time.Sleep(2 * time.Minute)
+		succeeded := 0
+		for _, e := range w.history(t, job) {
+			if e.State == model.TaskStopped || e.Task.Attempt > 1 {
+				t.Fatalf("%v became %s", e.Task, e.State)
+			}
+			if e.State == model.TaskSucceeded {
+				succeeded++
+			}
+		}
+		if succeeded != 4 {
+			t.Fatalf("%d of 4 tasks succeeded", succeeded)
+		}
+	})
+}
+
+// TestLateReplayQueuesJobs guards against accepted jobs that wait until the next change of the holder because
+// the log could not be read when the holder took over.
+func TestLateReplayQueuesJobs(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		runs := w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 8, RunTime: time.Minute})
+		time.Sleep(time.Second)
+		waits := w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 8, RunTime: 10 * time.Second})
+		w.locked(func() { w.down, w.current().cut = true, true })
+		h := w.elect(false)
+		time.Sleep(20 * time.Second)
+		w.locked(func() { w.down = false })
+		replay := message.LogReplayed{Epoch: h.epoch, Sealed: true, Records: slices.Clone(w.records)}
+		for range 2 {
+			if err := h.kernel.Send(names.Scheduler, replay); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * time.Minute)
+		for _, job := range []model.JobID{runs, waits} {
+			if _, done := w.runTime(t, job); !done || w.history(t, job)[0].Task.Attempt != 1 {
+				t.Errorf("job %s did not succeed in its first attempt", job)
+			}
+		}
+	})
+}
