Keep the hold of a reclaim when workers or policy change

The next change of workers records all jobs anew, non-preemptible ones first. Holds dropped because the domain leaves were ruled out: the job asked when the domain returned.

Now holds are recorded before non-preemptible jobs that were outside the guarantee. A reclaim first records the account's non-preemptible jobs against its guarantee, so that it does not preempt others beyond it.

TestHoldSurvivesAChangeOfWorkers fails without the change (one run).

--- a/decisions/guarantee/query.go
+++ b/decisions/guarantee/query.go
@@ -57,3 +57,13 @@
 	}
 	return false
 }
+
+// Covers reports whether all accelerators of a task lie in cells pinned by the account.
+func (t *Tracker) Covers(a model.AccountID, s cell.Slot) bool {
+	for i, p := range t.pins[s.Worker] {
+		if s.GPUs&(1<<i) != 0 && (p == nil || p.account != a) {
+			return false
+		}
+	}
+	return true
+}
--- a/decisions/plan/planner.go
+++ b/decisions/plan/planner.go
@@ -130,13 +130,16 @@
 }
 
 // settle applies changes of workers and policy: it records all placed jobs anew in their order of start.
-// Non-preemptible jobs come first, so that the guarantees cover them before preemptible ones.
+// Non-preemptible jobs come first, so that the guarantees cover them before preemptible ones. Holding jobs
+// come before non-preemptible ones that were outside the guarantee: else those would take the cells of a hold
+// whose victims are already stopping, and the hold would be dropped.
 func (p *Planner) settle() {
 	if !p.changed {
 		return
 	}
 	p.changed = false
 	p.version++
+	covered := p.coveredJobs()
 	p.settleTopology()
 	p.settlePolicy()
 	for _, a := range p.accounts {
@@ -147,21 +150,41 @@
 	for _, j := range placed {
 		p.occupy(j)
 	}
-	for _, j := range placed {
-		if j.fixed {
-			p.recover(j)
-		}
-	}
+	p.recoverAll(placed, func(j *job) bool { return covered[j] })
 	holds := p.holds
 	p.holds = nil
 	for _, j := range holds {
 		p.restoreHold(j)
 	}
+	p.recoverAll(placed, func(j *job) bool { return !covered[j] && !j.Spec.Preemptible })
+	p.recoverAll(placed, func(j *job) bool { return j.Spec.Preemptible })
 	if p.res != nil && !p.res.valid(p) {
 		p.res = nil
 	}
 }
 
+// coveredJobs returns the non-preemptible running jobs that lie within the guarantee of their account.
+func (p *Planner) coveredJobs() map[*job]bool {
+	out := make(map[*job]bool)
+	for _, j := range p.jobs {
+		if j.phase == running && !j.Spec.Preemptible && !slices.ContainsFunc(j.slots, func(s cell.Slot) bool {
+			return !p.tracker.Covers(j.Spec.Account, s)
+		}) {
+			out[j] = true
+		}
+	}
+	return out
+}
+
+// recoverAll records the chosen fixed jobs anew.
+func (p *Planner) recoverAll(placed []*job, chosen func(*job) bool) {
+	for _, j := range placed {
+		if j.fixed && chosen(j) {
+			p.recover(j)
+		}
+	}
+}
+
 // settleTopology builds empty inventories for the current workers.
 func (p *Planner) settleTopology() {
 	if p.topo == nil {
@@ -229,10 +252,12 @@
 	return placed
 }
 
-// recover records a fixed job anew. A preemptible one that is no longer covered becomes a borrower.
+// recover records a fixed job anew. Covering a task never increases the deficit. A preemptible job that is no
+// longer covered becomes a borrower.
 func (p *Planner) recover(j *job) {
 	if !j.Spec.Preemptible {
 		for _, s := range j.slots {
+			p.tracker.Release(s)
 			p.tracker.Force(j.Spec.Account, s)
 		}
 		p.refreshAll(j.slots)
--- a/decisions/plan/resources_test.go
+++ b/decisions/plan/resources_test.go
@@ -87,3 +87,39 @@
 	}
 	t.Fatal("the job with 16 cores did not start within 20 rounds")
 }
+
+// TestHoldSurvivesAChangeOfWorkers guards against a reclaim that preempts borrowers for cells which the next
+// change of workers gives to another job of the account, so that the borrowers stopped in vain.
+func TestHoldSurvivesAChangeOfWorkers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ws := workersOf(1, 3)
+	p := newPlanner(Options{}, ws, map[model.AccountID]model.AccountPolicy{
+		"a": {Guarantees: guarantees(model.CellCount{Level: model.LevelWorker, Count: 1})}, "b": {},
+	})
+	for _, id := range []string{"b1", "b2", "b3"} {
+		p.Enqueue(waitingJob(id, "b", 1, 8, true))
+	}
+	g.Expect(p.Round(epoch).Starts).To(gomega.HaveLen(3))
+	p.Enqueue(waitingJob("a1", "a", 1, 8, true))
+	preempts := p.Round(epoch).Preempts
+	g.Expect(preempts).To(gomega.HaveLen(1))
+	for _, id := range []model.JobID{"b1", "b2"} {
+		if id != preempts[0].Job {
+			p.Finish(id, epoch)
+			break
+		}
+	}
+	p.Enqueue(waitingJob("a2", "a", 1, 8, false))
+	starts := p.Round(epoch).Starts
+	g.Expect(starts).To(gomega.HaveLen(1))
+	g.Expect(starts[0].Job).To(gomega.Equal(model.JobID("a2")))
+	changed := append([]Worker(nil), ws...)
+	changed[0].Cores++
+	p.SetWorkers(changed)
+	p.Round(epoch)
+	g.Expect(p.jobs["a1"].phase).To(gomega.Equal(holding))
+	p.Requeue(preempts[0].Job)
+	starts = p.Round(epoch).Starts
+	g.Expect(starts).To(gomega.HaveLen(1))
+	g.Expect(starts[0].Job).To(gomega.Equal(model.JobID("a1")))
+}
--- a/decisions/plan/round.go
+++ b/decisions/plan/round.go
@@ -215,14 +215,20 @@
 	return victims
 }
 
-// recharge records running borrowers of an account against its guarantee where that covers them now, so
-// that the account does not preempt its own jobs.
+// recharge records running jobs of an account against its guarantee where that covers them now, so that the
+// account does not preempt its own jobs. Non-preemptible ones come first, as in settle: a hold that counts on
+// cells which settle gives to them would be dropped there after its victims were preempted.
 func (p *Planner) recharge(a model.AccountID) {
 	acct := p.account(a)
 	if acct.recharged == p.version {
 		return
 	}
 	acct.recharged = p.version
+	for _, j := range acct.running {
+		if !j.Spec.Preemptible && !j.leaving {
+			p.recover(j)
+		}
+	}
 	for _, j := range acct.running {
 		if j.borrows() {
 			p.charge(j)
