Give victims of urgent jobs one second to checkpoint

Preempt.Grace tells the caller when to stop the victim without a checkpoint.

A reserve of free accelerators was not measured.

The scheduler service does not read Grace yet.

--- a/decisions/plan/plan.go
+++ b/decisions/plan/plan.go
@@ -57,8 +57,15 @@
 	Job    model.JobID
 	For    model.JobID
 	Reason Reason
+	// Grace is the longest time that the job may take to checkpoint before it is stopped; 0 means the usual
+	// time for a checkpoint.
+	Grace time.Duration
 }
 
+// UrgentGrace is the time that a job has to checkpoint when an urgent job needs its accelerators. Urgent work
+// must start within 2.1 s, which includes this time, the stop and the start of the gang.
+const UrgentGrace = time.Second
+
 // Move is a decision to checkpoint a running job and restart it elsewhere, so that the job in For fits.
 // The accelerators are reserved as for a Preempt; after its Requeue the moved job starts again as usual.
 type Move struct {
--- a/decisions/plan/round.go
+++ b/decisions/plan/round.go
@@ -197,8 +197,12 @@
 	if !ok {
 		return false
 	}
+	var grace time.Duration
+	if j.Spec.Urgent {
+		grace = UrgentGrace
+	}
 	for _, v := range p.hold(j, s) {
-		r.Preempts = append(r.Preempts, Preempt{Job: v.Job, For: j.Job, Reason: why})
+		r.Preempts = append(r.Preempts, Preempt{Job: v.Job, For: j.Job, Reason: why, Grace: grace})
 	}
 	p.startHolds(now, r)
 	return true
