Measure what a store outage costs in completion time

RunOutage stops all starts 2 s after the begin of an outage until its end, in virtual time, for 1, 5, 15 and 60 minutes against none.

TestRunOutage fails in a mutated copy in which starts go on in the outage.

--- a/bench/sim.go
+++ b/bench/sim.go
@@ -96,6 +96,7 @@
 	out      []bool
 	window   [2]time.Time
 	last     time.Time
+	outage   outage
 	m        measures
 }
 
@@ -215,6 +216,10 @@
 
 // round runs one round and applies its result.
 func (l *loop) round(d int) {
+	if l.blocked() {
+		l.touched[d] = false
+		return
+	}
 	begin := time.Now()
 	r := l.planners[d].Round(l.now)
 	l.m.rounds = append(l.m.rounds, time.Since(begin))
@@ -290,6 +295,7 @@
 			l.m.urgentLate++
 		}
 	}
+	l.outage.observe(j.Submitted, l.now)
 	l.m.completion = append(l.m.completion, l.now.Sub(j.Submitted).Seconds())
 }
 
