Measure a holder over whole intervals of its exchanges

Cause: after a burst of commands the exchanges of all workers coincide, so that a window of 3 s counted one or two of them per worker: 8.3 instead of 12.5 exchanges a second with 25 workers, and 16.7 after the start. Ruled out: another interval; a window of 4 s showed 12.5. After: the default window is 4 s, and the idle row begins after the first, shorter interval. Runs: go test ./bench/slopes ./cmd/verbenactl passes.

--- a/bench/slopes/parts.go
+++ b/bench/slopes/parts.go
@@ -76,18 +76,20 @@
 		return err
 	}
 	defer h.abort()
-	time.Sleep(settle)
+	time.Sleep(2 * settle) // The first interval of each worker is shorter than the others.
 	jobs := 0
 	for _, perWorker := range o.Tasks {
-		n := len(s.Workers) * perWorker
-		if err := h.submit(n-jobs, 1); err != nil {
-			return err
-		}
-		jobs = n
-		if err := h.await(min(n, len(s.Workers)*model.GPUsPerWorker)); err != nil {
-			return err
+		if n := len(s.Workers) * perWorker; n > jobs {
+			err := h.submit(n-jobs, 1)
+			if err == nil {
+				err = h.await(min(n, len(s.Workers)*model.GPUsPerWorker))
+			}
+			if err != nil {
+				return err
+			}
+			jobs = n
+			time.Sleep(settle)
 		}
-		time.Sleep(settle)
 		if err := o.holderRow(ctx, t, address, h, len(s.Workers), perWorker); err != nil {
 			return err
 		}
--- a/bench/slopes/slopes.go
+++ b/bench/slopes/slopes.go
@@ -71,9 +71,9 @@
 	return out
 }
 
-// defaultWindow keeps each part under a minute. It is longer than the 2 s between two exchanges with a worker,
-// which are spread evenly.
-const defaultWindow = 3 * time.Second
+// defaultWindow is a multiple of the 2 s between two exchanges with a worker: those of all workers can coincide,
+// so that a window of 3 s counted them once or twice. Each part takes about a minute.
+const defaultWindow = 4 * time.Second
 
 // defaultStoreDelay stands for a store that answers in milliseconds.
 const defaultStoreDelay = 5 * time.Millisecond
--- a/cmd/verbenactl/bench.go
+++ b/cmd/verbenactl/bench.go
@@ -53,7 +53,7 @@
 	csvOption
 	Parts           []string      `long:"part" choice:"holder" choice:"vms" choice:"store" choice:"appends" choice:"recovery" choice:"memory" choice:"requests" description:"measurement; by default all; may be given several times, as all sizes"`
 	Fleet           string        `long:"fleet" description:"address of a bench fleet in another process; by default the stand-ins run in this process and count"`
-	Window          time.Duration `long:"window" default:"3s" description:"length of one measurement"`
+	Window          time.Duration `long:"window" default:"4s" description:"length of one measurement"`
 	Repeat          int           `long:"repeat" default:"1" description:"runs of each part, of which the median is printed"`
 	Workers         []int         `long:"workers" description:"workers of the holder part"`
 	Tasks           []int         `long:"tasks" description:"known tasks per worker of the holder part, rising"`
