--- a/decisions/plan/planner.go
+++ b/decisions/plan/planner.go
@@ -56,22 +56,25 @@
 
 // Planner holds the accelerators and the queue of one failure domain.
 type Planner struct {
-	domain     model.FailureDomain
-	opts       Options
-	policy     model.Preset
-	weights    int
-	accounts   map[model.AccountID]*account
-	jobs       map[model.JobID]*job
-	buckets    []*bucket
-	byClass    map[class]*bucket
-	workers    []Worker
-	changed    bool
-	version    uint64
-	topo       *cell.Topology
-	info       []Worker
-	totals     [3]int
-	coresUsed  []int
-	memUsed    []int
+	domain   model.FailureDomain
+	opts     Options
+	policy   model.Preset
+	weights  int
+	accounts map[model.AccountID]*account
+	jobs     map[model.JobID]*job
+	buckets  []*bucket
+	byClass  map[class]*bucket
+	workers  []Worker
+	changed  bool
+	version  uint64
+	topo     *cell.Topology
+	info     []Worker
+	totals   [3]int
+	usage    []usage
+	// on lists the running jobs of each worker, one entry per task.
+	on [][]*job
+	// least is the least load that tasks without accelerators leave on a worker.
+	least      load
 	owner      [][model.GPUsPerWorker]*job
 	reserved   []model.GPUMask
 	free       *cell.Inventory
@@ -85,7 +88,10 @@
 	attempts   map[attempt]bool
 	attemptsOf uint64
 	probe      *Planner
-	fits       map[class]bool
+	// work counts the jobs that the current round tried.
+	work    int
+	maxWork int
+	fits    map[class]bool
 }
 
 // New returns a planner of one failure domain, without workers and policy.
@@ -96,7 +102,7 @@
 	p := &Planner{
 		domain: domain, opts: o, accounts: make(map[model.AccountID]*account),
 		jobs: make(map[model.JobID]*job), byClass: make(map[class]*bucket),
-		topo: cell.NewTopology(nil), changed: true,
+		topo: cell.NewTopology(nil), changed: true, maxWork: maxWork,
 	}
 	p.settle()
 	return p
@@ -127,13 +133,16 @@
 }
 
 // settle applies changes of workers and policy: it records all placed jobs anew in their order of start.
-// Non-preemptible jobs come first, so that the guarantees cover them before preemptible ones.
+// Non-preemptible jobs come first, so that the guarantees cover them before preemptible ones. Holding jobs
+// come before non-preemptible ones that were outside the guarantee: else those would take the cells of a hold
+// whose victims are already stopping, and the hold would be dropped.
 func (p *Planner) settle() {
 	if !p.changed {
 		return
 	}
 	p.changed = false
 	p.version++
+	covered := p.coveredJobs()
 	p.settleTopology()
 	p.settlePolicy()
 	for _, a := range p.accounts {
@@ -144,21 +153,41 @@
 	for _, j := range placed {
 		p.occupy(j)
 	}
-	for _, j := range placed {
-		if j.fixed {
-			p.recover(j)
-		}
-	}
+	p.recoverAll(placed, func(j *job) bool { return covered[j] })
 	holds := p.holds
 	p.holds = nil
 	for _, j := range holds {
 		p.restoreHold(j)
 	}
+	p.recoverAll(placed, func(j *job) bool { return !covered[j] && !j.Spec.Preemptible })
+	p.recoverAll(placed, func(j *job) bool { return j.Spec.Preemptible })
 	if p.res != nil && !p.res.valid(p) {
 		p.res = nil
 	}
 }
 
+// coveredJobs returns the non-preemptible running jobs that lie within the guarantee of their account.
+func (p *Planner) coveredJobs() map[*job]bool {
+	out := make(map[*job]bool)
+	for _, j := range p.jobs {
+		if j.phase == running && !j.Spec.Preemptible && !slices.ContainsFunc(j.slots, func(s cell.Slot) bool {
+			return !p.tracker.Covers(j.Spec.Account, s)
+		}) {
+			out[j] = true
+		}
+	}
+	return out
+}
+
+// recoverAll records the chosen fixed jobs anew.
+func (p *Planner) recoverAll(placed []*job, chosen func(*job) bool) {
+	for _, j := range placed {
+		if j.fixed && chosen(j) {
+			p.recover(j)
+		}
+	}
+}
+
 // settleTopology builds empty inventories for the current workers.
 func (p *Planner) settleTopology() {
 	if p.topo == nil {
@@ -178,7 +207,7 @@
 			p.totals[2] += w.MemoryMB
 		}
 	}
-	p.coresUsed, p.memUsed = make([]int, n), make([]int, n)
+	p.usage, p.on, p.least = make([]usage, n), make([][]*job, n), leastLeft(p.info)
 	p.owner, p.reserved = make([][model.GPUsPerWorker]*job, n), make([]model.GPUMask, n)
 	p.scratch = make([]model.GPUMask, n)
 	p.free, p.takeable = cell.NewInventory(p.topo), cell.NewInventory(p.topo)
@@ -226,10 +255,12 @@
 	return placed
 }
 
-// recover records a fixed job anew. A preemptible one that is no longer covered becomes a borrower.
+// recover records a fixed job anew. Covering a task never increases the deficit. A preemptible job that is no
+// longer covered becomes a borrower.
 func (p *Planner) recover(j *job) {
 	if !j.Spec.Preemptible {
 		for _, s := range j.slots {
+			p.tracker.Release(s)
 			p.tracker.Force(j.Spec.Account, s)
 		}
 		p.refreshAll(j.slots)
@@ -241,6 +272,9 @@
 
 // charge records a running preemptible job against the guarantee of its account, if that covers it.
 func (p *Planner) charge(j *job) bool {
+	if j.Spec.GPUsPerTask == 0 {
+		return false
+	}
 	for i, s := range j.slots {
 		if !p.tracker.Allows(j.Spec.Account, s, true) {
 			for _, done := range j.slots[:i] {
