--- a/decisions/ledger/ledger.go
+++ b/decisions/ledger/ledger.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// Replayed reports whether the ledger holds every record of the sealed log.
+func (l *Ledger) Replayed() bool { return l.replayed && l.sealed }
+
 // Merge takes records of earlier holders, in any order and number. Records of the own epoch are known already.
 func (l *Ledger) Merge(records []Record, now time.Time) {
 	for _, r := range records {
--- a/services/dispatch/service.go
+++ b/services/dispatch/service.go
@@ -93,7 +93,7 @@
 	case message.DrainStarted:
 		s.leaving = true
 	case message.SnapshotGet:
-		e.Reply(message.SnapshotReply{Records: encode(s.ledger.Snapshot())})
+		s.snapshot(e, m.Epoch)
 	case message.IntentRecord, message.IntentQuery:
 		s.serveShelf(e)
 	case message.TicketIssue, message.RequestSend, message.RequestStatus:
@@ -103,6 +103,15 @@
 	}
 }
 
+// snapshot answers with the whole ledger. A ledger without the records of the log must not replace them.
+func (s *Service) snapshot(e kernel.Envelope, epoch model.Epoch) {
+	if epoch != s.ledger.Epoch() || !s.ledger.Replayed() {
+		e.Fail(s.metrics.Refusal(failure.New(failure.NotHolder, "no whole state under epoch %s", epoch)))
+		return
+	}
+	e.Reply(message.SnapshotReply{Records: encode(s.ledger.Snapshot())})
+}
+
 // tick processes the service's own messages.
 func (s *Service) tick(c *kernel.Context, m kernel.Message) {
 	switch m := m.(type) {
--- a/tests/requests/requests_test.go
+++ b/tests/requests/requests_test.go
@@ -11,7 +11,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/api/testseed"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/standins/executor"
@@ -213,3 +215,20 @@
 		g.Expect(c.execs[0].PeakConns()).To(gomega.BeNumerically("<=", maxSlots+1))
 	})
 }
+
+// TestPartialLedgerGivesNoSnapshot guards against a snapshot that replaces the log with the state of a holder
+// that could not read it, which forgets the requests that ran.
+func TestPartialLedgerGivesNoSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, c := gomega.NewWithT(t), newCell(t, 1, time.Millisecond)
+		defer c.close()
+		g.Expect(c.send(&c.issue(1)[0], "", false, time.Second).outcome).To(gomega.Equal(failure.Run))
+		snapshot := func() error {
+			_, err := c.k.Call(context.Background(), names.Dispatch, message.SnapshotGet{Epoch: c.epoch})
+			return err
+		}
+		g.Expect(snapshot()).To(gomega.Succeed())
+		c.takeover(false)
+		g.Expect(snapshot()).NotTo(gomega.Succeed())
+	})
+}
