Count cores and memory of several moved jobs together

Cause: the check that all moved jobs fit elsewhere kept accelerators between the jobs, but neither cores nor memory, so two jobs could stop for room that only one of them finds. TestMovedJobsFitByCoresTogether fails without the change (two moves with 8 free cores); go test -race ./decisions/plan passes.

--- a/decisions/plan/reserve.go
+++ b/decisions/plan/reserve.go
@@ -313,7 +313,7 @@
 	return m, true
 }
 
-// fitElsewhere reports whether all jobs fit on free accelerators outside the target at once.
+// fitElsewhere reports whether all jobs fit on free accelerators, cores and memory outside the target at once.
 func (p *Planner) fitElsewhere(jobs []*job, target map[int]bool, now time.Time) bool {
 	ok := true
 	var done []*search
@@ -324,6 +324,7 @@
 		}
 		for _, x := range s.slots {
 			p.reserved[x.Worker] |= x.GPUs
+			p.usage[x.Worker] = p.usage[x.Worker].plus(s.j, 1)
 			p.refresh(x.Worker)
 		}
 		done = append(done, s)
@@ -331,6 +332,7 @@
 	for _, s := range done {
 		for _, x := range s.slots {
 			p.reserved[x.Worker] &^= x.GPUs
+			p.usage[x.Worker] = p.usage[x.Worker].plus(s.j, -1)
 			p.refresh(x.Worker)
 		}
 	}
--- a/decisions/plan/resources_test.go
+++ b/decisions/plan/resources_test.go
@@ -151,3 +151,23 @@
 		g.Expect(got).To(gomega.Equal(want))
 	}
 }
+
+// TestMovedJobsFitByCoresTogether guards against moves of two jobs of which only one finds cores elsewhere.
+func TestMovedJobsFitByCoresTogether(t *testing.T) {
+	for free, want := range map[int]int{8: 0, 16: 2} {
+		g := gomega.NewWithT(t)
+		p := NewWith("d", Options{})
+		ws := workersOf(1, 3)
+		ws[2].Cores = free
+		p.SetWorkers(ws)
+		p.SetPolicy(model.Preset{Defragment: true, Accounts: map[model.AccountID]model.AccountPolicy{"a": {}, "b": {}}})
+		for i := range 2 {
+			w := coreJob(fmt.Sprintf("b%d", i), "b", 1, 1, 8, true)
+			w.Spec.RunTime = 10 * time.Hour
+			p.Adopt(w, model.Placement{{Worker: model.WorkerID(fmt.Sprintf("w0%d", i)), GPUs: 1}}, epoch)
+		}
+		p.Adopt(waitingJob("c", "b", 1, 1, false), model.Placement{{Worker: "w02", GPUs: 1}}, epoch)
+		p.Enqueue(waitingJob("a1", "a", 2, 8, false))
+		g.Expect(p.Round(epoch.Add(2*time.Hour)).Moves).To(gomega.HaveLen(want), "%d free cores", free)
+	}
+}
