--- a/decisions/route/route.go
+++ b/decisions/route/route.go
@@ -2,7 +2,6 @@
 package route
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -40,10 +39,16 @@
 // Table holds the executors of a failure domain. It is not safe for concurrent use.
 type Table struct {
 	executors map[model.ExecutorID]*Executor
+	choose    Policy
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{executors: make(map[model.ExecutorID]*Executor)} }
+// NewTable returns an empty table that chooses by LeastExpected.
+func NewTable() *Table { return NewTableWith(LeastExpected) }
+
+// NewTableWith returns an empty table with another choice policy.
+func NewTableWith(p Policy) *Table {
+	return &Table{executors: make(map[model.ExecutorID]*Executor), choose: p}
+}
 
 // Add adds an executor, or updates whether the VM list calls it leaving.
 func (t *Table) Add(id model.ExecutorID, leaving bool) {
@@ -88,31 +93,24 @@
 	return e.failures < ejectAfter || e.inFlight == 0 && now.Sub(e.failedAt) >= probeAfter
 }
 
-// score estimates the time to an answer: the mean latency times the attempts before and including this one.
-func (e *Executor) score() time.Duration {
-	return max(e.latency, time.Microsecond) * time.Duration(e.inFlight+1)
-}
-
-// Acquire takes a slot of the executor with the lowest expected time to an answer that is not in avoid;
-// ties go to the lowest identifier. It returns false if there is none.
+// Acquire takes a slot of an executor that is not in avoid. It returns false if there is none.
 func (t *Table) Acquire(avoid []model.ExecutorID, now time.Time) (model.ExecutorID, bool) {
-	var best model.ExecutorID
+	var free []Candidate
 	for id, e := range t.executors {
-		if !e.accepts(now) || !e.healthy(now) || e.inFlight >= e.slots || slices.Contains(avoid, id) {
-			continue
-		}
-		if best == "" || cmp.Or(cmp.Compare(e.score(), t.executors[best].score()), cmp.Compare(id, best)) < 0 {
-			best = id
+		if e.accepts(now) && e.healthy(now) && e.inFlight < e.slots && !slices.Contains(avoid, id) {
+			free = append(free, Candidate{ID: id, InFlight: e.inFlight, Latency: e.latency})
 		}
 	}
-	if best == "" {
+	if len(free) == 0 {
 		return "", false
 	}
-	t.executors[best].inFlight++
-	return best, true
+	id := t.choose(free)
+	t.executors[id].inFlight++
+	return id, true
 }
 
-// Release gives a slot back. failed tells that the executor did not answer properly.
+// Release gives a slot back. failed tells that the executor did not answer properly. A failure that is faster
+// than the mean does not lower it, because it would draw further attempts to the failing executor.
 func (t *Table) Release(id model.ExecutorID, failed bool, took time.Duration, now time.Time) {
 	e, ok := t.executors[id]
 	if !ok {
@@ -124,7 +122,7 @@
 	} else {
 		e.failures = 0
 	}
-	if took > 0 {
+	if took > 0 && (!failed || took > e.latency) {
 		e.latency += time.Duration(weight * float64(took-e.latency))
 	}
 }
--- a/decisions/route/route_test.go
+++ b/decisions/route/route_test.go
@@ -84,3 +84,20 @@
 		t.Fatalf("second probe on %q", id)
 	}
 }
+
+// TestFastFailuresDrawNoWork guards against an executor that fails some attempts fast and is preferred for it.
+func TestFastFailuresDrawNoWork(t *testing.T) {
+	table, now := NewTable(), time.Unix(1, 0)
+	for i := range 2 {
+		id := model.ExecutorID(fmt.Sprint("e", i))
+		table.Add(id, false)
+		table.Notice(id, false, Slots, now)
+		table.Acquire([]model.ExecutorID{"e0", "e1"}[1-i:2-i], now)
+		table.Release(id, false, time.Second, now)
+	}
+	table.Acquire([]model.ExecutorID{"e0"}, now)
+	table.Release("e1", true, time.Millisecond, now)
+	if id, _ := table.Acquire(nil, now); id != "e0" {
+		t.Fatalf("chose %q", id)
+	}
+}
