Test requests across failure domains, account limits and outage copies

Cause: no service test covered attempts in other failure domains, limits inside dispatch, or the copies of outage records for a VM that appears later.

--- a/tests/requests/harness_test.go
+++ b/tests/requests/harness_test.go
@@ -36,6 +36,9 @@
 	log     []message.LogRecord
 	sealed  model.Epoch
 	noPeers bool
+	// forwards are the messages for other VMs. remote answers the attempts; nil means that no VM runs any.
+	forwards []message.Forward
+	remote   func(message.Forward) message.AttemptDone
 }
 
 // control runs on the goroutine of the fake.
@@ -86,15 +89,25 @@
 	}
 	switch m.Body.(type) {
 	case message.IntentRecord:
-		c.Request(names.Store, control{func(_ *kernel.Context, f *fake) { p.record(e, f) }}, func(kernel.Message, error) {})
+		c.Request(names.Store, control{func(_ *kernel.Context, f *fake) { p.record(e, m, f) }}, func(kernel.Message, error) {})
 	case message.IntentQuery:
 		e.Reply(message.IntentReply{})
 	default:
+		c.Request(names.Store, control{func(_ *kernel.Context, f *fake) { p.attempt(e, m, f) }}, func(kernel.Message, error) {})
+	}
+}
+
+func (p *peer) attempt(e kernel.Envelope, m message.Forward, f *fake) {
+	f.forwards = append(f.forwards, m)
+	if f.remote == nil {
 		e.Fail(failure.New(failure.NoHolder, "no other failure domain"))
+		return
 	}
+	e.Reply(f.remote(m))
 }
 
-func (p *peer) record(e kernel.Envelope, f *fake) {
+func (p *peer) record(e kernel.Envelope, m message.Forward, f *fake) {
+	f.forwards = append(f.forwards, m)
 	if f.noPeers {
 		e.Fail(failure.New(failure.HomeUnreachable, "partition"))
 		return
