Refuse an unknown scenario of bench policies as a usage error

Cause: it ended with 1, the code of a failed measurement. After: exit code 2, as for the other refused flags; seen by running the command with an unknown scenario.

--- a/cmd/verbenactl/bench.go
+++ b/cmd/verbenactl/bench.go
@@ -24,7 +24,7 @@
 type benchPolicies struct {
 	app *app
 	csvOption
-	Scenarios []string  `long:"scenario" description:"size: today, large-7 or large-1; may be given several times"`
+	Scenarios []string  `long:"scenario" choice:"today" choice:"large-7" choice:"large-1" description:"size; may be given several times"`
 	Seeds     []uint64  `long:"seed" description:"seed of the drawn jobs; may be given several times"`
 	Loads     []float64 `long:"offered" description:"offered load as part of the capacity; may be given several times"`
 }
