--- a/cmd/verbenactl/bench.go
+++ b/cmd/verbenactl/bench.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/verbenaflow/verbenaflow/bench"
+	"github.com/verbenaflow/verbenaflow/bench/routing"
 	"github.com/verbenaflow/verbenaflow/bench/slopes"
 	"github.com/verbenaflow/verbenaflow/node/logging"
 )
@@ -48,6 +49,22 @@
 	return bench.RunRounds(o.app.out, o.Steps)
 }
 
+type benchOutage struct {
+	app *app
+	csvOption
+}
+
+// Execute implements flags.Commander.
+func (o *benchOutage) Execute([]string) error { return bench.RunOutage(o.app.out, o.CSV) }
+
+type benchRouting struct {
+	app *app
+	csvOption
+}
+
+// Execute implements flags.Commander.
+func (o *benchRouting) Execute([]string) error { return routing.RunRouting(o.app.out, o.CSV) }
+
 type benchSlopes struct {
 	app *app
 	csvOption
@@ -131,6 +148,8 @@
 	return []node{
 		{name: "policies", help: "compare queue and placement policies in virtual time", command: &benchPolicies{app: a}},
 		{name: "rounds", help: "measure planner rounds at 1,200 workers", command: &benchRounds{app: a}},
+		{name: "outage", help: "measure what outages of the store cost in completion time", command: &benchOutage{app: a}},
+		{name: "routing", help: "compare policies for the choice of an executor", command: &benchRouting{app: a}},
 		{name: "slopes", help: "measure cost per worker, job and entry VM. Exit codes: 0 complete, 1 a measurement failed, 2 usage", command: &benchSlopes{app: a}},
 		{name: "fleet", help: "run stand-in workers and a store for bench slopes until SIGTERM", command: &benchFleet{app: a}},
 	}
--- a/cmd/verbenactl/job.go
+++ b/cmd/verbenactl/job.go
@@ -16,7 +16,9 @@
 	Account     string        `long:"account" required:"true" description:"client account"`
 	Domain      string        `long:"domain" description:"failure domain; by default that of the entry VM"`
 	Tasks       int           `long:"tasks" default:"1" description:"gang size"`
-	GPUs        int           `long:"gpus" default:"1" description:"adjacent accelerators per task: 1, 2, 4 or 8"`
+	GPUs        int           `long:"gpus" default:"1" description:"adjacent accelerators per task: 1, 2, 4 or 8, or 0 for a task that needs processors only"`
+	Cores       int           `long:"cores" description:"processor cores per task"`
+	MemoryMB    int           `long:"memory-mb" description:"memory per task in MB"`
 	Within      string        `long:"within" description:"smallest cell that contains the gang"`
 	RunTime     time.Duration `long:"run-time" default:"1m" description:"declared run time"`
 	Preemptible bool          `long:"preemptible" description:"permit use beyond the guarantee"`
@@ -30,7 +32,7 @@
 func (o *jobSubmit) Execute([]string) error {
 	spec := model.JobSpec{
 		Account: model.AccountID(o.Account), Domain: model.FailureDomain(o.Domain),
-		Tasks: o.Tasks, GPUsPerTask: o.GPUs, Within: model.Level(o.Within), RunTime: o.RunTime,
+		Tasks: o.Tasks, GPUsPerTask: o.GPUs, CoresPerTask: o.Cores, MemoryMBPerTask: o.MemoryMB, Within: model.Level(o.Within), RunTime: o.RunTime,
 		Preemptible: o.Preemptible, Urgent: o.Urgent, Key: o.Key, Command: o.Command,
 	}
 	var j model.Job
