Pass cores to the planner and follow its bounds of checkpoints and rounds

Cause: the planner did not learn the cores and memory of the workers, so that jobs without accelerators were refused as never_fits. A round that reached its bound of 96 jobs left the rest to the next event. The bound of a victim's checkpoint was decided in two places. Changes: updateWorkers passes the totals of the VM list; a round with Result.More requests the next one; a victim is stopped after Preempt.Grace where that is set. A moved job has no Grace and keeps 1 s for an urgent job. Before: with 100 jobs on 13 workers the starts were spread over 500 ms; a gang without accelerators was refused. Mutated copies, each run once: Grace ignored, More ignored and cores not passed each fail their test.

--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -19,10 +19,8 @@
 	roundEvery = time.Minute
 	// resendDelay is the delay after commands were refused by a full mailbox.
 	resendDelay = 50 * time.Millisecond
-	// checkpointBound and urgentCheckpointBound bound a checkpoint before the job is stopped anyway. Urgent
-	// work starts within 2.1 s, of which the stop and the start in two steps need up to 0.5 s.
-	checkpointBound       = 10 * time.Second
-	urgentCheckpointBound = time.Second
+	// checkpointBound bounds a checkpoint before the job is stopped anyway, unless the planner grants less.
+	checkpointBound = 10 * time.Second
 	// preemptibleGrace and othersGrace are the times for which jobs run on in a failure domain that
 	// operators have taken out.
 	preemptibleGrace = 30 * time.Second
@@ -157,11 +155,18 @@
 	}
 	for _, p := range r.Preempts {
 		s.reserved[p.For] = true
-		s.preempt(c, p.Job, p.For, now)
+		bound := checkpointBound
+		if p.Grace > 0 {
+			bound = p.Grace
+		}
+		s.preempt(c, p.Job, bound, now)
 	}
 	for _, m := range r.Moves {
 		s.reserved[m.For] = true
-		s.preempt(c, m.Job, m.For, now)
+		s.preempt(c, m.Job, s.moveBound(m.For), now)
+	}
+	if r.More {
+		s.requestRound(c)
 	}
 	s.reportShortfall(r.Shortfall)
 	s.planNextRound(c)
@@ -190,7 +195,9 @@
 	ws := make([]plan.Worker, 0, len(s.order))
 	for _, id := range s.order {
 		w := s.workers[id]
-		ws = append(ws, plan.Worker{ID: id, Rack: w.rack, Usable: w.reported && s.tracker.Usable(id, now)})
+		ws = append(ws, plan.Worker{
+			ID: id, Rack: w.rack, Usable: w.reported && s.tracker.Usable(id, now), Cores: w.cores, MemoryMB: w.memoryMB,
+		})
 	}
 	s.planner.SetWorkers(ws)
 	if at, waits := s.tracker.NextProbe(now); waits && !at.Equal(s.probeAt) {
@@ -227,8 +234,16 @@
 	s.follow(c, j, now)
 }
 
-// preempt checkpoints and stops a job so that another can start.
-func (s *Service) preempt(c *kernel.Context, id, waiting model.JobID, now time.Time) {
+// moveBound returns the bound of the checkpoint of a job that is moved for a waiting one.
+func (s *Service) moveBound(waiting model.JobID) time.Duration {
+	if w := s.jobs[waiting]; w != nil && w.Spec.Urgent {
+		return plan.UrgentGrace
+	}
+	return checkpointBound
+}
+
+// preempt checkpoints a job, for at most bound, and stops it so that another can start.
+func (s *Service) preempt(c *kernel.Context, id model.JobID, bound time.Duration, now time.Time) {
 	j := s.jobs[id]
 	if j == nil || j.gang == nil {
 		s.planner.Remove(id) // It occupies nothing, and the planner would wait for its end.
@@ -238,10 +253,6 @@
 		}
 		return
 	}
-	bound := checkpointBound
-	if w := s.jobs[waiting]; w != nil && w.Spec.Urgent {
-		bound = urgentCheckpointBound
-	}
 	s.checkpoint(c, j, bound, now)
 }
 
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -42,6 +42,8 @@
 // workerState is what the service knows of a worker.
 type workerState struct {
 	rack string
+	// cores and memoryMB are the totals of the worker; 0 means unknown.
+	cores, memoryMB int
 	// reported is true once a full report has arrived under the epoch and the worker is not lost.
 	reported bool
 	lost     bool
@@ -237,7 +239,8 @@
 		if s.workers[id] == nil {
 			s.workers[id] = &workerState{}
 		}
-		s.workers[id].rack = vm.Rack
+		w := s.workers[id]
+		w.rack, w.cores, w.memoryMB = vm.Rack, vm.Cores, vm.MemoryMB
 	}
 	for id := range s.workers {
 		if !known[id] {
--- a/tests/scheduling/directed_test.go
+++ b/tests/scheduling/directed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,6 +102,95 @@
 	}
 }
 
+// TestUrgentGangPreemptsInTime guards against an urgent gang that waits for the checkpoints of several victims,
+// both outside and within the guarantee of its account (P1).
+func TestUrgentGangPreemptsInTime(t *testing.T) {
+	for _, guaranteed := range []bool{false, true} {
+		t.Run(fmt.Sprint("guaranteed=", guaranteed), func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				victims := model.AccountID("acme")
+				if guaranteed {
+					w.guarantee()
+					victims = "guest"
+				}
+				for _, c := range w.clients {
+					if err := c.SetFaults(context.Background(), standin.Faults{StuckCheckpoints: true}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for range 4 {
+					w.submitFor(t, victims, model.JobSpec{Tasks: 2, GPUsPerTask: 2, RunTime: time.Hour, Preemptible: true})
+				}
+				time.Sleep(10 * time.Second)
+				w.requireGauges(t, map[string]string{"gpus_free": "0", "jobs_running": "4"})
+				asked := time.Now()
+				urgent := w.mustSubmit(t, model.JobSpec{Tasks: 2, GPUsPerTask: 4, RunTime: time.Minute, Urgent: true})
+				time.Sleep(urgentWithin)
+				w.requireRunning(t, urgent, 2, asked)
+			})
+		})
+	}
+}
+
+// TestLongQueueStartsAtOnce guards against jobs that wait for the next event because one round of the planner
+// tries at most 96.
+func TestLongQueueStartsAtOnce(t *testing.T) {
+	inWorld(t, 13, func(t *testing.T, w *world) {
+		w.setOut(true)
+		time.Sleep(time.Second)
+		var jobs []model.JobID
+		for range 100 {
+			jobs = append(jobs, w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 1, RunTime: time.Hour}))
+		}
+		w.setOut(false)
+		time.Sleep(2 * time.Second)
+		var first, last time.Time
+		for _, job := range jobs {
+			h := w.history(t, job)
+			if len(h) == 0 {
+				t.Fatalf("job %s did not start", job)
+			}
+			if first.IsZero() || h[0].at.Before(first) {
+				first = h[0].at
+			}
+			if h[0].at.After(last) {
+				last = h[0].at
+			}
+		}
+		if d := last.Sub(first); d > 100*time.Millisecond { // The next event is a confirmation after 500 ms.
+			t.Fatalf("the starts were spread over %v", d)
+		}
+	})
+}
+
+// TestGangWithoutAccelerators guards against jobs without accelerators that never start, because the planner
+// does not learn the cores of the workers, or that occupy accelerators.
+func TestGangWithoutAccelerators(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.mustSubmit(t, model.JobSpec{Tasks: 2, GPUsPerTask: 8, RunTime: time.Hour})
+		time.Sleep(5 * time.Second)
+		// Half of the 30 cores of a worker are for tasks without accelerators.
+		job := w.mustSubmit(t, model.JobSpec{Tasks: 20, CoresPerTask: 1, RunTime: 10 * time.Second})
+		time.Sleep(20 * time.Second)
+		succeeded := map[model.WorkerID]int{}
+		for _, e := range w.history(t, job) {
+			if e.GPUs != 0 || e.Task.Attempt != 1 {
+				t.Errorf("%v became %s on accelerators %b", e.Task, e.State, e.GPUs)
+			}
+			if e.State == model.TaskSucceeded {
+				succeeded[e.worker]++
+			}
+		}
+		if succeeded["w0"]+succeeded["w1"] != 20 || max(succeeded["w0"], succeeded["w1"]) > 15 {
+			t.Errorf("tasks that succeeded: %v", succeeded)
+		}
+		m, err := w.current().call(message.JobStatus{Job: job})
+		if err != nil || m.(message.JobReply).Job.State != model.JobSucceeded {
+			t.Errorf("job %+v, error %v", m, err)
+		}
+	})
+}
+
 // TestWaitingStartExpires guards against a start that was allowed and reaches its worker after the
 // configuration has become stale (P3).
 func TestWaitingStartExpires(t *testing.T) {
--- a/tests/scheduling/world_test.go
+++ b/tests/scheduling/world_test.go
@@ -98,7 +98,9 @@
 	for i := range n {
 		id := fmt.Sprint("w", i)
 		specs = append(specs, kernel.Spec{Name: kernel.Name(id), Service: standin.New()})
-		w.vms = append(w.vms, model.VM{ID: id, Role: model.RoleWorker, Domain: domain, Rack: "r", Address: id})
+		w.vms = append(w.vms, model.VM{
+			ID: id, Role: model.RoleWorker, Domain: domain, Rack: "r", Address: id, Cores: 30, MemoryMB: 64_000,
+		})
 	}
 	k, err := kernel.New(nil, specs...)
 	if err != nil {
