--- a/services/scheduler/journal.go
+++ b/services/scheduler/journal.go
@@ -251,12 +251,17 @@
 	s.settleWaiters(func(*waiter) (bool, *failure.Error) { return true, f })
 }
 
-// snapshot answers with one record per job. Unconfirmed jobs never run and are left out.
+// snapshot answers with one record per job. Unconfirmed jobs never run and are left out. A state that was
+// rebuilt without the log gives none, because a snapshot replaces the log.
 func (s *Service) snapshot(e kernel.Envelope, m message.SnapshotGet) {
 	if m.Epoch != s.epoch || s.epoch.IsZero() || s.recovery != nil {
 		e.Fail(s.metrics.Refusal(failure.New(failure.NotHolder, "no state under epoch %s", m.Epoch)))
 		return
 	}
+	if s.log.partial {
+		e.Fail(s.metrics.Refusal(failure.New(failure.StoreUnavailable, "the log of %s was not read", s.domain)))
+		return
+	}
 	s.log.snapshots++
 	var out message.SnapshotReply
 	for _, j := range s.jobs {
--- a/tests/scheduling/journal_test.go
+++ b/tests/scheduling/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,30 @@
 	}
 }
 
+// TestPartialStateGivesNoSnapshot guards against accepted jobs that are lost because a holder that could not read
+// the log gives its state as a snapshot, which replaces the log.
+func TestPartialStateGivesNoSnapshot(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 8, RunTime: time.Hour})
+		time.Sleep(time.Second)
+		w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 8, RunTime: time.Hour})
+		w.locked(func() { w.current().cut = true })
+		h := w.elect(false)
+		time.Sleep(10 * time.Second)
+		if m, err := h.call(message.SnapshotGet{Epoch: h.epoch}); failure.From(err).Reason != failure.StoreUnavailable {
+			t.Fatalf("snapshot %+v, error %v", m, err)
+		}
+		replay := message.LogReplayed{Epoch: h.epoch, Sealed: true, Records: slices.Clone(w.records)}
+		if err := h.kernel.Send(names.Scheduler, replay); err != nil {
+			t.Fatal(err)
+		}
+		m, err := h.call(message.SnapshotGet{Epoch: h.epoch})
+		if err != nil || len(m.(message.SnapshotReply).Records) != 2 {
+			t.Fatalf("snapshot %+v, error %v", m, err)
+		}
+	})
+}
+
 // TestDrainAppendsBeforeClosing guards against a change that is lost at a shutdown, or appended after the
 // closing record, so that the next holder starts a cancelled job again.
 func TestDrainAppendsBeforeClosing(t *testing.T) {
