--- a/decisions/config/change.go
+++ b/decisions/config/change.go
@@ -84,13 +84,13 @@
 	return n
 }
 
-// Fate tells what became of a write whose answer was lost.
-type Fate int
+// WriteOutcome tells what became of a write whose answer was lost.
+type WriteOutcome int
 
-// Fates of a write.
+// Outcomes of a write.
 const (
 	// Unresolved means that the write may have been accepted and replaced since.
-	Unresolved Fate = iota
+	Unresolved WriteOutcome = iota
 	// Accepted means that the write took effect.
 	Accepted
 	// Rejected means that the write did not take effect and no longer can.
@@ -100,7 +100,7 @@
 )
 
 // Resolve compares a write with the document that the store held after the write was sent.
-func Resolve(written, found model.Config) Fate {
+func Resolve(written, found model.Config) WriteOutcome {
 	switch {
 	case slices.Contains(found.Recent, written.WriteID):
 		return Accepted
--- a/decisions/config/config_test.go
+++ b/decisions/config/config_test.go
@@ -104,7 +104,7 @@
 		return
 	}
 	w := write{doc: next, base: m.version}
-	switch rapid.IntRange(0, 3).Draw(t, "fate") {
+	switch rapid.IntRange(0, 3).Draw(t, "delivery") {
 	case 0:
 		m.apply(w)
 	case 1:
@@ -137,7 +137,7 @@
 			}
 			w := m.lost[0]
 			m.lost = m.lost[1:]
-			m.checkFate(t, w, config.Resolve(w.doc, m.entry))
+			m.checkOutcome(t, w, config.Resolve(w.doc, m.entry))
 		},
 		"watch": func(t *rapid.T) {
 			i := m.vm(t)
@@ -153,9 +153,9 @@
 	}
 }
 
-func (m *machine) checkFate(t *rapid.T, w write, fate config.Fate) {
+func (m *machine) checkOutcome(t *rapid.T, w write, outcome config.WriteOutcome) {
 	accepted := m.accepted(w.doc.WriteID)
-	switch fate {
+	switch outcome {
 	case config.Accepted:
 		if !accepted {
 			t.Fatalf("write %s resolved as accepted but never took effect", w.doc.WriteID)
--- a/services/dispatch/service.go
+++ b/services/dispatch/service.go
@@ -39,7 +39,7 @@
 	random     *rand.Rand
 	journal    journal
 	appendDone func(*failure.Error)
-	kept       shelf
+	kept       intentStore
 	work       map[model.RequestID]*work
 	parked     []parked
 	members    []model.Member
@@ -49,7 +49,7 @@
 	leaving  bool
 	draining bool
 	closing  bool
-	tenure   int
+	term     int
 }
 
 // New returns the service of one failure domain.
@@ -95,7 +95,7 @@
 	case message.SnapshotGet:
 		s.snapshot(e, m.Epoch)
 	case message.IntentRecord, message.IntentQuery:
-		s.serveShelf(e)
+		s.serveIntents(e)
 	case message.TicketIssue, message.RequestSend, message.RequestStatus:
 		s.serve(c, e)
 	default:
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -20,11 +20,11 @@
 	maxParked = 1024
 )
 
-// queryDue asks the VMs that have not answered. tenure tells holders of this VM apart.
+// queryDue asks the VMs that have not answered. term tells holders of this VM apart.
 type queryDue struct {
-	tenure int
-	begun  time.Time
-	heard  map[model.VMID]bool
+	term  int
+	begun time.Time
+	heard map[model.VMID]bool
 }
 
 // Kind implements kernel.Message.
@@ -36,27 +36,27 @@
 	send message.RequestSend
 }
 
-// shelf keeps the records of a holder that cannot reach the store. It is lost with the VM.
-type shelf struct {
+// intentStore keeps the records of a holder that cannot reach the store. It is lost with the VM.
+type intentStore struct {
 	fence   model.Epoch
 	records [][]byte
 	at      time.Time
 }
 
-func (k *shelf) raise(e model.Epoch) {
+func (k *intentStore) raise(e model.Epoch) {
 	if k.fence.Less(e) {
 		k.fence = e
 	}
 }
 
 // collect drops the records once no key in them is remembered any more.
-func (k *shelf) collect(now time.Time) {
+func (k *intentStore) collect(now time.Time) {
 	if now.Sub(k.at) >= ledger.KeyRetention {
 		k.records = nil
 	}
 }
 
-func (s *Service) serveShelf(e kernel.Envelope) {
+func (s *Service) serveIntents(e kernel.Envelope) {
 	switch m := e.Body.(type) {
 	case message.IntentRecord:
 		switch {
@@ -83,7 +83,7 @@
 	if epoch == s.ledger.Epoch() {
 		return
 	}
-	s.tenure++
+	s.term++
 	s.kept.raise(epoch)
 	s.ledger.Hold(epoch, time.Now())
 	s.dropJournal(epoch)
@@ -123,7 +123,7 @@
 	s.mergeKept(s.kept.records)
 	s.release(c)
 	if m.Sealed {
-		s.queryPeers(c, queryDue{tenure: s.tenure, begun: now, heard: make(map[model.VMID]bool)})
+		s.queryPeers(c, queryDue{term: s.term, begun: now, heard: make(map[model.VMID]bool)})
 	}
 }
 
@@ -140,7 +140,7 @@
 // queryPeers asks the live VMs of the failure domain for the records that they keep and opens keys once
 // all have answered.
 func (s *Service) queryPeers(c *kernel.Context, q queryDue) {
-	if q.tenure != s.tenure {
+	if q.term != s.term {
 		return
 	}
 	open := 0
@@ -165,7 +165,7 @@
 	f := message.Forward{VM: vm, To: names.Dispatch, Body: body, Deadline: time.Now().Add(queryRetry), Idempotent: true}
 	c.Request(names.Peers, f, func(m kernel.Message, err error) {
 		reply, ok := m.(message.IntentReply)
-		if err != nil || !ok || q.tenure != s.tenure {
+		if err != nil || !ok || q.term != s.term {
 			return
 		}
 		s.mergeKept(reply.Records)
