--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -4,14 +4,13 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/config"
 	"github.com/verbenaflow/verbenaflow/decisions/gang"
 	"github.com/verbenaflow/verbenaflow/decisions/plan"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
 const (
-	// configValid is the age up to which a confirmed configuration permits new tasks.
-	configValid = 2 * time.Second
 	// roundDelay collects the events of a burst into one round.
 	roundDelay = 10 * time.Millisecond
 	// roundEvery is the interval of rounds without an event while jobs wait, because the age of a job changes
@@ -135,7 +134,7 @@
 }
 
 // startsUntil returns the local time up to which the confirmed configuration permits new tasks.
-func (s *Service) startsUntil() time.Time { return s.config.Confirmed.Add(configValid) }
+func (s *Service) startsUntil() time.Time { return s.config.Confirmed.Add(config.ValidFor) }
 
 // round applies the decisions of the planner.
 func (s *Service) round(c *kernel.Context) {
