Tell a late caller of a stopped service that its message was not processed

It was told UnansweredError (may have run) instead of StoppedError (not run). Ruled out: a lost envelope (the answer arrived later in all traces of the test's second select). Change: an envelope records whether its receiver began to handle it; a caller whose envelope was not handled waits for the failure.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -186,7 +186,8 @@
 		default:
 		}
 	}
-	if err := k.deliver(to, Envelope{Body: m, port: port}); err != nil {
+	taken := new(atomic.Bool)
+	if err := k.deliver(to, Envelope{Body: m, port: port, taken: taken}); err != nil {
 		return nil, err
 	}
 	select {
@@ -196,11 +197,21 @@
 		return nil, ctx.Err()
 	case <-k.byName[to].finished:
 	}
+	if taken.Load() {
+		select {
+		case a := <-ch:
+			return a.m, a.err
+		default:
+			return nil, &UnansweredError{Name: to}
+		}
+	}
+	// The service did not handle the envelope. Whoever takes it out of the mailbox fails it, which may be
+	// another late caller.
 	select {
 	case a := <-ch:
 		return a.m, a.err
-	default:
-		return nil, &UnansweredError{Name: to}
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
 }
 
--- a/kernel/message.go
+++ b/kernel/message.go
@@ -1,5 +1,7 @@
 package kernel
 
+import "sync/atomic"
+
 // Name identifies a service within one kernel.
 type Name string
 
@@ -17,6 +19,15 @@
 	Body Message
 
 	port replyPort
+	// taken is set once the receiver begins to handle the envelope; nil if nobody asks.
+	taken *atomic.Bool
+}
+
+// take marks the envelope as handled.
+func (e Envelope) take() {
+	if e.taken != nil {
+		e.taken.Store(true)
+	}
 }
 
 // replyPort accepts exactly one answer without blocking.
--- a/kernel/runner.go
+++ b/kernel/runner.go
@@ -164,6 +164,7 @@
 		timer.Reset(r.timers.untilNext(time.Now()))
 		select {
 		case e := <-r.mailbox:
+			e.take()
 			r.spec.Service.Handle(c, e)
 		case m := <-r.results:
 			r.spec.Service.Handle(c, Envelope{From: r.spec.Name, Body: m})
