Design the routing and transfer of jobs across failure domains

Cause: a job without a failure domain always went to the domain of the entry VM that received it, even while that domain was out, and its waiting jobs stayed there. Ruled out: a record in the store for each job, because store calls must not grow with jobs. Result: builds; no behaviour changes yet.

--- a/api/model/job.go
+++ b/api/model/job.go
@@ -5,7 +5,7 @@
 // JobSpec is a caller's description of a gang job. All tasks run together or none runs.
 type JobSpec struct {
 	Account AccountID `json:"account"`
-	// Domain is the failure domain that must run the job; empty lets the entry VM choose.
+	// Domain is the failure domain that must run the job; empty permits any, also after the submission.
 	Domain FailureDomain `json:"domain,omitempty"`
 	// Tasks is the gang size.
 	Tasks int `json:"tasks"`
@@ -37,18 +37,22 @@
 
 // States of a job.
 const (
-	JobQueued     JobState = "queued"
+	JobQueued JobState = "queued"
+	// JobTransferring means that the job is being handed over to another failure domain.
+	JobTransferring JobState = "transferring"
 	JobStarting   JobState = "starting"
 	JobRunning    JobState = "running"
 	JobPreempting JobState = "preempting"
 	JobSucceeded  JobState = "succeeded"
 	JobFailed     JobState = "failed"
 	JobCancelled  JobState = "cancelled"
+	// JobMoved means that the job goes on as the job MovedTo of another failure domain.
+	JobMoved JobState = "moved"
 )
 
 // Final reports whether the state never changes again.
 func (s JobState) Final() bool {
-	return s == JobSucceeded || s == JobFailed || s == JobCancelled
+	return s == JobSucceeded || s == JobFailed || s == JobCancelled || s == JobMoved
 }
 
 // Job is a job as callers see it.
@@ -64,6 +68,10 @@
 	Ended     time.Time     `json:"ended,omitzero"`
 	// Reason tells why the job waits, failed or was refused; empty if there is nothing to tell.
 	Reason string `json:"reason,omitempty"`
+	// Origin is the job in another failure domain from which this one was moved.
+	Origin JobID `json:"origin,omitempty"`
+	// MovedTo is the job in another failure domain that replaces this one.
+	MovedTo JobID `json:"moved_to,omitempty"`
 }
 
 // TaskID identifies one attempt of one task of a gang.
--- a/api/model/member.go
+++ b/api/model/member.go
@@ -38,6 +38,8 @@
 	Holder Epoch `json:"holder"`
 	// ConfigVersion is the version of the configuration that the VM applies.
 	ConfigVersion uint64 `json:"config_version"`
+	// Load is the load of the failure domain that the VM holds; nil if it holds none.
+	Load *DomainLoad `json:"load,omitempty"`
 	// LastHeard is the local time of the last heartbeat.
 	LastHeard time.Time `json:"last_heard"`
 }
--- a/api/names/names.go
+++ b/api/names/names.go
@@ -11,6 +11,7 @@
 	Workers    = "workers"
 	Dispatch   = "dispatch"
 	Executors  = "executors"
+	Routing    = "routing"
 	Peers      = "peers"
 	HTTP       = "http"
 	Admin      = "admin"
