--- a/decisions/transfer/source.go
+++ b/decisions/transfer/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,13 +28,15 @@
 	jobs   map[model.JobID]ID
 	// last is the highest number that was used for each target.
 	last map[model.FailureDomain]uint64
+	// through is used in a replay: all transfers up to this number without a record are closed.
+	through map[model.FailureDomain]uint64
 }
 
 // NewSource returns a source without transfers.
 func NewSource(d model.FailureDomain) *Source {
 	return &Source{
 		domain: d, open: make(map[ID]*outgoing), jobs: make(map[model.JobID]ID),
-		last: make(map[model.FailureDomain]uint64),
+		last: make(map[model.FailureDomain]uint64), through: make(map[model.FailureDomain]uint64),
 	}
 }
 
@@ -95,6 +98,9 @@
 	if o.Phase != Decided {
 		return s.send(o, now)
 	}
+	if o.Job == "" {
+		return s.send(o, now)
+	}
 	s.release(o)
 	return append([]Action{Ended{ID: o.ID, Job: o.Job, Decision: o.Decision}}, s.send(o, now)...)
 }
@@ -147,49 +153,68 @@
 	return id, ok
 }
 
-// Records returns the state for a snapshot: the open transfers and, for each target, a record with the last number.
+// Records returns the state for a snapshot: the open transfers and, for each target, the number up to which all others
+// are closed.
 func (s *Source) Records() []SourceRecord {
 	var out []SourceRecord
 	for _, o := range s.sorted() {
 		out = append(out, o.SourceRecord)
 	}
 	for target, seq := range s.last {
-		if id := (ID{Source: s.domain, Target: target, Seq: seq}); s.open[id] == nil {
-			out = append(out, SourceRecord{ID: id, Phase: Closed})
-		}
+		out = append(out, SourceRecord{ID: ID{Source: s.domain, Target: target, Seq: seq}, Phase: ClosedThrough})
 	}
-	slices.SortFunc(out, func(a, b SourceRecord) int { return compare(a.ID, b.ID) })
+	slices.SortStableFunc(out, func(a, b SourceRecord) int { return compare(a.ID, b.ID) })
 	return out
 }
 
 // Replay applies durable records to a new source, before Resume.
 func (s *Source) Replay(records ...SourceRecord) {
-	closed := make(map[ID]bool)
 	for _, r := range records {
 		s.last[r.ID.Target] = max(s.last[r.ID.Target], r.ID.Seq)
-		closed[r.ID] = closed[r.ID] || r.Phase == Closed
-	}
-	for _, r := range records {
-		if closed[r.ID] {
-			delete(s.open, r.ID)
+		if r.Phase == ClosedThrough {
+			s.through[r.ID.Target] = max(s.through[r.ID.Target], r.ID.Seq)
 		} else if o := s.open[r.ID]; o == nil || o.Phase.rank() < r.Phase.rank() {
 			s.open[r.ID] = &outgoing{SourceRecord: r, logged: true, delay: resendFirst}
 		}
 	}
 }
 
-// Resume ends a replay and returns the messages of all open transfers.
+// Resume ends a replay and returns the messages of all open transfers. Afterwards a job is not runnable while
+// Transferring gives a transfer for it, whatever its own record says: a snapshot may hold a transfer that is newer than the
+// records after it. For the same reason Ended is given again for decided transfers; the caller ignores it
+// unless the job is being transferred.
 func (s *Source) Resume(now time.Time) []Action {
+	s.fillGaps()
+	maps.DeleteFunc(s.open, func(_ ID, o *outgoing) bool { return o.Phase == Closed })
 	var out []Action
 	for _, o := range s.sorted() {
-		if o.Phase != Decided {
+		if o.Phase != Decided && o.Job != "" {
 			s.jobs[o.Job] = o.ID
 		}
+	}
+	for _, o := range s.sorted() {
+		if _, again := s.jobs[o.Job]; o.Phase == Decided && o.Job != "" && !again {
+			out = append(out, Ended{ID: o.ID, Job: o.Job, Decision: o.Decision})
+		}
 		out = append(out, s.send(o, now)...)
 	}
 	return out
 }
 
+// fillGaps withdraws the numbers without a record below one with a record. The record of such a transfer was not
+// durable before a crash, so that nothing was sent; the target waits for its number to be closed.
+func (s *Source) fillGaps() {
+	for target, last := range s.last {
+		for seq := s.through[target] + 1; seq < last; seq++ {
+			id := ID{Source: s.domain, Target: target, Seq: seq}
+			if s.open[id] == nil {
+				s.open[id] = &outgoing{SourceRecord: SourceRecord{ID: id, Phase: Withdrawing}, logged: true, delay: resendFirst}
+			}
+		}
+	}
+	clear(s.through)
+}
+
 // send returns the message of a durable phase.
 func (s *Source) send(o *outgoing, now time.Time) []Action {
 	o.next, o.delay = now.Add(o.delay), min(2*o.delay, resendMax)
--- a/decisions/transfer/transfer.go
+++ b/decisions/transfer/transfer.go
@@ -93,12 +93,13 @@
 	Decided Phase = "decided"
 	// Closed means that both sides know the decision.
 	Closed Phase = "closed"
-	// ClosedThrough means that all transfers up to this number are closed. Only Target.Records gives it.
+	// ClosedThrough means that all transfers up to this number without another record are closed. Only Records gives it.
 	ClosedThrough Phase = "closed_through"
 )
 
 // SourceRecord is the durable state of a transfer at its source. In the phases Offering and Withdrawing the job
-// is not runnable; after Decided it has ended as moved or is queued again.
+// is not runnable; after Decided it has ended as moved or is queued again. Job is empty if the record of the transfer
+// was lost in a crash before anything was sent; no job waits for its decision.
 type SourceRecord struct {
 	ID       ID
 	Job      model.JobID
