--- a/decisions/domains/domains.go
+++ b/decisions/domains/domains.go
@@ -2,6 +2,8 @@
 package domains
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
@@ -39,16 +41,138 @@
 // names a failure domain gets only that one. Without a usable load of another failure domain the only candidate is
 // the own one, which refuses the job itself if it can never run it. The caller skips Choose for jobs with an
 // idempotency key.
-func Choose(_ []model.DomainLoad, spec model.JobSpec, home Home, _ time.Time) []model.FailureDomain {
+func Choose(loads []model.DomainLoad, spec model.JobSpec, home Home, now time.Time) []model.FailureDomain {
+	return Default().Choose(loads, spec, home, now)
+}
+
+// Choose is the function Choose with other rules.
+func (r Rules) Choose(loads []model.DomainLoad, spec model.JobSpec, home Home, now time.Time) []model.FailureDomain {
 	if spec.Domain != "" {
 		return []model.FailureDomain{spec.Domain}
 	}
-	return []model.FailureDomain{home.Domain}
+	var fit []model.DomainLoad
+	for _, l := range loads {
+		if r.usable(l, spec, now) {
+			fit = append(fit, l)
+		}
+	}
+	slices.SortStableFunc(fit, func(a, b model.DomainLoad) int {
+		return cmp.Or(cmp.Compare(r.cost(a, spec, home), r.cost(b, spec, home)), cmp.Compare(a.Domain, b.Domain))
+	})
+	var out []model.FailureDomain
+	for _, l := range fit {
+		out = append(out, l.Domain)
+	}
+	if !slices.Contains(out, home.Domain) {
+		out = append(out, home.Domain)
+	}
+	return out
 }
 
 // Transfers returns the jobs that the own failure domain should hand over now, in the order in which to begin
 // them. own is its present load; loads may include it. inFlight counts its undecided transfers. The caller calls it
 // when the loads change or the failure domain is taken out, at most once a second.
-func Transfers(_ model.DomainLoad, _ []model.DomainLoad, _ []Waiting, _ int, _ time.Time) []Transfer {
-	return nil
+//
+// Jobs with an idempotency key stay, because a repeated submission must find them.
+func Transfers(own model.DomainLoad, loads []model.DomainLoad, waiting []Waiting, inFlight int, now time.Time) []Transfer {
+	return Default().Transfers(own, loads, waiting, inFlight, now)
+}
+
+// Transfers is the function Transfers with other rules.
+func (r Rules) Transfers(own model.DomainLoad, loads []model.DomainLoad, waiting []Waiting, inFlight int, now time.Time) []Transfer {
+	n := min(r.MaxInFlight-inFlight, r.MaxPerRound)
+	if n <= 0 || !own.Out && pressure(own, 0) < r.Margin {
+		return nil
+	}
+	x := round{Rules: r, own: own, now: now}
+	for _, l := range loads {
+		if l.Domain != own.Domain && r.usable(l, model.JobSpec{}, now) {
+			x.targets = append(x.targets, l)
+		}
+	}
+	if len(x.targets) == 0 {
+		return nil
+	}
+	var out []Transfer
+	for _, w := range x.candidates(waiting) {
+		if t := x.target(w); t != nil && len(out) < n {
+			out = append(out, Transfer{Job: w.Job, Target: t.Domain})
+			*t = Expect(*t, w.Spec, r.Herd)
+			x.own = Expect(x.own, w.Spec, -1)
+		}
+	}
+	return out
+}
+
+// round is the state of one call of Transfers: the loads with the expected effect of its transfers so far.
+type round struct {
+	Rules
+	own     model.DomainLoad
+	targets []model.DomainLoad
+	now     time.Time
+}
+
+// candidates returns the jobs that may be handed over, in order.
+func (x *round) candidates(waiting []Waiting) []Waiting {
+	var out []Waiting
+	for _, w := range waiting {
+		if x.mayMove(w) {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b Waiting) int {
+		if a.Spec.Urgent != b.Spec.Urgent {
+			return map[bool]int{true: -1, false: 1}[a.Spec.Urgent]
+		}
+		age := a.Submitted.Compare(b.Submitted)
+		if x.YoungestFirst {
+			age = -age
+		}
+		return cmp.Or(age, cmp.Compare(a.Job, b.Job))
+	})
+	return out
+}
+
+func (x *round) mayMove(w Waiting) bool {
+	if w.Spec.Domain != "" || w.Spec.Key != "" || w.Transfers >= x.MaxTransfers {
+		return false
+	}
+	if w.Transfers > 0 && x.now.Sub(w.LastTransfer) < x.Cooldown<<(w.Transfers-1) {
+		return false
+	}
+	return x.own.Out || w.Spec.Urgent || x.now.Sub(w.Since) >= x.Settle
+}
+
+// target returns the best target of a job, or nil if the job should stay.
+func (x *round) target(w Waiting) *model.DomainLoad {
+	var best *model.DomainLoad
+	home := Home{Domain: x.own.Domain, Region: x.own.Region}
+	low := 0.0
+	for i := range x.targets {
+		t := &x.targets[i]
+		if !x.usable(*t, w.Spec, x.now) || x.StartsOnly && !x.own.Out && !hasRoom(*t, w.Spec) {
+			continue
+		}
+		if c := x.cost(*t, w.Spec, home); best == nil || c < low {
+			best, low = t, c
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	wait := time.Duration((pressure(x.own, 0) - max(0, pressure(*best, gpus(w.Spec)))) * float64(drainTime))
+	if x.own.Out {
+		wait = outWait
+	} else if pressure(x.own, 0) < max(low, x.Margin) {
+		return nil
+	}
+	if lostWork(w) > wait {
+		return nil
+	}
+	return best
+}
+
+// lostWork estimates the run time that a transfer gives up.
+func lostWork(w Waiting) time.Duration {
+	return time.Duration(w.Progress * float64(min(max(w.Spec.RunTime, minLost), maxLost)))
 }
