Close connections between VMs in order, so that an unread call is known as not run

Ruled out: the end of file as a proof (a killed VM ends its connections the same way); a longer wait in the test. Change: a gob codec for net/rpc that writes a closing response after the last answer; the caller then knows that its unanswered calls were not read and delivers them elsewhere.

--- a/services/peers/deliver.go
+++ b/services/peers/deliver.go
@@ -101,20 +101,28 @@
 	})
 }
 
-// call makes one remote call. sent is false if no byte of it was written. A response that arrives after the
-// end of ctx is written to memory that nobody reads.
+// call makes one remote call. sent is false if the other VM certainly did not process it. A response that
+// arrives after the end of ctx is written to memory that nobody reads.
 func call(ctx context.Context, client *rpc.Client, req Request) (resp Response, sent bool, err error) {
 	late := new(Response)
 	pending := client.Go(deliverMethod, req, late, make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
-		// A link is closed without calls only, so that this error tells of a connection that had ended before.
-		return *late, !errors.Is(pending.Error, rpc.ErrShutdown), pending.Error
+		return *late, !notProcessed(pending.Error), pending.Error
 	case <-ctx.Done():
 		return Response{}, true, ctx.Err()
 	}
 }
 
+// notProcessed reports whether the error of a call proves that its message reached no service.
+func notProcessed(err error) bool {
+	var refused rpc.ServerError
+	var closing closingError
+	// A link is closed without calls only, so that ErrShutdown tells of a connection that had ended before. The
+	// endpoint returns no errors, so that a ServerError tells of a call that net/rpc could not decode.
+	return errors.Is(err, rpc.ErrShutdown) || errors.As(err, &refused) || errors.As(err, &closing)
+}
+
 // finish takes the result of a remote delivery.
 func (s *Service) finish(c *kernel.Context, m callDone) {
 	s.calls--
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &link{client: rpc.NewClient(conn), address: address, calls: 1}, nil
+	return &link{client: rpc.NewClientWithCodec(newClientCodec(conn)), address: address, calls: 1}, nil
 }
 
 // release ends the use of a link by one call. A link with a failed call is replaced, because its connection
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/rpc"
 	"testing"
 	"time"
 
@@ -151,6 +153,52 @@
 	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
 }
 
+// TestCallAtClose guards against a call that reaches a VM in the last step of its shutdown, is never read and
+// is reported as possibly processed, and against an answer that is lost because of it.
+func TestCallAtClose(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer l.Close()
+	held, answer := make(chan struct{}), make(chan struct{})
+	server := rpc.NewServer()
+	g.Expect(server.RegisterName("Peer", &blocking{held, answer})).To(gomega.Succeed())
+	conns := make(chan net.Conn, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		conns <- conn
+		server.ServeCodec(newServerCodec(conn))
+	}()
+	link, err := dial(context.Background(), l.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer link.client.Close()
+	first := link.client.Go(deliverMethod, Request{}, new(Response), nil)
+	<-held
+	g.Expect((<-conns).SetReadDeadline(time.Now())).To(gomega.Succeed())
+	unread := link.client.Go(deliverMethod, Request{Body: message.RequestReply{Body: make([]byte, 1<<16)}}, new(Response), nil)
+	close(answer)
+	g.Expect((<-first.Done).Error).NotTo(gomega.HaveOccurred())
+	g.Expect(first.Reply.(*Response).Body).To(gomega.Equal(message.Done{}))
+	g.Expect(notProcessed((<-unread.Done).Error)).To(gomega.BeTrue())
+	_, sent, err := call(context.Background(), link.client, Request{})
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(sent).To(gomega.BeFalse())
+}
+
+// blocking answers its calls once answer is closed.
+type blocking struct{ held, answer chan struct{} }
+
+// Deliver implements the net/rpc method of the endpoint.
+func (b *blocking) Deliver(_ Request, resp *Response) error {
+	b.held <- struct{}{}
+	<-b.answer
+	resp.Body = message.Done{}
+	return nil
+}
+
 // TestStoppedServiceRefuses guards against a call that a stopping VM refuses without the hint to go elsewhere.
 func TestStoppedServiceRefuses(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/services/peers/service.go
+++ b/services/peers/service.go
@@ -140,13 +140,14 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { conn.Close() })
 		defer stop()
-		server.ServeConn(conn)
+		server.ServeCodec(newServerCodec(conn))
 		return connClosed{conn}
 	})
 }
 
 // Drain implements kernel.Service. The services that answer the calls of other VMs have drained before. At
-// the end of its input net/rpc writes the answers to all calls that it has read and then closes the connection.
+// the end of its input net/rpc writes the answers to all calls that it has read and then closes the codec, which
+// tells the caller that its other calls were not processed.
 func (s *Service) Drain(c *kernel.Context) {
 	s.draining = true
 	s.listener.Close()
