Keep a failed job away from the workers where it failed

Cause: the best placement after a failed attempt was often the same worker again, so that a job used up its 5 attempts on one worker that fails every task before three different jobs had brought it into quarantine. Ruled out: quarantine after one failure, because a job that fails everywhere would then remove healthy workers; a mere preference, because searches of one class share their result. Change: plan.Waiting lists workers to avoid until a time (1 min after the failure); such a job has a class of its own, so that it does not block others of its shape. A job that failed on 3 workers counts as the cause and avoids none. Workers that enter or leave the quarantine are logged and counted in the gauge workers_quarantined. Without the own class, or without the end of the avoidance, TestAvoidedWorkers fails.

--- a/decisions/plan/bucket.go
+++ b/decisions/plan/bucket.go
@@ -21,6 +21,8 @@
 	within              model.Level
 	cores, mem          int
 	preemptible, urgent bool
+	// avoiding is the job itself while it avoids workers, because other jobs may use them.
+	avoiding model.JobID
 }
 
 func classOf(s model.JobSpec) class {
@@ -30,6 +32,15 @@
 	}
 }
 
+// class returns the class of the job at present.
+func (j *job) class() class {
+	c := classOf(j.Spec)
+	if len(j.Avoid) > 0 {
+		c.avoiding = j.Job
+	}
+	return c
+}
+
 // bucket holds the waiting jobs of one class, in order of submission.
 type bucket struct {
 	class class
@@ -46,7 +57,7 @@
 
 // queueJob puts a job into its bucket.
 func (p *Planner) queueJob(j *job) {
-	c := classOf(j.Spec)
+	c := j.class()
 	b := p.byClass[c]
 	if b == nil {
 		b = &bucket{class: c, acct: p.account(c.account)}
@@ -64,6 +75,27 @@
 	}
 }
 
+// endAvoidance returns the waiting jobs whose AvoidUntil has passed to the ordinary queue.
+func (p *Planner) endAvoidance(now time.Time) {
+	p.avoiding = slices.DeleteFunc(p.avoiding, func(j *job) bool {
+		switch {
+		case p.jobs[j.Job] != j || len(j.Avoid) == 0:
+			return true
+		case now.Before(j.AvoidUntil):
+			return false
+		}
+		queued := j.phase == waiting
+		if queued {
+			p.unqueue(j)
+		}
+		j.Avoid = nil
+		if queued {
+			p.queueJob(j)
+		}
+		return true
+	})
+}
+
 // unqueue takes a job out of its bucket.
 func (p *Planner) unqueue(j *job) {
 	b := j.bucket
--- a/decisions/plan/events.go
+++ b/decisions/plan/events.go
@@ -16,6 +16,9 @@
 	j := &job{Waiting: w}
 	p.jobs[w.Job] = j
 	p.queueJob(j)
+	if len(w.Avoid) > 0 {
+		p.avoiding = append(p.avoiding, j)
+	}
 }
 
 // Adopt records a job that already runs on a placement, as after a change of the holder. A job that
--- a/decisions/plan/machine_test.go
+++ b/decisions/plan/machine_test.go
@@ -23,6 +23,8 @@
 	next    int
 	specs   map[model.JobID]model.JobSpec
 	asked   map[model.JobID]bool
+	// avoid holds the jobs that were queued with workers to avoid.
+	avoid map[model.JobID]Waiting
 	// faults permits events that may make the guarantees impossible.
 	faults bool
 }
@@ -31,6 +33,7 @@
 	m := &machine{
 		p: New("d"), twin: New("d"), now: epoch, faults: faults,
 		specs: make(map[model.JobID]model.JobSpec), asked: make(map[model.JobID]bool),
+		avoid: make(map[model.JobID]Waiting),
 	}
 	m.domain, m.workers, m.policy = "d", workersOf(2, perRack), policy
 	bound := rapid.SampledFrom([]int{1, 4, maxWork}).Draw(t, "work")
@@ -63,25 +66,32 @@
 	}
 }
 
-func (m *machine) enqueue(t *rapid.T) { m.submit(drawSpec(t)) }
+func (m *machine) enqueue(t *rapid.T) {
+	w := Waiting{Spec: drawSpec(t)}
+	if rapid.IntRange(0, 3).Draw(t, "avoids") == 0 {
+		w.Avoid = []model.WorkerID{rapid.SampledFrom(m.workers).Draw(t, "avoid").ID}
+		w.AvoidUntil = m.now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "for")) * time.Minute)
+	}
+	m.submit(w)
+}
 
 // borrow fills the failure domain with borrowers, so that later jobs must preempt them.
 func (m *machine) borrow(t *rapid.T) {
 	for range 4 {
 		spec := drawSpec(t)
 		spec.Preemptible, spec.Urgent = true, false
-		m.submit(spec)
+		m.submit(Waiting{Spec: spec})
 	}
 	m.round(t)
 }
 
-func (m *machine) submit(spec model.JobSpec) {
-	if m.p.Check(spec) != nil {
+func (m *machine) submit(w Waiting) {
+	if m.p.Check(w.Spec) != nil {
 		return
 	}
 	m.next++
-	w := Waiting{Job: model.JobID(fmt.Sprintf("j%03d", m.next)), Spec: spec, Submitted: m.now}
-	m.specs[w.Job] = spec
+	w.Job, w.Submitted = model.JobID(fmt.Sprintf("j%03d", m.next)), m.now
+	m.specs[w.Job], m.avoid[w.Job] = w.Spec, w
 	m.each(func(p *Planner) { p.Enqueue(w); p.Enqueue(w) })
 }
 
@@ -95,6 +105,9 @@
 		if err := m.gang(m.specs[s.Job], s.Placement); err != nil {
 			t.Fatalf("start of %s: %v", s.Job, err)
 		}
+		if w := m.avoid[s.Job]; m.now.Before(w.AvoidUntil) && slices.ContainsFunc(s.Placement, func(x model.Slot) bool { return x.Worker == w.Avoid[0] }) {
+			t.Fatalf("%s starts on %s, which it avoids", s.Job, w.Avoid[0])
+		}
 	}
 	for _, x := range r.Preempts {
 		m.ask(t, x.Job, m.specs[x.For], x.For)
--- a/decisions/plan/plan.go
+++ b/decisions/plan/plan.go
@@ -32,6 +32,10 @@
 	Attempt int
 	// Progress is the checkpointed share of the work, from 0 to 1.
 	Progress float64
+	// Avoid lists workers on which the job has failed. They are not used for it before AvoidUntil. The caller
+	// calls Round at that time, because nothing else makes the job fit then.
+	Avoid      []model.WorkerID
+	AvoidUntil time.Time
 }
 
 // Start is a decision to start a gang.
--- a/decisions/plan/planner.go
+++ b/decisions/plan/planner.go
@@ -74,13 +74,15 @@
 	// on lists the running jobs of each worker, one entry per task.
 	on [][]*job
 	// least is the least load that tasks without accelerators leave on a worker.
-	least      load
-	owner      [][model.GPUsPerWorker]*job
-	reserved   []model.GPUMask
-	free       *cell.Inventory
-	takeable   *cell.Inventory
-	tracker    *guarantee.Tracker
-	holds      []*job
+	least    load
+	owner    [][model.GPUsPerWorker]*job
+	reserved []model.GPUMask
+	free     *cell.Inventory
+	takeable *cell.Inventory
+	tracker  *guarantee.Tracker
+	holds    []*job
+	// avoiding lists the jobs that were queued with workers to avoid.
+	avoiding   []*job
 	res        *reservation
 	scratch    []model.GPUMask
 	candidates []candidate
--- a/decisions/plan/progress_test.go
+++ b/decisions/plan/progress_test.go
@@ -207,3 +207,21 @@
 	p.Enqueue(waitingJob("b1", "b", 2, 8, true))
 	gomega.NewWithT(t).Expect(p.Check(spec("b", 1, 1, "", true))).To(gomega.MatchError(&failure.Error{Reason: failure.QueueFull}))
 }
+
+// TestAvoidedWorkers guards against a job that starts again on a worker where it failed, against one that
+// blocks others of its shape meanwhile, and against one that never starts because no other worker is there.
+func TestAvoidedWorkers(t *testing.T) {
+	g, p := gomega.NewWithT(t), New("d")
+	p.SetPolicy(model.Preset{Accounts: map[model.AccountID]model.AccountPolicy{"a": {Weight: 1}}})
+	p.SetWorkers(workersOf(1, 1))
+	only := workersOf(1, 1)[0].ID
+	spec := model.JobSpec{Account: "a", Tasks: 1, GPUsPerTask: 4, RunTime: time.Hour}
+	p.Enqueue(Waiting{Job: "failed", Spec: spec, Submitted: epoch, Avoid: []model.WorkerID{only}, AvoidUntil: epoch.Add(time.Minute)})
+	p.Enqueue(Waiting{Job: "other", Spec: spec, Submitted: epoch.Add(time.Second)})
+	r := p.Round(epoch.Add(30 * time.Second))
+	g.Expect(r.Starts).To(gomega.HaveLen(1))
+	g.Expect(r.Starts[0].Job).To(gomega.Equal(model.JobID("other")))
+	r = p.Round(epoch.Add(time.Minute))
+	g.Expect(r.Starts).To(gomega.HaveLen(1))
+	g.Expect(r.Starts[0].Job).To(gomega.Equal(model.JobID("failed")))
+}
--- a/decisions/plan/reserve.go
+++ b/decisions/plan/reserve.go
@@ -318,7 +318,7 @@
 	ok := true
 	var done []*search
 	for _, j := range jobs {
-		s := &search{p: p, j: j, now: now, barred: target}
+		s := &search{p: p, j: j, now: now, barred: target, avoided: p.avoidedBy(j)}
 		if _, ok = s.find(); !ok {
 			break
 		}
--- a/decisions/plan/resources.go
+++ b/decisions/plan/resources.go
@@ -119,7 +119,7 @@
 		}
 		return tasksWithin(l, total, s.usageOf(w).all, model.GPUsPerWorker)
 	}
-	if total.cores == 0 || !s.p.info[w].Usable || s.barred[w] || (s.only != nil && !s.only[w]) {
+	if total.cores == 0 || !s.p.info[w].Usable || s.excluded(w) {
 		return 0
 	}
 	u := s.usageOf(w)
--- a/decisions/plan/round.go
+++ b/decisions/plan/round.go
@@ -15,6 +15,7 @@
 // since the last round and with the number of different shapes that wait, not with the running tasks.
 func (p *Planner) Round(now time.Time) Result {
 	p.settle()
+	p.endAvoidance(now)
 	var r Result
 	p.startHolds(now, &r)
 	p.work = 0
@@ -162,7 +163,7 @@
 }
 
 func (s *search) attempt() attempt {
-	c := classOf(s.j.Spec)
+	c := s.j.class()
 	c.preemptible = false
 	if !s.p.tracker.Guaranteed(c.account) || !s.fixed {
 		c.account = ""
--- a/decisions/plan/search.go
+++ b/decisions/plan/search.go
@@ -23,6 +23,8 @@
 	fixed bool
 	// barred excludes the workers of the reservation of another job.
 	barred map[int]bool
+	// avoided excludes the workers on which the job has failed.
+	avoided map[int]bool
 	// only limits the search to some workers, if it is not nil.
 	only  map[int]bool
 	slots []cell.Slot
@@ -38,13 +40,32 @@
 }
 
 func (p *Planner) newSearch(j *job, now time.Time) *search {
-	s := &search{p: p, j: j, now: now}
+	s := &search{p: p, j: j, now: now, avoided: p.avoidedBy(j)}
 	if p.res != nil && p.res.bars(j) && now.Add(p.estimate(j)).After(p.res.until) {
 		s.barred = p.res.workers
 	}
 	return s
 }
 
+// avoidedBy returns the workers on which the job has failed, or nil.
+func (p *Planner) avoidedBy(j *job) map[int]bool {
+	if len(j.Avoid) == 0 {
+		return nil
+	}
+	out := make(map[int]bool, len(j.Avoid))
+	for _, id := range j.Avoid {
+		if w, ok := p.topo.Index(id); ok {
+			out[w] = true
+		}
+	}
+	return out
+}
+
+// excluded reports whether the gang may not use a worker at all.
+func (s *search) excluded(w int) bool {
+	return s.barred[w] || s.avoided[w] || (s.only != nil && !s.only[w])
+}
+
 // find returns the slots of the gang, by task index.
 func (s *search) find() ([]cell.Slot, bool) {
 	if s.j.Spec.GPUsPerTask == 0 {
@@ -103,7 +124,7 @@
 
 // mask returns the accelerators of a worker that the gang may use.
 func (s *search) mask(w int) model.GPUMask {
-	if s.barred[w] || (s.only != nil && !s.only[w]) {
+	if s.excluded(w) {
 		return 0
 	}
 	m := s.inventory().Mask(w) &^ s.p.scratch[w]
--- a/decisions/quarantine/quarantine.go
+++ b/decisions/quarantine/quarantine.go
@@ -5,6 +5,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
@@ -106,6 +108,23 @@
 	return r == nil || !r.condemned || r.probe == "" && !now.Before(r.until)
 }
 
+// FailedOn lists the workers on which tasks of a job that has not ended have failed, in order.
+func (t *Tracker) FailedOn(job model.JobID) []model.WorkerID {
+	return slices.Sorted(maps.Keys(t.failedOn[job]))
+}
+
+// Quarantined lists the workers that receive probes only, in order.
+func (t *Tracker) Quarantined() []model.WorkerID {
+	var out []model.WorkerID
+	for w, r := range t.workers {
+		if r.condemned {
+			out = append(out, w)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Admit records that a job is to be placed on a worker. It returns false if the worker is quarantined and
 // the job is not its only probe.
 func (t *Tracker) Admit(w model.WorkerID, job model.JobID, now time.Time) bool {
--- a/services/scheduler/gauges.go
+++ b/services/scheduler/gauges.go
@@ -10,6 +10,26 @@
 	"github.com/verbenaflow/verbenaflow/decisions/cell"
 )
 
+// reportQuarantine logs the workers that entered or left the quarantine, and sets the gauge of those in it.
+func (s *Service) reportQuarantine() {
+	now := s.tracker.Quarantined()
+	if slices.Equal(now, s.quarantined) {
+		return
+	}
+	for _, w := range now {
+		if !slices.Contains(s.quarantined, w) {
+			klog.InfoS("worker quarantined", "worker", w)
+		}
+	}
+	for _, w := range s.quarantined {
+		if !slices.Contains(now, w) {
+			klog.InfoS("worker released from quarantine", "worker", w)
+		}
+	}
+	s.quarantined = now
+	s.metrics.Gauge("workers_quarantined", int64(len(now)))
+}
+
 // jobStates lists the states of jobs that have not ended; the ended ones are counted by event.
 var jobStates = []model.JobState{model.JobQueued, model.JobStarting, model.JobRunning, model.JobPreempting}
 
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -9,6 +9,7 @@
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/decisions/gang"
 	"github.com/verbenaflow/verbenaflow/decisions/plan"
+	"github.com/verbenaflow/verbenaflow/decisions/quarantine"
 )
 
 const (
@@ -26,6 +27,9 @@
 	maxFailedStarts = 10
 	// maxTaskFailures bounds the attempts of a job that end with a failed task.
 	maxTaskFailures = 5
+	// avoidFor is the time for which a job is not placed on workers where it has failed. The best placement is
+	// often the same again: without it jobs used up all their attempts on one worker that fails every task.
+	avoidFor = time.Minute
 )
 
 // accountKey is an idempotency key; keys of different accounts do not collide.
@@ -109,10 +113,15 @@
 	}
 }
 
-// enqueue hands a job that may run to the planner.
+// enqueue hands a job that may run to the planner. A job that has failed on many workers is itself the
+// cause and avoids none.
 func (s *Service) enqueue(j *job) {
 	j.planned, j.backingOff = true, false
-	s.planner.Enqueue(j.waiting())
+	w := j.waiting()
+	if on := s.tracker.FailedOn(j.ID); len(on) > 0 && len(on) < quarantine.BlameLimit {
+		w.Avoid, w.AvoidUntil = on, time.Now().Add(avoidFor)
+	}
+	s.planner.Enqueue(w)
 }
 
 // end gives a job its final state.
--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -201,6 +201,7 @@
 		})
 	}
 	s.planner.SetWorkers(ws)
+	s.reportQuarantine()
 	if at, waits := s.tracker.NextProbe(now); waits && !at.Equal(s.probeAt) {
 		s.probeAt = at
 		c.After(at.Sub(now), probeDue{epoch: s.epoch})
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -84,7 +84,9 @@
 	reserved  map[model.JobID]bool
 	// shortfall is the last reported number of guaranteed cells that cannot be packed, by level.
 	shortfall []model.CellCount
-	outSince  time.Time
+	// quarantined lists the workers that were last reported as quarantined.
+	quarantined []model.WorkerID
+	outSince    time.Time
 
 	draining       bool
 	workersChanged bool
@@ -198,7 +200,7 @@
 	s.ended = nil
 	s.onWorker = make(map[model.WorkerID]map[model.JobID]bool)
 	s.planner = s.newPlanner()
-	s.tracker = quarantine.New()
+	s.tracker, s.quarantined = quarantine.New(), nil
 	s.log = journal{dirty: make(map[model.JobID]bool)}
 	s.commands = make(map[model.WorkerID][]message.TaskCommand)
 	s.leases, s.leasesAll = nil, false
