Keep whole gangs when the holder and a worker are lost together

Cause: a new holder renews the lease of a worker only while every gang on it has been seen whole. If a worker was lost together with the holder, the other parts of its gangs kept their workers from a renewal, so that whole gangs there were restarted. Change: 0.5 s after the start of a recovery the holder stops the parts of gangs that share a worker with a whole gang.

--- a/decisions/recovery/recovery.go
+++ b/decisions/recovery/recovery.go
@@ -93,6 +93,28 @@
 	return out
 }
 
+// Obstructing returns the tasks that keep whole gangs from a renewal: those of gangs that are known not to be
+// whole, on workers that also run a whole gang. Once they are stopped, Renewable includes these workers.
+func Obstructing(tasks []Task, size func(model.JobID) (int, bool)) []Task {
+	byJob, attempts := group(tasks)
+	var parts []Task
+	shared := make(map[model.WorkerID]bool)
+	for _, job := range slices.Sorted(maps.Keys(byJob)) {
+		n, known := size(job)
+		last, earlier := split(byJob[job], attempts[job])
+		parts = append(parts, earlier...)
+		switch {
+		case known && whole(last, n, heldOrWell):
+			for _, t := range last {
+				shared[t.Worker] = shared[t.Worker] || !t.Status.State.Final()
+			}
+		case known:
+			parts = append(parts, last...)
+		}
+	}
+	return slices.DeleteFunc(parts, func(t Task) bool { return t.Status.State.Final() || !shared[t.Worker] })
+}
+
 // group returns the tasks and the highest attempt of each job.
 func group(tasks []Task) (map[model.JobID][]Task, map[model.JobID]int) {
 	byJob, attempts := make(map[model.JobID][]Task), make(map[model.JobID]int)
--- a/decisions/recovery/recovery_test.go
+++ b/decisions/recovery/recovery_test.go
@@ -123,3 +123,42 @@
 		}
 	}
 }
+
+// TestObstructingPartsFreeWholeGangs guards against a whole gang whose lease lapses because a part of another
+// gang shares its worker, and against stops that reach a whole gang or workers without one.
+func TestObstructingPartsFreeWholeGangs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes, whole := map[model.JobID]int{}, map[model.JobID]bool{}
+		var tasks []recovery.Task
+		for j := range rapid.IntRange(1, 5).Draw(t, "jobs") {
+			job := model.JobID(fmt.Sprint("j", j))
+			sizes[job], whole[job] = rapid.IntRange(1, 3).Draw(t, "size"), true
+			for i := range sizes[job] {
+				if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+					whole[job] = false
+					continue
+				}
+				w := model.WorkerID(fmt.Sprint("w", rapid.IntRange(0, 3).Draw(t, "worker")))
+				tasks = append(tasks, recovery.Task{Worker: w, Status: model.TaskStatus{Task: model.TaskID{Job: job, Index: i, Attempt: 1}, State: model.TaskRunning}})
+			}
+		}
+		size := func(j model.JobID) (int, bool) { return sizes[j], true }
+		shared := map[model.WorkerID]bool{}
+		for _, x := range tasks {
+			shared[x.Worker] = shared[x.Worker] || whole[x.Status.Task.Job]
+		}
+		for _, x := range recovery.Obstructing(tasks, size) {
+			if whole[x.Status.Task.Job] || !shared[x.Worker] {
+				t.Fatalf("%v on %s is stopped", x.Status.Task, x.Worker)
+			}
+			i := slices.IndexFunc(tasks, func(y recovery.Task) bool { return y.Status.Task == x.Status.Task })
+			tasks[i].Status.State = model.TaskStopped
+		}
+		renewed := recovery.Renewable(tasks, size)
+		for w, has := range shared {
+			if has != renewed[w] {
+				t.Fatalf("worker %s runs a whole gang: %v, renewed: %v", w, has, renewed[w])
+			}
+		}
+	})
+}
--- a/services/scheduler/leases.go
+++ b/services/scheduler/leases.go
@@ -15,6 +15,17 @@
 // reviewDelay collects the reports of several workers into one review of the leases.
 const reviewDelay = 10 * time.Millisecond
 
+// partialGrace is the time after which a recovery stops parts of gangs that share a worker with a whole gang.
+// A reachable worker reports within one round trip. The leases that the lost holder had renewed last a second or two
+// longer than its lease in the store, and the whole gang must be renewed before their end.
+const partialGrace = 500 * time.Millisecond
+
+// partialDue ends partialGrace.
+type partialDue struct{ epoch model.Epoch }
+
+// Kind implements kernel.Message.
+func (partialDue) Kind() string { return "partial_gangs_due" }
+
 type reviewDue struct{ epoch model.Epoch }
 
 // Kind implements kernel.Message.
@@ -38,7 +49,11 @@
 // review decides whose leases are renewed before the recovery has ended.
 func (s *Service) review() {
 	r := s.recovery
-	renew := recovery.Renewable(r.all(), s.gangSize)
+	tasks := r.all()
+	if r.graceOver {
+		s.stopObstructing(tasks)
+	}
+	renew := recovery.Renewable(tasks, s.gangSize)
 	for w := range renew {
 		if !r.renewed[w] {
 			s.setLease(w, true)
@@ -52,6 +67,26 @@
 	r.renewed = renew
 }
 
+// partialDue stops the parts of gangs that would let the leases of whole gangs lapse, and those that are
+// reported later in this recovery.
+func (s *Service) partialDue(m partialDue) {
+	if m.epoch == s.epoch && s.recovery != nil {
+		s.recovery.graceOver = true
+		s.review()
+	}
+}
+
+// stopObstructing stops each part of a gang once.
+func (s *Service) stopObstructing(tasks []recovery.Task) {
+	r := s.recovery
+	for _, t := range recovery.Obstructing(tasks, s.gangSize) {
+		if !r.stopped[t.Status.Task] {
+			r.stopped[t.Status.Task] = true
+			s.stopUnknown(t.Worker, t.Status.Task)
+		}
+	}
+}
+
 // forgetWorker drops what a lost worker had reported. Its link renews nothing from then on, so that a renewal
 // must be told again once it has reported.
 func (s *Service) forgetWorker(w model.WorkerID) {
--- a/services/scheduler/recover.go
+++ b/services/scheduler/recover.go
@@ -26,11 +26,15 @@
 	// renewed holds the workers whose leases are renewed already.
 	renewed       map[model.WorkerID]bool
 	reviewPending bool
+	// graceOver is true once the workers had time to report; stopped holds the tasks that were stopped then.
+	graceOver bool
+	stopped   map[model.TaskID]bool
 }
 
 func newRecovering() *recovering {
 	return &recovering{
 		tasks: make(map[model.WorkerID]map[model.TaskID]model.TaskStatus), sizes: make(map[model.JobID]int),
+		stopped: make(map[model.TaskID]bool),
 	}
 }
 
--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -88,6 +88,8 @@
 		}
 	case reviewDue:
 		s.reviewDue(m)
+	case partialDue:
+		s.partialDue(m)
 	case resendDue:
 		s.resendPending = false
 	case appendDue:
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -184,6 +184,7 @@
 		return
 	}
 	s.recovery = newRecovering()
+	c.After(partialGrace, partialDue{epoch})
 	s.planner.SetPolicy(s.config.Config.Current())
 	for _, m := range early {
 		s.Handle(c, kernel.Envelope{From: c.Name(), Body: m})
--- a/tests/scheduling/leases_test.go
+++ b/tests/scheduling/leases_test.go
@@ -86,3 +86,33 @@
 		w.requireTogether(t, job, 1)
 	})
 }
+
+// TestWholeGangSurvivesLossOfNeighbour guards against a whole gang that is restarted because the holder and a worker
+// are lost together and a part of another gang keeps its worker from a renewal.
+func TestWholeGangSurvivesLossOfNeighbour(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 400 * time.Millisecond { // The interval of exchanges.
+		t.Run(offset.String(), func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				wide := w.mustSubmit(t, model.JobSpec{Tasks: 3, GPUsPerTask: 4, RunTime: time.Hour})
+				time.Sleep(2 * time.Second)
+				small := w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 4, RunTime: time.Hour})
+				time.Sleep(3*time.Second + offset)
+				shared := w.history(t, small)[0].worker
+				events := w.history(t, wide)
+				w.locked(func() {
+					for _, e := range events {
+						w.cut[e.worker] = e.worker != shared
+					}
+				})
+				w.replace(true)
+				time.Sleep(20 * time.Second)
+				for _, e := range w.history(t, small) {
+					if e.State == model.TaskStopped {
+						t.Fatalf("%v stopped", e.Task)
+					}
+				}
+				w.requireTogether(t, wide, 3)
+			})
+		})
+	}
+}
