--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -88,6 +88,8 @@
 		}
 	case reviewDue:
 		s.reviewDue(m)
+	case partialDue:
+		s.partialDue(m)
 	case resendDue:
 		s.resendPending = false
 	case appendDue:
@@ -201,6 +203,7 @@
 		})
 	}
 	s.planner.SetWorkers(ws)
+	s.reportQuarantine()
 	if at, waits := s.tracker.NextProbe(now); waits && !at.Equal(s.probeAt) {
 		s.probeAt = at
 		c.After(at.Sub(now), probeDue{epoch: s.epoch})
