Add tests of the domain benchmark and a rule to leave a checkpoint after a wait

Cause: a job with a checkpoint waits for the return of a failure domain that is out, however long that takes. Change: Rules.LostWait, off by default, and its variants in bench domains; tests of bench domains.

--- a/bench/domains.go
+++ b/bench/domains.go
@@ -58,6 +58,8 @@
 	{name: "transfers only", transfer: true, rules: domains.Default()},
 	{name: "give up 1 h", choice: true, transfer: true, rules: with(func(r *domains.Rules) { r.MaxLost = time.Hour })},
 	{name: "give up 5 min", choice: true, transfer: true, rules: with(func(r *domains.Rules) { r.MaxLost = 5 * time.Minute })},
+	{name: "give up after 1x", choice: true, transfer: true, rules: with(func(r *domains.Rules) { r.LostWait = 1 })},
+	{name: "give up after 4x", choice: true, transfer: true, rules: with(func(r *domains.Rules) { r.LostWait = 4 })},
 	{name: "starts only", choice: true, transfer: true, rules: with(func(r *domains.Rules) { r.StartsOnly = true })},
 	{name: "youngest first", choice: true, transfer: true, rules: with(func(r *domains.Rules) { r.YoungestFirst = true })},
 	{name: "herd 1", choice: true, transfer: true, rules: with(func(r *domains.Rules) { r.Herd = 1 })},
--- /dev/null
+++ b/bench/domains_test.go
@@ -0,0 +1,71 @@
+package bench
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/domains"
+	"github.com/verbenaflow/verbenaflow/decisions/plan"
+)
+
+// TestRunDomains guards against a variant that loses jobs, against transfers beyond the bound of a job, and against a
+// comparison in which the failure domains make no difference.
+func TestRunDomains(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var table bytes.Buffer
+	path := filepath.Join(t.TempDir(), "out.csv")
+	names := []string{"stay", "choice", "choice transfers"}
+	o := DomainOptions{Scenarios: []string{"today-3"}, Variants: names, Seeds: []uint64{1}, Loads: []float64{0.5}}
+	g.Expect(RunDomains(o, &table, path)).To(gomega.Succeed())
+	content, err := os.ReadFile(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+	g.Expect(lines).To(gomega.HaveLen(1 + len(names)))
+	value := func(line int, column string) float64 {
+		for i, h := range domainHeader {
+			if h == column {
+				v, err := strconv.ParseFloat(strings.Split(lines[line], ",")[i], 64)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				return v
+			}
+		}
+		return -1
+	}
+	for i := range names {
+		g.Expect(value(i+1, "unfinished")).To(gomega.BeZero(), names[i])
+		g.Expect(value(i+1, "most_moves")).To(gomega.BeNumerically("<=", domains.Default().MaxTransfers))
+	}
+	g.Expect(value(1, "elsewhere_share")).To(gomega.BeZero())
+	g.Expect(value(2, "elsewhere_share")).To(gomega.BeNumerically(">", 0))
+	g.Expect(value(3, "transfers")).To(gomega.BeNumerically(">", 0))
+	g.Expect(RunDomains(DomainOptions{Variants: []string{"none"}}, &table, "")).To(gomega.HaveOccurred())
+}
+
+// TestLoadsAreOld guards against a comparison in which others know a load earlier than in reality.
+func TestLoadsAreOld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Unix(1000, 0)
+	l := &loop{scenario: domainScenarios[0].scenario, now: start, out: make([]bool, 3), inUse: make([]int, 3), workers: make([][]plan.Worker, 3)}
+	l.waiting = []map[model.JobID]*simJob{{}, {}, {}}
+	l.router = newRouter(l.scenario, 3, variant{})
+	l.router.publish(l)
+	l.now = start.Add(1100 * time.Millisecond)
+	l.out[0] = true
+	l.router.publish(l)
+	seen := func(after time.Duration) bool {
+		l.now = start.Add(after)
+		load, known := l.router.seen(l, 0)
+		return known && load.Out
+	}
+	// The change of 1.1 s is published at 2 s and sent with the heartbeat of that time.
+	g.Expect(seen(1900 * time.Millisecond)).To(gomega.BeFalse())
+	g.Expect(seen(2 * time.Second)).To(gomega.BeTrue())
+}
--- a/decisions/domains/domains.go
+++ b/decisions/domains/domains.go
@@ -160,18 +160,25 @@
 	if best == nil {
 		return nil
 	}
-	wait := time.Duration((pressure(x.own, 0) - max(0, pressure(*best, gpus(w.Spec)))) * float64(drainTime))
-	if x.own.Out {
-		wait = outWait
-	} else if pressure(x.own, 0) < max(low, x.Margin) {
-		return nil
-	}
-	if lostWork(w) > min(wait, x.MaxLost) {
+	if !x.own.Out && pressure(x.own, 0) < max(low, x.Margin) || !x.worthLoss(w, *best) {
 		return nil
 	}
 	return best
 }
 
+// worthLoss reports whether a transfer is worth the checkpoint of a job.
+func (x *round) worthLoss(w Waiting, t model.DomainLoad) bool {
+	lost := lostWork(w)
+	wait := time.Duration((pressure(x.own, 0) - max(0, pressure(t, gpus(w.Spec)))) * float64(drainTime))
+	if x.own.Out {
+		wait = outWait
+		if x.LostWait > 0 && x.now.Sub(w.Since) >= time.Duration(x.LostWait)*lost {
+			return true
+		}
+	}
+	return lost <= min(wait, x.MaxLost)
+}
+
 // lostWork estimates the run time that a transfer gives up.
 func lostWork(w Waiting) time.Duration {
 	return time.Duration(w.Progress * float64(min(max(w.Spec.RunTime, minLost), maxLost)))
--- a/decisions/domains/rules.go
+++ b/decisions/domains/rules.go
@@ -30,6 +30,10 @@
 	// MaxLost bounds the estimated run time that a transfer of a job with a checkpoint may give up. Less than the expected
 	// gain is required as well. 0 keeps all jobs with a checkpoint.
 	MaxLost time.Duration
+	// LostWait lets a job with a checkpoint leave a failure domain that is out all the same, once it has waited there
+	// LostWait times the run time that it gives up; 0 never does. The rule needs no knowledge of the return (Karlin et al.,
+	// "Competitive Snoopy Caching").
+	LostWait int
 	// YoungestFirst hands over the jobs first that were submitted last.
 	YoungestFirst bool
 }
