--- a/bench/router.go
+++ b/bench/router.go
@@ -246,7 +246,7 @@
 }
 
 // completed counts a job that has ended.
-func (r *router) completed(_ *loop, j *simJob) {
+func (r *router) completed(j *simJob) {
 	r.m.ended++
 	if j.domain != j.home {
 		r.m.moved++
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -326,7 +326,7 @@
 	l.outage.observe(j.Submitted, l.now)
 	l.m.completion = append(l.m.completion, l.now.Sub(j.Submitted).Seconds())
 	if l.router != nil {
-		l.router.completed(l, j)
+		l.router.completed(j)
 	}
 }
 
