Carry the loads of failure domains with heartbeats

The routing of jobs needs the loads of all failure domains. membership keeps the load that the local scheduler publishes, sends it with the heartbeats of a holder and publishes all known loads at most once a second when one changed. An unchanged load is published again every 4 s, because receivers drop loads older than 10 s. A load does not count as a change of membership.

Tests: decisions/member TestLoads and TestLoadFeed.

--- /dev/null
+++ b/decisions/member/loads_test.go
@@ -0,0 +1,62 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/member"
+)
+
+// TestLoads guards against the load of an earlier or silent holder, a load without its failure domain, and a
+// heartbeat that counts as a change of membership because of its load.
+func TestLoads(t *testing.T) {
+	now := time.Unix(1000, 0)
+	self := model.Member{VM: "v1", Domain: "a", Region: "r", Holder: model.Epoch{Store: 1}, Load: &model.DomainLoad{FreeGPUs: 1}}
+	table := member.New(self, nil)
+	far := func(vm model.VMID, epoch uint64, free int) model.Member {
+		return model.Member{VM: vm, Domain: "b", Region: "s", Holder: model.Epoch{Store: epoch}, Load: &model.DomainLoad{FreeGPUs: free}}
+	}
+	table.Heard(far("v2", 3, 30), now)
+	table.Heard(far("v3", 2, 20), now)
+	if table.Heard(far("v2", 3, 31), now) {
+		t.Error("a load alone counts as a change of membership")
+	}
+	got := table.Loads(self, now)
+	want := []model.DomainLoad{{Domain: "a", Region: "r", FreeGPUs: 1, Heard: now}, {Domain: "b", Region: "s", FreeGPUs: 31, Heard: now}}
+	if len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
+		t.Errorf("loads %+v, want %+v", got, want)
+	}
+	if got = table.Loads(self, now.Add(member.LoadValid)); len(got) != 1 || got[0].Domain != "a" {
+		t.Errorf("loads after the silence of a holder: %+v", got)
+	}
+}
+
+// TestLoadFeed guards against more than one publication a second, a publication without a change, a change that
+// is never published, and loads that grow too old at their receivers.
+func TestLoadFeed(t *testing.T) {
+	var feed member.LoadFeed
+	now := time.Unix(1000, 0)
+	loads := func(free int) []model.DomainLoad {
+		return []model.DomainLoad{{Domain: "a", FreeGPUs: free, Heard: now}}
+	}
+	for _, step := range []struct {
+		after time.Duration
+		loads []model.DomainLoad
+		want  bool
+	}{
+		{0, nil, false},
+		{0, loads(1), true},
+		{900 * time.Millisecond, loads(2), false},
+		{100 * time.Millisecond, loads(2), true},
+		{2 * time.Second, loads(2), false},
+		{2 * time.Second, loads(2), true},
+		{time.Second, nil, true},
+		{time.Minute, nil, false},
+	} {
+		now = now.Add(step.after)
+		if got := feed.Publish(step.loads, now); got != step.want {
+			t.Errorf("%v: published %v, want %v", step, got, step.want)
+		}
+	}
+}
--- a/decisions/member/member.go
+++ b/decisions/member/member.go
@@ -94,9 +94,10 @@
 	return !same(old, e.member)
 }
 
-// same reports whether two views of a member differ only in what every heartbeat changes.
+// same reports whether two views of a member differ only in what every heartbeat changes. Loads are published on
+// their own.
 func same(a, b model.Member) bool {
-	a.LastHeard, a.ConfigVersion = b.LastHeard, b.ConfigVersion
+	a.LastHeard, a.ConfigVersion, a.Load = b.LastHeard, b.ConfigVersion, b.Load
 	return a == b
 }
 
--- a/services/membership/service.go
+++ b/services/membership/service.go
@@ -52,6 +52,9 @@
 	seen  uint64
 	vms   []model.VM
 	table *member.Table
+	// load is the last load of the own failure domain; it is told while this VM is the holder.
+	load  *model.DomainLoad
+	loads member.LoadFeed
 }
 
 // New returns the service of one entry VM with the peers that its settings name.
@@ -65,7 +68,7 @@
 		Name: names.Membership, Service: s, DrainTimeout: leaveTimeout,
 		// The last heartbeats leave through the peers service.
 		After:      []kernel.Name{names.Peers},
-		Subscribes: []string{message.KindAuthorityChanged, message.KindConfigChanged},
+		Subscribes: []string{message.KindAuthorityChanged, message.KindConfigChanged, message.KindLoadChanged},
 	}
 }
 
@@ -111,9 +114,29 @@
 		if m.Holder {
 			s.self.Holder = m.Epoch
 		}
+		s.setLoad()
 		s.announce(c)
 	case message.ConfigChanged:
 		s.self.ConfigVersion = m.Config.Version
+	case message.LoadChanged:
+		s.load = &m.Load
+		s.setLoad()
+	}
+}
+
+// setLoad makes the heartbeats of a holder carry the load of its failure domain.
+func (s *Service) setLoad() {
+	s.self.Load = nil
+	if !s.self.Holder.IsZero() {
+		s.self.Load = s.load
+	}
+}
+
+// publishLoads publishes the known loads if they are due.
+func (s *Service) publishLoads(c *kernel.Context) {
+	now := time.Now()
+	if loads := s.table.Loads(s.self, now); s.loads.Publish(loads, now) {
+		c.Publish(message.LoadsChanged{Loads: loads})
 	}
 }
 
@@ -148,6 +171,7 @@
 	if s.table.Expire(time.Now()) {
 		s.publish(c)
 	}
+	s.publishLoads(c)
 	c.After(tickEvery, tickDue{})
 }
 
