Move waiting jobs to other failure domains

Cause: a job waited in a failure domain that was out or overloaded although others had free accelerators. Change: the scheduler publishes its load once a second if it changed, and is the source and the target of transfers (load.go, transfers*.go) by the state machines of decisions/transfer. A cancellation that meets an accepted transfer is kept with the moved job and passed on. Moved jobs are kept for 7 days, at most 4,200 of them. Ruled out: to hand a job over after the lease of a lost worker has lapsed. A holder that claimed the workers in a store outage may have renewed it, the older holder can still append until the log is sealed, and the workers of the target do not know the epoch. Such a job moves only after another run. To let the key of a job keep it from moving (decisions/domains does so for the keys that it sees): the moved job keeps the key and leads to its successor. Tests: the harness of tests/scheduling connects two failure domains. Its log now belongs to the earlier holder until a holder of an outage claim seals it; before, the log took the records of a claim that had not read it. The fuzz test of one failure domain seals after an outage as the store service does, so that it still covers such holders.

--- a/api/message/transfer.go
+++ b/api/message/transfer.go
@@ -27,6 +27,8 @@
 	Job model.Job
 	// Progress is the checkpointed share of the work that the source gives up, from 0 to 1.
 	Progress float64
+	// Transfers counts the transfers of the job so far, this one included.
+	Transfers int
 }
 
 // JobWithdraw makes the receiver refuse a transfer unless it has accepted it; answered by JobAcceptReply.
--- a/services/scheduler/calls.go
+++ b/services/scheduler/calls.go
@@ -39,6 +39,12 @@
 		s.cancel(c, e, m)
 	case message.AccountShow:
 		s.showAccount(e, m.Account)
+	case message.JobAccept:
+		s.offered(c, e, m)
+	case message.JobWithdraw:
+		s.withdrawn(c, e, m)
+	case message.TransferDone:
+		s.transferDone(c, e, m)
 	}
 }
 
@@ -73,9 +79,10 @@
 		ID: model.JobID(string(s.domain) + "/" + uuid.NewString()), Spec: spec, Domain: s.domain,
 		State: model.JobQueued, Submitted: time.Now(),
 	}}
+	j.since = j.Submitted
 	s.add(j)
 	s.changed(j)
-	s.await([]*job{j}, func(f *failure.Error) {
+	await(s, []*job{j}, func(f *failure.Error) {
 		if f != nil {
 			s.drop(j)
 			s.refuse(e, f.WithOutcome(failure.NotRun))
@@ -91,7 +98,7 @@
 	j.confirmed = true
 	s.changed(j)
 	snapshots := s.log.snapshots
-	s.await([]*job{j}, func(f *failure.Error) {
+	await(s, []*job{j}, func(f *failure.Error) {
 		if f != nil && notAppended(f) && s.log.snapshots == snapshots && j.State == model.JobQueued && !j.cancelled {
 			s.drop(j)
 			s.refuse(e, f.WithOutcome(failure.NotRun))
@@ -104,7 +111,7 @@
 		klog.InfoS("job accepted", "job", j.ID, "account", j.Spec.Account, "gpus", j.Spec.GPUs(), "urgent", j.Spec.Urgent)
 		s.answer(e, j)
 	})
-	s.await([]*job{j}, func(f *failure.Error) { s.admit(c, j, f) })
+	await(s, []*job{j}, func(f *failure.Error) { s.admit(c, j, f) })
 }
 
 // admit queues a confirmed job. After a failed append it waits for the next one.
@@ -113,7 +120,7 @@
 	case s.jobs[j.ID] != j: // The submission was undone.
 	case f != nil && f.Reason == failure.NotHolder:
 	case f != nil:
-		s.await([]*job{j}, func(f *failure.Error) { s.admit(c, j, f) })
+		await(s, []*job{j}, func(f *failure.Error) { s.admit(c, j, f) })
 	case !j.planned && j.State == model.JobQueued:
 		s.enqueue(j)
 		s.requestRound(c)
@@ -126,7 +133,7 @@
 		s.refuse(e, failure.New(failure.KeyReused, "key %q belongs to job %s", spec.Key, j.ID))
 		return
 	}
-	s.await([]*job{j}, func(f *failure.Error) {
+	await(s, []*job{j}, func(f *failure.Error) {
 		switch {
 		case f != nil && j.confirmed && s.jobs[j.ID] == j:
 			s.refuse(e, f.WithOutcome(failure.Unknown))
@@ -234,6 +241,8 @@
 		named = append(named, j)
 		switch {
 		case j.State.Final() || j.cancelled:
+		case j.State == model.JobTransferring:
+			s.cancelTransferring(c, j, now)
 		case j.gang == nil:
 			if j.planned {
 				waiting, j.planned = append(waiting, id), false
@@ -249,7 +258,7 @@
 	}
 	s.planner.Remove(waiting...)
 	s.requestRound(c)
-	s.await(named, func(f *failure.Error) {
+	await(s, named, func(f *failure.Error) {
 		if f != nil {
 			s.refuse(e, f.WithOutcome(failure.Unknown))
 			return
@@ -272,7 +281,7 @@
 	for _, j := range s.jobs {
 		switch {
 		case j.Spec.Account != id || j.State.Final() || !j.confirmed:
-		case j.State == model.JobQueued:
+		case j.State == model.JobQueued || j.State == model.JobTransferring:
 			out.GPUsQueued += j.Spec.GPUs()
 		default:
 			out.GPUsRunning += j.Spec.GPUs()
--- a/services/scheduler/gangs.go
+++ b/services/scheduler/gangs.go
@@ -78,7 +78,7 @@
 			cmd.NotAfter = s.startsUntil()
 			if !recorded[slot.Worker] {
 				recorded[slot.Worker] = true
-				cmd.Record = s.encode(j) // A worker keeps it for all its tasks of the job.
+				cmd.Record = j.encode() // A worker keeps it for all its tasks of the job.
 			}
 		case gang.Release:
 			cmd.NotAfter = s.startsUntil()
--- a/services/scheduler/gauges.go
+++ b/services/scheduler/gauges.go
@@ -31,7 +31,7 @@
 }
 
 // jobStates lists the states of jobs that have not ended; the ended ones are counted by event.
-var jobStates = []model.JobState{model.JobQueued, model.JobStarting, model.JobRunning, model.JobPreempting}
+var jobStates = []model.JobState{model.JobQueued, model.JobTransferring, model.JobStarting, model.JobRunning, model.JobPreempting}
 
 // reportShortfall sets the gauge of the guaranteed accelerators that cannot be packed at present, and logs a
 // change.
@@ -69,7 +69,7 @@
 	for _, state := range jobStates {
 		s.metrics.Gauge("jobs_"+string(state), counts[state])
 	}
-	s.metrics.Gauge("jobs_ended_kept", int64(len(s.ended)))
+	s.metrics.Gauge("jobs_ended_kept", int64(len(s.ended)+len(s.moved)))
 	s.metrics.Gauge("gpus_borrowed", int64(s.borrowed(byAccount)))
 	s.reportCells(occupied)
 }
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -15,7 +15,10 @@
 const (
 	// endedRetention is the time for which an ended job is still shown and its idempotency key known.
 	endedRetention = time.Hour
-	// maxEnded bounds the ended jobs that are kept; three days of 1,400 jobs.
+	// movedRetention is that time for a moved job. Its callers and its key lead to the job that goes on for it,
+	// which waits and runs for days at most.
+	movedRetention = 7 * 24 * time.Hour
+	// maxEnded bounds the ended and the moved jobs that are kept; three days of 1,400 jobs.
 	maxEnded = 4200
 	// defaultMaxQueued bounds the waiting jobs of an account whose policy sets no bound.
 	defaultMaxQueued = 2000
@@ -41,6 +44,7 @@
 // job is a job with the state of its current attempt.
 type job struct {
 	model.Job
+	recorded
 	gang *gang.Gang
 	// progress is the checkpointed share of the work, from 0 to 1.
 	progress float64
@@ -53,10 +57,18 @@
 	// confirmed is true once the job may run: its submission is durable.
 	confirmed bool
 	// planned is true while the planner knows the job.
-	planned   bool
+	planned bool
+	// cancelled is true once a caller has cancelled the job. In a moved job it means that the job that goes on
+	// for it must still be cancelled.
 	cancelled bool
-	// version counts the changes and durable is the last version that is in the log.
-	version, durable uint64
+	// since is the time from which the job waits without a run; transfers counts its transfers, also through other
+	// failure domains and also refused ones, and lastTransfer is the time at which the last one ended.
+	since        time.Time
+	transfers    int
+	lastTransfer time.Time
+	// lapsed is true if the end of the last attempt was not reported by all its workers. A holder that this
+	// one cannot see may have renewed their leases, so that the job is not handed over.
+	lapsed bool
 	// ticksAt is the time of the timer that is set for the gang.
 	ticksAt time.Time
 }
@@ -80,6 +92,7 @@
 	}
 	if to == model.JobQueued {
 		s.queued[j.Spec.Account]++
+		j.since = time.Now()
 	}
 	klog.InfoS("job state changed", "job", j.ID, "account", j.Spec.Account, "from", j.State, "to", to,
 		"attempt", j.Attempt, "reason", j.Reason)
@@ -90,13 +103,21 @@
 // add enters a job into the table.
 func (s *Service) add(j *job) {
 	s.jobs[j.ID] = j
-	if j.Spec.Key != "" {
+	if j.Spec.Key != "" && j.Origin == "" { // The key of a moved job belongs to the first one.
 		s.keys[accountKey{j.Spec.Account, j.Spec.Key}] = j.ID
 	}
 	if j.State == model.JobQueued {
 		s.queued[j.Spec.Account]++
 	}
-	if j.State.Final() {
+	s.keepEnded(j)
+}
+
+// keepEnded remembers an ended job for its retention.
+func (s *Service) keepEnded(j *job) {
+	switch {
+	case j.State == model.JobMoved:
+		s.moved = append(s.moved, j.ID)
+	case j.State.Final():
 		s.ended = append(s.ended, j.ID)
 	}
 }
@@ -107,7 +128,7 @@
 		s.queued[j.Spec.Account]--
 	}
 	delete(s.jobs, j.ID)
-	delete(s.log.dirty, j.ID)
+	j.dropped = true
 	if k := (accountKey{j.Spec.Account, j.Spec.Key}); s.keys[k] == j.ID {
 		delete(s.keys, k)
 	}
@@ -136,21 +157,28 @@
 	j.planned, j.backingOff, j.Ended, j.Reason = false, false, now, string(reason)
 	s.setState(j, state)
 	s.metrics.Event("jobs_"+string(state), 1)
-	s.ended = append(s.ended, j.ID)
+	s.keepEnded(j)
 	delete(s.reserved, j.ID)
 	s.forgetEnded(now)
 }
 
 // forgetEnded drops the oldest ended jobs beyond the retention.
 func (s *Service) forgetEnded(now time.Time) {
-	for len(s.ended) > 0 {
-		j := s.jobs[s.ended[0]]
-		if j != nil && len(s.ended) <= maxEnded && (now.Sub(j.Ended) < endedRetention || s.log.dirty[j.ID]) {
-			return
+	s.ended = s.forget(s.ended, endedRetention, now)
+	s.moved = s.forget(s.moved, movedRetention, now)
+}
+
+// forget drops the first of the ordered jobs and returns the others.
+func (s *Service) forget(ids []model.JobID, retention time.Duration, now time.Time) []model.JobID {
+	for len(ids) > 0 {
+		j := s.jobs[ids[0]]
+		if j != nil && len(ids) <= maxEnded && (now.Sub(j.Ended) < retention || j.dirty) {
+			break
 		}
 		if j != nil {
 			s.drop(j)
 		}
-		s.ended = s.ended[1:]
+		ids = ids[1:]
 	}
+	return ids
 }
--- a/services/scheduler/journal.go
+++ b/services/scheduler/journal.go
@@ -1,12 +1,10 @@
 package scheduler
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
@@ -24,21 +22,26 @@
 	appendRetry = 500 * time.Millisecond
 )
 
-// record is the durable state of one job. A later record of a job replaces an earlier one.
-type record struct {
-	Job          model.Job `json:"job"`
-	Progress     float64   `json:"progress,omitempty"`
-	Failures     int       `json:"failures,omitempty"`
-	FailedStarts int       `json:"failed_starts,omitempty"`
-	Confirmed    bool      `json:"confirmed,omitempty"`
-	Cancelled    bool      `json:"cancelled,omitempty"`
+// entry is a job or a step of a transfer.
+type entry interface {
+	state() *recorded
+	encode() []byte
 }
 
+// recorded is the part of an entry that the journal owns.
+type recorded struct {
+	// version counts the changes and durable is the last version that is in the log.
+	version, durable uint64
+	// dirty is true while the entry waits for an append, dropped once it is out of its table.
+	dirty, dropped bool
+}
+
+func (r *recorded) state() *recorded { return r }
+
 // journal holds the changes that are not in the log yet.
 type journal struct {
-	dirty map[model.JobID]bool
-	// order lists the dirty jobs by the time of their first change.
-	order    []model.JobID
+	// order lists the dirty entries by the time of their first change.
+	order    []entry
 	inFlight bool
 	// delayed is true until the retry timer after a failed append.
 	delayed bool
@@ -51,9 +54,9 @@
 	snapshots int
 }
 
-// waiter runs done once versions of jobs are durable or an append of one of them has failed.
+// waiter runs done once versions of entries are durable or an append of one of them has failed.
 type waiter struct {
-	versions map[model.JobID]uint64
+	versions map[entry]uint64
 	done     func(*failure.Error)
 }
 
@@ -62,45 +65,25 @@
 // Kind implements kernel.Message.
 func (appendDue) Kind() string { return "log_append_due" }
 
-func (s *Service) encode(j *job) []byte {
-	r := record{
-		Job: j.Job, Progress: j.progress, Failures: j.failures, FailedStarts: j.failedStarts,
-		Confirmed: j.confirmed, Cancelled: j.cancelled,
-	}
-	r.Job.Placement = nil // Worker reports tell where the tasks are.
-	data, err := json.Marshal(r)
-	if err != nil {
-		klog.ErrorS(errors.Wrap(err, "encode job"), "job record not encoded", "job", j.ID)
-	}
-	return data
+// changed marks an entry for the next append.
+func (s *Service) changed(e entry) {
+	e.state().version++
+	s.log.mark(e)
 }
 
-func decode(data []byte) (*job, error) {
-	var r record
-	if err := json.Unmarshal(data, &r); err != nil {
-		return nil, errors.Wrap(err, "decode job record")
+func (l *journal) mark(e entry) {
+	if r := e.state(); !r.dirty {
+		r.dirty = true
+		l.order = append(l.order, e)
 	}
-	return &job{
-		Job: r.Job, progress: r.Progress, failures: r.Failures, failedStarts: r.FailedStarts,
-		confirmed: r.Confirmed, cancelled: r.Cancelled,
-	}, nil
 }
 
-// changed marks a job for the next append.
-func (s *Service) changed(j *job) {
-	j.version++
-	if !s.log.dirty[j.ID] {
-		s.log.dirty[j.ID] = true
-		s.log.order = append(s.log.order, j.ID)
-	}
-}
-
-// await runs done once the current versions of the jobs are durable.
-func (s *Service) await(jobs []*job, done func(*failure.Error)) {
-	w := &waiter{versions: make(map[model.JobID]uint64, len(jobs)), done: done}
-	for _, j := range jobs {
-		if j.durable < j.version {
-			w.versions[j.ID] = j.version
+// await runs done once the current versions of the entries are durable.
+func await[E entry](s *Service, entries []E, done func(*failure.Error)) {
+	w := &waiter{versions: make(map[entry]uint64, len(entries)), done: done}
+	for _, e := range entries {
+		if r := e.state(); r.durable < r.version {
+			w.versions[e] = r.version
 		}
 	}
 	if len(w.versions) == 0 {
@@ -136,23 +119,23 @@
 }
 
 // nextBatch takes the oldest changes up to the bounds of one append. It takes at least one.
-func (s *Service) nextBatch() (map[model.JobID]uint64, []message.LogRecord) {
-	batch := make(map[model.JobID]uint64)
+func (s *Service) nextBatch() (map[entry]uint64, []message.LogRecord) {
+	batch := make(map[entry]uint64)
 	var records []message.LogRecord
 	n, size := 0, 0
-	for _, id := range s.log.order {
-		j := s.jobs[id]
-		if j == nil || !s.log.dirty[id] {
+	for _, e := range s.log.order {
+		r := e.state()
+		if r.dropped || !r.dirty {
 			n++
 			continue
 		}
-		data := s.encode(j)
+		data := e.encode()
 		if size += len(data); len(records) == maxBatch || len(records) > 0 && size > maxBatchBytes {
 			break
 		}
 		n++
-		delete(s.log.dirty, id)
-		batch[id] = j.version
+		r.dirty = false
+		batch[e] = r.version
 		records = append(records, message.LogRecord{Service: names.Scheduler, Data: data})
 	}
 	s.log.order = slices.Clone(s.log.order[n:])
@@ -179,20 +162,19 @@
 }
 
 // appended applies the result of an append.
-func (s *Service) appended(c *kernel.Context, batch map[model.JobID]uint64, err error) {
+func (s *Service) appended(c *kernel.Context, batch map[entry]uint64, err error) {
 	if err != nil {
 		s.appendFailed(c, batch, err)
 		return
 	}
-	for id, v := range batch {
-		if j := s.jobs[id]; j != nil {
-			j.durable = max(j.durable, v)
-		}
+	for e, v := range batch {
+		r := e.state()
+		r.durable = max(r.durable, v)
 	}
 	s.settleWaiters(func(w *waiter) (bool, *failure.Error) {
-		for id, v := range w.versions {
-			if batch[id] >= v {
-				delete(w.versions, id)
+		for e, v := range w.versions {
+			if batch[e] >= v {
+				delete(w.versions, e)
 			}
 		}
 		return len(w.versions) == 0, nil
@@ -201,12 +183,11 @@
 
 // appendFailed tells the waiters and keeps the records for a later append, because jobs go on without the
 // store and their records must follow.
-func (s *Service) appendFailed(c *kernel.Context, batch map[model.JobID]uint64, err error) {
+func (s *Service) appendFailed(c *kernel.Context, batch map[entry]uint64, err error) {
 	f := appendFailure(err)
-	for id := range batch {
-		if j := s.jobs[id]; j != nil && !s.log.dirty[id] {
-			s.log.dirty[id] = true
-			s.log.order = append(s.log.order, id)
+	for e := range batch {
+		if !e.state().dropped {
+			s.log.mark(e)
 		}
 	}
 	s.log.closed = f.Reason == failure.NotHolder
@@ -214,8 +195,8 @@
 		if s.log.closed {
 			return true, f
 		}
-		for id := range w.versions {
-			if _, tried := batch[id]; tried {
+		for e := range w.versions {
+			if _, tried := batch[e]; tried {
 				return true, f
 			}
 		}
@@ -251,8 +232,8 @@
 	s.settleWaiters(func(*waiter) (bool, *failure.Error) { return true, f })
 }
 
-// snapshot answers with one record per job. Unconfirmed jobs never run and are left out. A state that was
-// rebuilt without the log gives none, because a snapshot replaces the log.
+// snapshot answers with one record per job and the records of the transfers. Unconfirmed jobs never run and are
+// left out. A state that was rebuilt without the log gives none, because a snapshot replaces the log.
 func (s *Service) snapshot(e kernel.Envelope, m message.SnapshotGet) {
 	if m.Epoch != s.epoch || s.epoch.IsZero() || s.recovery != nil {
 		e.Fail(s.metrics.Refusal(failure.New(failure.NotHolder, "no state under epoch %s", m.Epoch)))
@@ -266,8 +247,11 @@
 	var out message.SnapshotReply
 	for _, j := range s.jobs {
 		if j.confirmed {
-			out.Records = append(out.Records, message.LogRecord{Service: names.Scheduler, Data: s.encode(j)})
+			out.Records = append(out.Records, message.LogRecord{Service: names.Scheduler, Data: j.encode()})
 		}
 	}
+	for _, step := range s.transferSteps() {
+		out.Records = append(out.Records, message.LogRecord{Service: names.Scheduler, Data: step.encode()})
+	}
 	e.Reply(out)
 }
--- a/services/scheduler/leases.go
+++ b/services/scheduler/leases.go
@@ -107,7 +107,7 @@
 // gangSize returns the size of a gang from the log or, during a recovery, from the record that workers reported.
 func (s *Service) gangSize(id model.JobID) (int, bool) {
 	if j := s.jobs[id]; j != nil {
-		return j.Spec.Tasks, true
+		return j.Spec.Tasks, !j.elsewhere()
 	}
 	n, known := s.recovery.sizes[id]
 	return n, known
@@ -118,7 +118,7 @@
 	if _, known := r.sizes[t.Task.Job]; known || t.Record == nil {
 		return
 	}
-	j, err := decode(t.Record)
+	j, err := decodeJob(t.Record)
 	if err != nil {
 		klog.ErrorS(err, "reported job record skipped", "job", t.Task.Job)
 		return
--- /dev/null
+++ b/services/scheduler/load.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// loadEvery is the interval at which the load is measured and transfers are considered. A load that changes
+// more often would cost the VMs more traffic than its use is worth.
+const loadEvery = time.Second
+
+type loadDue struct{ epoch model.Epoch }
+
+// Kind implements kernel.Message.
+func (loadDue) Kind() string { return "load_due" }
+
+// loadDue publishes the load if it has changed, and begins transfers.
+func (s *Service) loadDue(c *kernel.Context, m loadDue) {
+	if m.epoch != s.epoch {
+		return
+	}
+	c.After(loadEvery, m)
+	now := time.Now()
+	own := s.measureLoad(now)
+	if own != s.told {
+		s.told = own
+		c.Publish(message.LoadChanged{Load: own})
+	}
+	s.beginTransfers(c, own, now)
+}
+
+// measureLoad returns the load of the own failure domain. Region and Heard are left to the membership.
+func (s *Service) measureLoad(now time.Time) model.DomainLoad {
+	_, blocked := s.blocked(now)
+	l := model.DomainLoad{
+		Domain: s.domain, Out: s.config.Config.IsOut(s.domain),
+		Starts: !blocked && s.recovery == nil && !s.draining,
+	}
+	used := make(map[model.WorkerID]int)
+	for _, j := range s.jobs {
+		switch {
+		case j.gang != nil:
+			for _, slot := range j.Placement {
+				used[slot.Worker] += slot.GPUs.Count()
+			}
+		case j.State == model.JobQueued && j.confirmed:
+			l.QueuedJobs++
+			l.QueuedGPUs += j.Spec.GPUs()
+		}
+	}
+	for _, id := range s.order {
+		if w := s.workers[id]; !w.reported || !s.tracker.Usable(id, now) {
+			continue
+		}
+		n, occupied := used[id]
+		l.GPUs += model.GPUsPerWorker
+		l.FreeGPUs += model.GPUsPerWorker - n
+		if !occupied {
+			l.FreeWorkers++
+		}
+	}
+	return l
+}
--- a/services/scheduler/recover.go
+++ b/services/scheduler/recover.go
@@ -73,7 +73,7 @@
 	default:
 		s.recovery.replayed = true
 		s.log.partial = !m.Sealed
-		for id, j := range latestRecords(m.Records) {
+		for id, j := range s.readLog(m.Records) {
 			if s.jobs[id] == nil {
 				s.load(j)
 			}
@@ -89,7 +89,7 @@
 func (s *Service) replayLate(c *kernel.Context, m message.LogReplayed) {
 	now := time.Now()
 	s.log.partial = false
-	for id, recorded := range latestRecords(m.Records) {
+	for id, recorded := range s.readLog(m.Records) {
 		j := s.jobs[id]
 		if j == nil {
 			s.load(recorded)
@@ -101,7 +101,9 @@
 		}
 	}
 	s.sortEnded()
+	s.carryOut(c, s.source.Resume(now))
 	s.queueRest(c, now)
+	s.passCancels(c)
 	klog.InfoS("log replayed late", "domain", s.domain, "epoch", s.epoch, "jobs", len(s.jobs))
 	s.requestRound(c)
 }
@@ -118,32 +120,41 @@
 	s.follow(c, j, now)
 }
 
-// latestRecords returns the last record of each confirmed job.
-func latestRecords(records []message.LogRecord) map[model.JobID]*job {
+// readLog returns the last record of each confirmed job, and passes the steps of transfers to their state machines.
+func (s *Service) readLog(records []message.LogRecord) map[model.JobID]*job {
 	latest := make(map[model.JobID]*job)
+	var steps []transferRecord
 	for _, r := range records {
 		if r.Service != names.Scheduler {
 			continue
 		}
-		j, err := decode(r.Data)
+		j, t, err := decode(r.Data)
 		if err != nil {
 			klog.ErrorS(err, "job record skipped")
 			continue
 		}
 		latest[j.ID] = j
+		steps = append(steps, t)
 	}
+	s.replaySteps(steps)
 	maps.DeleteFunc(latest, func(_ model.JobID, j *job) bool { return !j.confirmed })
 	return latest
 }
 
 func (s *Service) sortEnded() {
-	slices.SortFunc(s.ended, func(a, b model.JobID) int { return s.jobs[a].Ended.Compare(s.jobs[b].Ended) })
+	byEnd := func(a, b model.JobID) int { return s.jobs[a].Ended.Compare(s.jobs[b].Ended) }
+	slices.SortFunc(s.ended, byEnd)
+	slices.SortFunc(s.moved, byEnd)
 }
 
 // load enters a recorded job. Until a gang of it is adopted it counts as waiting.
 func (s *Service) load(j *job) {
-	if !j.State.Final() {
-		j.State = model.JobQueued
+	switch j.State {
+	case model.JobStarting, model.JobRunning, model.JobPreempting:
+		j.State, j.lapsed = model.JobQueued, true // Unless the gang is adopted, nobody saw its end.
+	}
+	if j.since.IsZero() {
+		j.since = j.Submitted // The record is older than this field.
 	}
 	s.add(j)
 }
@@ -180,7 +191,7 @@
 		if t.Status.Record == nil || s.jobs[id] != nil || !live[id] {
 			continue
 		}
-		j, err := decode(t.Status.Record)
+		j, err := decodeJob(t.Status.Record)
 		if err != nil || j.ID != id || !j.confirmed {
 			klog.ErrorS(err, "reported job record skipped", "job", id)
 			continue
@@ -194,13 +205,16 @@
 	now := time.Now()
 	result := recovery.Decide(tasks, func(id model.JobID) (int, bool) {
 		j := s.jobs[id]
-		if j == nil || j.State.Final() {
+		if j == nil || j.State.Final() || j.elsewhere() {
 			return 0, false
 		}
 		return j.Spec.Tasks, true
 	})
 	for _, t := range result.Stop {
 		s.stopUnknown(t.Worker, t.Status.Task)
+		if j := s.jobs[t.Status.Task.Job]; j != nil {
+			j.lapsed = true // Nobody waits for the report of the stop.
+		}
 	}
 	for id, attempt := range result.Attempts {
 		if j := s.jobs[id]; j != nil {
@@ -211,7 +225,11 @@
 	for _, g := range result.Adopt {
 		s.adopt(c, g, now)
 	}
+	if !s.log.partial {
+		s.carryOut(c, s.source.Resume(now))
+	}
 	s.queueRest(c, now)
+	s.passCancels(c)
 	klog.InfoS("state rebuilt", "domain", s.domain, "epoch", s.epoch, "adopted", len(result.Adopt),
 		"stopped", len(result.Stop), "jobs", len(s.jobs), "sealed", !s.log.partial)
 	s.followDomain(c)
@@ -238,7 +256,7 @@
 	if j.Started.IsZero() {
 		j.Started = now
 	}
-	j.planned = true
+	j.planned, j.lapsed = true, false
 	s.planner.Adopt(j.waiting(), j.Placement, j.Started)
 	s.bind(j)
 	s.setState(j, model.JobRunning)
@@ -258,9 +276,10 @@
 			lapsed = w.leaseEnds
 		}
 	}
+	s.offerFrom = lapsed // Until then a task that no record names may run on a lost worker.
 	var rest []*job
 	for _, j := range s.jobs {
-		if j.confirmed && !j.State.Final() && j.gang == nil && !j.planned && !j.backingOff {
+		if j.confirmed && j.State == model.JobQueued && j.gang == nil && !j.planned && !j.backingOff {
 			rest = append(rest, j)
 		}
 	}
@@ -272,7 +291,7 @@
 		case j.cancelled:
 			s.end(j, model.JobCancelled, "", now)
 		case lapsed.After(now) && j.Attempt > 0:
-			j.backingOff = true
+			j.backingOff, j.lapsed = true, true
 			c.After(lapsed.Sub(now), retryDue{epoch: s.epoch, job: j.ID})
 		default:
 			s.enqueue(j)
--- a/services/scheduler/reports.go
+++ b/services/scheduler/reports.go
@@ -118,6 +118,7 @@
 	}
 	now := time.Now()
 	s.eachMember(m.Worker, func(j *job, i int) {
+		j.lapsed = true
 		s.apply(j, j.gang.Lose(i, m.LeaseEnds, now))
 		s.follow(c, j, now)
 	})
--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -112,6 +112,12 @@
 		s.retryDue(c, m)
 	case healthyDue:
 		s.healthyDue(m)
+	case loadDue:
+		s.loadDue(c, m)
+	case transferDue:
+		s.transferDue(c, m)
+	case passCancelDue:
+		s.passCancelDue(c, m)
 	default:
 		return false
 	}
@@ -228,6 +234,7 @@
 		s.workersChanged = s.workersChanged || !s.tracker.Usable(slot.Worker, now)
 	}
 	j.Attempt++
+	j.lapsed = false
 	j.Placement = st.Placement
 	s.setState(j, model.JobStarting)
 	s.bind(j)
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -6,10 +6,15 @@
 //
 // Failure domain out. No task starts from then on; starts in progress are aborted. Running jobs go on for
 // a grace period, so that a short outing costs no work. Then preemptible jobs and later all others are
-// checkpointed and stopped. They wait in the queue until the failure domain returns.
+// checkpointed and stopped. They wait in the queue until the failure domain returns or they move.
+//
+// Transfers. Waiting jobs that name no failure domain move to others. A job is in the state transferring, and does
+// not start, from before the log holds the transfer until it holds the decision of the target. A holder that could
+// not read the whole log neither begins transfers nor decides on those of others.
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
@@ -19,6 +24,7 @@
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/decisions/plan"
 	"github.com/verbenaflow/verbenaflow/decisions/quarantine"
+	"github.com/verbenaflow/verbenaflow/decisions/transfer"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
@@ -73,6 +79,7 @@
 	keys     map[accountKey]model.JobID
 	queued   map[model.AccountID]int
 	ended    []model.JobID
+	moved    []model.JobID
 	onWorker map[model.WorkerID]map[model.JobID]bool
 	planner  planner
 	tracker  *quarantine.Tracker
@@ -87,6 +94,17 @@
 	// quarantined lists the workers that were last reported as quarantined.
 	quarantined []model.WorkerID
 	outSince    time.Time
+	source      *transfer.Source
+	target      *transfer.Target
+	// asking holds the latest message of each kind that waits for the decision on a transfer.
+	asking map[question]kernel.Envelope
+	// transferTick is the time of the timer that is set for the transfers.
+	transferTick time.Time
+	// offerFrom is the time before which no transfer begins.
+	offerFrom time.Time
+	// told is the load that was published last, loads are those of all failure domains.
+	told  model.DomainLoad
+	loads []model.DomainLoad
 
 	draining       bool
 	workersChanged bool
@@ -110,6 +128,7 @@
 	return kernel.Spec{
 		Name: names.Scheduler, Service: s, Mailbox: 16384, Subscribes: []string{
 			message.KindAuthorityChanged, message.KindConfigChanged, message.KindMembersChanged, message.KindLogReplayed,
+			message.KindLoadsChanged,
 		},
 		// The last records of the scheduler precede the closing record that the drain of authority appends.
 		After: []kernel.Name{names.Workers, names.Store, names.Authority}, DrainTimeout: drainTimeout,
@@ -148,6 +167,8 @@
 		s.workerLost(c, m)
 	case message.SnapshotGet:
 		s.snapshot(e, m)
+	case message.LoadsChanged:
+		s.loads = slices.Clone(m.Loads) // Other subscribers have the same slice.
 	default:
 		if !s.due(c, m) {
 			s.call(c, e)
@@ -174,7 +195,9 @@
 	if epoch == s.epoch {
 		return
 	}
-	s.failWaiters(failure.New(failure.NotHolder, "authority over %s was lost", s.domain))
+	lost := failure.New(failure.NotHolder, "authority over %s was lost", s.domain)
+	s.failWaiters(lost)
+	s.failQuestions(lost)
 	s.epoch = epoch
 	s.reset()
 	early := s.early
@@ -184,6 +207,7 @@
 		return
 	}
 	s.recovery = newRecovering()
+	c.After(loadEvery, loadDue{epoch: epoch})
 	c.After(partialGrace, partialDue{epoch})
 	s.planner.SetPolicy(s.config.Config.Current())
 	for _, m := range early {
@@ -198,15 +222,18 @@
 	s.jobs = make(map[model.JobID]*job)
 	s.keys = make(map[accountKey]model.JobID)
 	s.queued = make(map[model.AccountID]int)
-	s.ended = nil
+	s.ended, s.moved = nil, nil
 	s.onWorker = make(map[model.WorkerID]map[model.JobID]bool)
 	s.planner = s.newPlanner()
 	s.tracker, s.quarantined = quarantine.New(), nil
-	s.log = journal{dirty: make(map[model.JobID]bool)}
+	s.log = journal{}
 	s.commands = make(map[model.WorkerID][]message.TaskCommand)
 	s.leases, s.leasesAll = nil, false
 	s.reserved = make(map[model.JobID]bool)
-	s.outSince, s.probeAt = time.Time{}, time.Time{}
+	s.source, s.target = transfer.NewSource(s.domain), transfer.NewTarget(s.domain)
+	s.asking = make(map[question]kernel.Envelope)
+	s.told = model.DomainLoad{}
+	s.outSince, s.probeAt, s.transferTick, s.offerFrom = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	s.workersChanged = true
 	for _, w := range s.workers {
 		w.reported, w.lost = false, false
--- /dev/null
+++ b/services/scheduler/transfers.go
@@ -0,0 +1,105 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/transfer"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+type transferDue struct {
+	epoch model.Epoch
+	at    time.Time
+}
+
+// Kind implements kernel.Message.
+func (transferDue) Kind() string { return "transfer_due" }
+
+// elsewhere reports whether the job may run, or runs, in another failure domain.
+func (j *job) elsewhere() bool {
+	return j.State == model.JobTransferring || j.State == model.JobMoved
+}
+
+// carryOut applies the actions of the state machines of transfers.
+func (s *Service) carryOut(c *kernel.Context, actions []transfer.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case transfer.AppendSource:
+			s.recordSource(c, a.Record)
+		case transfer.Offer:
+			s.offer(c, a)
+		case transfer.Withdraw:
+			s.withdraw(c, a)
+		case transfer.Confirm:
+			s.confirmDecision(c, a.ID)
+		case transfer.Ended:
+			s.transferEnded(c, a)
+		case transfer.AppendTarget:
+			s.recordTarget(c, a.Record)
+		case transfer.Enqueue:
+			s.takeOver(c, a)
+		case transfer.Answer, transfer.Defer, transfer.AnswerDone:
+			s.answerSource(a)
+		}
+	}
+	s.planTransferTick(c)
+}
+
+// planTransferTick sets the timer of the next repeated message or append.
+func (s *Service) planTransferTick(c *kernel.Context) {
+	at := s.source.Deadline()
+	if t := s.target.Deadline(); at.IsZero() || !t.IsZero() && t.Before(at) {
+		at = t
+	}
+	if at.IsZero() || at.Equal(s.transferTick) {
+		return
+	}
+	s.transferTick = at
+	c.After(time.Until(at), transferDue{epoch: s.epoch, at: at})
+}
+
+// transferDue repeats messages and appends. A timer that a later one has replaced does nothing.
+func (s *Service) transferDue(c *kernel.Context, m transferDue) {
+	if m.epoch != s.epoch || !m.at.Equal(s.transferTick) {
+		return
+	}
+	now := time.Now()
+	s.transferTick = time.Time{}
+	s.carryOut(c, append(s.source.Tick(now), s.target.Tick(now)...))
+}
+
+// replaySteps passes the steps of the log to the state machines.
+func (s *Service) replaySteps(steps []transferRecord) {
+	var sources []transfer.SourceRecord
+	var targets []transfer.TargetRecord
+	for _, t := range steps {
+		if t.Source != nil {
+			sources = append(sources, *t.Source)
+		}
+		if t.Target != nil {
+			targets = append(targets, *t.Target)
+		}
+	}
+	s.source.Replay(sources...)
+	s.target.Replay(targets...)
+}
+
+// transferSteps returns the state of all transfers for a snapshot, which holds the jobs as well.
+func (s *Service) transferSteps() []*step {
+	var out []*step
+	for _, r := range s.source.Records() {
+		out = append(out, &step{source: &r})
+	}
+	for _, r := range s.target.Records() {
+		out = append(out, &step{target: &r})
+	}
+	return out
+}
+
+// appendStep records a step and runs done once it is in the log or an append of it has failed.
+func (s *Service) appendStep(p *step, done func(durable bool)) {
+	s.changed(p)
+	await(s, []*step{p}, func(f *failure.Error) { done(f == nil) })
+}
--- a/tests/scheduling/journal_test.go
+++ b/tests/scheduling/journal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"time"
 
@@ -66,10 +65,7 @@
 		if m, err := h.call(message.SnapshotGet{Epoch: h.epoch}); failure.From(err).Reason != failure.StoreUnavailable {
 			t.Fatalf("snapshot %+v, error %v", m, err)
 		}
-		replay := message.LogReplayed{Epoch: h.epoch, Sealed: true, Records: slices.Clone(w.records)}
-		if err := h.kernel.Send(names.Scheduler, replay); err != nil {
-			t.Fatal(err)
-		}
+		w.seal()
 		m, err := h.call(message.SnapshotGet{Epoch: h.epoch})
 		if err != nil || len(m.(message.SnapshotReply).Records) != 2 {
 			t.Fatalf("snapshot %+v, error %v", m, err)
--- a/tests/scheduling/promises_test.go
+++ b/tests/scheduling/promises_test.go
@@ -285,14 +285,11 @@
 		time.Sleep(time.Second)
 		waits := w.mustSubmit(t, model.JobSpec{Tasks: 1, GPUsPerTask: 8, RunTime: 10 * time.Second})
 		w.locked(func() { w.down, w.current().cut = true, true })
-		h := w.elect(false)
+		w.elect(false)
 		time.Sleep(20 * time.Second)
 		w.locked(func() { w.down = false })
-		replay := message.LogReplayed{Epoch: h.epoch, Sealed: true, Records: slices.Clone(w.records)}
 		for range 2 {
-			if err := h.kernel.Send(names.Scheduler, replay); err != nil {
-				t.Fatal(err)
-			}
+			w.seal()
 		}
 		time.Sleep(2 * time.Minute)
 		for _, job := range []model.JobID{runs, waits} {
--- a/tests/scheduling/scheduling_test.go
+++ b/tests/scheduling/scheduling_test.go
@@ -108,7 +108,13 @@
 	r.locked(func() { r.stale = stale })
 }
 
-func (r *run) setStore(down, lost bool) { r.locked(func() { r.down, r.lost = down, lost }) }
+// setStore changes the store. A holder that claimed the workers in an outage seals the log after it.
+func (r *run) setStore(down, lost bool) {
+	r.locked(func() { r.down, r.lost = down, lost })
+	if !down && r.sealed != r.current().epoch {
+		r.seal()
+	}
+}
 
 // failover replaces the holder. The old one may return and find its epoch refused.
 func (r *run) failover(sealed, resumes bool) {
--- a/tests/scheduling/world_test.go
+++ b/tests/scheduling/world_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,12 +57,17 @@
 type logged struct {
 	Job       model.Job `json:"job"`
 	Confirmed bool      `json:"confirmed"`
-	at        time.Time
+	// Transfer is set in records of the second kind.
+	Transfer recordedTransfer `json:"transfer"`
+	at       time.Time
 }
 
 // world is the platform that all holders share. The mutex guards its fields.
 type world struct {
-	mu      sync.Mutex
+	mu     sync.Mutex
+	domain model.FailureDomain
+	// pair connects the world to another one; nil if it is alone.
+	pair    *pair
 	config  model.Config
 	stale   bool
 	confirm time.Time
@@ -74,11 +80,13 @@
 	refuse   error
 	refuseIf string
 	// closed is the time at which the holder's authority drained.
-	closed  time.Time
-	epoch   model.Epoch
-	records []message.LogRecord
-	logged  []logged
-	cut     map[model.WorkerID]bool
+	closed time.Time
+	// epoch is the highest one, sealed that of the log. After a claim in an outage the log is the earlier holder's
+	// until it is sealed.
+	epoch, sealed model.Epoch
+	records       []message.LogRecord
+	logged        []logged
+	cut           map[model.WorkerID]bool
 	// refused counts the appends of each epoch after the log was sealed by a higher one.
 	refused map[model.Epoch]int
 
@@ -87,11 +95,14 @@
 	cancel  context.CancelFunc
 	clients map[model.WorkerID]*standin.LocalClient
 	holders []*holder
+	active  atomic.Pointer[holder]
 }
 
-func newWorld(n int) *world {
+func newWorld(n int) *world { return newWorldOf(domain, n) }
+
+func newWorldOf(d model.FailureDomain, n int) *world {
 	w := &world{
-		base: time.Now(), cut: map[model.WorkerID]bool{}, refused: map[model.Epoch]int{}, clients: map[model.WorkerID]*standin.LocalClient{},
+		domain: d, base: time.Now(), cut: map[model.WorkerID]bool{}, refused: map[model.Epoch]int{}, clients: map[model.WorkerID]*standin.LocalClient{},
 		config: model.Config{Version: 1, InForce: "p", Presets: map[string]model.Preset{
 			"p": {Accounts: map[model.AccountID]model.AccountPolicy{"acme": {Weight: 1}}},
 		}},
@@ -101,7 +112,7 @@
 		id := fmt.Sprint("w", i)
 		specs = append(specs, kernel.Spec{Name: kernel.Name(id), Service: standin.New()})
 		w.vms = append(w.vms, model.VM{
-			ID: id, Role: model.RoleWorker, Domain: domain, Rack: "r", Address: id, Cores: 30, MemoryMB: 64_000,
+			ID: id, Role: model.RoleWorker, Domain: d, Rack: "r", Address: id, Cores: 30, MemoryMB: 64_000,
 		})
 	}
 	k, err := kernel.New(nil, specs...)
@@ -148,7 +159,7 @@
 		w.config.Version++
 		w.config.Out = nil
 		if out {
-			w.config.Out = []model.FailureDomain{domain}
+			w.config.Out = []model.FailureDomain{w.domain}
 		}
 	})
 }
@@ -157,9 +168,12 @@
 func (w *world) append(m message.LogAppend) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if m.Epoch != w.epoch {
+	switch {
+	case m.Epoch.Less(w.sealed):
 		w.refused[m.Epoch]++
 		return failure.New(failure.NotHolder, "log is sealed")
+	case m.Epoch != w.sealed:
+		return failure.New(failure.StoreUnavailable, "log was not read")
 	}
 	if w.refuse != nil && slices.ContainsFunc(m.Records, func(r message.LogRecord) bool {
 		return bytes.Contains(r.Data, []byte(w.refuseIf))
@@ -182,11 +196,13 @@
 
 // holder is one VM's scheduler and workers services with fakes of their neighbours.
 type holder struct {
-	world   *world
-	vm      model.VMID
-	epoch   model.Epoch
-	kernel  *kernel.Kernel
-	cancel  context.CancelFunc
+	world  *world
+	vm     model.VMID
+	epoch  model.Epoch
+	kernel *kernel.Kernel
+	cancel context.CancelFunc
+	// kill ends the holder without a drain.
+	kill    context.CancelFunc
 	done    chan struct{}
 	metrics *metrics.Set
 	// cut and resumed are guarded by the world's mutex. resumed is the time at which a holder whose lease in
@@ -201,6 +217,7 @@
 	w.locked(func() {
 		if sealed {
 			w.epoch = model.Epoch{Store: w.epoch.Store + 1}
+			w.sealed = w.epoch
 		} else {
 			w.epoch.Outage++
 		}
@@ -209,21 +226,33 @@
 	dial := func(address string) worker.Client { return &link{holder: h, id: model.WorkerID(address)} }
 	k, err := kernel.New(nil,
 		kernel.Spec{Name: names.Store, Service: &fakeStore{w}},
-		workers.New(h.vm, domain, dial, h.metrics).Spec(),
-		scheduler.New(domain, h.metrics).Spec(),
+		kernel.Spec{Name: names.Peers, Service: &fakePeers{w.pair}, Subscribes: []string{message.KindLoadChanged}},
+		workers.New(h.vm, w.domain, dial, h.metrics).Spec(),
+		scheduler.New(w.domain, h.metrics).Spec(),
 		kernel.Spec{Name: names.Authority, Service: &fakeAuthority{world: w, holder: h, sealed: sealed}, After: []kernel.Name{names.Store}},
 	)
 	if err != nil {
 		panic(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	h.kernel, h.cancel = k, cancel
+	ctx, cancel := context.WithCancelCause(context.Background())
+	h.kernel, h.cancel, h.kill = k, func() { cancel(nil) }, func() { cancel(&kernel.AbortError{}) }
 	go func() { _ = k.Run(ctx); close(h.done) }()
 	<-k.Started()
 	w.holders = append(w.holders, h)
+	w.active.Store(h)
 	return h
 }
 
+// seal gives the current holder the log that it could not read.
+func (w *world) seal() {
+	h, m := w.current(), message.LogReplayed{Sealed: true}
+	w.locked(func() {
+		w.sealed = h.epoch
+		m.Epoch, m.Records = h.epoch, slices.Clone(w.records)
+	})
+	_ = h.kernel.Send(names.Scheduler, m)
+}
+
 // replace cuts off the holder and elects another one after the lease in the store. It returns the old one.
 func (w *world) replace(sealed bool) *holder {
 	old := w.current()
@@ -352,6 +381,7 @@
 			}
 			c.Publish(message.ConfigChanged{Config: s.world.config, Confirmed: s.world.confirm})
 		})
+		s.world.pair.publishLoads(c)
 		if stepDown {
 			c.Publish(message.AuthorityChanged{})
 			return
