Route jobs without a failure domain to one that suits them

Cause: a job without a failure domain always went to that of the entry VM that received it, even while it was out, and a repeated submission through another VM did not find the first one. Change: the routing service submits such a job to the failure domain that decisions/domains.Choose puts first and, after a refusal that certainly did not run and that others may not give, to up to two others, under a retry budget (retry reason route). Ruled out: to write the chosen failure domain into the specification, because the job could not move later.

--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -164,6 +164,7 @@
 	RetryGangDomainOut
 	RetryWorkerLost
 	RetryPreempted
+	RetryRoute
 	retryReasonCount
 )
 
@@ -188,6 +189,7 @@
 	RetryGangDomainOut:     "gang_domain_out",
 	RetryWorkerLost:        "worker_lost",
 	RetryPreempted:         "preempted",
+	RetryRoute:             "route",
 }
 
 // RetryReasons returns all reasons of retries.
--- a/cmd/verbenactl/job.go
+++ b/cmd/verbenactl/job.go
@@ -14,7 +14,7 @@
 type jobSubmit struct {
 	app         *app
 	Account     string        `long:"account" required:"true" description:"client account"`
-	Domain      string        `long:"domain" description:"failure domain; by default that of the entry VM"`
+	Domain      string        `long:"domain" description:"failure domain; without it the system chooses one and may move the job while it waits"`
 	Tasks       int           `long:"tasks" default:"1" description:"gang size"`
 	GPUs        int           `long:"gpus" default:"1" description:"adjacent accelerators per task: 1, 2, 4 or 8, or 0 for a task that needs processors only"`
 	Cores       int           `long:"cores" description:"processor cores per task"`
@@ -39,7 +39,8 @@
 	if err := o.app.post("/v1/jobs", spec, &j); err != nil {
 		return err
 	}
-	for o.Wait && !j.State.Final() {
+	// A moved job has ended only here; the answer follows it as soon as its failure domain can be reached.
+	for o.Wait && (!j.State.Final() || j.State == model.JobMoved) {
 		time.Sleep(waitInterval)
 		if err := o.app.get("/v1/job?id="+url.QueryEscape(string(j.ID)), &j); err != nil {
 			return err
@@ -108,11 +109,11 @@
 }
 
 func (a *app) showJobs(v any, jobs ...model.Job) error {
-	rows := [][]any{{"JOB", "ACCOUNT", "STATE", "ATTEMPT", "TASKS", "GPUS", "SUBMITTED", "REASON"}}
+	rows := [][]any{{"JOB", "ACCOUNT", "STATE", "ATTEMPT", "TASKS", "GPUS", "SUBMITTED", "REASON", "MOVED TO"}}
 	for _, j := range jobs {
 		rows = append(rows, []any{
 			j.ID, j.Spec.Account, j.State, j.Attempt, j.Spec.Tasks, j.Spec.GPUs(),
-			j.Submitted.Format(time.RFC3339), j.Reason,
+			j.Submitted.Format(time.RFC3339), j.Reason, j.MovedTo,
 		})
 	}
 	return a.show(v, rows...)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/verbenaflow/verbenaflow/services/httpapi"
 	"github.com/verbenaflow/verbenaflow/services/membership"
 	"github.com/verbenaflow/verbenaflow/services/peers"
+	"github.com/verbenaflow/verbenaflow/services/routing"
 	"github.com/verbenaflow/verbenaflow/services/scheduler"
 	"github.com/verbenaflow/verbenaflow/services/store"
 	"github.com/verbenaflow/verbenaflow/services/workers"
@@ -76,6 +77,7 @@
 		membership.New(self, s.Members, vmlist.NewHTTPClient(s.VMList, source)).Spec(),
 		workers.New(s.VM, s.Domain, dialWorker, m).Spec(),
 		scheduler.New(s.Domain, m).Spec(),
+		routing.New(self, m).Spec(),
 		executors.New(dialExecutor, m).Spec(),
 		dispatch.New(s.Domain, m).Spec(),
 		authority.New(s.VM, s.Domain).Spec(),
--- a/services/httpapi/handlers.go
+++ b/services/httpapi/handlers.go
@@ -13,7 +13,6 @@
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/model"
-	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
@@ -46,11 +45,9 @@
 
 // forward sends a message to the holder of a failure domain and answers the call if that fails.
 func forward[T kernel.Message](a *api, w http.ResponseWriter, r *http.Request, f message.Forward, timeout time.Duration) (T, bool) {
-	f.Deadline = time.Now().Add(timeout)
-	// The call outlives a caller that disconnects, so that its outcome is recorded.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), f.Deadline)
-	defer cancel()
-	reply, err := kernel.Call[T](ctx, a.caller, names.Peers, f)
+	c := newCall(r, timeout)
+	defer c.cancel()
+	reply, err := ask[T](a, c, f)
 	if err != nil {
 		a.fail(w, toFailure(err))
 		return reply, false
--- a/services/httpapi/httpapi_test.go
+++ b/services/httpapi/httpapi_test.go
@@ -147,3 +147,59 @@
 	cancel()
 	g.Expect(<-ended).To(gomega.Succeed())
 }
+
+// holders stands for the holders of several failure domains.
+type holders map[model.JobID]model.Job
+
+func (h holders) Call(_ context.Context, _ kernel.Name, m kernel.Message) (kernel.Message, error) {
+	f := m.(message.Forward)
+	switch b := f.Body.(type) {
+	case message.JobStatus:
+		j, known := h[b.Job]
+		if !known || domainOf(b.Job) != f.Domain {
+			return nil, failure.New(failure.NotFound, "%s", b.Job)
+		}
+		return message.JobReply{Job: j}, nil
+	case message.JobCancel:
+		var out message.JobsReply
+		for _, id := range b.Jobs {
+			j, known := h[id]
+			if !known {
+				return nil, failure.New(failure.HomeUnreachable, "%s", id)
+			}
+			out.Jobs = append(out.Jobs, j)
+		}
+		return out, nil
+	}
+	return nil, failure.New(failure.Internal, "%T", f.Body)
+}
+
+// TestMovedJobsAreFollowed guards against a caller that no longer finds, or cannot cancel, a job that has moved, against
+// a cancellation that is reported as not run although a part of it took effect, and against a circle of moves.
+func TestMovedJobsAreFollowed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	moved := func(id, to model.JobID) model.Job { return model.Job{ID: id, State: model.JobMoved, MovedTo: to} }
+	h := holders{
+		"a/1": moved("a/1", "b/1"), "b/1": moved("b/1", "c/1"), "c/1": {ID: "c/1", State: model.JobRunning},
+		"a/2": {ID: "a/2", State: model.JobCancelled}, "a/3": moved("a/3", "b/3"),
+		"a/4": moved("a/4", "b/4"), "b/4": moved("b/4", "a/4"),
+	}
+	a := &api{caller: h, domain: "a", metrics: metrics.New(), maxBody: 256}
+	ask := func(method, target, body string, out any) int {
+		w := httptest.NewRecorder()
+		newGate().wrap(a).ServeHTTP(w, httptest.NewRequest(method, target, strings.NewReader(body)))
+		g.Expect(json.Unmarshal(w.Body.Bytes(), out)).To(gomega.Succeed())
+		return w.Code
+	}
+	for id, last := range map[string]model.JobID{"a/1": "c/1", "a/2": "a/2", "a/3": "a/3", "a/4": "b/4"} {
+		var j model.Job
+		g.Expect(ask("GET", "/v1/job?id="+id, "", &j)).To(gomega.Equal(http.StatusOK))
+		g.Expect(j.ID).To(gomega.Equal(last))
+	}
+	var jobs []model.Job
+	g.Expect(ask("POST", "/v1/jobs/cancel", `{"account":"x","jobs":["a/1","a/2"]}`, &jobs)).To(gomega.Equal(http.StatusOK))
+	g.Expect(jobs).To(gomega.ConsistOf(h["a/2"], h["c/1"]))
+	var e ErrorBody
+	ask("POST", "/v1/jobs/cancel", `{"account":"x","jobs":["a/2","a/3"]}`, &e)
+	g.Expect(e.Outcome).To(gomega.Equal(failure.Unknown))
+}
--- a/services/httpapi/jobs.go
+++ b/services/httpapi/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
 func (a *api) submitJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -17,13 +18,26 @@
 	if !a.read(w, r, &spec) {
 		return
 	}
+	c := newCall(r, defaultTimeout)
+	defer c.cancel()
+	job, err := a.place(c, spec)
+	if err != nil {
+		a.fail(w, toFailure(err))
+		return
+	}
+	// A key may belong to a job that has moved since its first submission.
+	write(w, http.StatusOK, a.follow(c, job))
+}
+
+// place submits a job to the failure domain that it names, or to one that the routing service chooses.
+func (a *api) place(c call, spec model.JobSpec) (model.Job, error) {
 	if spec.Domain == "" {
-		spec.Domain = a.domain
+		reply, err := kernel.Call[message.JobReply](c.ctx, a.caller, names.Routing, message.JobRoute{Spec: spec, Deadline: c.deadline})
+		return reply.Job, err
 	}
 	f := message.Forward{Domain: spec.Domain, To: names.Scheduler, Body: message.JobSubmit{Spec: spec}, Idempotent: spec.Key != ""}
-	if reply, ok := forward[message.JobReply](a, w, r, f, defaultTimeout); ok {
-		write(w, http.StatusOK, reply.Job)
-	}
+	reply, err := ask[message.JobReply](a, c, f)
+	return reply.Job, err
 }
 
 func (a *api) listJobs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -43,13 +57,18 @@
 		a.refuse(w, failure.Malformed, "job %q is not of the form %q", id, "DOMAIN/ID")
 		return
 	}
-	f := message.Forward{
-		Domain: domainOf(id), To: names.Scheduler, Idempotent: true,
-		Body: message.JobStatus{Job: id},
-	}
-	if reply, ok := forward[message.JobReply](a, w, r, f, defaultTimeout); ok {
-		write(w, http.StatusOK, reply.Job)
+	c := newCall(r, defaultTimeout)
+	defer c.cancel()
+	reply, err := ask[message.JobReply](a, c, statusOf(id))
+	if err != nil {
+		a.fail(w, toFailure(err))
+		return
 	}
+	write(w, http.StatusOK, a.follow(c, reply.Job))
+}
+
+func statusOf(id model.JobID) message.Forward {
+	return message.Forward{Domain: domainOf(id), To: names.Scheduler, Idempotent: true, Body: message.JobStatus{Job: id}}
 }
 
 // domainOf returns the failure domain of a job, or "" for a malformed identifier.
@@ -83,13 +102,14 @@
 			return
 		}
 	}
-	f := message.Forward{
-		Domain: domain, To: names.Scheduler, Idempotent: true,
-		Body: message.JobCancel{Account: in.Account, Jobs: in.Jobs},
-	}
-	if reply, ok := forward[message.JobsReply](a, w, r, f, defaultTimeout); ok {
-		write(w, http.StatusOK, reply.Jobs)
+	c := newCall(r, defaultTimeout)
+	defer c.cancel()
+	jobs, err := a.cancelAll(c, in)
+	if err != nil {
+		a.fail(w, toFailure(err))
+		return
 	}
+	write(w, http.StatusOK, jobs)
 }
 
 func (a *api) showAccount(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
--- a/services/httpapi/service.go
+++ b/services/httpapi/service.go
@@ -89,7 +89,7 @@
 	return kernel.Spec{
 		Name: names.HTTP, Service: s, DrainTimeout: s.options.DrainTimeout + stopMargin,
 		After: []kernel.Name{
-			names.Admin, names.Peers, names.Scheduler, names.Dispatch, names.Config, names.Membership, names.Authority,
+			names.Admin, names.Peers, names.Routing, names.Scheduler, names.Dispatch, names.Config, names.Membership, names.Authority,
 		},
 		Subscribes: []string{message.KindMembersChanged, message.KindAuthorityChanged, message.KindConfigChanged},
 	}
