--- a/api/model/job.go
+++ b/api/model/job.go
@@ -40,12 +40,12 @@
 	JobQueued JobState = "queued"
 	// JobTransferring means that the job is being handed over to another failure domain.
 	JobTransferring JobState = "transferring"
-	JobStarting   JobState = "starting"
-	JobRunning    JobState = "running"
-	JobPreempting JobState = "preempting"
-	JobSucceeded  JobState = "succeeded"
-	JobFailed     JobState = "failed"
-	JobCancelled  JobState = "cancelled"
+	JobStarting     JobState = "starting"
+	JobRunning      JobState = "running"
+	JobPreempting   JobState = "preempting"
+	JobSucceeded    JobState = "succeeded"
+	JobFailed       JobState = "failed"
+	JobCancelled    JobState = "cancelled"
 	// JobMoved means that the job goes on as the job MovedTo of another failure domain.
 	JobMoved JobState = "moved"
 )
