Return no value from a watch of the store without a change

Cause: an unchanged watch of the configuration returned the whole document with 64 write ids 2.5 times a second.

Change: the answer to a watch that ends without a change names the version that was asked about, is marked as unchanged and has no value. services/config keeps the document of the entry that it last read, and an unchanged answer confirms that document only if it names the version of that entry. After a watch without an answer the next one reads the value, because a store that comes back with older data may use a version twice. services/authority uses the record of an unchanged watch nowhere: it watches without a lease.

--- a/api/message/store.go
+++ b/api/message/store.go
@@ -21,7 +21,8 @@
 	Expect uint64
 }
 
-// StoreWatch waits for a version of a key other than After; answered by StoreEntry.
+// StoreWatch waits for a version of a key other than After; answered by StoreEntry, with Unchanged set if none
+// appears within Wait.
 type StoreWatch struct {
 	Key   string
 	After uint64
@@ -42,6 +43,8 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	// Unchanged is set in the answer to a watch without a change; Value is then absent.
+	Unchanged bool
 }
 
 // StoreLease is a granted lease.
--- a/services/authority/service_test.go
+++ b/services/authority/service_test.go
@@ -140,8 +140,10 @@
 	switch entry, _ := r.(message.StoreEntry); {
 	case err != nil:
 		d.env.Fail(err)
-	case entry.Version != m.After || d.left == 0:
+	case entry.Version != m.After:
 		d.env.Reply(entry)
+	case d.left == 0:
+		d.env.Reply(message.StoreEntry{Key: m.Key, Version: m.After, Unchanged: true})
 	default:
 		c.After(100*time.Millisecond, retryDue{env: d.env, left: d.left - 1})
 	}
--- a/services/config/confirm.go
+++ b/services/config/confirm.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"time"
 
@@ -56,50 +55,55 @@
 }
 
 func (s *Service) confirmFromStore(c *kernel.Context) {
-	asked := time.Now()
-	c.Request(names.Store, message.StoreWatch{Key: Key, After: s.stored, Wait: confirmWait}, func(m kernel.Message, err error) {
+	asked, base := time.Now(), s.stored
+	c.Request(names.Store, message.StoreWatch{Key: Key, After: base.version, Wait: confirmWait}, func(m kernel.Message, err error) {
 		entry, ok := m.(message.StoreEntry)
-		if err != nil || !ok {
+		switch {
+		case err != nil || !ok || entry.Unchanged && entry.Version != base.version:
+			// The store may come back with other data under the same version, so that the next watch reads the value.
+			s.stored = stored{}
 			s.confirmed(c, false)
-			return
+		case entry.Unchanged:
+			s.confirmed(c, s.learnStored(c, base, asked))
+		default:
+			s.confirmed(c, s.learnEntry(c, entry, asked))
 		}
-		s.confirmed(c, s.learnEntry(c, entry, asked))
 	})
 }
 
+// stored is the last read store entry. An unchanged watch stands for it. The zero value is the absent key.
+type stored struct {
+	version uint64
+	doc     model.Config
+	// unreadable is set if the value does not decode; doc is then empty.
+	unreadable bool
+}
+
 // learnEntry applies a store entry that was current at a local time. It reports whether the entry confirms
 // the applied document.
 func (s *Service) learnEntry(c *kernel.Context, e message.StoreEntry, at time.Time) bool {
-	s.stored = e.Version
-	doc, ok := s.read(e)
-	if !ok {
-		klog.ErrorS(nil, "configuration in the store is not readable", "vm", s.self.VM, "store_version", e.Version)
+	doc, ok := decode(e)
+	return s.learnStored(c, stored{version: e.Version, doc: doc, unreadable: !ok}, at)
+}
+
+func (s *Service) learnStored(c *kernel.Context, e stored, at time.Time) bool {
+	s.stored = e
+	if e.unreadable {
+		klog.ErrorS(nil, "configuration in the store is not readable", "vm", s.self.VM, "store_version", e.version)
 		return false
 	}
-	if config.Newer(s.view.Doc, doc) {
+	if config.Newer(s.view.Doc, e.doc) {
 		// A document that was applied after the entry was asked for says nothing about the store.
 		if s.applied.Before(at) {
-			s.repair(c, e)
+			s.repair(c, e.version)
 		}
 		return false
 	}
-	s.learn(c, doc, at)
+	s.learn(c, e.doc, at)
 	// A watch of an absent key confirms that there is no document yet.
 	return true
 }
 
-// read returns the document of an entry and decodes it only if its value differs from the last one.
-func (s *Service) read(e message.StoreEntry) (model.Config, bool) {
-	if e.Version != 0 && s.storedValue != nil && bytes.Equal(e.Value, s.storedValue) {
-		return s.storedDoc, true
-	}
-	doc, ok := decode(e)
-	if ok {
-		s.storedValue, s.storedDoc = e.Value, doc
-	}
-	return doc, ok
-}
-
 // decode reads a document; an absent key gives the empty document.
 func decode(e message.StoreEntry) (model.Config, bool) {
 	var doc model.Config
@@ -111,7 +115,7 @@
 }
 
 // repair writes the applied document to a store that has gone back to an older one.
-func (s *Service) repair(c *kernel.Context, e message.StoreEntry) {
+func (s *Service) repair(c *kernel.Context, version uint64) {
 	value, err := json.Marshal(s.view.Doc)
 	if err != nil || s.repairing {
 		return
@@ -119,7 +123,7 @@
 	s.repairing = true
 	klog.InfoS("store holds an older configuration; writing the applied one", "vm", s.self.VM, "version", s.view.Doc.Version)
 	s.metrics.Event("config_store_repaired", 1)
-	c.Request(names.Store, message.StorePut{Key: Key, Value: value, Expect: e.Version}, func(kernel.Message, error) {
+	c.Request(names.Store, message.StorePut{Key: Key, Value: value, Expect: version}, func(kernel.Message, error) {
 		s.repairing = false
 	})
 }
--- a/services/config/propose.go
+++ b/services/config/propose.go
@@ -54,7 +54,7 @@
 			s.refuse(p, failure.New(failure.ConfigConflict, "version %d is in force; the change was made against version %d", s.view.Doc.Version, m.Expect))
 			return
 		}
-		current, ok := s.read(entry)
+		current, ok := decode(entry)
 		if !ok || config.Newer(s.view.Doc, current) {
 			s.refuse(p, failure.New(failure.StoreUnavailable, "the store holds an older or unreadable configuration"))
 			return
@@ -121,7 +121,7 @@
 
 // resolve decides a proposal by the entry that the store holds.
 func (s *Service) resolve(c *kernel.Context, p *proposal, entry message.StoreEntry, at time.Time) {
-	found, ok := s.read(entry)
+	found, ok := decode(entry)
 	if !ok {
 		s.retry(c, p)
 		return
--- a/services/config/service.go
+++ b/services/config/service.go
@@ -42,15 +42,10 @@
 	holder   bool
 	booting  bool
 	// applied is the local time at which the document in force was applied.
-	applied time.Time
-	// stored is the version of the store entry that was last read.
-	stored uint64
-	// storedValue is the last readable value of the store entry and storedDoc its document. An unchanged watch
-	// returns the same value 2.5 times a second.
-	storedValue []byte
-	storedDoc   model.Config
-	repairing   bool
-	pulls       map[*pull]struct{}
+	applied   time.Time
+	stored    stored
+	repairing bool
+	pulls     map[*pull]struct{}
 }
 
 // New returns the service of one VM with the peers that its settings name.
--- a/services/config/world_test.go
+++ b/services/config/world_test.go
@@ -29,6 +29,8 @@
 	past    []kv.Entry
 	down    bool
 	loseOne bool
+	// misname answers every watch as unchanged, with another version than it asked about.
+	misname bool
 	// cut lists links that lose every call; the store's end is named "store".
 	cut map[[2]string]bool
 	// calls counts the calls to the store.
@@ -43,7 +45,10 @@
 	}
 	linkCheck  struct{ from, to string }
 	control    struct{ change func(*world) }
-	watchAlarm struct{ env kernel.Envelope }
+	watchAlarm struct {
+		env   kernel.Envelope
+		after uint64
+	}
 )
 
 func (storeCall) Kind() string  { return "store_call" }
@@ -73,7 +78,12 @@
 		}
 		w.store(c, e, m.body)
 	case watchAlarm:
-		m.env.Reply(w.current())
+		// A change has answered the watch before, so that this answer has an effect only if there was none.
+		answer := message.StoreEntry{Key: w.entry.Key, Version: m.after, Unchanged: true}
+		if w.misname {
+			answer.Version++
+		}
+		m.env.Reply(answer)
 	}
 }
 
@@ -95,12 +105,12 @@
 	case message.StoreGet:
 		e.Reply(w.current())
 	case message.StoreWatch:
-		if w.entry.Version != m.After {
+		if w.entry.Version != m.After && !w.misname {
 			e.Reply(w.current())
 			return
 		}
 		w.watchers = append(w.watchers, e)
-		c.After(m.Wait, watchAlarm{env: e})
+		c.After(m.Wait, watchAlarm{env: e, after: m.After})
 	case message.StorePut:
 		if m.Expect != w.entry.Version {
 			e.Fail(&kv.ConflictError{Current: w.entry})
--- a/services/store/operations.go
+++ b/services/store/operations.go
@@ -46,5 +46,5 @@
 }
 
 func entry(e kv.Entry, err error) (kernel.Message, error) {
-	return message.StoreEntry{Key: e.Key, Value: e.Value, Version: e.Version}, err
+	return message.StoreEntry{Key: e.Key, Value: e.Value, Version: e.Version, Unchanged: e.Unchanged}, err
 }
--- a/standins/store/lease.go
+++ b/standins/store/lease.go
@@ -19,6 +19,7 @@
 type watcher struct {
 	env    kernel.Envelope
 	key    string
+	after  uint64
 	source string
 	done   bool
 }
@@ -65,7 +66,7 @@
 		e.Reply(entryAnswer(current))
 		return
 	}
-	w := &watcher{env: e, key: m.Key, source: m.Source}
+	w := &watcher{env: e, key: m.Key, after: m.After, source: m.Source}
 	s.watchers[m.Key] = append(s.watchers[m.Key], w)
 	c.After(time.Duration(m.WaitMS)*time.Millisecond, watchDue{w: w})
 }
@@ -76,7 +77,8 @@
 	}
 	w.done = true
 	s.watchers[w.key] = slices.DeleteFunc(s.watchers[w.key], func(o *watcher) bool { return o == w })
-	w.env.Reply(entryAnswer(s.get(w.key)))
+	// A change ends a watch before its time, so that the version is still the one that was asked about.
+	w.env.Reply(entryAnswer{Key: w.key, Version: w.after, Unchanged: true})
 }
 
 func (s *State) notify(key string) {
--- a/standins/store/store_test.go
+++ b/standins/store/store_test.go
@@ -308,3 +308,24 @@
 		}
 	})
 }
+
+// TestUnchangedWatch guards against the traffic of a value that the caller of an unchanged watch already has, and
+// against an answer that does not name the version that it stands for.
+func TestUnchangedWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k, stop := begin()
+		defer stop()
+		put := call{path: kv.PathPut, Call: kv.Call{Write: kv.Write{Key: "k", Value: []byte("v")}}}
+		entry, err := kernel.Call[entryAnswer](t.Context(), k, "state", put)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		watch := func(after uint64) entryAnswer {
+			c := call{path: kv.PathWatch, Call: kv.Call{Write: kv.Write{Key: "k"}, After: after, WaitMS: 400}}
+			answer, err := kernel.Call[entryAnswer](t.Context(), k, "state", c)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			return answer
+		}
+		g.Expect(watch(0)).To(gomega.Equal(entryAnswer{Key: "k", Value: []byte("v"), Version: entry.Version}))
+		g.Expect(watch(entry.Version)).To(gomega.Equal(entryAnswer{Key: "k", Version: entry.Version, Unchanged: true}))
+	})
+}
