--- a/decisions/fencedlog/event.go
+++ b/decisions/fencedlog/event.go
@@ -41,6 +41,16 @@
 	Records []Record
 	// Complete is set in a closing slot if no append of its epoch was answered as unavailable.
 	Complete bool
+	// Snapshot is set in the slot that precedes the writes of a snapshot's chunks, so that a later holder can
+	// delete those of a snapshot that was not finished.
+	Snapshot Area `json:",omitzero"`
+}
+
+// Area is the place of the chunks of one snapshot.
+type Area struct {
+	// First is that of the snapshot's head.
+	First  uint64
+	Chunks int
 }
 
 // Head describes the last snapshot.
@@ -50,7 +60,9 @@
 	// First is the first slot that the snapshot does not replace; Oldest the first one not yet deleted.
 	First, Oldest uint64
 	Chunks        int
-	Complete      []model.Epoch
+	// Stale lists replaced and unfinished snapshots whose chunks may not yet be deleted.
+	Stale    []Area `json:",omitempty"`
+	Complete []model.Epoch
 }
 
 // Op is an operation on the store.
--- a/decisions/fencedlog/log.go
+++ b/decisions/fencedlog/log.go
@@ -23,6 +23,9 @@
 	SnapshotSlots = 256
 	// SnapshotBytes is the size of slots in bytes after which a snapshot replaces them.
 	SnapshotBytes = 4 << 20
+	// WriteInterval is the least time between the starts of two slot writes. Seven busy logs then stay within 350
+	// writes a second, which the store handles. An idle log writes at once.
+	WriteInterval = 20 * time.Millisecond
 	// DeleteDelay is the wait between two deletions of replaced slots.
 	DeleteDelay = 100 * time.Millisecond
 	// maxComplete bounds the list of closed epochs. Tickets of epochs that fell out of it are unknown.
@@ -72,14 +75,18 @@
 	// slot is the slot in flight or unresolved; waiting lists its unanswered appends.
 	slot    Slot
 	waiting []entry
+	// writeAt is the earliest time of the next slot write.
+	writeAt time.Time
 	call    Call
 	retryAt time.Time
 	retry   Call
 
 	versions map[uint64]uint64
-	slots    int
-	bytes    int
-	snap     snapshot
+	// stale lists the snapshots other than that of head whose chunks may be in the store.
+	stale []Area
+	slots int
+	bytes int
+	snap  snapshot
 
 	now time.Time
 	out []Action
@@ -203,18 +210,27 @@
 	return rest
 }
 
-// pump writes the next slot unless one is in flight or unresolved.
+// ready reports whether the next slot has content and none is in flight or unresolved.
+func (l *Log) ready() bool {
+	return l.phase == open && l.slot.Kind == "" && (len(l.queue) > 0 || l.snap.step == snapMark)
+}
+
+// pump writes the next slot once it is ready and WriteInterval has passed since the last one.
 func (l *Log) pump() {
-	if l.phase != open || l.slot.Kind != "" || len(l.queue) == 0 {
+	if !l.ready() || l.now.Before(l.writeAt) {
 		return
 	}
 	l.slot = Slot{Kind: Batch, Epoch: l.epoch, WriteID: l.writeID()}
-	if l.queue[0].closing {
+	if len(l.queue) > 0 && l.queue[0].closing {
 		l.slot.Kind, l.slot.Complete = Close, !l.incomplete
 		l.waiting, l.queue = l.queue, nil
 	} else {
+		if l.snap.step == snapMark {
+			l.slot.Snapshot = l.snap.head.area()
+		}
 		l.fill()
 	}
+	l.writeAt = l.now.Add(WriteInterval)
 	l.do(Call{Op: PutSlot, N: l.next, Slot: l.slot})
 }
 
@@ -248,6 +264,9 @@
 	if l.phase == reading && !l.reported {
 		add(l.reportBy)
 	}
+	if l.ready() {
+		add(l.writeAt)
+	}
 	for _, list := range [][]entry{l.queue, l.waiting} {
 		if len(list) > 0 {
 			add(list[0].deadline)
--- a/decisions/fencedlog/log_test.go
+++ b/decisions/fencedlog/log_test.go
@@ -40,7 +40,7 @@
 
 // world is a store and the holders that ever existed; durable and refused are the oracle.
 type world struct {
-	t       *rapid.T
+	t       failer
 	now     time.Time
 	version uint64
 	data    map[string]value
@@ -54,7 +54,13 @@
 	unavailable map[model.Epoch]bool
 }
 
-func newWorld(t *rapid.T) *world {
+// failer is a *testing.T or a *rapid.T.
+type failer interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
+func newWorld(t failer) *world {
 	return &world{
 		t: t, now: time.Unix(1000, 0), data: map[string]value{}, refused: map[string]bool{},
 		unavailable: map[model.Epoch]bool{},
--- a/decisions/fencedlog/replay.go
+++ b/decisions/fencedlog/replay.go
@@ -72,6 +72,7 @@
 	l.head, l.headVersion = r.Head, r.Version
 	l.complete, l.next = slices.Clone(r.Head.Complete), r.Head.First
 	l.replay, l.chunk, l.slots, l.bytes, l.slot = nil, 0, 0, 0, Slot{}
+	l.stale = slices.Clone(r.Head.Stale)
 	l.readOn()
 }
 
@@ -107,6 +108,9 @@
 func (l *Log) replayed(r Result) {
 	l.count(r.Version, r.Slot)
 	l.replay = append(l.replay, r.Slot.Records...)
+	if a := r.Slot.Snapshot; a.Chunks > 0 && a.First != l.head.First {
+		l.stale = append(l.stale, a)
+	}
 	if r.Slot.Kind == Close && r.Slot.Complete {
 		l.complete = append(l.complete, r.Slot.Epoch)
 		l.complete = l.complete[max(0, len(l.complete)-maxComplete):]
@@ -134,6 +138,9 @@
 	if l.slot.Kind == Close {
 		l.phase = ended
 	}
+	if l.slot.Snapshot.Chunks > 0 {
+		l.snap.step = snapChunks
+	}
 	l.slot = Slot{}
 	for _, e := range l.waiting {
 		l.emit(Answer{ID: e.id, Outcome: Durable})
--- a/decisions/fencedlog/snapshot.go
+++ b/decisions/fencedlog/snapshot.go
@@ -1,12 +1,16 @@
 package fencedlog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 type snapshotStep string
 
 const (
 	snapNone     snapshotStep = ""
 	snapTaking   snapshotStep = "taking"
+	snapMark     snapshotStep = "mark"
 	snapChunks   snapshotStep = "chunks"
 	snapHead     snapshotStep = "head"
 	snapDeleting snapshotStep = "deleting"
@@ -21,9 +25,9 @@
 	// pending lists the appends that the snapshot may contain and that are not yet durable.
 	pending map[uint64]bool
 	head    Head
-	// old is the replaced head; its slots and chunks are deleted one by one.
-	old    Head
+	// delete is the next replaced slot to delete. The chunks of the areas in head.Stale follow, one by one.
 	delete uint64
+	area   int
 	call   Call
 	// at is the time of the next attempt; zero for none.
 	at time.Time
@@ -73,16 +77,27 @@
 	for _, w := range append(append([]entry(nil), l.waiting...), l.queue...) {
 		s.pending[w.id] = true
 	}
-	s.step, s.index, s.chunks = snapChunks, 0, split(e.Records)
+	s.step, s.index, s.chunks = snapMark, 0, split(e.Records)
 	s.head = Head{
 		Epoch: l.epoch, WriteID: l.writeID(), First: s.first, Oldest: l.head.First,
-		Chunks: len(s.chunks), Complete: l.complete,
+		Chunks: len(s.chunks), Stale: l.replaced(), Complete: l.complete,
 	}
 	if len(s.chunks) == 0 {
 		s.step = snapHead
 	}
 }
 
+// replaced lists the snapshots whose chunks are to be deleted once another head is written.
+func (l *Log) replaced() []Area {
+	out := slices.Clone(l.stale)
+	if a := l.head.area(); a.Chunks > 0 {
+		out = append(out, a)
+	}
+	return out
+}
+
+func (h Head) area() Area { return Area{First: h.First, Chunks: h.Chunks} }
+
 // unresolved reports whether the snapshot may contain a record that can still be refused as not in the log.
 func (l *Log) unresolved() bool {
 	for _, list := range [][]entry{l.waiting, l.queue} {
@@ -143,8 +158,8 @@
 	s := &l.snap
 	switch {
 	case c.Op == PutHead && r.Status == OK || r.Head.WriteID == s.head.WriteID:
-		s.old, l.head, l.headVersion = l.head, s.head, r.Version
-		s.step, s.delete, s.index, s.chunks = snapDeleting, s.old.Oldest, 0, nil
+		s.step, s.delete, s.area, s.index, s.chunks = snapDeleting, l.head.Oldest, 0, 0, nil
+		l.head, l.headVersion, l.stale = s.head, r.Version, nil
 	case l.epoch.Less(r.Head.Epoch):
 		l.fenced(r.Head.Epoch)
 	default:
@@ -162,8 +177,8 @@
 			version = l.versions[s.delete]
 		}
 		s.call = l.newCall(Call{Op: DeleteSlot, N: s.delete, Version: version})
-	case s.index < s.old.Chunks:
-		s.call = l.newCall(Call{Op: DeleteChunk, N: s.old.First, Chunk: s.index, Version: version})
+	case s.area < len(s.head.Stale):
+		s.call = l.newCall(Call{Op: DeleteChunk, N: s.head.Stale[s.area].First, Chunk: s.index, Version: version})
 	default:
 		l.snap = snapshot{}
 	}
@@ -178,8 +193,8 @@
 	if c.Op == DeleteSlot {
 		delete(l.versions, s.delete)
 		s.delete++
-	} else {
-		s.index++
+	} else if s.index++; s.index == s.head.Stale[s.area].Chunks {
+		s.area, s.index = s.area+1, 0
 	}
 	s.at = l.now.Add(DeleteDelay)
 }
--- a/services/store/log.go
+++ b/services/store/log.go
@@ -19,6 +19,10 @@
 // snapshotServices lists the services whose state the log holds.
 var snapshotServices = []kernel.Name{names.Scheduler, names.Dispatch}
 
+// snapshotTimeout bounds the wait for the records of a snapshot. A service answers from its memory, but behind all
+// messages that wait in its mailbox.
+const snapshotTimeout = 5 * time.Second
+
 type (
 	logWake       struct{ number uint64 }
 	logResult     struct{ result fencedlog.Result }
@@ -183,9 +187,11 @@
 }
 
 // takeSnapshot collects the records of all services, one after the other. The result passes through the own
-// mailbox, behind all appends that the services sent before they answered.
+// mailbox, behind all appends that the services sent before they answered. A service that does not answer in
+// time makes the snapshot fail, so that the log asks again.
 func (s *Service) takeSnapshot(c *kernel.Context, a fencedlog.GetSnapshot) {
 	out, left := fencedlog.Snapshot{First: a.First}, len(snapshotServices)
+	cancel := c.After(snapshotTimeout, snapshotTaken{snapshot: fencedlog.Snapshot{First: a.First, Failed: true}})
 	for _, name := range snapshotServices {
 		c.Request(name, message.SnapshotGet{Epoch: a.Epoch}, func(m kernel.Message, err error) {
 			reply, ok := m.(message.SnapshotReply)
@@ -194,6 +200,7 @@
 			if left--; left > 0 {
 				return
 			}
+			cancel()
 			if c.Send(names.Store, snapshotTaken{snapshot: out}) != nil {
 				c.After(fencedlog.RetryDelay, snapshotTaken{snapshot: fencedlog.Snapshot{First: a.First, Failed: true}})
 			}
