Contact workers without tasks every 4 s

Cause: exchanges every 2 s renew the lease of an idle worker, which protects nothing.

Change: a worker without tasks is contacted every 4 s; a command starts an exchange at once. The link follows the tasks from the holds that it sent and from the reports, so that a late report does not lengthen the interval of a task. A worker is lost only 1.5 s after the first failed exchange, so that one failure does not lose an idle worker; its loss is noticed within 7 s, and that of a worker with tasks after the same time as before.

--- a/services/workers/link.go
+++ b/services/workers/link.go
@@ -61,6 +61,11 @@
 	// lost is true while the worker counts as lost; lostTold once the scheduler knows.
 	lost, lostTold bool
 	lastHeard      time.Time
+	// begun is the start of the last exchange, failing that of the first failed one in a row; zero for none.
+	begun, failing time.Time
+	// live holds the tasks that may run: those of holds that were sent and those that were reported, until a report
+	// shows their end.
+	live map[model.TaskID]bool
 	// renew is true while the worker's lease is renewed before those of all workers are. grant is true until
 	// the exchange that follows that permission; granted is true during it.
 	renew, grant, granted bool
@@ -112,7 +117,30 @@
 func (l *link) reset() {
 	l.seen, l.pending, l.refused = 0, nil, nil
 	l.lost, l.lostTold, l.lastHeard = false, false, time.Now()
-	l.renew, l.grant = false, false
+	l.renew, l.grant, l.failing, l.live = false, false, time.Time{}, nil
+}
+
+// follow updates the live tasks by the commands and the report of an exchange.
+func (l *link) follow(r worker.Report) {
+	for _, f := range r.Refusals {
+		if f.Op == worker.OpHold {
+			delete(l.live, f.Task)
+		}
+	}
+	for _, t := range r.Tasks {
+		if t.State.Final() {
+			delete(l.live, t.Task)
+			continue
+		}
+		l.mayRun(t.Task)
+	}
+}
+
+func (l *link) mayRun(t model.TaskID) {
+	if l.live == nil {
+		l.live = make(map[model.TaskID]bool)
+	}
+	l.live[t] = true
 }
 
 // add queues a command. A stop or checkpoint withdraws start commands of the same task that wait.
@@ -132,6 +160,9 @@
 			l.refused = append(l.refused, message.TaskRefusal{Task: cmd.Task, Op: message.TaskOp(cmd.Op)})
 			continue
 		}
+		if cmd.Op == worker.OpHold {
+			l.mayRun(cmd.Task)
+		}
 		l.sent = append(l.sent, cmd)
 		out = append(out, cmd.Command)
 	}
@@ -171,7 +202,7 @@
 	if len(l.refused) > 0 {
 		s.report(c, message.WorkerReport{Worker: id, Epoch: s.epoch}, l)
 	}
-	l.busy = true
+	l.busy, l.begun = true, now
 	l.work <- x
 }
 
@@ -189,6 +220,9 @@
 	switch {
 	case m.err != nil:
 		s.metrics.Retry(failure.RetryWorkerUnreachable)
+		if l.failing.IsZero() {
+			l.failing = l.begun
+		}
 		l.restore()
 		s.checkLost(c, m.worker, l)
 		next = exchangeRetry
@@ -208,13 +242,16 @@
 // accept delivers the report of an exchange and returns the delay of the next one.
 func (s *Service) accept(c *kernel.Context, m exchangeDone, l *link) time.Duration {
 	next := exchangeEvery
+	l.follow(m.report)
 	switch {
 	case len(l.sent) > 0:
 		next = exchangeSoon
 	case l.seen == 0 || l.granted:
 		next -= l.spread
+	case len(l.live) == 0 && s.renewAll == s.epoch:
+		next = idleEvery
 	}
-	l.lost, l.lostTold, l.lastHeard = false, false, time.Now()
+	l.lost, l.lostTold, l.lastHeard, l.failing = false, false, time.Now(), time.Time{}
 	for _, r := range m.report.Refusals {
 		l.refused = append(l.refused, message.TaskRefusal{Task: r.Task, Op: message.TaskOp(r.Op)})
 	}
@@ -238,12 +275,12 @@
 // checkLost declares a silent worker lost. Commands that wait for it are dropped: its tasks end with their
 // lease, and the scheduler stops those that a later full report still shows.
 func (s *Service) checkLost(c *kernel.Context, id model.WorkerID, l *link) {
-	if time.Since(l.lastHeard) < lostAfter {
+	if time.Since(l.lastHeard) < lostAfter || time.Since(l.failing) < failingFor {
 		return
 	}
 	if !l.lost {
 		klog.InfoS("worker lost", "worker", id, "silent", time.Since(l.lastHeard).String())
-		l.lost, l.pending, l.refused, l.seen = true, nil, nil, 0
+		l.lost, l.pending, l.refused, l.seen, l.live = true, nil, nil, 0, nil
 		l.renew, l.grant = false, false
 	}
 	s.tellLost(c, id, l)
--- a/services/workers/service.go
+++ b/services/workers/service.go
@@ -23,6 +23,8 @@
 	// of CPU time back to back on a busy machine, so that 172 workers at 1 s need up to 5.8% of a core, twice
 	// the bound of 2.9%. A command starts an exchange at once.
 	exchangeEvery = 2 * time.Second
+	// idleEvery is the interval of exchanges with a worker that has no task, whose lease protects nothing.
+	idleEvery = 4 * time.Second
 	// exchangeSoon is the delay after an exchange with commands, whose effects are then reported early
 	// enough for urgent work to start within 2.1 s.
 	exchangeSoon = 500 * time.Millisecond
@@ -33,6 +35,10 @@
 	// lostAfter is the silence after which a worker counts as lost. It is shorter than gang.Lease, so that the
 	// holder stops the rest of a gang before the lease of the lost part expires.
 	lostAfter = 3500 * time.Millisecond
+	// failingFor is the least time from the start of the first failed exchange to the loss of a worker, so that an
+	// idle worker, whose silence is longer, is not lost by one failure. With exchangeTimeout and exchangeRetry the
+	// loss of an idle worker is noticed within idleEvery and 3 s.
+	failingFor = lostAfter - exchangeEvery
 	// spreadSlots distributes the exchanges over the interval, so that those of all workers of a holder do
 	// not coincide after an election.
 	spreadSlots = 16
