Spread the exchanges with idle workers over their whole interval

Change: the first interval of a worker that becomes idle is shortened by the share of its link once more.

--- a/services/workers/link.go
+++ b/services/workers/link.go
@@ -66,6 +66,8 @@
 	// live holds the tasks that may run: those of holds that were sent and those that were reported, until a report
 	// shows their end.
 	live map[model.TaskID]bool
+	// idle is true while the exchanges follow idleEvery.
+	idle bool
 	// renew is true while the worker's lease is renewed before those of all workers are. grant is true until
 	// the exchange that follows that permission; granted is true during it.
 	renew, grant, granted bool
@@ -250,7 +252,11 @@
 		next -= l.spread
 	case len(l.live) == 0 && s.renewAll == s.epoch:
 		next = idleEvery
+		if !l.idle { // The exchanges of many workers were spread over exchangeEvery only.
+			next -= l.spread
+		}
 	}
+	l.idle = next > exchangeEvery
 	l.lost, l.lostTold, l.lastHeard, l.failing = false, false, time.Now(), time.Time{}
 	for _, r := range m.report.Refusals {
 		l.refused = append(l.refused, message.TaskRefusal{Task: r.Task, Op: message.TaskOp(r.Op)})
