Order the records of the log by real time in the oracle of its fuzz test

The trace shows a paused holder that reads its own slot back and acknowledges it after its successor's later slots were acknowledged. Both appends were in progress at the same time, so that either order is correct; the oracle required the order of the answers. Change: the oracle requires that an append which began after another one's answer follows it, and that the records of one holder keep their order.

--- a/decisions/fencedlog/log_test.go
+++ b/decisions/fencedlog/log_test.go
@@ -31,13 +31,21 @@
 	wake     fencedlog.Wake
 	wakeAt   time.Time
 	state    []string
-	appends  map[uint64]string
+	appends  map[uint64]appended
 	sealed   bool
 	complete []model.Epoch
 	snapshot bool
 	first    uint64
 }
 
+// appended is one append. begin and end are its places among the starts and ends of all appends.
+type appended struct {
+	record     string
+	id         uint64
+	epoch      model.Epoch
+	begin, end int
+}
+
 // world is a store and the holders that ever existed; durable and refused are the oracle.
 type world struct {
 	t       failer
@@ -48,7 +56,9 @@
 	holders []*holder
 	ids     uint64
 	puts    int
-	durable []string
+	// events counts the starts and ends of appends.
+	events  int
+	durable []appended
 	refused map[string]bool
 	// unavailable lists the epochs with an append that was answered as unavailable.
 	unavailable map[model.Epoch]bool
@@ -69,7 +79,7 @@
 
 func (w *world) elect() *holder {
 	n := len(w.holders) + 1
-	h := &holder{log: fencedlog.New(fmt.Sprint("h", n)), epoch: model.Epoch{Store: uint64(n)}, appends: map[uint64]string{}}
+	h := &holder{log: fencedlog.New(fmt.Sprint("h", n)), epoch: model.Epoch{Store: uint64(n)}, appends: map[uint64]appended{}}
 	w.holders = append(w.holders, h)
 	w.step(h, fencedlog.Open{Epoch: h.epoch})
 	return h
@@ -102,14 +112,16 @@
 }
 
 func (w *world) answered(h *holder, a fencedlog.Answer) {
-	record := h.appends[a.ID]
+	x := h.appends[a.ID]
 	delete(h.appends, a.ID)
 	switch {
-	case record == "":
+	case x.record == "":
 	case a.Outcome == fencedlog.Durable:
-		w.durable = append(w.durable, record)
+		w.events++
+		x.end = w.events
+		w.durable = append(w.durable, x)
 	case a.Outcome == fencedlog.NotHolder:
-		w.refused[record] = true
+		w.refused[x.record] = true
 	default:
 		w.unavailable[h.epoch] = true
 	}
@@ -121,7 +133,8 @@
 	}
 	w.ids++
 	record := fmt.Sprintf("%d-%d%*s", h.epoch.Store, w.ids, size, "")
-	h.appends[w.ids] = record
+	w.events++
+	h.appends[w.ids] = appended{record: record, id: w.ids, epoch: h.epoch, begin: w.events}
 	h.learn(record)
 	w.step(h, fencedlog.Append{ID: w.ids, Epoch: h.epoch, Records: []fencedlog.Record{{Service: "s", Data: []byte(record)}}})
 }
@@ -234,17 +247,7 @@
 	if !h.sealed {
 		w.t.Fatal("the log was not sealed")
 	}
-	at := -1
-	for _, r := range w.durable {
-		i := slices.Index(h.state, r)
-		if i < 0 {
-			w.t.Fatalf("acknowledged record %.12s is lost", r)
-		}
-		if i <= at {
-			w.t.Fatalf("record %.12s is out of order", r)
-		}
-		at = i
-	}
+	w.checkOrder(h.state)
 	for _, r := range h.state {
 		if w.refused[r] {
 			w.t.Fatalf("refused record %.12s is in the log", r)
@@ -257,6 +260,27 @@
 	}
 }
 
+// checkOrder requires every acknowledged record once in the log, those of one holder in the order of their appends
+// and those of all holders in an order that real time permits: an append that began after the answer to another
+// one comes after it. The answer of a paused holder may come after appends of its successor, which were concurrent.
+func (w *world) checkOrder(log []string) {
+	at := make(map[string]int, len(w.durable))
+	for _, x := range w.durable {
+		if at[x.record] = slices.Index(log, x.record); at[x.record] < 0 {
+			w.t.Fatalf("acknowledged record %.12s is lost", x.record)
+		}
+	}
+	ordered := slices.Clone(w.durable)
+	slices.SortFunc(ordered, func(a, b appended) int { return at[a.record] - at[b.record] })
+	last, began := make(map[model.Epoch]uint64), 0
+	for _, x := range ordered {
+		if x.id <= last[x.epoch] || began > x.end {
+			w.t.Fatalf("record %.12s is out of order", x.record)
+		}
+		last[x.epoch], began = x.id, max(began, x.begin)
+	}
+}
+
 // TestLog guards against lost, reordered or resurrected records over lost answers, outages, several holders
 // at a time, snapshots and deletions.
 func TestLog(t *testing.T) {
