--- a/decisions/transfer/source.go
+++ b/decisions/transfer/source.go
@@ -28,6 +28,8 @@
 	jobs   map[model.JobID]ID
 	// last is the highest number that was used for each target.
 	last map[model.FailureDomain]uint64
+	// order is the last Order that was used.
+	order uint64
 	// through is used in a replay: all transfers up to this number without a record are closed.
 	through map[model.FailureDomain]uint64
 }
@@ -47,8 +49,9 @@
 		return nil
 	}
 	s.last[target]++
+	s.order++
 	id := ID{Source: s.domain, Target: target, Seq: s.last[target]}
-	o := &outgoing{SourceRecord: SourceRecord{ID: id, Job: job, Phase: Offering}}
+	o := &outgoing{SourceRecord: SourceRecord{ID: id, Order: s.order, Job: job, Phase: Offering}}
 	s.open[id], s.jobs[job] = o, id
 	return o.append()
 }
@@ -113,7 +116,7 @@
 		return nil
 	}
 	delete(s.open, id)
-	return []Action{AppendSource{SourceRecord{ID: id, Job: o.Job, Phase: Closed, Decision: o.Decision}}}
+	return []Action{AppendSource{SourceRecord{ID: id, Order: o.Order, Job: o.Job, Phase: Closed, Decision: o.Decision}}}
 }
 
 // Tick sends messages again and repeats failed appends.
@@ -161,19 +164,24 @@
 		out = append(out, o.SourceRecord)
 	}
 	for target, seq := range s.last {
-		out = append(out, SourceRecord{ID: ID{Source: s.domain, Target: target, Seq: seq}, Phase: ClosedThrough})
+		id := ID{Source: s.domain, Target: target, Seq: seq}
+		out = append(out, SourceRecord{ID: id, Order: s.order, Phase: ClosedThrough})
 	}
 	slices.SortStableFunc(out, func(a, b SourceRecord) int { return compare(a.ID, b.ID) })
 	return out
 }
 
-// Replay applies durable records to a new source, before Resume.
+// Replay applies durable records to a new source, those of the snapshot first, before Resume.
 func (s *Source) Replay(records ...SourceRecord) {
 	for _, r := range records {
-		s.last[r.ID.Target] = max(s.last[r.ID.Target], r.ID.Seq)
-		if r.Phase == ClosedThrough {
+		s.last[r.ID.Target], s.order = max(s.last[r.ID.Target], r.ID.Seq), max(s.order, r.Order)
+		o := s.open[r.ID]
+		switch {
+		case r.Phase == ClosedThrough:
 			s.through[r.ID.Target] = max(s.through[r.ID.Target], r.ID.Seq)
-		} else if o := s.open[r.ID]; o == nil || o.Phase.rank() < r.Phase.rank() {
+		case o == nil && r.ID.Seq <= s.through[r.ID.Target]:
+			// The snapshot is newer than the record and has closed the transfer.
+		case o == nil || o.Phase.rank() < r.Phase.rank():
 			s.open[r.ID] = &outgoing{SourceRecord: r, logged: true, delay: resendFirst}
 		}
 	}
@@ -181,20 +189,25 @@
 
 // Resume ends a replay and returns the messages of all open transfers. Afterwards a job is not runnable while
 // Transferring gives a transfer for it, whatever its own record says: a snapshot may hold a transfer that is newer than the
-// records after it. For the same reason Ended is given again for decided transfers; the caller ignores it
-// unless the job is being transferred.
+// records after it. For the same reason Ended is given again for the latest transfer of a job if it is
+// decided; the caller ignores it unless the job is being transferred.
 func (s *Source) Resume(now time.Time) []Action {
 	s.fillGaps()
 	maps.DeleteFunc(s.open, func(_ ID, o *outgoing) bool { return o.Phase == Closed })
-	var out []Action
-	for _, o := range s.sorted() {
-		if o.Phase != Decided && o.Job != "" {
-			s.jobs[o.Job] = o.ID
+	latest := make(map[model.JobID]*outgoing)
+	for _, o := range s.open {
+		if l := latest[o.Job]; o.Job != "" && (l == nil || l.Order < o.Order) {
+			latest[o.Job] = o
 		}
 	}
+	var out []Action
 	for _, o := range s.sorted() {
-		if _, again := s.jobs[o.Job]; o.Phase == Decided && o.Job != "" && !again {
+		switch {
+		case latest[o.Job] != o:
+		case o.Phase == Decided:
 			out = append(out, Ended{ID: o.ID, Job: o.Job, Decision: o.Decision})
+		default:
+			s.jobs[o.Job] = o.ID
 		}
 		out = append(out, s.send(o, now)...)
 	}
--- a/decisions/transfer/transfer.go
+++ b/decisions/transfer/transfer.go
@@ -13,8 +13,8 @@
 // and calls Tick at Deadline. Messages may be lost, repeated, late and out of order.
 //
 // Durable state is a set of records. Each AppendSource or AppendTarget is one append to the log of the failure domain
-// that also holds the state of the job after it. Records and Replay serve snapshots and takeovers; replay in any order
-// and more than once gives the same state.
+// that also holds the state of the job after it. Records and Replay serve snapshots and takeovers. The snapshot is
+// replayed first, then the log in its order, of which the snapshot may already contain a part.
 package transfer
 
 import (
@@ -101,7 +101,9 @@
 // is not runnable; after Decided it has ended as moved or is queued again. Job is empty if the record of the transfer
 // was lost in a crash before anything was sent; no job waits for its decision.
 type SourceRecord struct {
-	ID       ID
+	ID ID
+	// Order numbers the transfers of the source over all targets.
+	Order    uint64
 	Job      model.JobID
 	Phase    Phase
 	Decision Decision
