--- a/decisions/transfer/transfer_test.go
+++ b/decisions/transfer/transfer_test.go
@@ -399,3 +399,14 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(id).To(gomega.Equal(begun.ID))
 }
+
+// TestReplayOfClosed guards against a transfer that an old record opens again although the snapshot has closed it; its
+// target would never decide it.
+func TestReplayOfClosed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	id := ID{Source: "a", Target: "b", Seq: 1}
+	s := NewSource("a")
+	s.Replay(SourceRecord{ID: id, Order: 1, Phase: ClosedThrough}, SourceRecord{ID: id, Order: 1, Job: "j", Phase: Withdrawing})
+	g.Expect(s.Resume(time.Unix(1000, 0))).To(gomega.BeEmpty())
+	g.Expect(s.Undecided()).To(gomega.BeZero())
+}
