--- a/api/model/member.go
+++ b/api/model/member.go
@@ -49,8 +49,8 @@
 	VM VMID
 	// Beat is the highest heartbeat count of the VM that the sender knows. Only the VM itself raises it.
 	Beat uint64
-	// AgeMS is the time in milliseconds since the sender learned of Beat; at its origin it is 0.
-	AgeMS uint32
+	// Age is the time since the VM had this count, in tenths of a second as far as the sender knows.
+	Age uint32
 	// Member is the record of the VM, without Load and LastHeard; nil if the receiver has it.
 	Member *Member
 	// Load is the load that the VM tells as a holder, without failure domain and region; nil if the receiver has it.
--- a/decisions/member/digest.go
+++ b/decisions/member/digest.go
@@ -19,19 +19,16 @@
 		e = &entry{}
 	}
 	since := e.acked
-	if since > t.beat {
-		// The count belongs to an earlier VM with this id.
-		since = 0
-	}
+	e.told = t.beat
 	d := model.Digest{Since: since, Seen: e.seen, News: []model.MemberNews{t.selfNews(since)}}
-	if e.outdated {
-		d.Known = e.beat
+	if e.outdated || e.quoted > e.beat {
+		d.Known = max(e.highest(), e.quoted)
 	}
 	for id, o := range t.entries {
-		if id == to || o.beat == 0 || max(o.news, o.changed) < since {
+		if id == to || o.beat == 0 || max(o.news, o.changed, o.loaded) < since {
 			continue
 		}
-		if t.near(e.member) && o.outside || !t.near(e.member) && t.near(o.member) {
+		if o.quote || t.near(e.member) && o.outside || !t.near(e.member) && t.near(o.member) {
 			d.News = append(d.News, t.news(o, since, now))
 		}
 	}
@@ -53,8 +50,8 @@
 }
 
 func (t *Table) news(e *entry, since uint64, now time.Time) model.MemberNews {
-	out := model.MemberNews{VM: e.member.VM, Beat: e.beat, AgeMS: uint32(min(t.silent(e, now).Milliseconds(), math.MaxUint32))}
-	if e.changed >= since {
+	out := model.MemberNews{VM: e.member.VM, Beat: e.beat, Age: tenths(t.silent(e, now))}
+	if e.changed >= since || e.quote {
 		m := e.member
 		m.Address = e.advertised
 		out.Member = record(m)
@@ -65,6 +62,12 @@
 	return out
 }
 
+// tenths returns a duration in tenths of a second, rounded up so that news never look younger than they are.
+func tenths(d time.Duration) uint32 {
+	const tenth = 100 * time.Millisecond
+	return uint32(min((max(d, 0)+tenth-1)/tenth, math.MaxUint32))
+}
+
 // record returns a member as it travels: without load and local time.
 func record(m model.Member) *model.Member {
 	m.Load, m.LastHeard = nil, time.Time{}
@@ -81,33 +84,53 @@
 	return &out
 }
 
-// Heard applies a digest that arrived at a local time and returns its sender, or "" for an empty digest.
+// Heard applies a digest that arrived at a local time and returns its sender, or "" for an empty digest. A digest
+// that does not raise the count of its sender, such as a repeated one, has no effect.
 func (t *Table) Heard(d model.Digest, now time.Time) (model.VMID, Change) {
 	if len(d.News) == 0 || d.News[0].VM == t.self.VM {
 		return "", Unchanged
 	}
 	t.refute(d.Known)
 	first := d.News[0]
-	complete := t.complete(first.VM, d.Since)
-	change := t.heardDirectly(first, d.Seen, complete, now)
-	sender, known := t.entries[first.VM]
-	if !known {
-		return first.VM, change
+	if !t.accepts(d) {
+		return first.VM, Unchanged
 	}
+	sender := t.entries[first.VM]
+	sender.direct = now
+	change := t.rise(sender, first, !t.near(recordOf(sender, first)), now)
+	sender.seen = first.Beat
 	for _, n := range d.News[1:] {
-		if n.VM == t.self.VM || t.isNear(n) || !complete && n.Member == nil {
-			// This failure domain knows its own VMs better.
-			continue
+		c, used := t.hearsay(n, !t.near(sender.member), now)
+		change = max(change, c)
+		if !used {
+			// The sender repeats all records.
+			sender.seen = 0
 		}
-		change = max(change, t.hearsay(n, !t.near(sender.member), now))
 	}
 	return first.VM, change
 }
 
-// complete reports whether all digests of a VM up to a count were processed or repeated.
-func (t *Table) complete(id model.VMID, since uint64) bool {
-	e, known := t.entries[id]
-	return since == 0 || known && e.seen >= since
+// accepts takes the acknowledgement of a digest and reports whether its news are to be applied: its count is the
+// highest from this sender, and all earlier news were processed. A replaced VM has not processed them.
+func (t *Table) accepts(d model.Digest) bool {
+	first := d.News[0]
+	e, known := t.entries[first.VM]
+	if !known {
+		if first.Member == nil {
+			return false
+		}
+		e = &entry{}
+		t.entries[first.VM] = e
+	}
+	if e.outdated = first.Beat < e.highest(); first.Beat <= e.highest() {
+		return false
+	}
+	e.order, e.acked = first.Beat, d.Seen
+	if d.Seen > e.told {
+		// The count belongs to an earlier VM with the own id.
+		e.acked = 0
+	}
+	return d.Since <= e.seen
 }
 
 // refuteMargin exceeds the heartbeats that an earlier VM sent and the VM that told its count did not receive. At 100
@@ -136,31 +159,6 @@
 	return ok && t.near(e.member)
 }
 
-// heardDirectly applies what a VM tells about itself, and its acknowledgement.
-func (t *Table) heardDirectly(n model.MemberNews, seen uint64, complete bool, now time.Time) Change {
-	e, known := t.entries[n.VM]
-	if !known {
-		if n.Member == nil {
-			return Unchanged
-		}
-		e = &entry{}
-		t.entries[n.VM] = e
-	}
-	if n.Beat <= e.beat {
-		e.outdated = n.Beat < e.beat
-		return Unchanged
-	}
-	e.outdated, e.acked = false, seen
-	if n.Member == nil && !complete {
-		return Unchanged
-	}
-	e.direct = now
-	if complete {
-		e.seen = n.Beat
-	}
-	return t.rise(e, n, !t.near(recordOf(e, n)), now)
-}
-
 // recordOf returns the record that an entry has after news.
 func recordOf(e *entry, n model.MemberNews) model.Member {
 	if n.Member != nil {
@@ -170,28 +168,55 @@
 }
 
 // hearsay applies what a VM tells about another one. Only a higher count is a sign of life; at the same count a
-// death counts.
-func (t *Table) hearsay(n model.MemberNews, outside bool, now time.Time) Change {
+// death counts. It reports whether the news were used; otherwise the digest is not acknowledged.
+func (t *Table) hearsay(n model.MemberNews, outside bool, now time.Time) (Change, bool) {
+	if n.VM == t.self.VM {
+		t.refute(n.Beat)
+		return Unchanged, true
+	}
 	e, known := t.entries[n.VM]
+	if t.isNear(n) {
+		// This failure domain knows its own VMs better, but a VM may have to continue a higher count.
+		if known {
+			e.quoted = max(e.quoted, n.Beat)
+		}
+		return Unchanged, true
+	}
 	if !known || e.beat == 0 {
 		if n.Member == nil || !n.Member.Alive {
-			return Unchanged
+			return Unchanged, n.Member != nil
 		}
 		if !known {
 			e = &entry{}
 			t.entries[n.VM] = e
 		}
 	}
-	died := n.Member != nil && !n.Member.Alive
 	switch {
 	case n.Beat > e.beat:
-		return t.rise(e, n, outside, now)
-	case n.Beat == e.beat && died && e.member.Alive:
+		return t.rise(e, n, outside, now), true
+	case n.Beat == e.beat && n.Member != nil && !n.Member.Alive && e.member.Alive:
 		e.member.Alive = false
 		e.outside, e.news, e.changed = outside, t.beat, t.beat
-		return Immediate
+		return Immediate, true
+	case n.Beat == e.beat && n.Member == nil:
+		return Unchanged, true
+	}
+	return Unchanged, t.contradict(e, n)
+}
+
+// contradict makes the next digests tell the count of a VM of which a lower one was told. It reports whether the
+// told record is the known one.
+func (t *Table) contradict(e *entry, n model.MemberNews) bool {
+	same := n.Member == nil
+	if !same {
+		m := e.member
+		m.Alive, m.Address = n.Member.Alive, e.advertised
+		same = compare(m, *n.Member) == Unchanged
 	}
-	return Unchanged
+	if n.Beat < e.beat {
+		e.quote, e.news = true, t.beat
+	}
+	return same
 }
 
 // rise applies news with a higher count than known.
@@ -210,11 +235,14 @@
 		l := *n.Load
 		e.member.Load, e.loaded = &l, t.beat
 	}
-	if heard := now.Add(-time.Duration(n.AgeMS) * time.Millisecond); heard.After(e.member.LastHeard) {
+	if heard := now.Add(-time.Duration(n.Age) * 100 * time.Millisecond); heard.After(e.member.LastHeard) {
 		e.member.LastHeard = heard
 	}
 	first := outside && !e.outside
-	e.beat, e.news, e.outside = n.Beat, t.beat, outside
+	e.beat, e.outside, e.quote = n.Beat, outside, false
+	if !outside || now.Sub(e.relayed) >= relayInterval {
+		e.news, e.relayed = t.beat, now
+	}
 	died := n.Member != nil && !n.Member.Alive
 	e.member.Alive = !died && t.silent(e, now) < t.deadAfter(e.member)
 	if e.member.Alive && (!old.Alive || first) {
--- a/decisions/member/member.go
+++ b/decisions/member/member.go
@@ -27,6 +27,10 @@
 	NearDead = 3500 * time.Millisecond
 	// FarDead is the silence after which a VM of another failure domain is dead unless its speaker told so before.
 	FarDead = 10 * time.Second
+	// relayInterval is the shortest interval at which a mere sign of life from another failure domain is passed on to
+	// the own one: with every second far heartbeat. After the loss of the speaker there, the next one takes over
+	// within 6 s, so that a VM that lives is heard within FarDead.
+	relayInterval = 3 * time.Second
 	// suspectAfter is the silence, in intervals, after which a VM is suspected.
 	suspectAfter = 3
 	// forgetAfter is the silence after which the heartbeat count of a dead VM that no source names is forgotten.
@@ -65,14 +69,21 @@
 	direct time.Time
 	// advertised and shown are the last addresses in a heartbeat and in the VM list.
 	advertised, shown string
-	// outside is set if the news came from another failure domain.
+	// outside is set if the news came from another failure domain; relayed is the local time at which they were last
+	// marked to be passed on.
 	outside bool
+	relayed time.Time
 	// news, changed and loaded are the own heartbeat counts when the count, the record and the load were learned.
 	news, changed, loaded uint64
-	// seen is the highest count whose digest was processed, acked the own one that the VM has processed, and
-	// outdated is set after a digest with a lower count than known.
-	seen, acked uint64
-	outdated    bool
+	// seen is the highest count whose digest was processed, told the own one that was last sent to the VM and acked
+	// the one that it has processed.
+	seen, told, acked uint64
+	// order is the highest count of a digest from the VM itself.
+	order uint64
+	// outdated is set after a digest of the VM with a lower count than known, quote after such news from others.
+	outdated, quote bool
+	// quoted is the highest count of a VM of the own failure domain that others have told.
+	quoted uint64
 }
 
 // moveTo applies an address that a source gives, where last is the one that it gave before. The address of the
@@ -86,6 +97,9 @@
 	}
 }
 
+// highest returns the highest known heartbeat count of the VM.
+func (e *entry) highest() uint64 { return max(e.beat, e.order) }
+
 // gone reports whether a VM is dead and no source names it.
 func (e *entry) gone() bool { return !e.member.Alive && !e.named && !e.listed }
 
@@ -99,7 +113,7 @@
 
 // New returns the table of a VM with the peers that its settings name. They are dead until they are heard. The
 // heartbeat count starts at start, which exceeds that of an earlier VM with the same id if it is the time in
-// milliseconds; otherwise the others tell the count to continue from.
+// microseconds; otherwise the others tell the count to continue from.
 func New(self model.Member, peers []model.Member, start uint64) *Table {
 	t := &Table{self: self, beat: start, changed: start, loaded: start, entries: make(map[model.VMID]*entry)}
 	for _, p := range peers {
--- a/services/membership/service.go
+++ b/services/membership/service.go
@@ -60,7 +60,7 @@
 
 // New returns the service of one entry VM with the peers that its settings name.
 func New(self model.Member, peers []model.Member, list vmlist.Client) *Service {
-	return &Service{list: list, table: member.New(self, peers, uint64(time.Now().UnixMilli()))}
+	return &Service{list: list, table: member.New(self, peers, uint64(time.Now().UnixMicro()))}
 }
 
 // Spec returns the registration of the service.
