Translate errors of deliveries in one place

The mapping of kernel errors to failures stood in services/httpapi and services/peers and differed for an unknown service. failure.OfDelivery replaces both. It knows the errors by their methods, because api does not import kernel. A request beyond the bound of unanswered ones is now overloaded and not run instead of an internal failure with unknown outcome: the kernel refuses it before the delivery.

Tests: services/peers TestDeliveryFailures covers each error.

--- /dev/null
+++ b/api/failure/delivery.go
@@ -0,0 +1,30 @@
+package failure
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// OfDelivery returns the failure of a message that was sent to a service: the one in the chain of err, or the one
+// for an error of the kernel. Errors of the kernel are known by their methods, because this package does not import
+// it. A refused message was not processed; other errors leave the outcome unknown.
+func OfDelivery(err error) *Error {
+	var overloaded interface{ Overloaded() bool }
+	var stopped interface{ Stopped() bool }
+	var unknown interface{ UnknownService() bool }
+	switch {
+	case errors.As(err, &overloaded):
+		return New(Overloaded, "%v", err)
+	case errors.As(err, &stopped):
+		f := New(Draining, "%v", err)
+		f.RetryElsewhere = true
+		return f
+	case errors.As(err, &unknown):
+		return New(Internal, "%v", err).WithOutcome(NotRun)
+	case errors.Is(err, context.DeadlineExceeded):
+		return New(DeadlineExceeded, "%v", err)
+	default:
+		return From(err)
+	}
+}
--- a/kernel/errors.go
+++ b/kernel/errors.go
@@ -7,6 +7,9 @@
 
 func (e *UnknownServiceError) Error() string { return fmt.Sprintf("unknown service %q", e.Name) }
 
+// UnknownService reports that the message has no receiver, for callers that do not import this package.
+func (e *UnknownServiceError) UnknownService() bool { return true }
+
 // MailboxFullError reports a message refused because the mailbox of the receiver is full.
 type MailboxFullError struct {
 	Name Name
@@ -17,6 +20,9 @@
 	return fmt.Sprintf("mailbox of service %q is full; refused %s", e.Name, e.Kind)
 }
 
+// Overloaded reports that the message was refused for lack of room, for callers that do not import this package.
+func (e *MailboxFullError) Overloaded() bool { return true }
+
 // TooManyRequestsError reports that a service has reached its bound of unanswered requests.
 type TooManyRequestsError struct{ Name Name }
 
@@ -24,11 +30,17 @@
 	return fmt.Sprintf("service %q has too many unanswered requests", e.Name)
 }
 
+// Overloaded reports that the message was refused for lack of room, for callers that do not import this package.
+func (e *TooManyRequestsError) Overloaded() bool { return true }
+
 // StoppedError reports a message that a stopping service did not process.
 type StoppedError struct{ Name Name }
 
 func (e *StoppedError) Error() string { return fmt.Sprintf("service %q has stopped", e.Name) }
 
+// Stopped reports that the message was refused by a stopping service, for callers that do not import this package.
+func (e *StoppedError) Stopped() bool { return true }
+
 // UnansweredError reports a message whose answer will not arrive because a service stopped. The message
 // may have been processed.
 type UnansweredError struct{ Name Name }
--- a/services/httpapi/handlers.go
+++ b/services/httpapi/handlers.go
@@ -52,27 +52,12 @@
 	defer cancel()
 	reply, err := kernel.Call[T](ctx, a.caller, names.Peers, f)
 	if err != nil {
-		a.fail(w, toFailure(err))
+		a.fail(w, failure.OfDelivery(err))
 		return reply, false
 	}
 	return reply, true
 }
 
-func toFailure(err error) *failure.Error {
-	var full *kernel.MailboxFullError
-	var stopped *kernel.StoppedError
-	switch {
-	case errors.As(err, &full):
-		return failure.New(failure.Overloaded, "%v", err)
-	case errors.As(err, &stopped):
-		return draining(err.Error())
-	case errors.Is(err, context.DeadlineExceeded):
-		return failure.New(failure.DeadlineExceeded, "%v", err)
-	default:
-		return failure.From(err)
-	}
-}
-
 // refuse counts a refusal and answers the call with it.
 func (a *api) refuse(w http.ResponseWriter, reason failure.Reason, format string, args ...any) {
 	a.fail(w, a.metrics.Refusal(failure.New(reason, format, args...)))
--- a/services/httpapi/status.go
+++ b/services/httpapi/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
@@ -105,7 +106,7 @@
 	defer cancel()
 	reply, err := kernel.Call[statusReply](ctx, a.caller, names.HTTP, statusGet{})
 	if err != nil {
-		a.fail(w, toFailure(err))
+		a.fail(w, failure.OfDelivery(err))
 		return
 	}
 	write(w, http.StatusOK, reply.body)
--- a/services/peers/deliver.go
+++ b/services/peers/deliver.go
@@ -64,7 +64,7 @@
 func (s *Service) deliverLocal(c *kernel.Context, d delivery) {
 	c.Request(kernel.Name(d.forward.To), d.forward.Body, func(m kernel.Message, err error) {
 		if err != nil {
-			s.settle(c, d, failure.From(translate(err)))
+			s.settle(c, d, failure.OfDelivery(err))
 			return
 		}
 		d.env.Reply(m)
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -199,15 +199,27 @@
 	return nil
 }
 
-// TestStoppedServiceRefuses guards against a call that a stopping VM refuses without the hint to go elsewhere.
-func TestStoppedServiceRefuses(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := failure.From(translate(&kernel.StoppedError{Name: "dispatch"}))
-	g.Expect(f.Reason).To(gomega.Equal(failure.Draining))
-	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
-	g.Expect(f.RetryElsewhere).To(gomega.BeTrue())
-	f = failure.From(translate(&kernel.UnansweredError{Name: "dispatch"}))
-	g.Expect(f.Outcome).To(gomega.Equal(failure.Unknown))
+// TestDeliveryFailures guards against an error of the kernel that is reported with a wrong outcome, and against a
+// stopping VM that refuses without the hint to go elsewhere.
+func TestDeliveryFailures(t *testing.T) {
+	for _, test := range []struct {
+		err     error
+		reason  failure.Reason
+		outcome failure.Outcome
+	}{
+		{&kernel.StoppedError{Name: "dispatch"}, failure.Draining, failure.NotRun},
+		{&kernel.MailboxFullError{Name: "dispatch"}, failure.Overloaded, failure.NotRun},
+		{&kernel.TooManyRequestsError{Name: "dispatch"}, failure.Overloaded, failure.NotRun},
+		{&kernel.UnknownServiceError{Name: "dispatch"}, failure.Internal, failure.NotRun},
+		{&kernel.UnansweredError{Name: "dispatch"}, failure.Internal, failure.Unknown},
+		{context.DeadlineExceeded, failure.DeadlineExceeded, failure.Unknown},
+		{failure.New(failure.NotHolder, ""), failure.NotHolder, failure.NotRun},
+	} {
+		f := failure.OfDelivery(test.err)
+		if f.Reason != test.reason || f.Outcome != test.outcome || f.RetryElsewhere != (f.Reason == failure.Draining) {
+			t.Errorf("%T: %+v", test.err, f)
+		}
+	}
 }
 
 // TestBoundedCalls guards against calls without bound to a VM that does not answer.
--- a/services/peers/wire.go
+++ b/services/peers/wire.go
@@ -51,7 +51,7 @@
 	}
 	m, err := p.caller.Call(ctx, kernel.Name(req.To), body)
 	if err != nil {
-		resp.Failure = failure.From(translate(err))
+		resp.Failure = failure.OfDelivery(err)
 		return nil
 	}
 	resp.Body = m
