--- a/services/peers/deliver.go
+++ b/services/peers/deliver.go
@@ -34,33 +34,22 @@
 
 // forward delivers a message to a VM, or to the holder of a failure domain.
 func (s *Service) forward(c *kernel.Context, d delivery) {
-	target := d.forward.VM
+	target, silent := d.forward.VM, false
 	if target == "" {
-		target = s.holderOf(d.forward.Domain)
+		target, silent = s.holderOf(d.forward.Domain)
 	}
-	switch target {
-	case "":
+	switch {
+	case target == "":
 		s.retry(c, d, failure.New(failure.NoHolder, "no holder of %s is known", d.forward.Domain))
-	case s.self.VM:
+	case silent:
+		s.retry(c, d, failure.New(failure.HomeUnreachable, "%s holds %s and is silent", target, d.forward.Domain))
+	case target == s.self.VM:
 		s.deliverLocal(c, d)
 	default:
 		s.deliverRemote(c, d, target)
 	}
 }
 
-func (s *Service) holderOf(d model.FailureDomain) model.VMID {
-	if s.holder && d == s.self.Domain {
-		return s.self.VM
-	}
-	var best model.Member
-	for _, m := range s.members {
-		if m.Domain == d && best.Holder.Less(m.Holder) {
-			best = m
-		}
-	}
-	return best.VM
-}
-
 func (s *Service) deliverLocal(c *kernel.Context, d delivery) {
 	c.Request(kernel.Name(d.forward.To), d.forward.Body, func(m kernel.Message, err error) {
 		if err != nil {
@@ -87,9 +76,9 @@
 	}
 	done := callDone{delivery: d, vm: to, link: l}
 	req := Request{From: s.self.VM, To: d.forward.To, Body: d.forward.Body}
-	c.Spawn(func(ctx context.Context) kernel.Message {
-		ctx, cancel := context.WithDeadline(ctx, d.forward.Deadline)
-		defer cancel()
+	ctx, cancel := s.begin(&done)
+	c.Spawn(func(service context.Context) kernel.Message {
+		defer context.AfterFunc(service, cancel)()
 		if done.link == nil {
 			if done.link, done.err = dial(ctx, address); done.err != nil {
 				return done
@@ -127,7 +116,8 @@
 func (s *Service) finish(c *kernel.Context, m callDone) {
 	s.calls--
 	defer s.checkDrained(c)
-	s.circuit(m.vm).record(m.err == nil || m.sent, time.Now())
+	s.end(m.number)
+	s.judge(m, time.Now())
 	s.release(m)
 	switch {
 	case m.err == nil && m.response.Failure != nil:
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -62,8 +62,13 @@
 	}
 }
 
-// setMembers learns the other VMs. One with a new address is a new VM for links and circuits.
+// setMembers learns the other VMs. One with a new address is a new VM for links and circuits. One that is no longer
+// listed is dead; it stays known, because the homes of idempotency keys depend on the known failure domains.
 func (s *Service) setMembers(members []model.Member) {
+	for vm, m := range s.members {
+		m.Alive = false
+		s.members[vm] = m
+	}
 	for _, m := range members {
 		if old, ok := s.members[m.VM]; ok && old.Address != m.Address {
 			s.dropLink(m.VM)
@@ -73,7 +78,7 @@
 	}
 }
 
-// circuit counts the consecutive failures of connects to one VM ("Release It!", chapter "Stability
+// circuit counts the consecutive failed connects and unanswered calls to one VM ("Release It!", chapter "Stability
 // Patterns", circuit breaker).
 type circuit struct {
 	failures int
@@ -92,9 +97,9 @@
 	return true
 }
 
-// record takes the result of a connect.
-func (k *circuit) record(connected bool, now time.Time) {
-	if connected {
+// record takes the result of a call: whether the VM answered or processed it.
+func (k *circuit) record(answered bool, now time.Time) {
+	if answered {
 		k.failures = 0
 		return
 	}
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -93,6 +93,69 @@
 	g.Expect(k.allow(now)).To(gomega.BeTrue())
 }
 
+// TestSilentVM guards against calls that wait for a VM that accepts connections and does not answer, against short
+// deadlines and slow requests that shut a VM out, and against an abandoned call that counts as silence.
+func TestSilentVM(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name string
+		body kernel.Message
+		err  error
+		took time.Duration
+		open bool
+	}{
+		{"silent", message.Heartbeat{}, context.DeadlineExceeded, silentAfter, true},
+		{"short deadline", message.Heartbeat{}, context.DeadlineExceeded, silentAfter - 1, false},
+		{"slow request", message.RequestSend{}, context.DeadlineExceeded, time.Minute, false},
+		{"abandoned", message.TicketIssue{}, context.Canceled, time.Minute, false},
+		{"answered", message.Heartbeat{}, nil, time.Minute, false},
+	} {
+		s := &Service{circuits: make(map[model.VMID]*circuit)}
+		for range circuitAfter {
+			m := callDone{vm: "b", err: test.err, sent: true, begun: now.Add(-test.took)}
+			m.forward.Body = test.body
+			s.judge(m, now)
+		}
+		if open := !s.circuit("b").allow(now); open != test.open {
+			t.Errorf("%s: open %v, want %v", test.name, open, test.open)
+		}
+	}
+}
+
+// TestPausedHolder guards against an idempotent call that waits for its deadline at a paused holder although the
+// next one is known, and against a call that may not be repeated and is.
+func TestPausedHolder(t *testing.T) {
+	g, got, held := gomega.NewWithT(t), make(kinds, 8), make(chan kernel.Envelope, 8)
+	paused := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) { held <- e }).run()
+	next := newVM(t, "c", nil, got.handle).run()
+	next.member.Holder.Store = 2
+	a := newVM(t, "a", []model.Member{paused.member}, nil).run()
+	answers, kept := make(chan *failure.Error, 1), make(chan *failure.Error, 1)
+	go func() { _, f := a.send(message.TicketIssue{}, true, ample); answers <- f }()
+	go func() { _, f := a.send(message.JobSubmit{}, false, ample); kept <- f }()
+	first, second := <-held, <-held
+	a.publish(message.MembersChanged{Members: []model.Member{paused.member, next.member}})
+	g.Expect(<-answers).To(gomega.BeNil())
+	g.Expect(got).To(gomega.HaveLen(1))
+	g.Expect(<-got).To(gomega.Equal("ticket_issue"))
+	first.Reply(message.Done{})
+	second.Reply(message.Done{})
+	g.Expect(<-kept).To(gomega.BeNil())
+}
+
+// TestDeadHolder guards against a call that waits for a holder that the membership holds for dead.
+func TestDeadHolder(t *testing.T) {
+	g, got := gomega.NewWithT(t), make(kinds, 8)
+	b := newVM(t, "b", nil, got.handle).run()
+	a := newVM(t, "a", []model.Member{b.member}, nil).run()
+	b.member.LastHeard = time.Now()
+	a.publish(message.MembersChanged{Members: []model.Member{b.member}})
+	_, f := a.send(message.JobSubmit{}, false, ample)
+	g.Expect(f.Reason).To(gomega.Equal(failure.HomeUnreachable))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
+	g.Expect(got).To(gomega.BeEmpty())
+}
+
 // TestUnreachableVM guards against a connect that fails and is reported as possibly processed.
 func TestUnreachableVM(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/services/peers/service.go
+++ b/services/peers/service.go
@@ -22,7 +22,7 @@
 	dialTimeout = time.Second
 	// maxForwards bounds the deliveries of one message.
 	maxForwards = 4
-	// circuitAfter is the number of consecutive failed connects after which calls to a VM fail at once.
+	// circuitAfter is the number of consecutive failed connects and unanswered calls after which calls to a VM fail at once.
 	circuitAfter = 3
 	// probeEvery is the interval of calls to a VM whose circuit is open; one of them is let through.
 	probeEvery = time.Second
@@ -37,8 +37,11 @@
 type (
 	callDone struct {
 		delivery
-		vm       model.VMID
-		link     *link
+		vm   model.VMID
+		link *link
+		// number identifies the attempt, begun is the local time of its start.
+		number   uint64
+		begun    time.Time
 		response Response
 		err      error
 		sent     bool
@@ -80,6 +83,9 @@
 	random   *rand.Rand
 	calls    int
 	draining bool
+	// attempts are the remote calls in flight by number.
+	attempts    map[uint64]attempt
+	lastAttempt uint64
 	// conns are the connections on which other VMs call this one.
 	conns  map[net.Conn]bool
 	server *rpc.Server
@@ -91,7 +97,8 @@
 		self: self, listener: l, metrics: m,
 		members: make(map[model.VMID]model.Member),
 		links:   make(map[model.VMID]*link), circuits: make(map[model.VMID]*circuit),
-		conns: make(map[net.Conn]bool), server: rpc.NewServer(),
+		attempts: make(map[uint64]attempt),
+		conns:    make(map[net.Conn]bool), server: rpc.NewServer(),
 		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
 	}
 	for _, p := range peers {
@@ -182,8 +189,10 @@
 	switch m := e.Body.(type) {
 	case message.MembersChanged:
 		s.setMembers(m.Members)
+		s.abandon()
 	case message.AuthorityChanged:
 		s.holder = m.Holder
+		s.abandon()
 	case message.Forward:
 		if m.Key != "" {
 			m.Domain = ledger.Home(m.Key, s.domains())
