Quote a higher heartbeat count only to the VM that told a lower one

Cause: news with a count lower than known were answered with the known one to every VM. Such news are mostly late, so that the answers were contradicted in turn.

Change: only the sender of the lower count is answered. A record of a VM that both hold for dead is not repeated.

--- a/decisions/member/digest.go
+++ b/decisions/member/digest.go
@@ -28,8 +28,8 @@
 		if id == to || o.beat == 0 || max(o.news, o.changed, o.loaded) < since {
 			continue
 		}
-		if o.quote || t.near(e.member) && o.outside || !t.near(e.member) && t.near(o.member) {
-			d.News = append(d.News, t.news(o, since, now))
+		if o.quoteTo == to || t.near(e.member) && o.outside || !t.near(e.member) && t.near(o.member) {
+			d.News = append(d.News, t.news(o, to, since, now))
 		}
 	}
 	slices.SortFunc(d.News[1:], func(a, b model.MemberNews) int { return cmp.Compare(a.VM, b.VM) })
@@ -49,9 +49,9 @@
 	return out
 }
 
-func (t *Table) news(e *entry, since uint64, now time.Time) model.MemberNews {
+func (t *Table) news(e *entry, to model.VMID, since uint64, now time.Time) model.MemberNews {
 	out := model.MemberNews{VM: e.member.VM, Beat: e.beat, Age: tenths(t.silent(e, now))}
-	if e.changed >= since || e.quote {
+	if e.changed >= since || e.quoteTo == to {
 		m := e.member
 		m.Address = e.advertised
 		out.Member = record(m)
@@ -100,7 +100,7 @@
 	change := t.rise(sender, first, !t.near(recordOf(sender, first)), now)
 	sender.seen = first.Beat
 	for _, n := range d.News[1:] {
-		c, used := t.hearsay(n, !t.near(sender.member), now)
+		c, used := t.hearsay(n, first.VM, now)
 		change = max(change, c)
 		if !used {
 			// The sender repeats all records.
@@ -169,7 +169,8 @@
 
 // hearsay applies what a VM tells about another one. Only a higher count is a sign of life; at the same count a
 // death counts. It reports whether the news were used; otherwise the digest is not acknowledged.
-func (t *Table) hearsay(n model.MemberNews, outside bool, now time.Time) (Change, bool) {
+func (t *Table) hearsay(n model.MemberNews, from model.VMID, now time.Time) (Change, bool) {
+	outside := !t.near(t.entries[from].member)
 	if n.VM == t.self.VM {
 		t.refute(n.Beat)
 		return Unchanged, true
@@ -201,20 +202,21 @@
 	case n.Beat == e.beat && n.Member == nil:
 		return Unchanged, true
 	}
-	return Unchanged, t.contradict(e, n)
+	return Unchanged, t.contradict(e, n, from)
 }
 
-// contradict makes the next digests tell the count of a VM of which a lower one was told. It reports whether the
-// told record is the known one.
-func (t *Table) contradict(e *entry, n model.MemberNews) bool {
-	same := n.Member == nil
+// contradict makes the next digest to a sender tell the count of a VM of which it told a lower one. It reports whether
+// the told record is the known one. Others are not told: a lower count is mostly a late one.
+func (t *Table) contradict(e *entry, n model.MemberNews, from model.VMID) bool {
+	// The record of a VM that both hold for dead does not matter.
+	same := n.Member == nil || !n.Member.Alive && !e.member.Alive
 	if !same {
 		m := e.member
 		m.Alive, m.Address = n.Member.Alive, e.advertised
 		same = compare(m, *n.Member) == Unchanged
 	}
 	if n.Beat < e.beat {
-		e.quote, e.news = true, t.beat
+		e.quoteTo, e.news = from, t.beat
 	}
 	return same
 }
@@ -239,7 +241,7 @@
 		e.member.LastHeard = heard
 	}
 	first := outside && !e.outside
-	e.beat, e.outside, e.quote = n.Beat, outside, false
+	e.beat, e.outside, e.quoteTo = n.Beat, outside, ""
 	if !outside || now.Sub(e.relayed) >= relayInterval {
 		e.news, e.relayed = t.beat, now
 	}
--- a/decisions/member/member.go
+++ b/decisions/member/member.go
@@ -80,8 +80,9 @@
 	seen, told, acked uint64
 	// order is the highest count of a digest from the VM itself.
 	order uint64
-	// outdated is set after a digest of the VM with a lower count than known, quote after such news from others.
-	outdated, quote bool
+	// outdated is set after a digest of the VM with a lower count than known, quoteTo names the sender of such news.
+	outdated bool
+	quoteTo  model.VMID
 	// quoted is the highest count of a VM of the own failure domain that others have told.
 	quoted uint64
 }
--- a/decisions/member/member_test.go
+++ b/decisions/member/member_test.go
@@ -23,7 +23,8 @@
 )
 
 // TestWorld guards against a dead VM that delayed, repeated or quoted news keep alive or revive, against a live VM
-// that is not seen again after cuts, losses and replacements, and against records older than the VM's last.
+// that is not seen again after cuts, losses and replacements, against records older than the VM's last, and against
+// records that are sent again and again.
 func TestWorld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(3, 3, slowest, rapid.Uint64().Draw(t, "seed"))
@@ -68,6 +69,13 @@
 			"settle": func(t *rapid.T) {
 				clear(w.cut)
 				w.advance(quiet)
+				// The last deaths are told on.
+				w.advance(2 * member.FarInterval)
+				begun := len(w.past)
+				w.advance(2 * member.FarInterval)
+				if n := w.records(begun); n > 0 {
+					t.Fatalf("%d records were sent that nobody lacked", n)
+				}
 				for _, id := range w.ids {
 					if bad := w.unequal(id); len(bad) > 0 {
 						t.Fatalf("after %s without a fault: %v", quiet, bad)
--- a/decisions/member/world_test.go
+++ b/decisions/member/world_test.go
@@ -208,6 +208,19 @@
 	return out
 }
 
+// records counts the records in the digests that were delivered after the first ones.
+func (w *world) records(first int) int {
+	n := 0
+	for _, p := range w.past[first:] {
+		for _, news := range p.digest.News {
+			if news.Member != nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // until returns the time until all running VMs see the truth about a VM.
 func (w *world) until(id model.VMID, limit time.Duration) (time.Duration, []string) {
 	begun := w.now
--- a/services/httpapi/status.go
+++ b/services/httpapi/status.go
@@ -45,7 +45,7 @@
 	// Preset names the preset in force.
 	Preset  string       `json:"preset,omitempty"`
 	Holders []HolderBody `json:"holders"`
-	// Members lists the other entry VMs as they were when their membership last changed.
+	// Members lists the other entry VMs. LastHeard is as of the last change of the members.
 	Members []model.Member `json:"members"`
 }
 
