--- a/decisions/member/digest.go
+++ b/decisions/member/digest.go
@@ -233,6 +233,10 @@
 			e.member.Load = nil
 		}
 	}
+	if n.Member == nil && !old.Alive && !e.named {
+		// The list may have shown another address.
+		e.member.Address = e.advertised
+	}
 	if n.Load != nil {
 		l := *n.Load
 		e.member.Load, e.loaded = &l, t.beat
--- a/decisions/member/member.go
+++ b/decisions/member/member.go
@@ -152,8 +152,8 @@
 	return Immediate
 }
 
-// Listed applies a revision of the VM list and reports whether the members changed. The address and the
-// leaving flag of the list count only for a VM that is not heard.
+// Listed applies a revision of the VM list and reports whether the members changed. The address of the
+// list counts only for a VM that is not heard, and its leaving flag only for one that never was.
 func (t *Table) Listed(vms []model.VM) Change {
 	before := t.Members()
 	for _, e := range t.entries {
@@ -173,7 +173,9 @@
 		if e.member.Alive {
 			continue
 		}
-		e.member.VM, e.member.Domain, e.member.Region, e.member.Leaving = id, vm.Domain, vm.Region, vm.Leaving
+		if e.beat == 0 {
+			e.member.VM, e.member.Domain, e.member.Region, e.member.Leaving = id, vm.Domain, vm.Region, vm.Leaving
+		}
 		e.moveTo(vm.Address, &e.shown)
 	}
 	if slices.EqualFunc(before, t.Members(), func(a, b model.Member) bool { return compare(a, b) == Unchanged }) {
--- a/decisions/member/member_test.go
+++ b/decisions/member/member_test.go
@@ -24,7 +24,7 @@
 
 // TestWorld guards against a dead VM that delayed, repeated or quoted news keep alive or revive, against a live VM
 // that is not seen again after cuts, losses and replacements, against records older than the VM's last, and against
-// records that are sent again and again.
+// records that are sent again and again, and against a view that follows the list instead of the heartbeats.
 func TestWorld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(3, 3, slowest, rapid.Uint64().Draw(t, "seed"))
@@ -66,8 +66,16 @@
 					w.change(id, func(m *model.Member) { m.ConfigVersion++; m.Leaving = !m.Leaving })
 				}
 			},
+			"list": func(t *rapid.T) {
+				if id := vm(); w.nodes[id].running {
+					w.list(id, func() bool { return rapid.Bool().Draw(t, "shown") })
+				}
+			},
 			"settle": func(t *rapid.T) {
 				clear(w.cut)
+				for _, id := range w.ids {
+					w.list(id, func() bool { return true })
+				}
 				w.advance(quiet)
 				// The last deaths are told on.
 				w.advance(2 * member.FarInterval)
@@ -87,6 +95,9 @@
 				if bad := w.revived(member.NearDead+slowest+2*tick, member.FarDead+3*(slowest+tick)+tick); len(bad) > 0 {
 					t.Fatalf("%v", bad)
 				}
+				if bad := w.misfits(); len(bad) > 0 {
+					t.Fatalf("%v", bad)
+				}
 			},
 		})
 	})
