Read the count of heartbeats before the event that changes it

Cause: the race detector found TestHeartbeats reading a map of its fake while the fake handles the event that was sent before.

--- a/services/membership/service_test.go
+++ b/services/membership/service_test.go
@@ -127,8 +127,8 @@
 		g.Expect(p.beats["v2"]).To(gomega.BeNumerically("~", 40, 2))
 		g.Expect(p.beats["v9"]).To(gomega.BeNumerically("<=", 2), "v2 is the holder")
 		g.Expect(p.last.Members[0].Alive).To(gomega.BeTrue())
-		g.Expect(k.Send(names.Peers, publish{message.AuthorityChanged{Holder: true, Epoch: model.Epoch{Store: 2}}})).To(gomega.Succeed())
 		before := p.beats["v9"]
+		g.Expect(k.Send(names.Peers, publish{message.AuthorityChanged{Holder: true, Epoch: model.Epoch{Store: 2}}})).To(gomega.Succeed())
 		pass(20 * time.Second)
 		g.Expect(p.beats["v9"]-before).To(gomega.BeNumerically("~", 10, 1), "learned from the list")
 		g.Expect(p.last.Members).To(gomega.HaveEach(gomega.HaveField("Alive", true)))
