Pace the writes of a log by its share of the store's writes, with a burst

Cause: at least 20 ms between two writes of a log raised the median of a request from 7 to 31 ms at 25 requests a second, also with three logs and far below the limit of the store. Change: the logs share 350 writes a second by the number of failure domains that the membership knows; a log that wrote less often may make 10 writes at once (generic cell rate algorithm).

--- a/decisions/fencedlog/event.go
+++ b/decisions/fencedlog/event.go
@@ -113,6 +113,8 @@
 	Open struct{ Epoch model.Epoch }
 	// Abandon reports that the VM no longer holds the failure domain.
 	Abandon struct{}
+	// Logs tells the number of logs that share the store.
+	Logs struct{ Number int }
 	// Append asks for durability of records.
 	Append struct {
 		ID      uint64
@@ -146,6 +148,7 @@
 
 func (Open) event()     {}
 func (Abandon) event()  {}
+func (Logs) event()     {}
 func (Append) event()   {}
 func (Closing) event()  {}
 func (Result) event()   {}
--- a/decisions/fencedlog/log.go
+++ b/decisions/fencedlog/log.go
@@ -23,9 +23,13 @@
 	SnapshotSlots = 256
 	// SnapshotBytes is the size of slots in bytes after which a snapshot replaces them.
 	SnapshotBytes = 4 << 20
-	// WriteInterval is the least time between the starts of two slot writes. Seven busy logs then stay within 350
-	// writes a second, which the store handles. An idle log writes at once.
-	WriteInterval = 20 * time.Millisecond
+	// WritesPerSecond bounds the slot writes of all logs together. The store handles several hundred a second.
+	WritesPerSecond = 350
+	// defaultLogs is the number of logs until Logs tells it, that of the target size.
+	defaultLogs = 7
+	// WriteBurst is the number of writes that a log may make at once after a pause, so that it does not delay
+	// the appends of a log that writes less often than its share permits.
+	WriteBurst = 10
 	// DeleteDelay is the wait between two deletions of replaced slots.
 	DeleteDelay = 100 * time.Millisecond
 	// maxComplete bounds the list of closed epochs. Tickets of epochs that fell out of it are unknown.
@@ -75,11 +79,13 @@
 	// slot is the slot in flight or unresolved; waiting lists its unanswered appends.
 	slot    Slot
 	waiting []entry
-	// writeAt is the earliest time of the next slot write.
-	writeAt time.Time
-	call    Call
-	retryAt time.Time
-	retry   Call
+	// interval is the least mean time between two slot writes. paced is the time at which all writes so far have
+	// used up their intervals.
+	interval time.Duration
+	paced    time.Time
+	call     Call
+	retryAt  time.Time
+	retry    Call
 
 	versions map[uint64]uint64
 	// stale lists the snapshots other than that of head whose chunks may be in the store.
@@ -93,7 +99,9 @@
 }
 
 // New returns a log without an epoch. prefix makes write ids unique over VMs and restarts.
-func New(prefix string) *Log { return &Log{prefix: prefix, phase: idle} }
+func New(prefix string) *Log {
+	return &Log{prefix: prefix, phase: idle, interval: intervalOf(defaultLogs)}
+}
 
 // Step applies an event at a local time and returns the actions that follow.
 func (l *Log) Step(e Event, now time.Time) []Action {
@@ -103,6 +111,8 @@
 		l.open(e.Epoch)
 	case Abandon:
 		l.abandon()
+	case Logs:
+		l.interval = intervalOf(e.Number)
 	case Append:
 		l.append(e)
 	case Closing:
@@ -215,9 +225,18 @@
 	return l.phase == open && l.slot.Kind == "" && (len(l.queue) > 0 || l.snap.step == snapMark)
 }
 
-// pump writes the next slot once it is ready and WriteInterval has passed since the last one.
+// intervalOf returns the share of one of n logs in WritesPerSecond, as the time of one write.
+func intervalOf(n int) time.Duration {
+	return time.Duration(max(1, n)) * time.Second / WritesPerSecond
+}
+
+// writeAt is the earliest time of the next slot write: the generic cell rate algorithm (ITU-T I.371) with a
+// burst of WriteBurst.
+func (l *Log) writeAt() time.Time { return l.paced.Add(-(WriteBurst - 1) * l.interval) }
+
+// pump writes the next slot once it is ready and the pace of the log permits.
 func (l *Log) pump() {
-	if !l.ready() || l.now.Before(l.writeAt) {
+	if !l.ready() || l.now.Before(l.writeAt()) {
 		return
 	}
 	l.slot = Slot{Kind: Batch, Epoch: l.epoch, WriteID: l.writeID()}
@@ -230,7 +249,10 @@
 		}
 		l.fill()
 	}
-	l.writeAt = l.now.Add(WriteInterval)
+	if l.paced.Before(l.now) {
+		l.paced = l.now
+	}
+	l.paced = l.paced.Add(l.interval)
 	l.do(Call{Op: PutSlot, N: l.next, Slot: l.slot})
 }
 
@@ -265,7 +287,7 @@
 		add(l.reportBy)
 	}
 	if l.ready() {
-		add(l.writeAt)
+		add(l.writeAt())
 	}
 	for _, list := range [][]entry{l.queue, l.waiting} {
 		if len(list) > 0 {
--- a/services/store/log.go
+++ b/services/store/log.go
@@ -10,6 +10,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/decisions/fencedlog"
 	"github.com/verbenaflow/verbenaflow/kernel"
@@ -51,6 +52,8 @@
 			return
 		}
 		s.step(c, fencedlog.Abandon{})
+	case message.MembersChanged:
+		s.step(c, fencedlog.Logs{Number: s.logs(m.Members)})
 	case message.LogAppend:
 		s.step(c, fencedlog.Append{ID: s.ask(e), Epoch: m.Epoch, Records: toRecords(m.Records)})
 	case message.LogClose:
@@ -64,6 +67,16 @@
 	}
 }
 
+// logs counts the failure domains, each of which has one log.
+func (s *Service) logs(members []model.Member) int {
+	domains := map[model.FailureDomain]bool{s.domain: s.domain != ""}
+	for _, m := range members {
+		domains[m.Domain] = true
+	}
+	delete(domains, "")
+	return len(domains)
+}
+
 // ask keeps an envelope until its Answer and returns its number.
 func (s *Service) ask(e kernel.Envelope) uint64 {
 	s.appends++
--- a/services/store/service.go
+++ b/services/store/service.go
@@ -74,7 +74,9 @@
 
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
-	return kernel.Spec{Name: names.Store, Service: s, Mailbox: 8192, Subscribes: []string{message.KindAuthorityChanged}}
+	return kernel.Spec{Name: names.Store, Service: s, Mailbox: 8192, Subscribes: []string{
+		message.KindAuthorityChanged, message.KindMembersChanged,
+	}}
 }
 
 // Start implements kernel.Service.
@@ -99,7 +101,7 @@
 		s.metrics.Gauge("store_calls_per_second", s.calls/int64(rateEvery/time.Second))
 		s.calls = 0
 		c.After(rateEvery, rateDue{})
-	case message.AuthorityChanged, message.LogAppend, message.LogClose, logWake, logResult, snapshotTaken:
+	case message.AuthorityChanged, message.MembersChanged, message.LogAppend, message.LogClose, logWake, logResult, snapshotTaken:
 		s.handleLog(c, e)
 	default:
 		s.start(c, e)
