Do not submit a job again after its outcome is unknown

Cause: peers.settle repeated every message whose holder answered not_holder, also with the outcome unknown. A holder that loses its authority answers so while the confirmation of a submitted job may be durable, and the next holder queued the job a second time.

Ruled out: repeated requests. The ledger recognizes them by ticket or key, so they are still forwarded.

Change: messages that are neither idempotent nor requests are repeated only after a failure with not_run.

--- a/services/peers/deliver.go
+++ b/services/peers/deliver.go
@@ -146,13 +146,21 @@
 
 // settle answers with a failure, unless another delivery may succeed.
 func (s *Service) settle(c *kernel.Context, d delivery, f *failure.Error) {
-	if f.Reason == failure.NotHolder || f.Reason == failure.Draining && d.forward.VM == "" {
+	elsewhere := f.Reason == failure.NotHolder || f.Reason == failure.Draining && d.forward.VM == ""
+	if elsewhere && repeatable(d.forward, f) {
 		s.retry(c, d, f)
 		return
 	}
 	d.fail(f)
 }
 
+// repeatable reports whether a message may be delivered again after a failure. A holder that loses its authority
+// may have recorded a submitted job, and the next one would queue it a second time. The ledger recognizes requests.
+func repeatable(m message.Forward, f *failure.Error) bool {
+	_, request := m.Body.(message.RequestSend)
+	return f.Outcome == failure.NotRun || m.Idempotent || request
+}
+
 func (s *Service) retry(c *kernel.Context, d delivery, last *failure.Error) {
 	f := d.forward
 	if f.VM != "" || d.attempt >= maxForwards || time.Until(f.Deadline) < forwardDelay || !s.budget.Allow() {
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -71,6 +71,21 @@
 	g.Expect(got).To(gomega.HaveLen(1))
 }
 
+// TestRecordedJobIsNotSubmittedAgain guards against a second job: a holder that loses its authority while it
+// records a submission cannot tell whether the job is durable, so that no other holder may get the submission.
+func TestRecordedJobIsNotSubmittedAgain(t *testing.T) {
+	g, got := gomega.NewWithT(t), make(kinds, 8)
+	b := newVM(t, "b", nil, func(_ *kernel.Context, e kernel.Envelope) {
+		got <- e.Body.Kind()
+		e.Fail(failure.New(failure.NotHolder, "authority was lost").WithOutcome(failure.Unknown))
+	}).run()
+	a := newVM(t, "a", []model.Member{b.member}, nil).run()
+	_, f := a.send(message.JobSubmit{}, false, ample)
+	g.Expect(f.Reason).To(gomega.Equal(failure.NotHolder))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.Unknown))
+	g.Expect(got).To(gomega.HaveLen(1))
+}
+
 // TestCircuit guards against calls that wait for an unreachable VM, and against a VM that stays shut out
 // after its return.
 func TestCircuit(t *testing.T) {
