--- a/services/dispatch/work.go
+++ b/services/dispatch/work.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,8 +47,11 @@
 	// maybe is true if an attempt may have run without proof.
 	maybe bool
 	// ran is true if an attempt ran and failed; a repeatable request may then have further attempts.
-	ran  bool
-	took time.Duration
+	ran bool
+	// cause is the failure of the last attempt of which bytes may have been sent. It explains the outcome; the
+	// refusal of a later attempt would permit another VM to run the request again.
+	cause *failure.Error
+	took  time.Duration
 }
 
 type (
@@ -185,6 +189,9 @@
 	w.took = done.Took
 	w.maybe = w.maybe || done.Sent && !done.Ran
 	w.ran = w.ran || done.Ran
+	if done.Sent && done.Failure != nil {
+		w.cause = done.Failure
+	}
 	switch {
 	case done.Failure == nil && done.Ran:
 		s.conclude(c, w, failure.Run, done.Response.Body, nil)
@@ -228,7 +235,7 @@
 	}
 	delay := retry.Delay(w.attempt, s.random)
 	if noRoom && w.domain == "" || time.Until(w.request.Deadline) <= delay || !s.budget.Allow() {
-		s.conclude(c, w, s.unproven(w), nil, done.Failure)
+		s.conclude(c, w, s.unproven(w), nil, cmp.Or(w.cause, done.Failure))
 		return
 	}
 	s.metrics.Retry(retryReason(done.Failure.Reason))
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -22,8 +22,19 @@
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
-// drainTimeout bounds the drain; an append during an outage of the store does not end.
-const drainTimeout = 3 * time.Second
+const (
+	// drainTimeout bounds the drain; an append during an outage of the store does not end.
+	drainTimeout = 3 * time.Second
+	// drainAnswer is the part of the drain after which callers no longer wait for the store. Without it the
+	// end of the service left them with an internal failure.
+	drainAnswer = 2500 * time.Millisecond
+)
+
+// drainDue ends the wait for the store during a drain.
+type drainDue struct{}
+
+// Kind implements kernel.Message.
+func (drainDue) Kind() string { return "scheduler_drain_due" }
 
 // planner is the part of plan.Planner that the service uses.
 type planner interface {
@@ -120,9 +131,16 @@
 // Drain starts no more tasks, and ends once all changes are in the log or the log does not accept them.
 func (s *Service) Drain(c *kernel.Context) {
 	s.draining = true
+	c.After(drainAnswer, drainDue{})
 	s.finishEvent(c)
 }
 
+// endDrain answers the callers that wait for an append and ends the drain without it.
+func (s *Service) endDrain(c *kernel.Context) {
+	s.failWaiters(failure.New(failure.StoreUnavailable, "the VM shut down before the store answered"))
+	c.Drained()
+}
+
 // drained reports whether nothing is left that an append could save.
 func (s *Service) drained() bool {
 	return s.epoch.IsZero() || s.recovery != nil || s.log.closed ||
@@ -146,6 +164,8 @@
 		s.workerLost(c, m)
 	case message.SnapshotGet:
 		s.snapshot(e, m)
+	case drainDue:
+		s.endDrain(c)
 	default:
 		if !s.due(c, m) {
 			s.call(c, e)
