Test outage claims and inter-region delay with processes

TestOutageClaimAfterKill and TestOutageClaimAfterPause: the store is down and the holder of a failure domain is killed or paused. Another VM claims the workers as {1, 1}; the running gang goes on with its attempt, requests are served, a lost task is not started again and no waiting job starts before the store returns, the workers refuse the old epoch, and the next holder has a higher epoch of the store. The worker stand-in records refused holders. TestRegions: 30 ms one way between three regions and 3 ms to the store; configuration changes through four VMs, 20 requests through another region, a killed holder and a cut of 4 s with a change in it. The failure domain of the outage tests has three VMs: a VM that is alone refuses requests that may not be repeated, since no peer can keep their intents.

--- a/standins/worker/history.go
+++ b/standins/worker/history.go
@@ -20,6 +20,13 @@
 	At time.Duration `json:"at"`
 }
 
+// RefusedExchange counts the exchanges of a holder that were refused because a higher epoch had been accepted.
+type RefusedExchange struct {
+	Holder model.VMID  `json:"holder"`
+	Epoch  model.Epoch `json:"epoch"`
+	Count  int         `json:"count"`
+}
+
 // HistoryRequest asks for the entries from number After on. Clear forgets all entries after the answer.
 type HistoryRequest struct {
 	After int  `json:"after"`
@@ -32,6 +39,8 @@
 	First   int     `json:"first"`
 	Next    int     `json:"next"`
 	Entries []Entry `json:"entries"`
+	// Refused lists the refused holders in the order of their first refusal. Clear does not forget them.
+	Refused []RefusedExchange `json:"refused,omitempty"`
 	// Now is the monotonic time of the answer since the start of the stand-in in nanoseconds.
 	Now time.Duration `json:"now"`
 }
@@ -54,10 +63,22 @@
 	})
 }
 
+// recordRefusal counts a refused exchange. An epoch has one holder, so that the list stays short.
+func (s *State) recordRefusal(x exchange) {
+	for i, r := range s.refused {
+		if r.Holder == x.Holder && r.Epoch == x.Epoch {
+			s.refused[i].Count++
+			return
+		}
+	}
+	s.refused = append(s.refused, RefusedExchange{Holder: x.Holder, Epoch: x.Epoch, Count: 1})
+}
+
 func (s *State) entries(r HistoryRequest) History {
 	next := s.first + len(s.history)
 	from := min(max(r.After, s.first), next)
 	out := History{First: from, Next: next, Now: time.Since(s.started)}
+	out.Refused = append(out.Refused, s.refused...)
 	out.Entries = append([]Entry{}, s.history[from-s.first:]...)
 	if r.Clear {
 		s.history, s.first = nil, next
--- a/standins/worker/worker.go
+++ b/standins/worker/worker.go
@@ -85,6 +85,7 @@
 	ended   []model.TaskID
 	history []Entry
 	first   int
+	refused []RefusedExchange
 	lapse   func()
 	renewed uint64
 }
@@ -155,6 +156,7 @@
 // exchange refuses a lower epoch, and the same epoch from another holder, which would be a second claim.
 func (s *State) exchange(c *kernel.Context, x exchange) report {
 	if x.Epoch.Less(s.epoch) || x.Epoch == s.epoch && x.Holder != s.holder {
+		s.recordRefusal(x)
 		return report{Epoch: s.epoch}
 	}
 	s.epoch, s.holder = x.Epoch, x.Holder
--- a/tests/process/fleet_test.go
+++ b/tests/process/fleet_test.go
@@ -62,6 +62,9 @@
 	vms       []*daemon
 	// links gives the control addresses of the paths from a failure domain to the VMs of another.
 	links map[[2]model.FailureDomain][]string
+	// linkDelay is the one-way delay between failure domains, storeDelay that of each call of the store, in
+	// milliseconds.
+	linkDelay, storeDelay int64
 }
 
 func domainName(i int) model.FailureDomain { return model.FailureDomain(rune('a' + i)) }
@@ -174,12 +177,20 @@
 // cut separates a failure domain from the others and from the platform; callers inside it still reach it.
 func (f *fleet) cut(d model.FailureDomain) {
 	f.setLinks(d, link.Hold)
-	f.control(f.store+store.PathFaults, store.Faults{Cut: []string{string(d)}}, nil)
+	f.control(f.store+store.PathFaults, store.Faults{Cut: []string{string(d)}, SlowMS: f.storeDelay}, nil)
 }
 
 func (f *fleet) heal(d model.FailureDomain) {
 	f.setLinks(d, link.Pass)
-	f.control(f.store+store.PathFaults, store.Faults{}, nil)
+	f.control(f.store+store.PathFaults, store.Faults{SlowMS: f.storeDelay}, nil)
+}
+
+// delay sets the one-way delay between all failure domains and the delay of the store's calls, in milliseconds.
+func (f *fleet) delay(links, platform int64) {
+	f.linkDelay, f.storeDelay = links, platform
+	for i := range vmsPerDomain {
+		f.heal(domainName(i))
+	}
 }
 
 func (f *fleet) setLinks(d model.FailureDomain, mode link.Mode) {
@@ -188,7 +199,7 @@
 			continue
 		}
 		for _, c := range controls {
-			f.control(c+link.PathFaults, link.Faults{Mode: mode}, nil)
+			f.control(c+link.PathFaults, link.Faults{Mode: mode, DelayMS: f.linkDelay}, nil)
 		}
 	}
 }
