Measure elections, urgent starts, gangs and 21 running tasks in bench slopes

The holder part runs 13 tasks without accelerators beside 8 with one, instead of leaving 13 in the queue. The loops over sizes and fleets that the parts repeated are one function. A holder no longer counts the tasks of an earlier one on the same fleet as started: with two runs on one fleet the gangs part found no start of its own.

--- a/bench/slopes/holder.go
+++ b/bench/slopes/holder.go
@@ -35,8 +35,31 @@
 	submitters = 64
 	// jobRunTime is longer than any measurement.
 	jobRunTime = time.Hour
+	// workerCores and workerMemoryMB are the sizes of today's workers.
+	workerCores    = 30
+	workerMemoryMB = 64_000
 )
 
+// Jobs of one task.
+var (
+	oneGPU      = single(1)
+	wholeWorker = single(model.GPUsPerWorker)
+	// cpuOnly takes a core, so that 13 of them and a task on each accelerator fit into a worker.
+	cpuOnly = model.JobSpec{Account: account, Tasks: 1, CoresPerTask: 1, RunTime: jobRunTime, Preemptible: true}
+)
+
+func single(gpus int) model.JobSpec {
+	return model.JobSpec{Account: account, Tasks: 1, GPUsPerTask: gpus, RunTime: jobRunTime, Preemptible: true}
+}
+
+// workerVM is the entry of the list of VMs for a stand-in worker.
+func workerVM(d model.FailureDomain, i int, address string) model.VM {
+	return model.VM{
+		ID: fmt.Sprintf("%s-w%d", d, i), Role: model.RoleWorker, Domain: d, Rack: fmt.Sprintf("%s-rack%d", d, i/model.WorkersPerRack),
+		Address: address, Cores: workerCores, MemoryMB: workerMemoryMB,
+	}
+}
+
 // holder runs the store, workers and scheduler services of one holder. The other services are replaced by a
 // service that publishes what they would.
 type holder struct {
@@ -45,10 +68,13 @@
 	cancel context.CancelCauseFunc
 	// exchanges counts calls to workers.
 	exchanges atomic.Int64
+	// commanded counts those with commands, commands the commands.
+	commanded, commands atomic.Int64
 	// seen holds the tasks that were reported as running.
 	seen    sync.Map
 	running atomic.Int64
 	target  atomic.Int64
+	earlier int
 	reached chan struct{}
 	// firstHold is closed when the holder starts its first task.
 	firstHold chan struct{}
@@ -61,8 +87,7 @@
 	m := metrics.New()
 	n := &neighbours{domain: d, epoch: model.Epoch{Store: epoch}}
 	for i, a := range fleet {
-		rack := fmt.Sprintf("%s-rack%d", d, i/model.WorkersPerRack)
-		n.workers = append(n.workers, model.VM{ID: fmt.Sprintf("%s-w%d", d, i), Role: model.RoleWorker, Domain: d, Rack: rack, Address: a})
+		n.workers = append(n.workers, workerVM(d, i, a))
 	}
 	dial := func(a string) worker.Client { return &observedClient{Client: worker.NewHTTPClient(a), holder: h} }
 	vm := model.VMID(fmt.Sprintf("vm-%d", epoch))
@@ -90,7 +115,7 @@
 }
 
 // submit queues n jobs of one task each and returns once they are durable.
-func (h *holder) submit(n, gpus int) error {
+func (h *holder) submit(n int, spec model.JobSpec) error {
 	work := make(chan struct{}, n)
 	for range n {
 		work <- struct{}{}
@@ -101,7 +126,7 @@
 	for range submitters {
 		wg.Go(func() {
 			for range work {
-				if err := h.submitOne(gpus); err != nil {
+				if err := h.submitOne(spec); err != nil {
 					failed.Store(&err)
 				}
 			}
@@ -114,16 +139,22 @@
 	return nil
 }
 
-func (h *holder) submitOne(gpus int) error {
+func (h *holder) submitOne(spec model.JobSpec) error {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	spec := model.JobSpec{Account: account, Tasks: 1, GPUsPerTask: gpus, RunTime: jobRunTime, Preemptible: true}
 	_, err := h.kernel.Call(ctx, names.Scheduler, message.JobSubmit{Spec: spec})
 	return err
 }
 
-// await returns once n tasks were reported as running.
+// ready waits until the workers have reported what runs. Tasks of an earlier holder do not count in await.
+func (h *holder) ready() {
+	time.Sleep(2 * settle) // The first interval of each worker is shorter than the others.
+	h.earlier = int(h.running.Load())
+}
+
+// await returns once n tasks were reported as running since the holder was ready.
 func (h *holder) await(n int) error {
+	n += h.earlier
 	h.target.Store(int64(n))
 	if h.running.Load() >= int64(n) {
 		return nil
@@ -146,6 +177,10 @@
 func (c *observedClient) Exchange(ctx context.Context, x worker.Exchange) (worker.Report, error) {
 	h := c.holder
 	h.exchanges.Add(1)
+	if len(x.Commands) > 0 {
+		h.commanded.Add(1)
+		h.commands.Add(int64(len(x.Commands)))
+	}
 	for _, cmd := range x.Commands {
 		if cmd.Op == worker.OpHold {
 			h.once.Do(func() { close(h.firstHold) })
--- a/bench/slopes/parts.go
+++ b/bench/slopes/parts.go
@@ -44,6 +44,30 @@
 	return f(address, s)
 }
 
+// measuredFleet is the fleet of one size and the address that tells its counts.
+type measuredFleet struct {
+	address string
+	state   fleetState
+}
+
+// Numbers of workers of a size.
+func noWorkers(int) int     { return 0 }
+func oneWorker(int) int     { return 1 }
+func sameWorkers(n int) int { return n }
+
+// rows adds the rows of each size to a table. Each size has its own fleet view of workers(size) workers.
+func (o *Options) rows(ctx context.Context, t Table, sizes []int, workers func(int) int, add func(*Table, measuredFleet, int) error) (Table, error) {
+	for _, size := range sizes {
+		err := o.withFleet(ctx, workers(size), func(address string, s fleetState) error {
+			return add(&t, measuredFleet{address, s}, size)
+		})
+		if err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
 // epochBase keeps epochs short, since each exchange carries them. Runs are more than two seconds apart.
 var epochBase = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -54,19 +78,16 @@
 	return n, model.FailureDomain(fmt.Sprintf("d%d", n))
 }
 
-// holderPart measures a holder against workers that are idle, full, or full with waiting jobs.
+// holderPart measures a holder against workers that are idle, run a task on each accelerator, or also run tasks
+// without accelerators.
 func holderPart(ctx context.Context, o *Options) (Table, error) {
 	t := Table{
 		Title: "holder", Keys: 2,
 		Columns: []string{"workers", "tasks_per_worker", "cpu_percent", "heap_kb", "stack_kb", "bytes_per_s", "exchanges_per_s", "us_per_exchange"},
 	}
-	for _, n := range o.Workers {
-		err := o.withFleet(ctx, n, func(address string, s fleetState) error { return o.holderRows(ctx, &t, address, s) })
-		if err != nil {
-			return t, err
-		}
-	}
-	return t, nil
+	return o.rows(ctx, t, o.Workers, sameWorkers, func(t *Table, f measuredFleet, _ int) error {
+		return o.holderRows(ctx, t, f.address, f.state)
+	})
 }
 
 func (o *Options) holderRows(ctx context.Context, t *Table, address string, s fleetState) error {
@@ -76,18 +97,14 @@
 		return err
 	}
 	defer h.abort()
-	time.Sleep(2 * settle) // The first interval of each worker is shorter than the others.
-	jobs := 0
+	h.ready()
+	running := 0
 	for _, perWorker := range o.Tasks {
-		if n := len(s.Workers) * perWorker; n > jobs {
-			err := h.submit(n-jobs, 1)
-			if err == nil {
-				err = h.await(min(n, len(s.Workers)*model.GPUsPerWorker))
-			}
-			if err != nil {
+		if n := len(s.Workers) * perWorker; n > running {
+			if err := h.fill(running, n, len(s.Workers)); err != nil {
 				return err
 			}
-			jobs = n
+			running = n
 			time.Sleep(settle)
 		}
 		if err := o.holderRow(ctx, t, address, h, len(s.Workers), perWorker); err != nil {
@@ -97,6 +114,22 @@
 	return nil
 }
 
+// fill raises the number of running tasks: first one for each accelerator, then tasks without one.
+func (h *holder) fill(from, to, workers int) error {
+	full := workers * model.GPUsPerWorker
+	if n := min(to, full) - from; n > 0 {
+		if err := h.submit(n, oneGPU); err != nil {
+			return err
+		}
+	}
+	if n := to - max(from, full); n > 0 {
+		if err := h.submit(n, cpuOnly); err != nil {
+			return err
+		}
+	}
+	return h.await(to)
+}
+
 func (o *Options) holderRow(ctx context.Context, t *Table, address string, h *holder, workers, perWorker int) error {
 	before, err := fleet(ctx, address)
 	if err != nil {
@@ -119,15 +152,14 @@
 // its store calls until then.
 func recoveryPart(ctx context.Context, o *Options) (Table, error) {
 	t := Table{Title: "recovery", Keys: 2, Columns: []string{"jobs", "workers", "ms_to_first_start", "store_reads", "store_writes"}}
-	for _, n := range o.RecoveryWorkers {
+	return o.rows(ctx, t, o.RecoveryWorkers, sameWorkers, func(t *Table, f measuredFleet, _ int) error {
 		for _, jobs := range o.Jobs {
-			err := o.withFleet(ctx, n, func(_ string, s fleetState) error { return recoveryRow(ctx, &t, s, jobs) })
-			if err != nil {
-				return t, err
+			if err := recoveryRow(ctx, t, f.state, jobs); err != nil {
+				return err
 			}
 		}
-	}
-	return t, nil
+		return nil
+	})
 }
 
 func recoveryRow(ctx context.Context, t *Table, s fleetState, jobs int) error {
@@ -139,8 +171,8 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(settle)
-	err = first.submit(jobs, model.GPUsPerWorker)
+	first.ready()
+	err = first.submit(jobs, wholeWorker)
 	if err == nil {
 		err = first.await(running)
 	}
@@ -177,47 +209,35 @@
 // memoryPart measures the heap of a holder per waiting job.
 func memoryPart(ctx context.Context, o *Options) (Table, error) {
 	t := Table{Title: "memory", Keys: 1, Columns: []string{"waiting_jobs", "heap_kb", "stack_kb"}}
-	for _, jobs := range o.Jobs {
-		err := o.withFleet(ctx, 1, func(_ string, s fleetState) error {
-			epoch, d := nextEpoch()
-			h, err := newHolder(d, epoch, s.Store, s.Workers)
-			if err != nil {
-				return err
-			}
-			defer h.abort()
-			time.Sleep(settle)
-			if err := h.submit(jobs, 1); err != nil {
-				return err
-			}
-			time.Sleep(settle)
-			live, stacks := heapKB()
-			t.add(float64(jobs), round(live), round(stacks))
-			return nil
-		})
+	return o.rows(ctx, t, o.Jobs, oneWorker, func(t *Table, f measuredFleet, jobs int) error {
+		epoch, d := nextEpoch()
+		h, err := newHolder(d, epoch, f.state.Store, f.state.Workers)
 		if err != nil {
-			return t, err
+			return err
 		}
-	}
-	return t, nil
+		defer h.abort()
+		time.Sleep(settle)
+		if err := h.submit(jobs, oneGPU); err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		live, stacks := heapKB()
+		t.add(float64(jobs), round(live), round(stacks))
+		return nil
+	})
 }
 
 // appendPart measures the store calls of the log of one failure domain at several rates of records, with a
 // store that answers after o.StoreDelay.
 func appendPart(ctx context.Context, o *Options) (Table, error) {
 	t := Table{Title: "appends", Keys: 1, Columns: []string{"records_per_s", "puts_per_s", "gets_per_s", "deletes_per_s", "records_done_per_s"}}
-	for _, rate := range o.Appends {
-		err := o.withFleet(ctx, 1, func(_ string, s fleetState) error {
-			if err := setStoreDelay(ctx, s.Store, o.StoreDelay); err != nil {
-				return err
-			}
-			err := o.appendRow(ctx, &t, s, rate)
-			return errors.CombineErrors(err, setStoreDelay(ctx, s.Store, 0))
-		})
-		if err != nil {
-			return t, err
+	return o.rows(ctx, t, o.Appends, oneWorker, func(t *Table, f measuredFleet, rate int) error {
+		if err := setStoreDelay(ctx, f.state.Store, o.StoreDelay); err != nil {
+			return err
 		}
-	}
-	return t, nil
+		err := o.appendRow(ctx, t, f.state, rate)
+		return errors.CombineErrors(err, setStoreDelay(ctx, f.state.Store, 0))
+	})
 }
 
 func (o *Options) appendRow(ctx context.Context, t *Table, s fleetState, rate int) error {
--- a/bench/slopes/requests.go
+++ b/bench/slopes/requests.go
@@ -20,17 +20,13 @@
 		"requests_per_s", "cpu_percent_with_callers", "heap_kb_growth", "bytes_heap_per_request", "store_put_per_s",
 		"peer_bytes_per_request", "sent", "run", "p50_ms", "p99_ms",
 	}}
-	for _, rate := range o.Requests {
-		err := o.withFleet(ctx, 0, func(_ string, s fleetState) error { return o.requestsRow(ctx, &t, s, rate) })
-		if err != nil {
-			return t, err
-		}
-	}
-	return t, nil
+	return o.rows(ctx, t, o.Requests, noWorkers, func(t *Table, f measuredFleet, rate int) error {
+		return o.requestsRow(ctx, t, f.state, rate)
+	})
 }
 
 func (o *Options) requestsRow(ctx context.Context, t *Table, s fleetState, rate int) error {
-	c, err := newCluster(1, 2, s, s.Executors)
+	c, err := newCluster(1, 2, fleetState{Store: s.Store, Executors: s.Executors})
 	if err != nil {
 		return err
 	}
--- a/bench/slopes/slopes.go
+++ b/bench/slopes/slopes.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"cmp"
 	"context"
 	"encoding/csv"
 	"fmt"
@@ -14,7 +15,8 @@
 
 // Options select the measurements and their sizes. Empty lists and zero values mean the defaults.
 type Options struct {
-	// Parts names the measurements: holder, vms, store, appends, recovery, memory and requests; empty means all.
+	// Parts names the measurements: holder, vms, store, appends, recovery, memory, requests,
+	// election, urgent and gangs; empty means all.
 	Parts []string
 	// Fleet is the address of a fleet in another process; see ServeFleet. If it is empty, the stand-ins run in this process
 	// and their processor time and memory are included in the figures.
@@ -23,8 +25,8 @@
 	Window time.Duration
 	// Repeat is the number of runs of each part; the table shows the median of each value.
 	Repeat int
-	// Workers and Tasks are the sizes of the holder part. Tasks lists known tasks per worker in rising order, of
-	// which at most 8 run, since each has at least one accelerator; the others wait.
+	// Workers and Tasks are the sizes of the holder part. Tasks lists running tasks per worker in rising order: 8
+	// with an accelerator each, the others without one.
 	Workers, Tasks []int
 	// VMs are multiples of 7, the number of entry VMs in 7 failure domains.
 	VMs []int
@@ -40,6 +42,14 @@
 	Jobs []int
 	// RecoveryWorkers are the numbers of workers of the recovery part, at least 2.
 	RecoveryWorkers []int
+	// ElectionWorkers are the numbers of workers of the election part.
+	ElectionWorkers []int
+	// UrgentWorkers is the number of workers of the urgent and gangs parts.
+	UrgentWorkers int
+	// Samples are the urgent jobs of each row.
+	Samples int
+	// Gangs are the tasks of the gangs part, each with all accelerators of a worker.
+	Gangs []int
 }
 
 // UnknownPartError reports a part that does not exist.
@@ -60,6 +70,9 @@
 	{"recovery", recoveryPart},
 	{"memory", memoryPart},
 	{"requests", requestsPart},
+	{"election", electionPart},
+	{"urgent", urgentPart},
+	{"gangs", gangsPart},
 }
 
 // PartNames lists the measurements.
@@ -78,6 +91,13 @@
 // defaultStoreDelay stands for a store that answers in milliseconds.
 const defaultStoreDelay = 5 * time.Millisecond
 
+const (
+	// targetWorkers is the number of workers of a failure domain at the target size.
+	targetWorkers = 172
+	// defaultSamples gives a 99th percentile that two jobs exceed.
+	defaultSamples = 200
+)
+
 func (o *Options) complete() error {
 	for _, name := range o.Parts {
 		if !slices.Contains(PartNames(), name) {
@@ -97,6 +117,10 @@
 	set(&o.Appends, 0, 10, 100, 1000)
 	set(&o.Jobs, 100, 400, 1000, 2500)
 	set(&o.RecoveryWorkers, 25, 200)
+	set(&o.ElectionWorkers, 25, 172)
+	set(&o.Gangs, 16, 128)
+	o.UrgentWorkers = cmp.Or(o.UrgentWorkers, targetWorkers)
+	o.Samples = cmp.Or(o.Samples, defaultSamples)
 	if o.Window <= 0 {
 		o.Window = defaultWindow
 	}
--- a/bench/slopes/slopes_test.go
+++ b/bench/slopes/slopes_test.go
@@ -38,18 +38,27 @@
 	gomega.NewWithT(t).Expect(median(runs).Rows).To(gomega.Equal([][]float64{{1, 5}}))
 }
 
+// TestQuantile guards against a 99th percentile that hides the slowest of a few values.
+func TestQuantile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	values := []float64{1, 2, 3, 4}
+	g.Expect(quantile(values, 0.5)).To(gomega.Equal(3.0))
+	g.Expect(quantile(values, 0.99)).To(gomega.Equal(4.0))
+}
+
 // TestRun guards against a part that does not complete, measures nothing or misses in the CSV file.
 func TestRun(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var table bytes.Buffer
 	path := filepath.Join(t.TempDir(), "out.csv")
 	g.Expect(Run(context.Background(), Options{
-		Parts: []string{"holder", "appends", "recovery", "memory"}, Window: 100 * time.Millisecond,
+		Parts: []string{"holder", "appends", "recovery", "memory", "gangs"}, Window: 100 * time.Millisecond,
 		Workers: []int{2}, Tasks: []int{0, 9}, Appends: []int{20}, Jobs: []int{3}, RecoveryWorkers: []int{2},
+		Gangs: []int{2}, UrgentWorkers: 2,
 	}, &table, path)).To(gomega.Succeed())
 	content, err := os.ReadFile(path)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	for _, line := range []string{"appends,1,records_per_s=20 ,records_done_per_s,", "holder,1,workers=2 tasks_per_worker=9 ,heap_kb,", "recovery,1,jobs=3 workers=2 ,store_reads,", "memory,1,waiting_jobs=3 ,heap_kb,"} {
+	for _, line := range []string{"appends,1,records_per_s=20 ,records_done_per_s,", "holder,1,workers=2 tasks_per_worker=9 ,heap_kb,", "recovery,1,jobs=3 workers=2 ,store_reads,", "memory,1,waiting_jobs=3 ,heap_kb,", "gang starts,1,tasks=2 ,commands,"} {
 		g.Expect(string(content)).To(gomega.ContainSubstring(line))
 		g.Expect(string(content)).NotTo(gomega.ContainSubstring(line + "0\n"))
 	}
--- a/bench/slopes/vms.go
+++ b/bench/slopes/vms.go
@@ -32,21 +32,58 @@
 	lag = 500 * time.Millisecond
 )
 
-// cluster is a set of daemons in this process without workers and executors.
+// cluster is a set of daemons in this process.
 type cluster struct {
 	wg      conc.WaitGroup
+	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	peers   traffic
+	daemons []*entryVM
 	servers []string
 	clients []*client.Client
 }
 
+// entryVM is one daemon, which can be ended and started again.
+type entryVM struct {
+	settings settings.Settings
+	cancel   context.CancelCauseFunc
+	ended    chan struct{}
+}
+
+// start serves on open listeners.
+func (c *cluster) start(vm *entryVM, l daemon.Listeners) {
+	l.Peers = countingListener{l.Peers, &c.peers}
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	ended := make(chan struct{})
+	vm.cancel, vm.ended = cancel, ended
+	c.wg.Go(func() {
+		defer close(ended)
+		_ = daemon.Serve(ctx, vm.settings, l)
+	})
+}
+
+// kill ends a daemon at once, as the loss of its VM does.
+func (c *cluster) kill(i int) {
+	c.daemons[i].cancel(&kernel.AbortError{})
+	<-c.daemons[i].ended
+}
+
+// restart starts a daemon that has ended.
+func (c *cluster) restart(i int) error {
+	l, err := daemon.Listen(c.daemons[i].settings)
+	if err != nil {
+		return errors.Wrap(err, "daemon")
+	}
+	c.start(c.daemons[i], l)
+	return nil
+}
+
 // newCluster starts perDomain daemons in each of several failure domains with the store of a fleet, and gives
-// the executors to the first failure domain.
-func newCluster(domains, perDomain int, f fleetState, executors []string) (*cluster, error) {
+// its executors and workers to the first failure domain.
+func newCluster(domains, perDomain int, f fleetState) (*cluster, error) {
 	c := &cluster{}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	c.cancel = cancel
+	c.ctx, c.cancel = ctx, cancel
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "list of VMs")
@@ -57,9 +94,14 @@
 		return nil, err
 	}
 	var vms []model.VM
-	for i, a := range executors {
+	for i, a := range f.Executors {
 		vms = append(vms, model.VM{ID: fmt.Sprintf("e%d", i), Role: model.RoleExecutor, Domain: all[0].Domain, Region: all[0].Region, Address: a})
 	}
+	for i, a := range f.Workers {
+		vm := workerVM(all[0].Domain, i, a)
+		vm.Region = all[0].Region
+		vms = append(vms, vm)
+	}
 	c.wg.Go(func() { _ = vmlist.Run(ctx, l, vmlist.New(vms, lag)) })
 	for i, s := range all {
 		for k, o := range all {
@@ -67,11 +109,11 @@
 				s.Members = append(s.Members, model.Member{VM: o.VM, Domain: o.Domain, Region: o.Region, Address: o.Peers})
 			}
 		}
-		sockets := listeners[i]
-		sockets.Peers = countingListener{sockets.Peers, &c.peers}
+		vm := &entryVM{settings: s}
+		c.start(vm, listeners[i])
+		c.daemons = append(c.daemons, vm)
 		c.servers = append(c.servers, s.HTTP)
 		c.clients = append(c.clients, client.New(1, s.HTTP))
-		c.wg.Go(func() { _ = daemon.Serve(ctx, s, sockets) })
 	}
 	return c, nil
 }
@@ -206,7 +248,7 @@
 	return o.withFleet(ctx, 0, func(address string, s fleetState) error {
 		// The memory of an aborted daemon stays reachable in this process.
 		heap, stacks := heapKB()
-		c, err := newCluster(domains, perDomain, s, nil)
+		c, err := newCluster(domains, perDomain, fleetState{Store: s.Store})
 		if err != nil {
 			return err
 		}
--- a/cmd/verbenactl/bench.go
+++ b/cmd/verbenactl/bench.go
@@ -68,12 +68,12 @@
 type benchSlopes struct {
 	app *app
 	csvOption
-	Parts           []string      `long:"part" choice:"holder" choice:"vms" choice:"store" choice:"appends" choice:"recovery" choice:"memory" choice:"requests" description:"measurement; by default all; may be given several times, as all sizes"`
+	Parts           []string      `long:"part" choice:"holder" choice:"vms" choice:"store" choice:"appends" choice:"recovery" choice:"memory" choice:"requests" choice:"election" choice:"urgent" choice:"gangs" description:"measurement; by default all; may be given several times, as all sizes"`
 	Fleet           string        `long:"fleet" description:"address of a bench fleet in another process; by default the stand-ins run in this process and count"`
 	Window          time.Duration `long:"window" default:"4s" description:"length of one measurement"`
 	Repeat          int           `long:"repeat" default:"1" description:"runs of each part, of which the median is printed"`
 	Workers         []int         `long:"workers" description:"workers of the holder part"`
-	Tasks           []int         `long:"tasks" description:"known tasks per worker of the holder part, rising"`
+	Tasks           []int         `long:"tasks" description:"running tasks per worker of the holder part, rising; 8 have an accelerator"`
 	VMs             []int         `long:"vms" description:"entry VMs, multiples of 7"`
 	Domains         []int         `long:"domains" description:"failure domains of the store part"`
 	Appends         []int         `long:"appends" description:"log records a second"`
@@ -81,6 +81,10 @@
 	StoreDelay      time.Duration `long:"store-delay" default:"5ms" description:"time that the store takes for a call of the appends part"`
 	Jobs            []int         `long:"jobs" description:"jobs of the recovery and memory parts"`
 	RecoveryWorkers []int         `long:"recovery-workers" description:"workers of the recovery part, at least 2"`
+	ElectionWorkers []int         `long:"election-workers" description:"workers of the election part"`
+	UrgentWorkers   int           `long:"urgent-workers" default:"172" description:"workers of the urgent and gangs parts"`
+	Samples         int           `long:"samples" default:"200" description:"urgent jobs of each row"`
+	Gangs           []int         `long:"gangs" description:"tasks of the gangs part, each with a whole worker"`
 }
 
 // Execute implements flags.Commander.
@@ -96,12 +100,13 @@
 	return slopes.Run(ctx, slopes.Options{
 		Parts: o.Parts, Fleet: o.Fleet, Window: o.Window, Repeat: o.Repeat, Workers: o.Workers, Tasks: o.Tasks,
 		VMs: o.VMs, Domains: o.Domains, Appends: o.Appends, StoreDelay: o.StoreDelay, Jobs: o.Jobs, Requests: o.Requests, RecoveryWorkers: o.RecoveryWorkers,
+		ElectionWorkers: o.ElectionWorkers, UrgentWorkers: o.UrgentWorkers, Samples: o.Samples, Gangs: o.Gangs,
 	}, o.app.out, o.CSV)
 }
 
 func (o *benchSlopes) check() error {
-	if o.Window <= 0 || o.Repeat < 1 || o.StoreDelay < time.Millisecond {
-		return &usageError{"--window and --repeat must be positive, and --store-delay at least 1ms"}
+	if o.Window <= 0 || o.Repeat < 1 || o.StoreDelay < time.Millisecond || o.UrgentWorkers < 1 || o.Samples < 1 {
+		return &usageError{"--window, --repeat, --urgent-workers and --samples must be positive, and --store-delay at least 1ms"}
 	}
 	for _, s := range []struct {
 		flag  string
@@ -116,6 +121,8 @@
 		{"--requests", o.Requests, 1},
 		{"--jobs", o.Jobs, 2},
 		{"--recovery-workers", o.RecoveryWorkers, 2},
+		{"--election-workers", o.ElectionWorkers, 1},
+		{"--gangs", o.Gangs, 1},
 	} {
 		for i, n := range s.sizes {
 			if n < s.least || s.flag == "--vms" && n%7 != 0 || s.flag == "--tasks" && i > 0 && n < s.sizes[i-1] {
