Tell a repeated call that does not reach its ledger as unknown

Found by reading. Change: a request carries fresh if its ticket or key was not sent before. Without it, and for job submissions with a key, a refusal before the ledger is unknown with retry_elsewhere. verbenactl sets it for tickets that it takes itself.

--- a/api/message/request.go
+++ b/api/message/request.go
@@ -21,6 +21,8 @@
 type RequestSend struct {
 	Request model.Request
 	Ticket  *model.Ticket
+	// Fresh tells that the caller has not sent the ticket or key before.
+	Fresh bool
 }
 
 // RequestStatus asks the dispatcher for the outcome of an earlier request; answered by RequestReply.
--- a/bench/load/send.go
+++ b/bench/load/send.go
@@ -67,6 +67,7 @@
 	in := httpapi.SendBody{
 		Ticket: r.id, Account: g.options.Account, Service: g.options.Service, Repeatable: c.repeatable,
 		Payload: []byte(payload), TimeoutMS: g.options.Timeout.Milliseconds(),
+		Fresh: true,
 	}
 	var out httpapi.RequestBody
 	err := t.client.Call(context.WithoutCancel(ctx), http.MethodPost, "/v1/requests", in, &out, g.options.Timeout)
--- a/cmd/verbenactl/request.go
+++ b/cmd/verbenactl/request.go
@@ -26,7 +26,8 @@
 	if o.Ticket != "" && o.Key != "" {
 		return &usageError{"--ticket and --key exclude each other"}
 	}
-	if o.Ticket == "" && o.Key == "" {
+	fresh := o.Ticket == "" && o.Key == ""
+	if fresh {
 		tickets, err := takeTickets(o.app, o.Account, "", 1)
 		if err != nil {
 			return err
@@ -36,6 +37,7 @@
 	in := httpapi.SendBody{
 		Ticket: o.Ticket, Key: o.Key, Account: model.AccountID(o.Account), Service: o.Service,
 		Repeatable: o.Repeatable, Payload: []byte(o.Payload), TimeoutMS: o.Timeout.Milliseconds(),
+		Fresh: fresh,
 	}
 	var out httpapi.RequestBody
 	if err := o.app.client().Call(context.Background(), http.MethodPost, "/v1/requests", in, &out, o.Timeout); err != nil {
--- a/node/demo/steps.go
+++ b/node/demo/steps.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return "", err
 	}
-	in := httpapi.SendBody{Ticket: tickets[0], Account: guaranteed, Service: "certificate", Payload: []byte("batch 12")}
+	in := httpapi.SendBody{Ticket: tickets[0], Account: guaranteed, Service: "certificate", Payload: []byte("batch 12"), Fresh: true}
 	var first, second httpapi.RequestBody
 	if err := c.Post(ctx, "/v1/requests", in, &first); err != nil {
 		return "", err
--- a/services/httpapi/jobs.go
+++ b/services/httpapi/jobs.go
@@ -17,6 +17,10 @@
 	if !a.read(w, r, &spec) {
 		return
 	}
+	if a.gate.closed.Load() {
+		a.fail(w, a.metrics.Refusal(message.Unreached(message.JobSubmit{Spec: spec}, draining())))
+		return
+	}
 	if spec.Domain == "" {
 		spec.Domain = a.domain
 	}
--- a/services/httpapi/requests.go
+++ b/services/httpapi/requests.go
@@ -22,6 +22,9 @@
 	Repeatable bool            `json:"repeatable"`
 	Payload    []byte          `json:"payload,omitempty"`
 	TimeoutMS  int64           `json:"timeout_ms,omitempty"`
+	// Fresh tells that the ticket or key was not sent before. Without it a refusal that cannot look the request up has
+	// an unknown outcome, because an earlier call may have run it.
+	Fresh bool `json:"fresh,omitempty"`
 }
 
 // RequestBody is the body of an answered request.
@@ -76,7 +79,11 @@
 		ID: id, Account: in.Account, Service: in.Service,
 		Repeatable: in.Repeatable, Payload: in.Payload, Deadline: time.Now().Add(timeout),
 	}
-	f.Body = message.RequestSend{Request: req, Ticket: ticket}
+	f.Body = message.RequestSend{Request: req, Ticket: ticket, Fresh: in.Fresh}
+	if a.gate.closed.Load() {
+		a.fail(w, a.metrics.Refusal(message.Unreached(f.Body, draining())))
+		return
+	}
 	if reply, ok := forward[message.RequestReply](a, w, r, f, timeout); ok {
 		write(w, http.StatusOK, requestBody(reply))
 	}
--- a/services/httpapi/service.go
+++ b/services/httpapi/service.go
@@ -97,7 +97,7 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	a := &api{caller: c.Caller(), domain: s.self.Domain, metrics: s.metrics, maxBody: s.options.MaxBody}
+	a := &api{caller: c.Caller(), domain: s.self.Domain, metrics: s.metrics, gate: s.gate, maxBody: s.options.MaxBody}
 	s.server = &http.Server{Handler: s.gate.wrap(a), ReadHeaderTimeout: s.options.HeaderTimeout}
 	server, listener := s.server, s.listener
 	c.Spawn(func(ctx context.Context) kernel.Message {
@@ -156,14 +156,20 @@
 	})
 }
 
+// Paths of the calls that may be sent again under the same key or ticket.
+const (
+	jobsPath     = "/v1/jobs"
+	requestsPath = "/v1/requests"
+)
+
 func (a *api) routes() http.Handler {
 	r := httprouter.New()
-	r.POST("/v1/jobs", a.submitJob)
-	r.GET("/v1/jobs", a.listJobs)
+	r.POST(jobsPath, a.submitJob)
+	r.GET(jobsPath, a.listJobs)
 	r.GET("/v1/job", a.showJob)
 	r.POST("/v1/jobs/cancel", a.cancelJobs)
 	r.POST("/v1/tickets", a.issueTickets)
-	r.POST("/v1/requests", a.sendRequest)
+	r.POST(requestsPath, a.sendRequest)
 	r.GET("/v1/request", a.showRequest)
 	r.GET("/v1/config", a.showConfig)
 	r.POST("/v1/config", a.changeConfig)
--- a/services/peers/wire.go
+++ b/services/peers/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
@@ -40,7 +41,7 @@
 		resp.Failure = failure.New(failure.Malformed, "the call has no message")
 		return nil
 	case req.Budget <= 0:
-		resp.Failure = failure.New(failure.DeadlineExceeded, "the caller no longer waits").WithOutcome(failure.NotRun)
+		resp.Failure = message.Unreached(req.Body, failure.New(failure.DeadlineExceeded, "the caller no longer waits").WithOutcome(failure.NotRun))
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, req.Budget)
@@ -51,7 +52,7 @@
 	}
 	m, err := p.caller.Call(ctx, kernel.Name(req.To), body)
 	if err != nil {
-		resp.Failure = failure.OfDelivery(err)
+		resp.Failure = message.DeliveryFailure(req.Body, err)
 		return nil
 	}
 	resp.Body = m
