--- a/decisions/fencedlog/log.go
+++ b/decisions/fencedlog/log.go
@@ -23,6 +23,13 @@
 	SnapshotSlots = 256
 	// SnapshotBytes is the size of slots in bytes after which a snapshot replaces them.
 	SnapshotBytes = 4 << 20
+	// WritesPerSecond bounds the slot writes of all logs together. The store handles several hundred a second.
+	WritesPerSecond = 350
+	// defaultLogs is the number of logs until Logs tells it, that of the target size.
+	defaultLogs = 7
+	// WriteBurst is the number of writes that a log may make at once after a pause, so that it does not delay
+	// the appends of a log that writes less often than its share permits.
+	WriteBurst = 10
 	// DeleteDelay is the wait between two deletions of replaced slots.
 	DeleteDelay = 100 * time.Millisecond
 	// maxComplete bounds the list of closed epochs. Tickets of epochs that fell out of it are unknown.
@@ -72,21 +79,29 @@
 	// slot is the slot in flight or unresolved; waiting lists its unanswered appends.
 	slot    Slot
 	waiting []entry
-	call    Call
-	retryAt time.Time
-	retry   Call
+	// interval is the least mean time between two slot writes. paced is the time at which all writes so far have
+	// used up their intervals.
+	interval time.Duration
+	paced    time.Time
+	call     Call
+	retryAt  time.Time
+	retry    Call
 
 	versions map[uint64]uint64
-	slots    int
-	bytes    int
-	snap     snapshot
+	// stale lists the snapshots other than that of head whose chunks may be in the store.
+	stale []Area
+	slots int
+	bytes int
+	snap  snapshot
 
 	now time.Time
 	out []Action
 }
 
 // New returns a log without an epoch. prefix makes write ids unique over VMs and restarts.
-func New(prefix string) *Log { return &Log{prefix: prefix, phase: idle} }
+func New(prefix string) *Log {
+	return &Log{prefix: prefix, phase: idle, interval: intervalOf(defaultLogs)}
+}
 
 // Step applies an event at a local time and returns the actions that follow.
 func (l *Log) Step(e Event, now time.Time) []Action {
@@ -96,6 +111,8 @@
 		l.open(e.Epoch)
 	case Abandon:
 		l.abandon()
+	case Logs:
+		l.interval = intervalOf(e.Number)
 	case Append:
 		l.append(e)
 	case Closing:
@@ -203,18 +220,39 @@
 	return rest
 }
 
-// pump writes the next slot unless one is in flight or unresolved.
+// ready reports whether the next slot has content and none is in flight or unresolved.
+func (l *Log) ready() bool {
+	return l.phase == open && l.slot.Kind == "" && (len(l.queue) > 0 || l.snap.step == snapMark)
+}
+
+// intervalOf returns the share of one of n logs in WritesPerSecond, as the time of one write.
+func intervalOf(n int) time.Duration {
+	return time.Duration(max(1, n)) * time.Second / WritesPerSecond
+}
+
+// writeAt is the earliest time of the next slot write: the generic cell rate algorithm (ITU-T I.371) with a
+// burst of WriteBurst.
+func (l *Log) writeAt() time.Time { return l.paced.Add(-(WriteBurst - 1) * l.interval) }
+
+// pump writes the next slot once it is ready and the pace of the log permits.
 func (l *Log) pump() {
-	if l.phase != open || l.slot.Kind != "" || len(l.queue) == 0 {
+	if !l.ready() || l.now.Before(l.writeAt()) {
 		return
 	}
 	l.slot = Slot{Kind: Batch, Epoch: l.epoch, WriteID: l.writeID()}
-	if l.queue[0].closing {
+	if len(l.queue) > 0 && l.queue[0].closing {
 		l.slot.Kind, l.slot.Complete = Close, !l.incomplete
 		l.waiting, l.queue = l.queue, nil
 	} else {
+		if l.snap.step == snapMark {
+			l.slot.Snapshot = l.snap.head.area()
+		}
 		l.fill()
 	}
+	if l.paced.Before(l.now) {
+		l.paced = l.now
+	}
+	l.paced = l.paced.Add(l.interval)
 	l.do(Call{Op: PutSlot, N: l.next, Slot: l.slot})
 }
 
@@ -248,6 +286,9 @@
 	if l.phase == reading && !l.reported {
 		add(l.reportBy)
 	}
+	if l.ready() {
+		add(l.writeAt())
+	}
 	for _, list := range [][]entry{l.queue, l.waiting} {
 		if len(list) > 0 {
 			add(list[0].deadline)
--- a/services/scheduler/job.go
+++ b/services/scheduler/job.go
@@ -66,9 +66,11 @@
 	since        time.Time
 	transfers    int
 	lastTransfer time.Time
-	// lapsed is true if the end of the last attempt was not reported by all its workers. A holder that this
-	// one cannot see may have renewed their leases, so that the job is not handed over.
+	// lapsed is true once an attempt ended without the reports of all its workers. A holder that this one cannot
+	// see may have renewed their leases, so that the job is not handed over, also after further attempts.
 	lapsed bool
+	// unseen is true from the replay of a record that says that the job runs until its gang is adopted.
+	unseen bool
 	// ticksAt is the time of the timer that is set for the gang.
 	ticksAt time.Time
 }
--- a/services/scheduler/recover.go
+++ b/services/scheduler/recover.go
@@ -13,6 +13,7 @@
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/decisions/gang"
 	"github.com/verbenaflow/verbenaflow/decisions/recovery"
+	"github.com/verbenaflow/verbenaflow/decisions/transfer"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
@@ -101,7 +102,7 @@
 		}
 	}
 	s.sortEnded()
-	s.carryOut(c, s.source.Resume(now))
+	s.carryOut(c, s.resumeTransfers(now))
 	s.queueRest(c, now)
 	s.passCancels(c)
 	klog.InfoS("log replayed late", "domain", s.domain, "epoch", s.epoch, "jobs", len(s.jobs))
@@ -151,7 +152,7 @@
 func (s *Service) load(j *job) {
 	switch j.State {
 	case model.JobStarting, model.JobRunning, model.JobPreempting:
-		j.State, j.lapsed = model.JobQueued, true // Unless the gang is adopted, nobody saw its end.
+		j.State, j.unseen = model.JobQueued, true
 	}
 	if j.since.IsZero() {
 		j.since = j.Submitted // The record is older than this field.
@@ -203,6 +204,10 @@
 // resume adopts whole gangs, stops other tasks and queues the remaining jobs.
 func (s *Service) resume(c *kernel.Context, tasks []recovery.Task) {
 	now := time.Now()
+	var messages []transfer.Action
+	if !s.log.partial {
+		messages = s.resumeTransfers(now)
+	}
 	result := recovery.Decide(tasks, func(id model.JobID) (int, bool) {
 		j := s.jobs[id]
 		if j == nil || j.State.Final() || j.elsewhere() {
@@ -225,9 +230,7 @@
 	for _, g := range result.Adopt {
 		s.adopt(c, g, now)
 	}
-	if !s.log.partial {
-		s.carryOut(c, s.source.Resume(now))
-	}
+	s.carryOut(c, messages)
 	s.queueRest(c, now)
 	s.passCancels(c)
 	klog.InfoS("state rebuilt", "domain", s.domain, "epoch", s.epoch, "adopted", len(result.Adopt),
@@ -256,7 +259,7 @@
 	if j.Started.IsZero() {
 		j.Started = now
 	}
-	j.planned, j.lapsed = true, false
+	j.planned, j.unseen = true, false
 	s.planner.Adopt(j.waiting(), j.Placement, j.Started)
 	s.bind(j)
 	s.setState(j, model.JobRunning)
@@ -287,6 +290,7 @@
 		return cmp.Or(a.Submitted.Compare(b.Submitted), cmp.Compare(a.ID, b.ID))
 	})
 	for _, j := range rest {
+		j.lapsed = j.lapsed || j.unseen
 		switch {
 		case j.cancelled:
 			s.end(j, model.JobCancelled, "", now)
--- a/services/scheduler/rounds.go
+++ b/services/scheduler/rounds.go
@@ -234,7 +234,6 @@
 		s.workersChanged = s.workersChanged || !s.tracker.Usable(slot.Worker, now)
 	}
 	j.Attempt++
-	j.lapsed = false
 	j.Placement = st.Placement
 	s.setState(j, model.JobStarting)
 	s.bind(j)
--- a/services/scheduler/transfers.go
+++ b/services/scheduler/transfers.go
@@ -86,6 +86,26 @@
 	s.target.Replay(targets...)
 }
 
+// resumeTransfers gives the replayed jobs the state that their transfers call for, because a snapshot may hold a
+// step that is newer than the records of its job after it. It returns the messages of the open transfers.
+func (s *Service) resumeTransfers(now time.Time) []transfer.Action {
+	var messages []transfer.Action
+	for _, a := range s.source.Resume(now) {
+		e, ended := a.(transfer.Ended)
+		if !ended {
+			messages = append(messages, a)
+		} else if j := s.jobs[e.Job]; j != nil && j.State == model.JobTransferring {
+			s.applyDecision(j, e.Decision)
+		}
+	}
+	for id, j := range s.jobs {
+		if _, open := s.source.Transferring(id); open && j.State == model.JobQueued && j.gang == nil {
+			s.setState(j, model.JobTransferring)
+		}
+	}
+	return messages
+}
+
 // transferSteps returns the state of all transfers for a snapshot, which holds the jobs as well.
 func (s *Service) transferSteps() []*step {
 	var out []*step
--- a/services/store/log.go
+++ b/services/store/log.go
@@ -10,6 +10,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/decisions/fencedlog"
 	"github.com/verbenaflow/verbenaflow/kernel"
@@ -19,6 +20,10 @@
 // snapshotServices lists the services whose state the log holds.
 var snapshotServices = []kernel.Name{names.Scheduler, names.Dispatch}
 
+// snapshotTimeout bounds the wait for the records of a snapshot. A service answers from its memory, but behind all
+// messages that wait in its mailbox.
+const snapshotTimeout = 5 * time.Second
+
 type (
 	logWake       struct{ number uint64 }
 	logResult     struct{ result fencedlog.Result }
@@ -47,6 +52,8 @@
 			return
 		}
 		s.step(c, fencedlog.Abandon{})
+	case message.MembersChanged:
+		s.step(c, fencedlog.Logs{Number: s.logs(m.Members)})
 	case message.LogAppend:
 		s.step(c, fencedlog.Append{ID: s.ask(e), Epoch: m.Epoch, Records: toRecords(m.Records)})
 	case message.LogClose:
@@ -60,6 +67,16 @@
 	}
 }
 
+// logs counts the failure domains, each of which has one log.
+func (s *Service) logs(members []model.Member) int {
+	domains := map[model.FailureDomain]bool{s.domain: s.domain != ""}
+	for _, m := range members {
+		domains[m.Domain] = true
+	}
+	delete(domains, "")
+	return len(domains)
+}
+
 // ask keeps an envelope until its Answer and returns its number.
 func (s *Service) ask(e kernel.Envelope) uint64 {
 	s.appends++
@@ -183,9 +200,11 @@
 }
 
 // takeSnapshot collects the records of all services, one after the other. The result passes through the own
-// mailbox, behind all appends that the services sent before they answered.
+// mailbox, behind all appends that the services sent before they answered. A service that does not answer in
+// time makes the snapshot fail, so that the log asks again.
 func (s *Service) takeSnapshot(c *kernel.Context, a fencedlog.GetSnapshot) {
 	out, left := fencedlog.Snapshot{First: a.First}, len(snapshotServices)
+	cancel := c.After(snapshotTimeout, snapshotTaken{snapshot: fencedlog.Snapshot{First: a.First, Failed: true}})
 	for _, name := range snapshotServices {
 		c.Request(name, message.SnapshotGet{Epoch: a.Epoch}, func(m kernel.Message, err error) {
 			reply, ok := m.(message.SnapshotReply)
@@ -194,6 +213,7 @@
 			if left--; left > 0 {
 				return
 			}
+			cancel()
 			if c.Send(names.Store, snapshotTaken{snapshot: out}) != nil {
 				c.After(fencedlog.RetryDelay, snapshotTaken{snapshot: fencedlog.Snapshot{First: a.First, Failed: true}})
 			}
--- a/standins/worker/worker.go
+++ b/standins/worker/worker.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"time"
 
@@ -85,6 +86,7 @@
 	ended   []model.TaskID
 	history []Entry
 	first   int
+	refused []RefusedExchange
 	lapse   func()
 	renewed uint64
 }
@@ -97,11 +99,20 @@
 // Run serves the worker until ctx ends. It takes over the listener.
 func Run(ctx context.Context, l net.Listener, s *State) error {
 	return host.Run(ctx, l, s,
-		host.JSON(worker.PathExchange, func(x worker.Exchange) kernel.Message { return exchange(x) }),
+		host.Route{Path: worker.PathExchange, Decode: decode, Encode: encode},
 		host.JSON(PathHistory, func(r HistoryRequest) kernel.Message { return r }),
 		host.JSON(PathFaults, func(f *Faults) kernel.Message { return faults{set: f} }))
 }
 
+func decode(h http.Header, body []byte) (kernel.Message, error) {
+	x, err := worker.DecodeExchange(h, body)
+	return exchange(x), err
+}
+
+func encode(w http.ResponseWriter, answer kernel.Message) {
+	worker.WriteReport(w, worker.Report(answer.(report)))
+}
+
 // Start implements kernel.Service.
 func (s *State) Start(*kernel.Context) error { return nil }
 
@@ -155,6 +166,7 @@
 // exchange refuses a lower epoch, and the same epoch from another holder, which would be a second claim.
 func (s *State) exchange(c *kernel.Context, x exchange) report {
 	if x.Epoch.Less(s.epoch) || x.Epoch == s.epoch && x.Holder != s.holder {
+		s.recordRefusal(x)
 		return report{Epoch: s.epoch}
 	}
 	s.epoch, s.holder = x.Epoch, x.Holder
