Remove reasons that nothing raises and count forwards by their cause

Cause: three refusal reasons and three retry reasons were listed and counted although no code raised them. Change: domain_out, config_stale, canceled (refusals) and store_conflict (retry) are gone; waiting jobs keep their own reasons. Forwards while no holder is known count as election, those after a change of the holder as holder_changed.

--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -17,8 +17,6 @@
 	QuotaExceeded
 	RateLimited
 	Overloaded
-	DomainOut
-	ConfigStale
 	ConfigUnavailable
 	ConfigConflict
 	ConfigInvalid
@@ -38,7 +36,6 @@
 	ExecutorLost
 	ExecutorFailed
 	ResponseInvalid
-	Canceled
 	KeyEpochUnknown
 	ResponseExpired
 	ExecutorBusy
@@ -63,8 +60,6 @@
 	QuotaExceeded:      {"quota_exceeded", http.StatusUnprocessableEntity, NotRun},
 	RateLimited:        {"rate_limited", http.StatusTooManyRequests, NotRun},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, NotRun},
-	DomainOut:          {"domain_out", http.StatusServiceUnavailable, NotRun},
-	ConfigStale:        {"config_stale", http.StatusServiceUnavailable, NotRun},
 	ConfigUnavailable:  {"config_unavailable", http.StatusServiceUnavailable, NotRun},
 	ConfigConflict:     {"config_conflict", http.StatusConflict, NotRun},
 	ConfigInvalid:      {"config_invalid", http.StatusUnprocessableEntity, NotRun},
@@ -84,7 +79,6 @@
 	ExecutorLost:       {"executor_lost", http.StatusBadGateway, Unknown},
 	ExecutorFailed:     {"executor_failed", http.StatusBadGateway, Run},
 	ResponseInvalid:    {"response_invalid", http.StatusBadGateway, Unknown},
-	Canceled:           {"canceled", http.StatusConflict, NotRun},
 	KeyEpochUnknown:    {"key_epoch_unknown", http.StatusConflict, Unknown},
 	ResponseExpired:    {"response_expired", http.StatusGone, Run},
 	ExecutorBusy:       {"executor_busy", http.StatusServiceUnavailable, NotRun},
@@ -144,8 +138,7 @@
 
 // Reasons of retries.
 const (
-	RetryStoreConflict RetryReason = iota
-	RetryStoreUnavailable
+	RetryStoreUnavailable RetryReason = iota
 	RetryStoreAnswerLost
 	RetryElection
 	RetryForward
@@ -169,7 +162,6 @@
 )
 
 var retryCodes = [retryReasonCount]string{
-	RetryStoreConflict:     "store_conflict",
 	RetryStoreUnavailable:  "store_unavailable",
 	RetryStoreAnswerLost:   "store_answer_lost",
 	RetryElection:          "election",
--- a/cmd/verbenactl/main_test.go
+++ b/cmd/verbenactl/main_test.go
@@ -83,7 +83,7 @@
 	}{
 		{"connection refused", closed, 0, 1},
 		{"draining", answer(t, 503, refused(failure.Draining, true), &ignored), 0, 1},
-		{"not run without hint", answer(t, 503, refused(failure.DomainOut, false), &ignored), exitNotRun, 0},
+		{"not run without hint", answer(t, 503, refused(failure.StoreUnavailable, false), &ignored), exitNotRun, 0},
 		{"unknown outcome with hint", answer(t, 504, refused(failure.DeadlineExceeded, true), &ignored), exitUnknown, 0},
 		{"connection cut", abort.URL, exitUnknown, 0},
 	} {
--- a/services/peers/deliver.go
+++ b/services/peers/deliver.go
@@ -171,13 +171,25 @@
 		s.refuse(d, last)
 		return
 	}
-	s.metrics.Retry(failure.RetryForward)
+	s.metrics.Retry(forwardRetry(last.Reason))
 	// Half of the delay is random, so that the callers of a lost holder do not return at the same time.
 	delay := forwardDelay/2 + time.Duration(s.random.Int64N(int64(forwardDelay/2)))
 	d.attempt++
 	c.After(delay, forwardDue{d})
 }
 
+// forwardRetry returns the counted reason of another delivery.
+func forwardRetry(r failure.Reason) failure.RetryReason {
+	switch r {
+	case failure.NoHolder:
+		return failure.RetryElection
+	case failure.NotHolder:
+		return failure.RetryHolderChanged
+	default:
+		return failure.RetryForward
+	}
+}
+
 // queryOutcome replaces a request whose answer was lost by questions for its outcome, which are safe to
 // repeat. It returns false if the message is no request. The holder does not run a request on a question.
 func (s *Service) queryOutcome(c *kernel.Context, m callDone) bool {
