--- a/services/scheduler/recover.go
+++ b/services/scheduler/recover.go
@@ -279,7 +279,7 @@
 			lapsed = w.leaseEnds
 		}
 	}
-	s.offerFrom = lapsed // Until then a task that no record names may run on a lost worker.
+	s.transfers.offerFrom = lapsed // Until then a task that no record names may run on a lost worker.
 	var rest []*job
 	for _, j := range s.jobs {
 		if j.confirmed && j.State == model.JobQueued && j.gang == nil && !j.planned && !j.backingOff {
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -24,7 +24,6 @@
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/decisions/plan"
 	"github.com/verbenaflow/verbenaflow/decisions/quarantine"
-	"github.com/verbenaflow/verbenaflow/decisions/transfer"
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
@@ -105,14 +104,7 @@
 	// quarantined lists the workers that were last reported as quarantined.
 	quarantined []model.WorkerID
 	outSince    time.Time
-	source      *transfer.Source
-	target      *transfer.Target
-	// asking holds the latest message of each kind that waits for the decision on a transfer.
-	asking map[question]kernel.Envelope
-	// transferTick is the time of the timer that is set for the transfers.
-	transferTick time.Time
-	// offerFrom is the time before which no transfer begins.
-	offerFrom time.Time
+	transfers   transfers
 	// told is the load that was published last, loads are those of all failure domains.
 	told  model.DomainLoad
 	loads []model.DomainLoad
@@ -250,10 +242,9 @@
 	s.commands = make(map[model.WorkerID][]message.TaskCommand)
 	s.leases, s.leasesAll = nil, false
 	s.reserved = make(map[model.JobID]bool)
-	s.source, s.target = transfer.NewSource(s.domain), transfer.NewTarget(s.domain)
-	s.asking = make(map[question]kernel.Envelope)
+	s.transfers = newTransfers(s.domain)
 	s.told = model.DomainLoad{}
-	s.outSince, s.probeAt, s.transferTick, s.offerFrom = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	s.outSince, s.probeAt = time.Time{}, time.Time{}
 	s.workersChanged = true
 	for _, w := range s.workers {
 		w.reported, w.lost = false, false
--- a/services/scheduler/transfers.go
+++ b/services/scheduler/transfers.go
@@ -9,6 +9,24 @@
 	"github.com/verbenaflow/verbenaflow/kernel"
 )
 
+// transfers holds the transfers from and to the own failure domain.
+type transfers struct {
+	source *transfer.Source
+	target *transfer.Target
+	// asking holds the latest message of each kind that waits for the decision on a transfer.
+	asking map[question]kernel.Envelope
+	// tick is the time of the timer that is set.
+	tick time.Time
+	// offerFrom is the time before which no transfer begins.
+	offerFrom time.Time
+}
+
+func newTransfers(d model.FailureDomain) transfers {
+	return transfers{
+		source: transfer.NewSource(d), target: transfer.NewTarget(d), asking: make(map[question]kernel.Envelope),
+	}
+}
+
 type transferDue struct {
 	epoch model.Epoch
 	at    time.Time
@@ -49,25 +67,25 @@
 
 // planTransferTick sets the timer of the next repeated message or append.
 func (s *Service) planTransferTick(c *kernel.Context) {
-	at := s.source.Deadline()
-	if t := s.target.Deadline(); at.IsZero() || !t.IsZero() && t.Before(at) {
+	at := s.transfers.source.Deadline()
+	if t := s.transfers.target.Deadline(); at.IsZero() || !t.IsZero() && t.Before(at) {
 		at = t
 	}
-	if at.IsZero() || at.Equal(s.transferTick) {
+	if at.IsZero() || at.Equal(s.transfers.tick) {
 		return
 	}
-	s.transferTick = at
+	s.transfers.tick = at
 	c.After(time.Until(at), transferDue{epoch: s.epoch, at: at})
 }
 
 // transferDue repeats messages and appends. A timer that a later one has replaced does nothing.
 func (s *Service) transferDue(c *kernel.Context, m transferDue) {
-	if m.epoch != s.epoch || !m.at.Equal(s.transferTick) {
+	if m.epoch != s.epoch || !m.at.Equal(s.transfers.tick) {
 		return
 	}
 	now := time.Now()
-	s.transferTick = time.Time{}
-	s.carryOut(c, append(s.source.Tick(now), s.target.Tick(now)...))
+	s.transfers.tick = time.Time{}
+	s.carryOut(c, append(s.transfers.source.Tick(now), s.transfers.target.Tick(now)...))
 }
 
 // replaySteps passes the steps of the log to the state machines.
@@ -82,15 +100,15 @@
 			targets = append(targets, *t.Target)
 		}
 	}
-	s.source.Replay(sources...)
-	s.target.Replay(targets...)
+	s.transfers.source.Replay(sources...)
+	s.transfers.target.Replay(targets...)
 }
 
 // resumeTransfers gives the replayed jobs the state that their transfers call for, because a snapshot may hold a
 // step that is newer than the records of its job after it. It returns the messages of the open transfers.
 func (s *Service) resumeTransfers(now time.Time) []transfer.Action {
 	var messages []transfer.Action
-	for _, a := range s.source.Resume(now) {
+	for _, a := range s.transfers.source.Resume(now) {
 		e, ended := a.(transfer.Ended)
 		if !ended {
 			messages = append(messages, a)
@@ -99,7 +117,7 @@
 		}
 	}
 	for id, j := range s.jobs {
-		if _, open := s.source.Transferring(id); open && j.State == model.JobQueued && j.gang == nil {
+		if _, open := s.transfers.source.Transferring(id); open && j.State == model.JobQueued && j.gang == nil {
 			s.setState(j, model.JobTransferring)
 		}
 	}
@@ -109,10 +127,10 @@
 // transferSteps returns the state of all transfers for a snapshot, which holds the jobs as well.
 func (s *Service) transferSteps() []*step {
 	var out []*step
-	for _, r := range s.source.Records() {
+	for _, r := range s.transfers.source.Records() {
 		out = append(out, &step{source: &r})
 	}
-	for _, r := range s.target.Records() {
+	for _, r := range s.transfers.target.Records() {
 		out = append(out, &step{target: &r})
 	}
 	return out
--- a/services/scheduler/transfers_source.go
+++ b/services/scheduler/transfers_source.go
@@ -33,7 +33,7 @@
 
 // beginTransfers hands waiting jobs over. A holder without the whole log does not know which transfers are open.
 func (s *Service) beginTransfers(c *kernel.Context, own model.DomainLoad, now time.Time) {
-	if s.recovery != nil || s.log.partial || s.log.closed || s.draining || now.Before(s.offerFrom) {
+	if s.recovery != nil || s.log.partial || s.log.closed || s.draining || now.Before(s.transfers.offerFrom) {
 		return
 	}
 	if s.config.Config.Version == 0 || len(s.loads) == 0 {
@@ -44,7 +44,7 @@
 			own.Region = l.Region
 		}
 	}
-	for _, t := range domains.Transfers(own, s.loads, s.movable(), s.source.Undecided(), now) {
+	for _, t := range domains.Transfers(own, s.loads, s.movable(), s.transfers.source.Undecided(), now) {
 		s.beginTransfer(c, s.jobs[t.Job], t.Target, now)
 		s.expect(t)
 	}
@@ -81,7 +81,7 @@
 	if j == nil {
 		return
 	}
-	actions := s.source.Begin(j.ID, to, now)
+	actions := s.transfers.source.Begin(j.ID, to, now)
 	if len(actions) == 0 {
 		return
 	}
@@ -106,7 +106,7 @@
 		s.changed(p)
 		return
 	}
-	s.appendStep(p, func(durable bool) { s.carryOut(c, s.source.Logged(r, durable, time.Now())) })
+	s.appendStep(p, func(durable bool) { s.carryOut(c, s.transfers.source.Logged(r, durable, time.Now())) })
 }
 
 // applyDecision ends a job as moved or lets it wait again. It starts once that is durable.
@@ -145,14 +145,14 @@
 		if !ok {
 			return nil
 		}
-		return s.source.Answered(id, transfer.Decision{Accepted: r.Accepted, Job: r.Job, Reason: r.Reason}, time.Now())
+		return s.transfers.source.Answered(id, transfer.Decision{Accepted: r.Accepted, Job: r.Job, Reason: r.Reason}, time.Now())
 	}
 }
 
 func (s *Service) offer(c *kernel.Context, a transfer.Offer) {
 	j := s.jobs[a.Job]
 	if j == nil {
-		s.carryOut(c, s.source.Withdraw(a.Job, time.Now()))
+		s.carryOut(c, s.transfers.source.Withdraw(a.Job, time.Now()))
 		return
 	}
 	offered := j.Job
@@ -167,7 +167,7 @@
 
 func (s *Service) confirmDecision(c *kernel.Context, id transfer.ID) {
 	s.send(c, id, message.TransferDone{Transfer: id.String()}, func(kernel.Message) []transfer.Action {
-		return s.source.Confirmed(id, time.Now())
+		return s.transfers.source.Confirmed(id, time.Now())
 	})
 }
 
@@ -206,7 +206,7 @@
 func (s *Service) cancelTransferring(c *kernel.Context, j *job, now time.Time) {
 	j.cancelled = true
 	s.changed(j)
-	s.carryOut(c, s.source.Withdraw(j.ID, now))
+	s.carryOut(c, s.transfers.source.Withdraw(j.ID, now))
 }
 
 // passCancels continues the cancellations that an earlier holder had not passed on.
--- a/services/scheduler/transfers_target.go
+++ b/services/scheduler/transfers_target.go
@@ -32,17 +32,17 @@
 		return id, false
 	}
 	q := question{transfer: id, kind: e.Body.Kind()}
-	if earlier, ok := s.asking[q]; ok {
+	if earlier, ok := s.transfers.asking[q]; ok {
 		s.refuse(earlier, failure.New(failure.Overloaded, "transfer %s was asked for again", id))
 	}
-	s.asking[q] = e
+	s.transfers.asking[q] = e
 	return id, true
 }
 
 // failQuestions ends all messages that wait for an answer.
 func (s *Service) failQuestions(f *failure.Error) {
-	for q, e := range s.asking {
-		delete(s.asking, q)
+	for q, e := range s.transfers.asking {
+		delete(s.transfers.asking, q)
 		s.refuse(e, f)
 	}
 }
@@ -55,7 +55,7 @@
 	}
 	now := time.Now()
 	j, d := s.consider(m, now)
-	actions := s.target.Offered(id, d, now)
+	actions := s.transfers.target.Offered(id, d, now)
 	if len(actions) > 0 && d.Accepted {
 		if a, decides := actions[0].(transfer.AppendTarget); decides && a.Record.Decision == d {
 			s.add(j)
@@ -66,13 +66,13 @@
 
 func (s *Service) withdrawn(c *kernel.Context, e kernel.Envelope, m message.JobWithdraw) {
 	if id, ok := s.ask(e, m.Transfer); ok {
-		s.carryOut(c, s.target.Withdrawn(id, time.Now()))
+		s.carryOut(c, s.transfers.target.Withdrawn(id, time.Now()))
 	}
 }
 
 func (s *Service) transferDone(c *kernel.Context, e kernel.Envelope, m message.TransferDone) {
 	if id, ok := s.ask(e, m.Transfer); ok {
-		s.carryOut(c, s.target.Done(id, time.Now()))
+		s.carryOut(c, s.transfers.target.Done(id, time.Now()))
 	}
 }
 
@@ -97,7 +97,7 @@
 // recordTarget appends a decision with the job that it accepts, or the end of a transfer.
 func (s *Service) recordTarget(c *kernel.Context, r transfer.TargetRecord) {
 	p := &step{job: s.jobs[r.Decision.Job], target: &r}
-	s.appendStep(p, func(durable bool) { s.carryOut(c, s.target.Logged(r, durable, time.Now())) })
+	s.appendStep(p, func(durable bool) { s.carryOut(c, s.transfers.target.Logged(r, durable, time.Now())) })
 }
 
 // takeOver queues an accepted job once its record is durable.
@@ -138,7 +138,7 @@
 }
 
 func (s *Service) take(q question) (kernel.Envelope, bool) {
-	e, ok := s.asking[q]
-	delete(s.asking, q)
+	e, ok := s.transfers.asking[q]
+	delete(s.transfers.asking, q)
 	return e, ok
 }
