--- a/decisions/domains/domains.go
+++ b/decisions/domains/domains.go
@@ -73,7 +73,8 @@
 // them. own is its present load; loads may include it. inFlight counts its undecided transfers. The caller calls it
 // when the loads change or the failure domain is taken out, at most once a second.
 //
-// Jobs with an idempotency key stay, because a repeated submission must find them.
+// A job with an idempotency key may move only if the caller keeps its key, so that a repeated submission finds the job
+// that goes on for it; other callers leave such jobs out of waiting.
 func Transfers(own model.DomainLoad, loads []model.DomainLoad, waiting []Waiting, inFlight int, now time.Time) []Transfer {
 	return Default().Transfers(own, loads, waiting, inFlight, now)
 }
@@ -134,7 +135,7 @@
 }
 
 func (x *round) mayMove(w Waiting) bool {
-	if w.Spec.Domain != "" || w.Spec.Key != "" || w.Transfers >= x.MaxTransfers {
+	if w.Spec.Domain != "" || w.Transfers >= x.MaxTransfers {
 		return false
 	}
 	if w.Transfers > 0 && x.now.Sub(w.LastTransfer) < x.Cooldown<<(w.Transfers-1) {
--- a/services/scheduler/transfers_source.go
+++ b/services/scheduler/transfers_source.go
@@ -59,18 +59,16 @@
 	}
 }
 
-// movable returns the waiting jobs that name no failure domain and of which certainly no task runs. The key of a
-// job keeps none from moving, because the moved job keeps it and leads to its successor.
+// movable returns the waiting jobs that name no failure domain and of which certainly no task runs. Jobs with a key are
+// among them, because the moved job keeps the key and leads to its successor.
 func (s *Service) movable() []domains.Waiting {
 	var out []domains.Waiting
 	for _, j := range s.jobs {
 		if j.Spec.Domain != "" || !j.planned || j.gang != nil || j.State != model.JobQueued || j.lapsed {
 			continue
 		}
-		spec := j.Spec
-		spec.Key = ""
 		out = append(out, domains.Waiting{
-			Job: j.ID, Spec: spec, Submitted: j.Submitted, Since: j.since, Progress: j.progress,
+			Job: j.ID, Spec: j.Spec, Submitted: j.Submitted, Since: j.since, Progress: j.progress,
 			Transfers: j.transfers, LastTransfer: j.lastTransfer,
 		})
 	}
