Tell a keyed submission that its service did not take as unknown

Cause: submissions without a failure domain go through the routing service, and an error of the kernel on the way there was told as not_run also for a key that may have been submitted before. Result: TestErrorsOfTheKernel covers a key; it failed before the change.

--- a/services/httpapi/httpapi_test.go
+++ b/services/httpapi/httpapi_test.go
@@ -88,17 +88,19 @@
 // TestErrorsOfTheKernel guards against an outcome that the kernel's error does not prove.
 func TestErrorsOfTheKernel(t *testing.T) {
 	for _, c := range []struct {
+		body      string
 		err       error
 		reason    failure.Reason
 		outcome   failure.Outcome
 		elsewhere bool
 	}{
-		{&kernel.MailboxFullError{}, failure.Overloaded, failure.NotRun, false},
-		{&kernel.StoppedError{}, failure.Draining, failure.NotRun, true},
-		{&kernel.UnansweredError{}, failure.Internal, failure.Unknown, false},
-		{context.DeadlineExceeded, failure.DeadlineExceeded, failure.Unknown, false},
+		{`{}`, &kernel.MailboxFullError{}, failure.Overloaded, failure.NotRun, false},
+		{`{}`, &kernel.StoppedError{}, failure.Draining, failure.NotRun, true},
+		{`{"key":"k"}`, &kernel.StoppedError{}, failure.Draining, failure.Unknown, true},
+		{`{}`, &kernel.UnansweredError{}, failure.Internal, failure.Unknown, false},
+		{`{}`, context.DeadlineExceeded, failure.DeadlineExceeded, failure.Unknown, false},
 	} {
-		_, body := serve(&recorder{err: c.err}, newGate(), httptest.NewRequest("POST", "/v1/jobs", strings.NewReader(`{}`)))
+		_, body := serve(&recorder{err: c.err}, newGate(), httptest.NewRequest("POST", "/v1/jobs", strings.NewReader(c.body)))
 		want := ErrorBody{Code: c.reason.Code(), Outcome: c.outcome, RetryElsewhere: c.elsewhere, Detail: body.Detail}
 		gomega.NewWithT(t).Expect(body).To(gomega.Equal(want))
 	}
--- a/services/httpapi/jobs.go
+++ b/services/httpapi/jobs.go
@@ -26,7 +26,7 @@
 	defer c.cancel()
 	job, err := a.place(c, spec)
 	if err != nil {
-		a.fail(w, failure.OfDelivery(err))
+		a.fail(w, message.DeliveryFailure(message.JobSubmit{Spec: spec}, err))
 		return
 	}
 	// A key may belong to a job that has moved since its first submission.
