Name the parts of heartbeat digests by their usual terms

Cause: read-through. News and hearsay are not terms of the field. Change: MemberNews is MemberUpdate, relayed updates are named so. Names and comments only.

--- a/api/model/member.go
+++ b/api/model/member.go
@@ -44,8 +44,8 @@
 	LastHeard time.Time `json:"last_heard"`
 }
 
-// MemberNews is what a heartbeat tells about one entry VM.
-type MemberNews struct {
+// MemberUpdate is what a heartbeat tells about one entry VM.
+type MemberUpdate struct {
 	VM VMID
 	// Beat is the highest heartbeat count of the VM that the sender knows. Only the VM itself raises it.
 	Beat uint64
@@ -66,6 +66,6 @@
 	Seen uint64
 	// Known is the highest heartbeat count of the receiver that the sender knows, if the receiver sent a lower one.
 	Known uint64
-	// News begins with the news of the sender about itself.
-	News []MemberNews
+	// Updates begins with the update of the sender about itself.
+	Updates []MemberUpdate
 }
--- a/decisions/member/digest.go
+++ b/decisions/member/digest.go
@@ -19,25 +19,25 @@
 		e = &entry{}
 	}
 	since := e.acked
-	e.told = t.beat
-	d := model.Digest{Since: since, Seen: e.seen, News: []model.MemberNews{t.selfNews(since)}}
+	e.sentCount = t.beat
+	d := model.Digest{Since: since, Seen: e.seen, Updates: []model.MemberUpdate{t.selfUpdate(since)}}
 	if e.outdated || e.quoted > e.beat {
 		d.Known = max(e.highest(), e.quoted)
 	}
 	for id, o := range t.entries {
-		if id == to || o.beat == 0 || max(o.news, o.changed, o.loaded) < since {
+		if id == to || o.beat == 0 || max(o.counted, o.changed, o.loaded) < since {
 			continue
 		}
 		if o.quoteTo == to || t.near(e.member) && o.outside || !t.near(e.member) && t.near(o.member) {
-			d.News = append(d.News, t.news(o, to, since, now))
+			d.Updates = append(d.Updates, t.updateOf(o, to, since, now))
 		}
 	}
-	slices.SortFunc(d.News[1:], func(a, b model.MemberNews) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(d.Updates[1:], func(a, b model.MemberUpdate) int { return cmp.Compare(a.VM, b.VM) })
 	return d
 }
 
-func (t *Table) selfNews(since uint64) model.MemberNews {
-	out := model.MemberNews{VM: t.self.VM, Beat: t.beat}
+func (t *Table) selfUpdate(since uint64) model.MemberUpdate {
+	out := model.MemberUpdate{VM: t.self.VM, Beat: t.beat}
 	if t.changed >= since {
 		m := t.self
 		m.Alive = true
@@ -49,8 +49,8 @@
 	return out
 }
 
-func (t *Table) news(e *entry, to model.VMID, since uint64, now time.Time) model.MemberNews {
-	out := model.MemberNews{VM: e.member.VM, Beat: e.beat, Age: tenths(t.silent(e, now))}
+func (t *Table) updateOf(e *entry, to model.VMID, since uint64, now time.Time) model.MemberUpdate {
+	out := model.MemberUpdate{VM: e.member.VM, Beat: e.beat, Age: tenths(t.silent(e, now))}
 	if e.changed >= since || e.quoteTo == to {
 		m := e.member
 		m.Address = e.advertised
@@ -62,7 +62,7 @@
 	return out
 }
 
-// tenths returns a duration in tenths of a second, rounded up so that news never look younger than they are.
+// tenths returns a duration in tenths of a second, rounded up so that updates never look younger than they are.
 func tenths(d time.Duration) uint32 {
 	const tenth = 100 * time.Millisecond
 	return uint32(min((max(d, 0)+tenth-1)/tenth, math.MaxUint32))
@@ -87,11 +87,11 @@
 // Heard applies a digest that arrived at a local time and returns its sender, or "" for an empty digest. A digest
 // that does not raise the count of its sender, such as a repeated one, has no effect.
 func (t *Table) Heard(d model.Digest, now time.Time) (model.VMID, Change) {
-	if len(d.News) == 0 || d.News[0].VM == t.self.VM {
+	if len(d.Updates) == 0 || d.Updates[0].VM == t.self.VM {
 		return "", Unchanged
 	}
 	t.refute(d.Known)
-	first := d.News[0]
+	first := d.Updates[0]
 	if !t.accepts(d) {
 		return first.VM, Unchanged
 	}
@@ -99,8 +99,8 @@
 	sender.direct = now
 	change := t.rise(sender, first, !t.near(recordOf(sender, first)), now)
 	sender.seen = first.Beat
-	for _, n := range d.News[1:] {
-		c, used := t.hearsay(n, first.VM, now)
+	for _, n := range d.Updates[1:] {
+		c, used := t.applyRelayed(n, first.VM, now)
 		change = max(change, c)
 		if !used {
 			// The sender repeats all records.
@@ -110,10 +110,10 @@
 	return first.VM, change
 }
 
-// accepts takes the acknowledgement of a digest and reports whether its news are to be applied: its count is the
-// highest from this sender, and all earlier news were processed. A replaced VM has not processed them.
+// accepts takes the acknowledgement of a digest and reports whether its updates are to be applied: its count is the
+// highest from this sender, and all earlier updates were processed. A replaced VM has not processed them.
 func (t *Table) accepts(d model.Digest) bool {
-	first := d.News[0]
+	first := d.Updates[0]
 	e, known := t.entries[first.VM]
 	if !known {
 		if first.Member == nil {
@@ -126,19 +126,19 @@
 		return false
 	}
 	e.order, e.acked = first.Beat, d.Seen
-	if d.Seen > e.told {
+	if d.Seen > e.sentCount {
 		// The count belongs to an earlier VM with the own id.
 		e.acked = 0
 	}
 	return d.Since <= e.seen
 }
 
-// refuteMargin exceeds the heartbeats that an earlier VM sent and the VM that told its count did not receive. At 100
+// refuteMargin exceeds the heartbeats that an earlier VM sent and the VM that relayed its count did not receive. At 100
 // a second it covers 46 hours.
 const refuteMargin = 1 << 24
 
 // refute continues the heartbeat count above that of an earlier VM with the own id. The others may have
-// acknowledged counts of the earlier VM, so that all news count as learned now.
+// acknowledged counts of the earlier VM, so that all updates count as learned now.
 func (t *Table) refute(known uint64) {
 	if known <= t.beat {
 		return
@@ -146,12 +146,12 @@
 	t.beat = known + refuteMargin
 	t.changed, t.loaded = t.beat, t.beat
 	for _, e := range t.entries {
-		e.news, e.changed, e.loaded = t.beat, t.beat, t.beat
+		e.counted, e.changed, e.loaded = t.beat, t.beat, t.beat
 	}
 }
 
-// isNear reports whether news concern a VM of the own failure domain.
-func (t *Table) isNear(n model.MemberNews) bool {
+// isNear reports whether an update concerns a VM of the own failure domain.
+func (t *Table) isNear(n model.MemberUpdate) bool {
 	if n.Member != nil {
 		return t.near(*n.Member)
 	}
@@ -159,17 +159,17 @@
 	return ok && t.near(e.member)
 }
 
-// recordOf returns the record that an entry has after news.
-func recordOf(e *entry, n model.MemberNews) model.Member {
+// recordOf returns the record that an entry has after an update.
+func recordOf(e *entry, n model.MemberUpdate) model.Member {
 	if n.Member != nil {
 		return *n.Member
 	}
 	return e.member
 }
 
-// hearsay applies what a VM tells about another one. Only a higher count is a sign of life; at the same count a
-// death counts. It reports whether the news were used; otherwise the digest is not acknowledged.
-func (t *Table) hearsay(n model.MemberNews, from model.VMID, now time.Time) (Change, bool) {
+// applyRelayed applies what a VM tells about another one. Only a higher count is a sign of life; at the same count a
+// death counts. It reports whether the update was used; otherwise the digest is not acknowledged.
+func (t *Table) applyRelayed(n model.MemberUpdate, from model.VMID, now time.Time) (Change, bool) {
 	outside := !t.near(t.entries[from].member)
 	if n.VM == t.self.VM {
 		t.refute(n.Beat)
@@ -197,7 +197,7 @@
 		return t.rise(e, n, outside, now), true
 	case n.Beat == e.beat && n.Member != nil && !n.Member.Alive && e.member.Alive:
 		e.member.Alive = false
-		e.outside, e.news, e.changed = outside, t.beat, t.beat
+		e.outside, e.counted, e.changed = outside, t.beat, t.beat
 		return Immediate, true
 	case n.Beat == e.beat && n.Member == nil:
 		return Unchanged, true
@@ -205,9 +205,9 @@
 	return Unchanged, t.contradict(e, n, from)
 }
 
-// contradict makes the next digest to a sender tell the count of a VM of which it told a lower one. It reports whether
-// the told record is the known one. Others are not told: a lower count is mostly a late one.
-func (t *Table) contradict(e *entry, n model.MemberNews, from model.VMID) bool {
+// contradict makes the next digest to a sender contain the count of a VM of which it sent a lower one. It reports whether
+// the received record is the known one. Others get none: a lower count is mostly a late one.
+func (t *Table) contradict(e *entry, n model.MemberUpdate, from model.VMID) bool {
 	// The record of a VM that both hold for dead does not matter.
 	same := n.Member == nil || !n.Member.Alive && !e.member.Alive
 	if !same {
@@ -216,13 +216,13 @@
 		same = compare(m, *n.Member) == Unchanged
 	}
 	if n.Beat < e.beat {
-		e.quoteTo, e.news = from, t.beat
+		e.quoteTo, e.counted = from, t.beat
 	}
 	return same
 }
 
-// rise applies news with a higher count than known.
-func (t *Table) rise(e *entry, n model.MemberNews, outside bool, now time.Time) Change {
+// rise applies an update with a higher count than known.
+func (t *Table) rise(e *entry, n model.MemberUpdate, outside bool, now time.Time) Change {
 	old := e.member
 	if n.Member != nil {
 		e.member = *n.Member
@@ -247,12 +247,12 @@
 	first := outside && !e.outside
 	e.beat, e.outside, e.quoteTo = n.Beat, outside, ""
 	if !outside || now.Sub(e.relayed) >= relayInterval {
-		e.news, e.relayed = t.beat, now
+		e.counted, e.relayed = t.beat, now
 	}
 	died := n.Member != nil && !n.Member.Alive
 	e.member.Alive = !died && t.silent(e, now) < t.deadAfter(e.member)
 	if e.member.Alive && (!old.Alive || first) {
-		// Others did not learn the record from this VM while the VM was dead or told of by another one.
+		// Others did not learn the record from this VM while the VM was dead or relayed by another one.
 		e.changed, e.loaded = t.beat, t.beat
 	}
 	return compare(old, e.member)
--- a/decisions/member/loads_test.go
+++ b/decisions/member/loads_test.go
@@ -16,8 +16,8 @@
 	table := member.New(self, nil, 1)
 	far := func(vm model.VMID, beat, epoch uint64, free int) member.Change {
 		m := model.Member{VM: vm, Domain: "b", Region: "s", Alive: true, Holder: model.Epoch{Store: epoch}}
-		n := model.MemberNews{VM: vm, Beat: beat, Member: &m, Load: &model.DomainLoad{FreeGPUs: free}}
-		_, change := table.Heard(model.Digest{News: []model.MemberNews{n}}, now)
+		n := model.MemberUpdate{VM: vm, Beat: beat, Member: &m, Load: &model.DomainLoad{FreeGPUs: free}}
+		_, change := table.Heard(model.Digest{Updates: []model.MemberUpdate{n}}, now)
 		return change
 	}
 	far("v2", 1, 3, 30)
--- a/decisions/member/member.go
+++ b/decisions/member/member.go
@@ -6,7 +6,7 @@
 // The VMs of a failure domain exchange heartbeats with each other. Between failure domains only their speakers
 // do: each tells about the VMs of its failure domain and passes on to them what it learns. Every VM counts its
 // heartbeats, and a VM is alive while its count rises (van Renesse, Minsky and Hayden, "A Gossip-Style Failure
-// Detection Service"). Nobody else raises the count, so that repeated, delayed or quoted news keep no VM alive.
+// Detection Service"). Nobody else raises the count, so that repeated, delayed or quoted updates keep no VM alive.
 package member
 
 import (
@@ -25,7 +25,7 @@
 	// NearDead is the silence after which a VM of the own failure domain is dead. It is longer than the
 	// holder's lease of 3 s, so that a holder is not replaced before its lease has expired.
 	NearDead = 3500 * time.Millisecond
-	// FarDead is the silence after which a VM of another failure domain is dead unless its speaker told so before.
+	// FarDead is the silence after which a VM of another failure domain is dead unless its speaker reported it before.
 	FarDead = 10 * time.Second
 	// relayInterval is the shortest interval at which a mere sign of life from another failure domain is passed on to
 	// the own one: with every second far heartbeat. After the loss of the speaker there, the next one takes over
@@ -34,7 +34,7 @@
 	// suspectAfter is the silence, in intervals, after which a VM is suspected.
 	suspectAfter = 3
 	// forgetAfter is the silence after which the heartbeat count of a dead VM that no source names is forgotten.
-	// News that are delayed for less time cannot revive it.
+	// Updates that are delayed for less time cannot revive it.
 	forgetAfter = time.Minute
 )
 
@@ -69,21 +69,21 @@
 	direct time.Time
 	// advertised and shown are the last addresses in a heartbeat and in the VM list.
 	advertised, shown string
-	// outside is set if the news came from another failure domain; relayed is the local time at which they were last
+	// outside is set if the update came from another failure domain; relayed is the local time at which it was last
 	// marked to be passed on.
 	outside bool
 	relayed time.Time
-	// news, changed and loaded are the own heartbeat counts when the count, the record and the load were learned.
-	news, changed, loaded uint64
-	// seen is the highest count whose digest was processed, told the own one that was last sent to the VM and acked
+	// counted, changed and loaded are the own heartbeat counts when the count, the record and the load were learned.
+	counted, changed, loaded uint64
+	// seen is the highest count whose digest was processed, sentCount the own one that was last sent to the VM and acked
 	// the one that it has processed.
-	seen, told, acked uint64
+	seen, sentCount, acked uint64
 	// order is the highest count of a digest from the VM itself.
 	order uint64
-	// outdated is set after a digest of the VM with a lower count than known, quoteTo names the sender of such news.
+	// outdated is set after a digest of the VM with a lower count than known, quoteTo names the sender of such an update.
 	outdated bool
 	quoteTo  model.VMID
-	// quoted is the highest count of a VM of the own failure domain that others have told.
+	// quoted is the highest count of a VM of the own failure domain that others have sent.
 	quoted uint64
 }
 
--- a/decisions/member/member_test.go
+++ b/decisions/member/member_test.go
@@ -22,7 +22,7 @@
 	quiet = 16 * time.Second
 )
 
-// TestWorld guards against a dead VM that delayed, repeated or quoted news keep alive or revive, against a live VM
+// TestWorld guards against a dead VM that delayed, repeated or quoted updates keep alive or revive, against a live VM
 // that is not seen again after cuts, losses and replacements, against records older than the VM's last, and against
 // records that are sent again and again, and against a view that follows the list instead of the heartbeats.
 func TestWorld(t *testing.T) {
@@ -77,7 +77,7 @@
 					w.list(id, func() bool { return true })
 				}
 				w.advance(quiet)
-				// The last deaths are told on.
+				// The last deaths are relayed.
 				w.advance(2 * member.FarInterval)
 				begun := len(w.past)
 				w.advance(2 * member.FarInterval)
@@ -91,7 +91,7 @@
 				}
 			},
 			"": func(t *rapid.T) {
-				// News of another failure domain pass through two VMs.
+				// Updates of another failure domain pass through two VMs.
 				if bad := w.revived(member.NearDead+slowest+2*tick, member.FarDead+3*(slowest+tick)+tick); len(bad) > 0 {
 					t.Fatalf("%v", bad)
 				}
--- a/decisions/member/world_test.go
+++ b/decisions/member/world_test.go
@@ -249,8 +249,8 @@
 func (w *world) records(first int) int {
 	n := 0
 	for _, p := range w.past[first:] {
-		for _, news := range p.digest.News {
-			if news.Member != nil {
+		for _, update := range p.digest.Updates {
+			if update.Member != nil {
 				n++
 			}
 		}
--- a/services/membership/service.go
+++ b/services/membership/service.go
@@ -53,7 +53,7 @@
 	table *member.Table
 	// unpublished is set while changes of members wait for the next tick.
 	unpublished bool
-	// load is the last load of the own failure domain; it is told while this VM is the holder.
+	// load is the last load of the own failure domain; it is sent while this VM is the holder.
 	load  *model.DomainLoad
 	loads member.LoadFeed
 }
--- a/services/membership/service_test.go
+++ b/services/membership/service_test.go
@@ -46,7 +46,7 @@
 	beats  map[model.VMID]int
 	left   map[model.VMID]bool
 	last   message.MembersChanged
-	// published counts the publications of members, loads holds those of loads, load is the last one that was told.
+	// published counts the publications of members, loads holds those of loads, load is the last one that was sent.
 	published int
 	loads     [][]model.DomainLoad
 	load      *model.DomainLoad
@@ -71,19 +71,19 @@
 		}
 		p.beats[m.VM]++
 		d := m.Body.(message.Heartbeat).Digest
-		p.left[m.VM] = d.News[0].Member != nil && d.News[0].Member.Leaving
-		p.load = d.News[0].Load
+		p.left[m.VM] = d.Updates[0].Member != nil && d.Updates[0].Member.Leaving
+		p.load = d.Updates[0].Load
 		domain := model.FailureDomain("a")
 		if m.VM == "v9" {
 			domain = "b"
 		}
-		n := model.MemberNews{VM: m.VM, Beat: uint64(p.beats[m.VM]), Member: &model.Member{
+		n := model.MemberUpdate{VM: m.VM, Beat: uint64(p.beats[m.VM]), Member: &model.Member{
 			VM: m.VM, Domain: domain, Alive: true, Holder: model.Epoch{Store: 1}, ConfigVersion: p.version,
 		}}
 		if domain == "b" {
 			n.Load = &model.DomainLoad{FreeGPUs: 5}
 		}
-		e.Reply(message.HeartbeatReply{Digest: model.Digest{News: []model.MemberNews{n}}})
+		e.Reply(message.HeartbeatReply{Digest: model.Digest{Updates: []model.MemberUpdate{n}}})
 	case message.LoadsChanged:
 		p.loads = append(p.loads, m.Loads)
 	case publish:
--- a/services/scheduler/leases.go
+++ b/services/scheduler/leases.go
@@ -88,7 +88,7 @@
 }
 
 // forgetWorker drops what a lost worker had reported. Its link renews nothing from then on, so that a renewal
-// must be told again once it has reported.
+// must be sent again once it has reported.
 func (s *Service) forgetWorker(w model.WorkerID) {
 	delete(s.recovery.tasks, w)
 	if s.recovery.renewed[w] {
--- a/services/scheduler/load.go
+++ b/services/scheduler/load.go
@@ -25,8 +25,8 @@
 	c.After(loadEvery, m)
 	now := time.Now()
 	own := s.measureLoad(now)
-	if own != s.told {
-		s.told = own
+	if own != s.published {
+		s.published = own
 		c.Publish(message.LoadChanged{Load: own})
 	}
 	s.beginTransfers(c, own, now)
--- a/services/scheduler/service.go
+++ b/services/scheduler/service.go
@@ -105,9 +105,9 @@
 	quarantined []model.WorkerID
 	outSince    time.Time
 	transfers   transfers
-	// told is the load that was published last, loads are those of all failure domains.
-	told  model.DomainLoad
-	loads []model.DomainLoad
+	// published is the load that was published last, loads are those of all failure domains.
+	published model.DomainLoad
+	loads     []model.DomainLoad
 
 	draining       bool
 	workersChanged bool
@@ -243,7 +243,7 @@
 	s.leases, s.leasesAll = nil, false
 	s.reserved = make(map[model.JobID]bool)
 	s.transfers = newTransfers(s.domain)
-	s.told = model.DomainLoad{}
+	s.published = model.DomainLoad{}
 	s.outSince, s.probeAt = time.Time{}, time.Time{}
 	s.workersChanged = true
 	for _, w := range s.workers {
