Refuse calls of VMs of another installation

Cause: VMs take the VM behind a known address for the one they know. Ruled out: the identifier of the VM alone, because both systems had the same names. Change: the optional setting installation in [vm]; calls between VMs carry it, and a VM refuses another one as not run.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -73,7 +73,7 @@
 		admin.New(l.Admin, m).Spec(),
 		store.New(kv.NewHTTPClient(s.Store, source), m).Spec(),
 		config.New(self, s.Members, m).Spec(),
-		peers.New(self, s.Members, l.Peers, m).Spec(),
+		peers.New(s.Installation, self, s.Members, l.Peers, m).Spec(),
 		membership.New(self, s.Members, vmlist.NewHTTPClient(s.VMList, source)).Spec(),
 		workers.New(s.VM, s.Domain, dialWorker, m).Spec(),
 		scheduler.New(s.Domain, m).Spec(),
--- a/node/settings/reader.go
+++ b/node/settings/reader.go
@@ -86,6 +86,14 @@
 	return v
 }
 
+// optionalName returns "" for an absent key.
+func (r *reader) optionalName(section, key string) string {
+	if !r.file.Section(section).HasKey(key) {
+		return ""
+	}
+	return r.name(section, key)
+}
+
 func (r *reader) address(section, key string) string {
 	v := r.value(section, key)
 	if !isAddress(v) {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -17,6 +17,8 @@
 	VM     model.VMID
 	Domain model.FailureDomain
 	Region model.Region
+	// Installation names the whole system; VMs of another one are refused. It may be empty.
+	Installation string
 	// Listen addresses, each "IP:port".
 	HTTP, Peers, Admin string
 	// TLS is the certificate of the HTTP listener; nil serves plain HTTP.
@@ -73,7 +75,7 @@
 
 // schema lists the known keys of each section; a section without keys accepts any key.
 var schema = map[string][]string{
-	"vm":       {"id", "domain", "region"},
+	"vm":       {"id", "domain", "region", "installation"},
 	"listen":   {"http", "peers", "admin", "tls_certificate", "tls_key"},
 	"platform": {"store", "vmlist"},
 	"peers":    nil,
@@ -110,6 +112,7 @@
 		VM:            model.VMID(r.name("vm", "id")),
 		Domain:        model.FailureDomain(r.name("vm", "domain")),
 		Region:        model.Region(r.name("vm", "region")),
+		Installation:  r.optionalName("vm", "installation"),
 		HTTP:          r.address("listen", "http"),
 		Peers:         r.address("listen", "peers"),
 		Admin:         r.address("listen", "admin"),
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -37,6 +37,10 @@
 	g.Expect(s.MaxBody).To(gomega.Equal(int64(2 << 20)))
 	g.Expect(s.DrainTimeout).To(gomega.Equal(7 * time.Second))
 	g.Expect(s.Verbosity).To(gomega.Equal(2))
+	g.Expect(s.Installation).To(gomega.BeEmpty())
+	s, err = Load([]byte(strings.Replace(valid, "id = v1", "id = v1\ninstallation = north", 1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Installation).To(gomega.Equal("north"))
 }
 
 // TestExample guards against an example file that the daemon refuses.
--- a/services/peers/deliver.go
+++ b/services/peers/deliver.go
@@ -81,7 +81,7 @@
 		l.calls++
 	}
 	done := callDone{delivery: d, vm: to, link: l}
-	req := Request{From: s.self.VM, To: d.forward.To, Body: d.forward.Body}
+	req := Request{From: s.self.VM, To: d.forward.To, Body: d.forward.Body, Installation: s.installation}
 	ctx, cancel := s.begin(&done)
 	c.Spawn(func(service context.Context) kernel.Message {
 		defer context.AfterFunc(service, cancel)()
--- a/services/peers/harness_test.go
+++ b/services/peers/harness_test.go
@@ -76,7 +76,7 @@
 	if len(others) > 0 {
 		self.Domain = "away"
 	}
-	v.service = New(self, others, l, metrics.New())
+	v.service = New("", self, others, l, metrics.New())
 	v.k, err = kernel.New(nil, v.service.Spec(), kernel.Spec{Name: names.Dispatch, Service: v.handler, After: []kernel.Name{names.Peers}})
 	if err != nil {
 		t.Fatal(err)
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -46,6 +46,20 @@
 	}
 }
 
+// TestForeignInstallation guards against a VM of another installation that has taken over a known address and
+// answers under the name of the former VM.
+func TestForeignInstallation(t *testing.T) {
+	g, got := gomega.NewWithT(t), make(kinds, 8)
+	b := newVM(t, "b", nil, got.handle)
+	b.service.installation = "other"
+	b.run()
+	a := newVM(t, "a", []model.Member{b.member}, nil).run()
+	_, f := a.send(message.JobSubmit{}, false, ample)
+	g.Expect(f.Reason).To(gomega.Equal(failure.HomeUnreachable))
+	g.Expect(f.Outcome).To(gomega.Equal(failure.NotRun))
+	g.Expect(got).To(gomega.BeEmpty())
+}
+
 // TestLostThenRefused guards against a refusal of the second attempt that hides that the first one may have
 // been processed.
 func TestLostThenRefused(t *testing.T) {
@@ -210,13 +224,13 @@
 	for fresh, outcome := range map[bool]failure.Outcome{true: failure.NotRun, false: failure.Unknown} {
 		resp = Response{}
 		body := message.RequestSend{Fresh: fresh}
-		g.Expect((&endpoint{context.Background(), b.k}).Deliver(Request{To: "dispatch", Body: body}, &resp)).To(gomega.Succeed())
+		g.Expect((&endpoint{context.Background(), b.k, ""}).Deliver(Request{To: "dispatch", Body: body}, &resp)).To(gomega.Succeed())
 		g.Expect(resp.Failure.Reason).To(gomega.Equal(failure.DeadlineExceeded))
 		g.Expect(resp.Failure.Outcome).To(gomega.Equal(outcome))
 	}
 	g.Expect(deadlines).To(gomega.BeEmpty())
 	resp = Response{}
-	g.Expect((&endpoint{context.Background(), b.k}).Deliver(Request{To: "dispatch", Budget: ample}, &resp)).To(gomega.Succeed())
+	g.Expect((&endpoint{context.Background(), b.k, ""}).Deliver(Request{To: "dispatch", Budget: ample}, &resp)).To(gomega.Succeed())
 	g.Expect(resp.Failure.Reason).To(gomega.Equal(failure.Malformed))
 }
 
--- a/services/peers/service.go
+++ b/services/peers/service.go
@@ -72,17 +72,19 @@
 
 // Service owns the connections to the other entry VMs.
 type Service struct {
-	self     model.Member
-	listener net.Listener
-	metrics  *metrics.Set
-	holder   bool
-	members  map[model.VMID]model.Member
-	links    map[model.VMID]*link
-	circuits map[model.VMID]*circuit
-	budget   retry.Budget
-	random   *rand.Rand
-	calls    int
-	draining bool
+	self model.Member
+	// installation is sent with each call and required of each caller.
+	installation string
+	listener     net.Listener
+	metrics      *metrics.Set
+	holder       bool
+	members      map[model.VMID]model.Member
+	links        map[model.VMID]*link
+	circuits     map[model.VMID]*circuit
+	budget       retry.Budget
+	random       *rand.Rand
+	calls        int
+	draining     bool
 	// attempts are the remote calls in flight by number.
 	attempts    map[uint64]attempt
 	lastAttempt uint64
@@ -91,10 +93,10 @@
 	server *rpc.Server
 }
 
-// New returns the service of one VM with the peers that its settings name. It takes over the listener.
-func New(self model.Member, peers []model.Member, l net.Listener, m *metrics.Set) *Service {
+// New returns the service of one VM of an installation with the peers that its settings name. It takes over the listener.
+func New(installation string, self model.Member, peers []model.Member, l net.Listener, m *metrics.Set) *Service {
 	s := &Service{
-		self: self, listener: l, metrics: m,
+		self: self, installation: installation, listener: l, metrics: m,
 		members: make(map[model.VMID]model.Member),
 		links:   make(map[model.VMID]*link), circuits: make(map[model.VMID]*circuit),
 		attempts: make(map[uint64]attempt),
@@ -117,10 +119,11 @@
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
 	caller, post, listener, server := c.Caller(), c.Post(), s.listener, s.server
+	installation := s.installation
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { listener.Close() })
 		defer stop()
-		if err := server.RegisterName("Peer", &endpoint{ctx: ctx, caller: caller}); err != nil {
+		if err := server.RegisterName("Peer", &endpoint{ctx, caller, installation}); err != nil {
 			return nil
 		}
 		for {
--- a/services/peers/wire.go
+++ b/services/peers/wire.go
@@ -18,6 +18,8 @@
 	From model.VMID
 	To   string
 	Body kernel.Message
+	// Installation is that of the caller.
+	Installation string
 	// Budget is the time that the caller still waits. Clocks of VMs are not compared.
 	Budget time.Duration
 }
@@ -32,11 +34,17 @@
 type endpoint struct {
 	ctx    context.Context
 	caller kernel.Caller
+	// installation is the only one whose calls are accepted.
+	installation string
 }
 
 // Deliver passes a message to a local service and returns its answer.
 func (p *endpoint) Deliver(req Request, resp *Response) error {
 	switch {
+	case req.Installation != p.installation:
+		// Its VMs may have the names of this one. An address passes on when a VM is replaced.
+		resp.Failure = message.Unreached(req.Body, failure.New(failure.HomeUnreachable, "the VM belongs to installation %q", p.installation))
+		return nil
 	case req.Body == nil:
 		resp.Failure = failure.New(failure.Malformed, "the call has no message")
 		return nil
--- a/tests/process/fleet_test.go
+++ b/tests/process/fleet_test.go
@@ -133,8 +133,8 @@
 		}
 	}
 	for i, v := range f.vms {
-		text := fmt.Sprintf("[vm]\nid = %s\ndomain = %s\nregion = %s\n[listen]\nhttp = %s\npeers = %s\nadmin = %s\n[platform]\nstore = %s\nvmlist = %s\n[peers]\n",
-			v.id, v.domain, v.domain, places[i].http, places[i].peers, places[i].admin, f.store, f.vmlist)
+		text := fmt.Sprintf("[vm]\ninstallation = test-%d\nid = %s\ndomain = %s\nregion = %s\n[listen]\nhttp = %s\npeers = %s\nadmin = %s\n[platform]\nstore = %s\nvmlist = %s\n[peers]\n",
+			os.Getpid(), v.id, v.domain, v.domain, places[i].http, places[i].peers, places[i].admin, f.store, f.vmlist)
 		for j, o := range f.vms {
 			if i == j {
 				continue
