--- a/api/model/ids.go
+++ b/api/model/ids.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"fmt"
+	"strings"
 )
 
 // Identifiers of the things that verbenaflow schedules on and for.
@@ -26,6 +27,18 @@
 	RequestID string
 )
 
+// NewJobID returns the identifier "domain/unique" of a job of a failure domain.
+func NewJobID(d FailureDomain, unique string) JobID { return JobID(string(d) + "/" + unique) }
+
+// Domain returns the failure domain of a job, or "" for a malformed identifier.
+func (id JobID) Domain() FailureDomain {
+	domain, _, ok := strings.Cut(string(id), "/")
+	if !ok {
+		return ""
+	}
+	return FailureDomain(domain)
+}
+
 // Epoch is a fencing token for commands of a failure domain's holder. A receiver refuses a command whose
 // epoch is lower than one it has accepted. The zero value is lower than every granted epoch.
 type Epoch struct {
--- a/bench/domains.go
+++ b/bench/domains.go
@@ -1,16 +1,10 @@
 package bench
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
-	"strconv"
-	"text/tabwriter"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/verbenaflow/verbenaflow/decisions/domains"
 	"github.com/verbenaflow/verbenaflow/decisions/plan"
 )
@@ -82,30 +76,16 @@
 	if err != nil {
 		return err
 	}
-	records := [][]string{domainHeader}
-	table := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.AlignRight)
+	c := comparison{header: domainHeader, decimals: 4, loads: o.Loads, seeds: o.Seeds}
 	for _, s := range scenarios {
-		for _, load := range o.Loads {
-			_, _ = fmt.Fprintf(table, "\n%s, load %.2f, seeds %v\nvariant\t", s.name, load, o.Seeds)
-			for _, h := range domainHeader[4:] {
-				_, _ = fmt.Fprintf(table, "%s\t", h)
-			}
-			_, _ = fmt.Fprintln(table)
-			for _, v := range chosen {
-				var rows [][]float64
-				for _, seed := range o.Seeds {
-					row := s.run(load, seed, v)
-					rows = append(rows, row)
-					records = append(records, domainRecord(s, load, v, seed, row))
-				}
-				printRow(table, v.name, rows)
-			}
-			if err := table.Flush(); err != nil {
-				return errors.Wrap(err, "write the table")
-			}
-		}
+		c.sizes = append(c.sizes, s.name)
+	}
+	for _, v := range chosen {
+		c.cases = append(c.cases, v.name)
 	}
-	return writeCSV(csvPath, records)
+	return c.print(w, csvPath, func(size, i int, load float64, seed uint64) []float64 {
+		return scenarios[size].run(load, seed, chosen[i])
+	})
 }
 
 func (o *DomainOptions) complete() ([]domainScenario, []variant, error) {
@@ -115,30 +95,14 @@
 	if len(o.Loads) == 0 {
 		o.Loads = []float64{0.7, 0.95}
 	}
-	ss, err := selected(domainScenarios, o.Scenarios, func(s domainScenario) string { return s.name })
+	ss, err := selected(domainScenarios, o.Scenarios, "name", func(s domainScenario) string { return s.name })
 	if err != nil {
 		return nil, nil, err
 	}
-	vs, err := selected(variants, o.Variants, func(v variant) string { return v.name })
+	vs, err := selected(variants, o.Variants, "name", func(v variant) string { return v.name })
 	return ss, vs, err
 }
 
-// selected returns the values with the given names, all if there are no names.
-func selected[T any](all []T, names []string, name func(T) string) ([]T, error) {
-	if len(names) == 0 {
-		return all, nil
-	}
-	var out []T
-	for _, n := range names {
-		i := slices.IndexFunc(all, func(v T) bool { return name(v) == n })
-		if i < 0 {
-			return nil, errors.Newf("unknown name %q", n)
-		}
-		out = append(out, all[i])
-	}
-	return out, nil
-}
-
 // run returns the figures of one run in the order of the header. The work of the window is without what transfers
 // gave up in it.
 func (s domainScenario) run(load float64, seed uint64, v variant) []float64 {
@@ -161,11 +125,3 @@
 		float64(m.unfinished), float64(len(m.completion)),
 	}
 }
-
-func domainRecord(s domainScenario, load float64, v variant, seed uint64, row []float64) []string {
-	out := []string{s.name, fmt.Sprint(load), v.name, strconv.FormatUint(seed, 10)}
-	for _, f := range row {
-		out = append(out, strconv.FormatFloat(f, 'f', 4, 64))
-	}
-	return out
-}
--- a/bench/outage.go
+++ b/bench/outage.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -58,7 +57,7 @@
 				for _, seed := range seeds {
 					row := runOutage(s, load, d, seed)
 					rows = append(rows, row)
-					records = append(records, outageRecord(s, load, d, seed, row))
+					records = append(records, record(4, row, s.name, fmt.Sprint(load), fmt.Sprint(d.Minutes()), fmt.Sprint(seed)))
 				}
 				printRow(table, fmt.Sprintf("%s\t%.2f\t%.0f", s.name, load, d.Minutes()), rows)
 			}
@@ -108,11 +107,3 @@
 		o.affected = append(o.affected, now.Sub(submitted).Seconds())
 	}
 }
-
-func outageRecord(s scenario, load float64, d time.Duration, seed uint64, row []float64) []string {
-	out := []string{s.name, fmt.Sprint(load), fmt.Sprint(d.Minutes()), strconv.FormatUint(seed, 10)}
-	for _, v := range row {
-		out = append(out, strconv.FormatFloat(v, 'f', 4, 64))
-	}
-	return out
-}
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -113,22 +113,46 @@
 	if err != nil {
 		return err
 	}
-	records := [][]string{header}
-	table := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.AlignRight)
+	c := comparison{header: header, decimals: 3, loads: o.Loads, seeds: o.Seeds}
 	for _, s := range chosen {
-		for _, load := range o.Loads {
-			_, _ = fmt.Fprintf(table, "\n%s, load %.2f, seeds %v\n", s.name, load, o.Seeds)
-			_, _ = fmt.Fprint(table, "policy\t")
-			for _, h := range header[4:] {
+		c.sizes = append(c.sizes, s.name)
+	}
+	for _, p := range policies {
+		c.cases = append(c.cases, p.name)
+	}
+	return c.print(w, csvPath, func(size, i int, load float64, seed uint64) []float64 {
+		return runPolicy(chosen[size], load, policies[i], seed)
+	})
+}
+
+// comparison drives cases over sizes, loads and seeds. The header begins with the names of these four.
+type comparison struct {
+	header       []string
+	decimals     int
+	sizes, cases []string
+	loads        []float64
+	seeds        []uint64
+}
+
+// print writes a table of means over the seeds to w, and one line per run to csvPath unless that is empty.
+func (c comparison) print(w io.Writer, csvPath string, run func(size, i int, load float64, seed uint64) []float64) error {
+	records := [][]string{c.header}
+	table := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.AlignRight)
+	for size, sizeName := range c.sizes {
+		for _, load := range c.loads {
+			_, _ = fmt.Fprintf(table, "\n%s, load %.2f, seeds %v\n%s\t", sizeName, load, c.seeds, c.header[2])
+			for _, h := range c.header[4:] {
 				_, _ = fmt.Fprintf(table, "%s\t", h)
 			}
 			_, _ = fmt.Fprintln(table)
-			for _, p := range policies {
-				rows := o.run(s, load, p)
-				for i, row := range rows {
-					records = append(records, record(s, load, p, o.Seeds[i], row))
+			for i, name := range c.cases {
+				var rows [][]float64
+				for _, seed := range c.seeds {
+					row := run(size, i, load, seed)
+					rows = append(rows, row)
+					records = append(records, record(c.decimals, row, sizeName, fmt.Sprint(load), name, fmt.Sprint(seed)))
 				}
-				printRow(table, p.name, rows)
+				printRow(table, name, rows)
 			}
 			if err := table.Flush(); err != nil {
 				return errors.Wrap(err, "write the table")
@@ -145,33 +169,34 @@
 	if len(o.Loads) == 0 {
 		o.Loads = []float64{0.7, 0.95}
 	}
-	if len(o.Scenarios) == 0 {
-		return scenarios, nil
+	return selected(scenarios, o.Scenarios, "scenario", func(s scenario) string { return s.name })
+}
+
+// selected returns the values with the given names, all if there are no names. kind says what is named.
+func selected[T any](all []T, names []string, kind string, name func(T) string) ([]T, error) {
+	if len(names) == 0 {
+		return all, nil
 	}
-	var out []scenario
-	for _, name := range o.Scenarios {
-		i := slices.IndexFunc(scenarios, func(s scenario) bool { return s.name == name })
+	var out []T
+	for _, n := range names {
+		i := slices.IndexFunc(all, func(v T) bool { return name(v) == n })
 		if i < 0 {
-			return nil, errors.Newf("unknown scenario %q", name)
+			return nil, errors.Newf("unknown %s %q", kind, n)
 		}
-		out = append(out, scenarios[i])
+		out = append(out, all[i])
 	}
 	return out, nil
 }
 
-// run returns one row per seed.
-func (o *PolicyOptions) run(s scenario, load float64, p policy) [][]float64 {
+// runPolicy returns the figures of one run in the order of the header.
+func runPolicy(s scenario, load float64, p policy, seed uint64) []float64 {
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	var rows [][]float64
-	for _, seed := range o.Seeds {
-		l := newLoop(s, start, rand.New(rand.NewPCG(seed, 0)), load, func(d int) planner {
-			pl := p.make(domainName(d))
-			pl.SetPolicy(s.policy(p.defragment))
-			return pl
-		})
-		rows = append(rows, l.simulate().row(s))
-	}
-	return rows
+	l := newLoop(s, start, rand.New(rand.NewPCG(seed, 0)), load, func(d int) planner {
+		pl := p.make(domainName(d))
+		pl.SetPolicy(s.policy(p.defragment))
+		return pl
+	})
+	return l.simulate().row(s)
 }
 
 func printRow(w io.Writer, name string, rows [][]float64) {
@@ -186,12 +211,12 @@
 	_, _ = fmt.Fprintln(w)
 }
 
-func record(s scenario, load float64, p policy, seed uint64, row []float64) []string {
-	out := []string{s.name, fmt.Sprint(load), p.name, strconv.FormatUint(seed, 10)}
+// record returns a line of the CSV file: the names of the run and its figures.
+func record(decimals int, row []float64, names ...string) []string {
 	for _, v := range row {
-		out = append(out, strconv.FormatFloat(v, 'f', 3, 64))
+		names = append(names, strconv.FormatFloat(v, 'f', decimals, 64))
 	}
-	return out
+	return names
 }
 
 func writeCSV(path string, records [][]string) error {
--- a/bench/slopes/holder.go
+++ b/bench/slopes/holder.go
@@ -64,8 +64,7 @@
 // service that publishes what they would.
 type holder struct {
 	kernel *kernel.Kernel
-	wg     conc.WaitGroup
-	cancel context.CancelCauseFunc
+	stop   func(cause error) error
 	// exchanges counts calls to workers.
 	exchanges atomic.Int64
 	// commanded counts those with commands, commands the commands.
@@ -101,17 +100,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "holder")
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	h.kernel, h.cancel = k, cancel
-	h.wg.Go(func() { _ = k.Run(ctx) })
-	<-k.Started()
+	stop, err := k.Start()
+	if err != nil {
+		return nil, errors.Wrap(err, "holder")
+	}
+	h.kernel, h.stop = k, stop
 	return h, nil
 }
 
 // abort ends the holder at once, as the loss of its VM does.
 func (h *holder) abort() {
-	h.cancel(&kernel.AbortError{})
-	h.wg.Wait()
+	_ = h.stop(&kernel.AbortError{})
 }
 
 // submit queues n jobs of one task each and returns once they are durable.
--- a/decisions/domains/domains.go
+++ b/decisions/domains/domains.go
@@ -98,8 +98,8 @@
 	for _, w := range x.candidates(waiting) {
 		if t := x.target(w); t != nil && len(out) < n {
 			out = append(out, Transfer{Job: w.Job, Target: t.Domain})
-			*t = Expect(*t, w.Spec, r.Herd)
-			x.own = Expect(x.own, w.Spec, -1)
+			*t = withJobs(*t, w.Spec, r.Herd)
+			x.own = withJobs(x.own, w.Spec, -1)
 		}
 	}
 	return out
--- a/decisions/domains/rules.go
+++ b/decisions/domains/rules.go
@@ -59,9 +59,18 @@
 // gpus is the size of a job in pressures; a job without accelerators counts as one.
 func gpus(s model.JobSpec) int { return max(1, s.GPUs()) }
 
-// Expect returns a load with the expected effect of n submissions like spec. Callers use it for jobs that they have
-// sent to a failure domain since its load was learned.
-func Expect(l model.DomainLoad, spec model.JobSpec, n int) model.DomainLoad {
+// Expect counts a job that was sent to a failure domain in the load of that, until a new load is learned. Otherwise
+// the jobs of a burst all go to one failure domain.
+func Expect(loads []model.DomainLoad, d model.FailureDomain, spec model.JobSpec) {
+	for i := range loads {
+		if loads[i].Domain == d {
+			loads[i] = withJobs(loads[i], spec, 1)
+		}
+	}
+}
+
+// withJobs returns a load with n more waiting jobs.
+func withJobs(l model.DomainLoad, spec model.JobSpec, n int) model.DomainLoad {
 	l.QueuedGPUs += n * gpus(spec)
 	l.QueuedJobs += n
 	return l
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -138,6 +138,30 @@
 	return cmp.Or(err, k.failure())
 }
 
+// Start runs the kernel in the background and returns once all services have started. stop ends it like a context of
+// Run that ends with this cause, waits for it and returns the result of Run. The error is that of Run.
+func (k *Kernel) Start() (stop func(cause error) error, err error) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	ended := make(chan struct{})
+	var result error
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		defer close(ended)
+		result = k.Run(ctx)
+	})
+	stop = func(cause error) error {
+		cancel(cause)
+		<-ended
+		return result
+	}
+	select {
+	case <-k.started:
+		return stop, nil
+	case <-ended:
+		return nil, stop(nil)
+	}
+}
+
 // fail records the first failure and stops the kernel.
 func (k *Kernel) fail(err error) {
 	select {
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -117,6 +117,21 @@
 	})
 }
 
+// TestBackground guards against a wait without end for services that do not start, and against a lost result.
+func TestBackground(t *testing.T) {
+	g, cause := gomega.NewWithT(t), errors.New("no address")
+	k, err := New(nil, Spec{Name: "a", Service: &fake{start: func(*Context) error { return cause }}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = k.Start()
+	g.Expect(err).To(gomega.MatchError(cause))
+	k, err = New(nil, Spec{Name: "a", Service: &fake{}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	stop, err := k.Start()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(stop(nil)).To(gomega.Succeed())
+	g.Expect(stop(nil)).To(gomega.Succeed())
+}
+
 // TestRegistration guards against a kernel that starts with services it cannot order.
 func TestRegistration(t *testing.T) {
 	for _, specs := range [][]Spec{
--- a/services/authority/service_test.go
+++ b/services/authority/service_test.go
@@ -1,7 +1,6 @@
 package authority_test
 
 import (
-	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -163,11 +162,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- k.Run(ctx) }()
-	<-k.Started()
-	return &vm{k: k, f: f, stop: sync.OnceFunc(func() { cancel(); <-done })}
+	end, err := k.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &vm{k: k, f: f, stop: sync.OnceFunc(func() { _ = end(nil) })}
 }
 
 func settle(d time.Duration) {
--- a/services/httpapi/gate.go
+++ b/services/httpapi/gate.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
 )
 
 // gate counts the calls in progress and refuses new work once it is closed. Reads stay permitted, so that
@@ -65,6 +66,15 @@
 // on its body.
 func refusesItself(path string) bool { return path == requestsPath || path == jobsPath }
 
+// refuses answers a submission with a refusal if the gate is closed, and reports whether it did.
+func (g *gate) refuses(a *api, w http.ResponseWriter, body any) bool {
+	if !g.closed.Load() {
+		return false
+	}
+	a.fail(w, a.metrics.Refusal(message.Unreached(body, draining())))
+	return true
+}
+
 // draining returns the refusal of new work during a graceful shutdown.
 func draining() *failure.Error {
 	e := failure.New(failure.Draining, "this VM is shutting down")
--- a/services/httpapi/httpapi_test.go
+++ b/services/httpapi/httpapi_test.go
@@ -148,9 +148,8 @@
 	spec.After = nil
 	k, err := kernel.New(nil, spec)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- k.Run(ctx) }()
+	stop, err := k.Start()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	resp, err := lender.Client().Get("https://" + l.Addr().String() + "/v1/status")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	resp.Body.Close()
@@ -159,8 +158,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	resp.Body.Close()
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusBadRequest), "plain HTTP on a TLS listener")
-	cancel()
-	g.Expect(<-ended).To(gomega.Succeed())
+	g.Expect(stop(nil)).To(gomega.Succeed())
 }
 
 // holders stands for the holders of several failure domains.
@@ -171,7 +169,7 @@
 	switch b := f.Body.(type) {
 	case message.JobStatus:
 		j, known := h[b.Job]
-		if !known || domainOf(b.Job) != f.Domain {
+		if !known || b.Job.Domain() != f.Domain {
 			return nil, failure.New(failure.NotFound, "%s", b.Job)
 		}
 		return message.JobReply{Job: j}, nil
--- a/services/httpapi/jobs.go
+++ b/services/httpapi/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -18,8 +17,7 @@
 	if !a.read(w, r, &spec) {
 		return
 	}
-	if a.gate.closed.Load() {
-		a.fail(w, a.metrics.Refusal(message.Unreached(message.JobSubmit{Spec: spec}, draining())))
+	if a.gate.refuses(a, w, message.JobSubmit{Spec: spec}) {
 		return
 	}
 	c := newCall(r, defaultTimeout)
@@ -57,7 +55,7 @@
 
 func (a *api) showJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	id := model.JobID(r.URL.Query().Get("id"))
-	if domainOf(id) == "" {
+	if id.Domain() == "" {
 		a.refuse(w, failure.Malformed, "job %q is not of the form %q", id, "DOMAIN/ID")
 		return
 	}
@@ -72,16 +70,7 @@
 }
 
 func statusOf(id model.JobID) message.Forward {
-	return message.Forward{Domain: domainOf(id), To: names.Scheduler, Idempotent: true, Body: message.JobStatus{Job: id}}
-}
-
-// domainOf returns the failure domain of a job, or "" for a malformed identifier.
-func domainOf(id model.JobID) model.FailureDomain {
-	domain, _, ok := strings.Cut(string(id), "/")
-	if !ok {
-		return ""
-	}
-	return model.FailureDomain(domain)
+	return message.Forward{Domain: id.Domain(), To: names.Scheduler, Idempotent: true, Body: message.JobStatus{Job: id}}
 }
 
 // CancelBody is the body of a cancellation. All jobs belong to one failure domain.
@@ -99,9 +88,9 @@
 		a.refuse(w, failure.Malformed, "an account and at least one job are expected")
 		return
 	}
-	domain := domainOf(in.Jobs[0])
+	domain := in.Jobs[0].Domain()
 	for _, id := range in.Jobs {
-		if d := domainOf(id); d == "" || d != domain {
+		if d := id.Domain(); d == "" || d != domain {
 			a.refuse(w, failure.Malformed, "job %q is not of the form %q", id, domain+"/ID")
 			return
 		}
--- a/services/httpapi/moved.go
+++ b/services/httpapi/moved.go
@@ -17,7 +17,7 @@
 // job, whose MovedTo tells where the work went.
 func (a *api) follow(c call, j model.Job) model.Job {
 	for range maxHops {
-		if j.State != model.JobMoved || domainOf(j.MovedTo) == "" {
+		if j.State != model.JobMoved || j.MovedTo.Domain() == "" {
 			break
 		}
 		reply, err := ask[message.JobReply](a, c, statusOf(j.MovedTo))
@@ -45,7 +45,7 @@
 				return nil, failure.OfDelivery(err).WithOutcome(failure.Unknown)
 			}
 			for _, j := range jobs {
-				if j.State == model.JobMoved && domainOf(j.MovedTo) != "" && hop < maxHops {
+				if j.State == model.JobMoved && j.MovedTo.Domain() != "" && hop < maxHops {
 					moved = append(moved, j)
 					continue
 				}
@@ -60,7 +60,7 @@
 // cancelIn cancels jobs of one failure domain.
 func (a *api) cancelIn(c call, account model.AccountID, ids []model.JobID) ([]model.Job, error) {
 	reply, err := ask[message.JobsReply](a, c, message.Forward{
-		Domain: domainOf(ids[0]), To: names.Scheduler, Idempotent: true,
+		Domain: ids[0].Domain(), To: names.Scheduler, Idempotent: true,
 		Body: message.JobCancel{Account: account, Jobs: ids},
 	})
 	return reply.Jobs, err
@@ -75,7 +75,7 @@
 	slices.Sort(next) // An identifier begins with its failure domain.
 	var out [][]model.JobID
 	for i, id := range next {
-		if i == 0 || domainOf(id) != domainOf(next[i-1]) {
+		if i == 0 || id.Domain() != next[i-1].Domain() {
 			out = append(out, nil)
 		}
 		out[len(out)-1] = append(out[len(out)-1], id)
--- a/services/httpapi/requests.go
+++ b/services/httpapi/requests.go
@@ -80,8 +80,7 @@
 		Repeatable: in.Repeatable, Payload: in.Payload, Deadline: time.Now().Add(timeout),
 	}
 	f.Body = message.RequestSend{Request: req, Ticket: ticket, Fresh: in.Fresh}
-	if a.gate.closed.Load() {
-		a.fail(w, a.metrics.Refusal(message.Unreached(f.Body, draining())))
+	if a.gate.refuses(a, w, f.Body) {
 		return
 	}
 	if reply, ok := forward[message.RequestReply](a, w, r, f, timeout); ok {
--- a/services/membership/service_test.go
+++ b/services/membership/service_test.go
@@ -101,14 +101,10 @@
 		message.KindMembersChanged, message.KindLoadsChanged,
 	}})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- k.Run(ctx) }()
+	stop, err := k.Start()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	pass(time.Millisecond)
-	return p, k, func() {
-		cancel()
-		g.Expect(<-done).To(gomega.Succeed())
-	}
+	return p, k, func() { g.Expect(stop(nil)).To(gomega.Succeed()) }
 }
 
 func pass(d time.Duration) {
--- a/services/routing/service.go
+++ b/services/routing/service.go
@@ -95,7 +95,7 @@
 // submit sends a submission to the first candidate and, after a refusal that another one may not give, to the next.
 func (s *Service) submit(c *kernel.Context, e kernel.Envelope, f message.Forward, candidates []model.FailureDomain) {
 	f.Domain = candidates[0]
-	s.expect(f.Domain, f.Body.(message.JobSubmit).Spec)
+	domains.Expect(s.loads, f.Domain, f.Body.(message.JobSubmit).Spec)
 	rest := slices.Clone(candidates[1:])
 	c.Request(names.Peers, f, func(reply kernel.Message, err error) {
 		if err == nil || len(rest) == 0 || !s.mayTryNext(err, f.Deadline) {
@@ -109,16 +109,6 @@
 	})
 }
 
-// expect counts a submission in the load of its failure domain until the next load arrives, so that the jobs of a
-// burst do not all choose the same one.
-func (s *Service) expect(d model.FailureDomain, spec model.JobSpec) {
-	for i, l := range s.loads {
-		if l.Domain == d {
-			s.loads[i] = domains.Expect(l, spec, 1)
-		}
-	}
-}
-
 // mayTryNext reports whether a refused submission may be tried in another failure domain.
 func (s *Service) mayTryNext(err error, deadline time.Time) bool {
 	f := failure.From(err)
--- a/services/routing/service_test.go
+++ b/services/routing/service_test.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -41,18 +40,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- k.Run(ctx) }()
-	<-k.Started()
+	stop, err := k.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
 	loads := message.LoadsChanged{Loads: []model.DomainLoad{{Domain: "a", Region: "r", Out: true, GPUs: 16}}}
 	for _, d := range []model.FailureDomain{"b", "c"} {
 		loads.Loads = append(loads.Loads, model.DomainLoad{Domain: d, Region: "r", Starts: true, GPUs: 16, FreeGPUs: 16, FreeWorkers: 2, Heard: time.Now()})
 	}
 	_ = k.Send(names.Routing, loads)
-	_, _ = k.Call(ctx, names.Routing, message.JobRoute{Spec: spec, Deadline: time.Now().Add(10 * time.Second)})
-	cancel()
-	<-done
+	_, _ = k.Call(t.Context(), names.Routing, message.JobRoute{Spec: spec, Deadline: time.Now().Add(10 * time.Second)})
+	_ = stop(nil)
 	return p.got
 }
 
--- a/services/scheduler/calls.go
+++ b/services/scheduler/calls.go
@@ -76,7 +76,7 @@
 		return
 	}
 	j := &job{Job: model.Job{
-		ID: model.JobID(string(s.domain) + "/" + uuid.NewString()), Spec: spec, Domain: s.domain,
+		ID: model.NewJobID(s.domain, uuid.NewString()), Spec: spec, Domain: s.domain,
 		State: model.JobQueued, Submitted: time.Now(),
 	}}
 	j.since = j.Submitted
--- a/services/scheduler/gauges.go
+++ b/services/scheduler/gauges.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math/bits"
 	"slices"
 
 	"k8s.io/klog/v2"
@@ -51,7 +50,6 @@
 // reportGauges sets the gauges of jobs by state and of accelerators.
 func (s *Service) reportGauges() {
 	counts := make(map[model.JobState]int64)
-	occupied := make(map[model.WorkerID]model.GPUMask)
 	byAccount := make(map[model.AccountID]int)
 	for _, j := range s.jobs {
 		if !j.confirmed {
@@ -62,16 +60,27 @@
 			continue
 		}
 		byAccount[j.Spec.Account] += j.Spec.GPUs()
-		for _, slot := range j.Placement {
-			occupied[slot.Worker] |= slot.GPUs
-		}
 	}
 	for _, state := range jobStates {
 		s.metrics.Gauge("jobs_"+string(state), counts[state])
 	}
 	s.metrics.Gauge("jobs_ended_kept", int64(len(s.ended)+len(s.moved)))
 	s.metrics.Gauge("gpus_borrowed", int64(s.borrowed(byAccount)))
-	s.reportCells(occupied)
+	s.reportCells(s.occupied())
+}
+
+// occupied returns the accelerators in use by worker. A worker whose tasks use none has an entry, too.
+func (s *Service) occupied() map[model.WorkerID]model.GPUMask {
+	out := make(map[model.WorkerID]model.GPUMask)
+	for _, j := range s.jobs {
+		if j.gang == nil {
+			continue
+		}
+		for _, slot := range j.Placement {
+			out[slot.Worker] |= slot.GPUs
+		}
+	}
+	return out
 }
 
 // borrowed returns the accelerators that accounts use beyond their guarantees.
@@ -112,7 +121,7 @@
 	used := 0
 	for _, w := range known {
 		mask := occupied[w.ID]
-		used += bits.OnesCount8(uint8(mask))
+		used += mask.Count()
 		if i, ok := topo.Index(w.ID); ok {
 			free.Set(i, ^mask)
 		}
--- a/services/scheduler/load.go
+++ b/services/scheduler/load.go
@@ -39,26 +39,21 @@
 		Domain: s.domain, Out: s.config.Config.IsOut(s.domain),
 		Starts: !blocked && s.recovery == nil && !s.draining,
 	}
-	used := make(map[model.WorkerID]int)
 	for _, j := range s.jobs {
-		switch {
-		case j.gang != nil:
-			for _, slot := range j.Placement {
-				used[slot.Worker] += slot.GPUs.Count()
-			}
-		case j.State == model.JobQueued && j.confirmed:
+		if j.gang == nil && j.State == model.JobQueued && j.confirmed {
 			l.QueuedJobs++
 			l.QueuedGPUs += j.Spec.GPUs()
 		}
 	}
+	occupied := s.occupied()
 	for _, id := range s.order {
 		if w := s.workers[id]; !w.reported || !s.tracker.Usable(id, now) {
 			continue
 		}
-		n, occupied := used[id]
+		used, busy := occupied[id]
 		l.GPUs += model.GPUsPerWorker
-		l.FreeGPUs += model.GPUsPerWorker - n
-		if !occupied {
+		l.FreeGPUs += model.GPUsPerWorker - used.Count()
+		if !busy {
 			l.FreeWorkers++
 		}
 	}
--- a/services/scheduler/transfers_source.go
+++ b/services/scheduler/transfers_source.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -45,16 +44,9 @@
 		}
 	}
 	for _, t := range domains.Transfers(own, s.loads, s.movable(), s.transfers.source.Undecided(), now) {
-		s.beginTransfer(c, s.jobs[t.Job], t.Target, now)
-		s.expect(t)
-	}
-}
-
-// expect counts a transfer in the load of its target until the next load arrives.
-func (s *Service) expect(t domains.Transfer) {
-	for i, l := range s.loads {
-		if j := s.jobs[t.Job]; j != nil && l.Domain == t.Target {
-			s.loads[i] = domains.Expect(l, j.Spec, 1)
+		if j := s.jobs[t.Job]; j != nil {
+			s.beginTransfer(c, j, t.Target, now)
+			domains.Expect(s.loads, t.Target, j.Spec)
 		}
 	}
 }
@@ -76,9 +68,6 @@
 }
 
 func (s *Service) beginTransfer(c *kernel.Context, j *job, to model.FailureDomain, now time.Time) {
-	if j == nil {
-		return
-	}
 	actions := s.transfers.source.Begin(j.ID, to, now)
 	if len(actions) == 0 {
 		return
@@ -220,9 +209,8 @@
 		return
 	}
 	epoch := s.epoch
-	domain, _, _ := strings.Cut(string(to), "/")
 	f := message.Forward{
-		Domain: model.FailureDomain(domain), To: names.Scheduler, Idempotent: true, Deadline: time.Now().Add(transferTimeout),
+		Domain: to.Domain(), To: names.Scheduler, Idempotent: true, Deadline: time.Now().Add(transferTimeout),
 		Body: message.JobCancel{Account: j.Spec.Account, Jobs: []model.JobID{to}},
 	}
 	c.Request(names.Peers, f, func(reply kernel.Message, err error) {
--- a/services/scheduler/transfers_target.go
+++ b/services/scheduler/transfers_target.go
@@ -88,7 +88,7 @@
 		return nil, transfer.Decision{Reason: f.Reason.Code()}
 	}
 	j := &job{Job: model.Job{
-		ID: model.JobID(string(s.domain) + "/" + uuid.NewString()), Spec: m.Job.Spec, Domain: s.domain,
+		ID: model.NewJobID(s.domain, uuid.NewString()), Spec: m.Job.Spec, Domain: s.domain,
 		State: model.JobQueued, Submitted: m.Job.Submitted, Origin: m.Job.ID,
 	}, confirmed: true, since: now, transfers: m.Transfers, lastTransfer: now}
 	return j, transfer.Decision{Accepted: true, Job: j.ID}
--- a/services/store/service_test.go
+++ b/services/store/service_test.go
@@ -109,11 +109,11 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- k.Run(ctx) }()
-	<-k.Started()
-	return &fixture{k: k, replayed: p.replayed}, func() { cancel(); <-done }
+	stop, err := k.Start()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return &fixture{k: k, replayed: p.replayed}, func() { _ = stop(nil) }
 }
 
 func (x *fixture) hold(e model.Epoch) message.LogReplayed {
--- a/services/store/snapshot_test.go
+++ b/services/store/snapshot_test.go
@@ -1,7 +1,6 @@
 package store_test
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,11 +44,9 @@
 			kernel.Spec{Name: names.Scheduler, Service: silent},
 			kernel.Spec{Name: names.Dispatch, Service: &owner{}})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- k.Run(ctx) }()
-		defer func() { cancel(); <-done }()
-		<-k.Started()
+		stop, err := k.Start()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = stop(nil) }()
 		x, one := &fixture{k: k, replayed: p.replayed}, model.Epoch{Store: 1}
 		x.hold(one)
 		for range fencedlog.SnapshotSlots {
--- a/services/workers/idle_test.go
+++ b/services/workers/idle_test.go
@@ -116,11 +116,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- k.Run(ctx) }()
-		defer func() { cancel(); <-done }()
-		<-k.Started()
+		stop, err := k.Start()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = stop(nil) }()
 		time.Sleep(3 * idleInterval)
 		f(gomega.NewWithT(t), k, w, s)
 	})
--- a/standins/store/store_test.go
+++ b/standins/store/store_test.go
@@ -30,11 +30,11 @@
 	if err != nil {
 		panic(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- k.Run(ctx) }()
-	<-k.Started()
-	return k, func() { cancel(); <-ended }
+	stop, err := k.Start()
+	if err != nil {
+		panic(err)
+	}
+	return k, func() { _ = stop(nil) }
 }
 
 // status returns the HTTP status of a refusal, 0 for none and -1 for a withheld answer.
--- a/standins/vmlist/vmlist_test.go
+++ b/standins/vmlist/vmlist_test.go
@@ -1,7 +1,6 @@
 package vmlist
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,10 +20,8 @@
 		g := gomega.NewWithT(t)
 		k, err := kernel.New(nil, kernel.Spec{Name: "state", Service: New([]model.VM{{ID: "w1"}}, lag)})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- k.Run(ctx) }()
-		<-k.Started()
+		stop, err := k.Start()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
 		ask := func(m kernel.Message) (answer, error) { return kernel.Call[answer](t.Context(), k, "state", m) }
 		control := func(m kernel.Message) {
 			_, err := ask(m)
@@ -70,7 +67,6 @@
 		g.Expect(time.Since(begun)).To(gomega.Equal(300 * time.Millisecond))
 		_, err = ask(Leaving{ID: "unknown"})
 		g.Expect(err).To(gomega.HaveOccurred())
-		cancel()
-		g.Expect(<-ended).To(gomega.Succeed())
+		g.Expect(stop(nil)).To(gomega.Succeed())
 	})
 }
--- a/tests/scheduling/exchange_test.go
+++ b/tests/scheduling/exchange_test.go
@@ -147,9 +147,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { _ = k.Run(ctx); close(done) }()
+	stop, err := k.Start()
+	if err != nil {
+		b.Fatal(err)
+	}
 	time.Sleep(4 * time.Second) // The connections are open and the exchanges are spread.
 	b.ResetTimer()
 	before, first := cpu(), sink.exchanges.Load()
@@ -160,8 +161,7 @@
 	b.ReportMetric(float64(used.Microseconds())/float64(n), "cpu-µs/exchange")
 	b.ReportMetric(100*float64(used)/float64(holderTime)/float64(b.N), "%core")
 	b.ReportMetric(float64(n)/float64(b.N), "exchanges/op")
-	cancel()
-	<-done
+	_ = stop(nil)
 }
 
 // countingClient counts the exchanges.
--- a/tests/scheduling/pair_test.go
+++ b/tests/scheduling/pair_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -73,8 +72,7 @@
 
 // at returns the world of a job.
 func (p *pair) at(id model.JobID) *world {
-	d, _, _ := strings.Cut(string(id), "/")
-	return p.worlds[model.FailureDomain(d)]
+	return p.worlds[id.Domain()]
 }
 
 func (p *pair) publishLoads(c *kernel.Context) {
