--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -40,6 +40,9 @@
 	ResponseExpired
 	ExecutorBusy
 	IntentFenced
+	Unauthorized
+	JobGone
+	AcceptanceUnknown
 	reasonCount
 )
 
@@ -83,6 +86,9 @@
 	ResponseExpired:    {"response_expired", http.StatusGone, Run},
 	ExecutorBusy:       {"executor_busy", http.StatusServiceUnavailable, NotRun},
 	IntentFenced:       {"intent_fenced", http.StatusConflict, NotRun},
+	Unauthorized:       {"unauthorized", http.StatusUnauthorized, NotRun},
+	JobGone:            {"job_gone", http.StatusGone, NotRun},
+	AcceptanceUnknown:  {"acceptance_unknown", http.StatusGatewayTimeout, Unknown},
 }
 
 // Reasons returns all reasons of refusals.
--- a/api/message/doc.go
+++ b/api/message/doc.go
@@ -43,6 +43,15 @@
 	Heartbeat{},
 	HeartbeatReply{},
 	Done{},
+	SubmitReply{},
+	StateReply{},
+	WaitingReply{},
+	JobStored{},
+	JobCancelled{},
+	StateQuery{},
+	WaitingQuery{},
+	AcceptJob{},
+	AcceptCancel{},
 }
 
 // Done acknowledges a message that has no other result.
--- /dev/null
+++ b/api/message/fleet.go
@@ -0,0 +1,145 @@
+package message
+
+import (
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// CatalogChanged is published when what the operators have written has changed.
+type CatalogChanged struct {
+	Config *workload.Config
+	// Out lists the failure domains that are out of service.
+	Out []workload.Domain
+}
+
+// KindCatalogChanged is the kind of CatalogChanged, for subscriptions.
+const KindCatalogChanged = "catalog_changed"
+
+// Kind implements kernel.Message.
+func (CatalogChanged) Kind() string { return KindCatalogChanged }
+
+// StoreReach is published when the store became reachable or unreachable from this VM.
+type StoreReach struct{ Reachable bool }
+
+// KindStoreReach is the kind of StoreReach, for subscriptions.
+const KindStoreReach = "store_reach"
+
+// Kind implements kernel.Message.
+func (StoreReach) Kind() string { return KindStoreReach }
+
+// HolderChanged is published when another VM holds the fleet, or none.
+type HolderChanged struct {
+	// VM and Address are empty if there is no holder.
+	VM, Address string
+	// Self is set if this VM is the holder.
+	Self bool
+}
+
+// KindHolderChanged is the kind of HolderChanged, for subscriptions.
+const KindHolderChanged = "holder_changed"
+
+// Kind implements kernel.Message.
+func (HolderChanged) Kind() string { return KindHolderChanged }
+
+// ClientCall is what all calls of clients have in common.
+type ClientCall struct {
+	Host, Path string
+	// Key is the API key of the call, or empty.
+	Key string
+	// Deadline is when the client gives up.
+	Deadline time.Time
+}
+
+// SubmitCall hands a job in; answered by SubmitReply.
+type SubmitCall struct {
+	ClientCall
+	Job workload.Job
+	// Invalid is why the body cannot be accepted, or empty.
+	Invalid string
+}
+
+// Kind implements kernel.Message.
+func (SubmitCall) Kind() string { return "submit_call" }
+
+// SubmitReply acknowledges a job that is stored.
+type SubmitReply struct{}
+
+// Kind implements kernel.Message.
+func (SubmitReply) Kind() string { return "submit_reply" }
+
+// ReadCall asks for the state of a job, or for the length of a queue if the path names no job; answered by StateReply or
+// WaitingReply.
+type ReadCall struct{ ClientCall }
+
+// Kind implements kernel.Message.
+func (ReadCall) Kind() string { return "read_call" }
+
+// CancelCall cancels a job; answered by Done.
+type CancelCall struct{ ClientCall }
+
+// Kind implements kernel.Message.
+func (CancelCall) Kind() string { return "cancel_call" }
+
+// StateReply is the state of a job.
+type StateReply struct{ State workload.State }
+
+// Kind implements kernel.Message.
+func (StateReply) Kind() string { return "state_reply" }
+
+// WaitingReply is the number of accepted jobs of a queue that have not begun.
+type WaitingReply struct{ Waiting int }
+
+// Kind implements kernel.Message.
+func (WaitingReply) Kind() string { return "waiting_reply" }
+
+// JobStored tells the holder of a job that was just stored. The holder's watch brings it too.
+type JobStored struct {
+	Job workload.Job
+	// Revision is the store's revision of the acceptance.
+	Revision int64
+}
+
+// Kind implements kernel.Message.
+func (JobStored) Kind() string { return "job_stored" }
+
+// JobCancelled tells the holder of a cancellation that was just stored.
+type JobCancelled struct{ ID workload.JobID }
+
+// Kind implements kernel.Message.
+func (JobCancelled) Kind() string { return "job_cancelled" }
+
+// StateQuery asks the holder for a job; answered by StateReply with an empty state if the job is not known.
+type StateQuery struct{ ID workload.JobID }
+
+// Kind implements kernel.Message.
+func (StateQuery) Kind() string { return "state_query" }
+
+// WaitingQuery asks the holder for the length of a queue; answered by WaitingReply.
+type WaitingQuery struct{ Queue workload.Queue }
+
+// Kind implements kernel.Message.
+func (WaitingQuery) Kind() string { return "waiting_query" }
+
+// AcceptJob asks another VM to store a job because the own VM does not reach the store; answered by SubmitReply.
+type AcceptJob struct{ Job workload.Job }
+
+// Kind implements kernel.Message.
+func (AcceptJob) Kind() string { return "accept_job" }
+
+// AcceptCancel asks another VM to store a cancellation; answered by Done.
+type AcceptCancel struct{ ID workload.JobID }
+
+// Kind implements kernel.Message.
+func (AcceptCancel) Kind() string { return "accept_cancel" }
+
+// RelayCall sends a message to a service of another VM; answered with that service's answer.
+type RelayCall struct {
+	Address string
+	To      string
+	Body    interface{ Kind() string }
+	Timeout time.Duration
+}
+
+// Kind implements kernel.Message.
+func (RelayCall) Kind() string { return "relay_call" }
--- a/api/names/names.go
+++ b/api/names/names.go
@@ -1,6 +1,15 @@
 // Package names lists the services of a daemon. Services find each other by these names.
 package names
 
+// Names of the services of an entry VM that runs on the users' platform.
+const (
+	Catalog = "catalog"
+	Holder  = "holder"
+	Intake  = "intake"
+	Relay   = "relay"
+	Gateway = "gateway"
+)
+
 // Names of the services of an entry VM's daemon.
 const (
 	Store      = "store"
--- /dev/null
+++ b/api/workload/workload.go
@@ -0,0 +1,248 @@
+// Package workload defines the jobs, tasks, executors and configuration that the fleet scheduler works with.
+// The types carry no encoding.
+package workload
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Identifiers.
+type (
+	// JobID is the caller's identifier of a job.
+	JobID string
+	// ExecutorID is the identifier under which an executor registers.
+	ExecutorID string
+	// Queue is the name of a route that takes jobs.
+	Queue string
+	// Account is the name of a client account.
+	Account string
+	// Pool is the name of a service: a set of executors that run the same work.
+	Pool string
+	// Domain is the name of a failure domain.
+	Domain string
+)
+
+// Resources is an amount of processor, memory and accelerators.
+type Resources struct {
+	// CPU is in thousandths of a core.
+	CPU int
+	// Memory is in MB.
+	Memory int
+	// GPU is a number of accelerators.
+	GPU int
+}
+
+// Add returns the sum of two amounts.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.GPU + o.GPU}
+}
+
+// Sub returns the difference of two amounts, which may be negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
+}
+
+// Fits reports whether the amount fits into a free amount.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count int
+	Need  Resources
+	// Estimate is the caller's rough estimate of a task's run time.
+	Estimate time.Duration
+	// After lists earlier steps whose tasks must all be done first.
+	After []int
+	// Checkpoint is set if the tasks save their progress.
+	Checkpoint bool
+	// Gang is set if the tasks work only together.
+	Gang bool
+	// SameRack is set if the tasks are much slower on more than one rack.
+	SameRack bool
+	// Requires is a label that the executor must have, or empty.
+	Requires string
+	// Rack is where the step's data is; tasks elsewhere are much slower. It may be empty.
+	Rack string
+	// MaxPerExecutor bounds the tasks of the step on one executor; 0 means no bound.
+	MaxPerExecutor int
+	// Speculative permits parallel copies of a task.
+	Speculative bool
+	// LongRunning tasks run until the job is cancelled and are restarted however they end.
+	LongRunning bool
+	// Image names what the tasks run. Tasks of one image behave alike.
+	Image string
+	// Target is the bound of the tail response time of a serving task; 0 means that the task serves nobody.
+	Target time.Duration
+	// Fills is set if the step's processor need does not count against the capacity of an executor.
+	Fills bool
+	// MayMiss is the number of tasks of a long-running step that the scheduler may interrupt at the same time.
+	MayMiss int
+}
+
+// Load returns the amount of an executor's capacity that a task of the step occupies.
+func (s *Step) Load() Resources {
+	n := s.Need
+	if s.Fills {
+		n.CPU = 0
+	}
+	return n
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID      JobID
+	Queue   Queue
+	Account Account
+	// Spec is handed to every task as it was received.
+	Spec  string
+	Steps []Step
+	// Occurrences is how often the steps run; 0 means once, at once.
+	Occurrences int
+	// FirstAt is when the first occurrence is due, and Interval the time between two occurrences.
+	FirstAt  time.Time
+	Interval time.Duration
+	// Accepted is the time of the acceptance by the clock of the accepting VM.
+	Accepted time.Time
+	// Route is the queue's configuration at the acceptance. It serves until a newer one is known.
+	Route Route
+}
+
+// Runs returns the number of times that the steps run.
+func (j *Job) Runs() int { return max(1, j.Occurrences) }
+
+// TaskRef names a task: its job, the occurrence, the step and the index in the step, all counted from 0.
+type TaskRef struct {
+	Job                     JobID
+	Occurrence, Step, Index int
+}
+
+// String returns the form "JOB.OCCURRENCE.STEP.INDEX".
+func (t TaskRef) String() string {
+	var b strings.Builder
+	b.Grow(len(t.Job) + 12)
+	b.WriteString(string(t.Job))
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b.WriteByte('.')
+		b.WriteString(strconv.Itoa(n))
+	}
+	return b.String()
+}
+
+// ParseTaskRef reads the form of TaskRef.String; ok is false for any other text.
+func ParseTaskRef(s string) (ref TaskRef, ok bool) {
+	f := strings.Split(s, ".")
+	if len(f) != 4 || f[0] == "" {
+		return TaskRef{}, false
+	}
+	ref.Job = JobID(f[0])
+	for i, p := range []*int{&ref.Occurrence, &ref.Step, &ref.Index} {
+		n, err := strconv.ParseUint(f[i+1], 10, 31)
+		if err != nil {
+			return TaskRef{}, false
+		}
+		*p = int(n)
+	}
+	return ref, true
+}
+
+// State is the state of a job as its caller sees it.
+type State string
+
+// States of a job.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether the state does not change any more.
+func (s State) Final() bool { return s == StateCompleted || s == StateFailed || s == StateCancelled }
+
+// Executor is what an executor registers about itself.
+type Executor struct {
+	ID      ExecutorID
+	Pool    Pool
+	Address string
+	Domain  Domain
+	// Draining is set once the executor has announced that it leaves.
+	Draining bool
+	// Remaining is the least time that a draining executor still runs.
+	Remaining time.Duration
+	// ColdFor is how much longer the executor is slow after its start.
+	ColdFor  time.Duration
+	Capacity Resources
+	Labels   []string
+	// Born is when this life of the executor began, in Unix milliseconds; 0 if it is unknown.
+	Born int64
+}
+
+// Rack returns the label that names the executor's rack, which is the last one, or "".
+func (e *Executor) Rack() string {
+	if len(e.Labels) < 2 {
+		return ""
+	}
+	return e.Labels[len(e.Labels)-1]
+}
+
+// RunNumber counts the starts of a task. It rises across holders.
+type RunNumber int64
+
+// Fence is the fencing token of a holder.
+type Fence int64
+
+// Running is a task that an executor reports as running.
+type Running struct {
+	Task TaskRef
+	Run  RunNumber
+	// Saved is the latest checkpoint, or empty.
+	Saved string
+	// Percent is the progress of the task.
+	Percent int
+	// Usage is the tail response time in ms of a serving task and the processor in use of any other task.
+	Usage float64
+}
+
+// Outcome is how a run ended.
+type Outcome string
+
+// Outcomes of a run.
+const (
+	// Done means that the task completed.
+	Done Outcome = "done"
+	// Erred means that the run failed.
+	Erred Outcome = "failed"
+	// Stopped means that the run was stopped by order.
+	Stopped Outcome = "stopped"
+	// Lapsed means that the lease of the executor ended.
+	Lapsed Outcome = "lapsed"
+	// Broken means that another member of the gang ended.
+	Broken Outcome = "broken"
+	// Alone means that the other members of the gang did not start in time.
+	Alone Outcome = "alone"
+)
+
+// Ended is a run that an executor reports as ended.
+type Ended struct {
+	// Number counts the ends of one life of an executor, from 1.
+	Number int64
+	Task   TaskRef
+	Run    RunNumber
+	How    Outcome
+	Saved  string
+}
+
+// Report is an executor's answer to a look at it.
+type Report struct {
+	// Clock is the executor's clock at the answer.
+	Clock time.Duration
+	// Born is when this life of the executor began, in Unix milliseconds; 0 if it is not given.
+	Born    int64
+	Running []Running
+	Ended   []Ended
+}
