Add the scheduler of the fleet as a state machine without I/O

decisions/fleet holds jobs, units (a gang, or one task), executors and runs. Events come in as method calls with the time, Plan returns starts, stops and looks. A start needs no record: run numbers rise across terms, and a new holder closes each executor with its fence before it starts what it has not seen.

--- /dev/null
+++ b/decisions/fleet/plan.go
@@ -0,0 +1,307 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+const (
+	// maxPlanDelay bounds the time between two calls of Plan while anything waits.
+	maxPlanDelay = 100 * time.Millisecond
+	// idlePlanDelay is the time between two calls of Plan while nothing waits.
+	idlePlanDelay = 500 * time.Millisecond
+)
+
+// Plan returns the actions that the state asks for and the delay after which Plan is to be called again if no event
+// comes before.
+func (f *Scheduler) Plan(now time.Time) ([]Action, time.Duration) {
+	f.expire(now)
+	f.promote(now)
+	f.closeRuns(now)
+	f.leaveDraining(now)
+	f.restartStalled(now)
+	waiting := f.startable(now)
+	f.place(now, waiting)
+	f.startReserved(now)
+	f.planStops(now)
+	f.planLooks(now)
+	out := f.orders
+	f.orders = nil
+	f.changed = false
+	return out, f.nextPlan(now, len(waiting) > 0)
+}
+
+func (f *Scheduler) nextPlan(now time.Time, waiting bool) time.Duration {
+	d := idlePlanDelay
+	if waiting {
+		d = maxPlanDelay
+	}
+	for _, e := range f.order {
+		if !e.looking && e.wantsLook() {
+			d = min(d, max(time.Millisecond, e.lookAt.Sub(now)))
+		}
+	}
+	return d
+}
+
+// expire ends what ran on executors whose leases have ended.
+func (f *Scheduler) expire(now time.Time) {
+	for _, e := range f.order {
+		if len(e.ordersOut()) > 0 && !e.silentSince.IsZero() && e.deadline > 0 && now.After(e.lapsesAt()) {
+			f.loseAll(now, e)
+			f.dropIfGone(e)
+		}
+	}
+	if f.settled(now) {
+		return
+	}
+	if now.After(f.settleBy) {
+		f.settleBy = time.Time{}
+		f.dropUnverified()
+	}
+}
+
+// settled reports whether nothing is left that an earlier holder may have started unknown to this one.
+func (f *Scheduler) settled(now time.Time) bool {
+	if f.settleBy.IsZero() {
+		return true
+	}
+	for _, e := range f.order {
+		if !e.verified && e.refusals < refusalsUntilGone {
+			return false
+		}
+	}
+	f.settleBy = time.Time{}
+	f.dropUnverified()
+	f.changed = true
+	return true
+}
+
+// dropUnverified forgets unregistered executors that did not answer until all leases had ended.
+func (f *Scheduler) dropUnverified() {
+	for _, e := range slices.Clone(f.order) {
+		if !e.verified && !e.listed && len(e.members) == 0 {
+			e.refusals = refusalsUntilGone
+			f.dropIfGone(e)
+		}
+	}
+}
+
+// promote makes units startable whose earlier steps are done and whose time has come.
+func (f *Scheduler) promote(now time.Time) {
+	for _, j := range f.open {
+		if j.state.Final() {
+			continue
+		}
+		for _, u := range j.units {
+			if u.state == unitBlocked && j.ready(u) && !now.Before(j.dueAt(u.occurrence)) {
+				u.state, u.readyAt = unitPending, now
+			}
+		}
+	}
+}
+
+// closeRuns stops the rest of runs that do not go on: gangs that lost a member, and runs whose job has ended.
+func (f *Scheduler) closeRuns(now time.Time) {
+	settled := f.settled(now)
+	for _, j := range f.open {
+		for _, u := range j.units {
+			if len(u.members) == 0 {
+				continue
+			}
+			if settled && u.state == unitActive && !u.ending && !u.reserved() && len(u.members) < u.n {
+				f.end(now, u, StopGang)
+			}
+			if u.ending && now.Sub(u.endingAt) >= brokenWait {
+				for _, m := range u.members {
+					if !m.stopping {
+						m.stopping, m.stopWhy = true, u.endWhy
+					}
+				}
+			}
+		}
+	}
+}
+
+// startable returns the pending units in the order in which they are placed.
+func (f *Scheduler) startable(now time.Time) []*candidate {
+	settled := f.settled(now)
+	var out []*candidate
+	for _, j := range f.open {
+		if j.state.Final() || !settled && j.created <= f.since {
+			continue
+		}
+		for _, u := range j.units {
+			if u.state == unitPending && !now.Before(u.notBefore) {
+				out = append(out, f.candidate(now, u))
+			}
+		}
+	}
+	slices.SortStableFunc(out, compare)
+	return out
+}
+
+// planStops returns the stops that are due.
+func (f *Scheduler) planStops(now time.Time) {
+	for _, e := range f.order {
+		for _, m := range e.members {
+			due := m.stopping && !m.stopOut && m.state != memberReserved && now.Sub(m.stopSentAt) >= stopRetry
+			// A start on its way is stopped only after it was answered, so that the stop does not overtake it.
+			if !due || m.state == memberSent {
+				continue
+			}
+			m.stopOut, m.stopSentAt = true, now
+			f.count(CountStop)
+			f.orders = append(f.orders, Stop{Executor: e.info.ID, Address: e.info.Address, Task: m.task, Run: m.run, Reason: m.stopWhy})
+		}
+	}
+}
+
+// start orders the members of a unit whose room is free.
+func (f *Scheduler) start(now time.Time, u *unit, reason string) {
+	u.startedAt, u.progressAt, u.percent = now, now, 0
+	for _, m := range u.members {
+		m.state, m.sentAt = memberSent, now
+		m.on.ordered = m.on.ordered.Add(m.load)
+		m.on.deadline = max(m.on.deadline, m.on.renewal(now, f.settings.Lease))
+		f.count(CountStart)
+		f.orders = append(f.orders, Start{
+			Executor: m.on.info.ID, Address: m.on.info.Address, Task: m.task, Run: m.run, Spec: u.job.rec.Spec, Saved: u.saved,
+			Deadline: m.on.renewal(now, f.settings.Lease), Reason: reason, Waited: now.Sub(u.readyAt),
+		})
+	}
+}
+
+// reserve gives a unit a new run on the given executors, one for each task.
+func (f *Scheduler) reserve(now time.Time, u *unit, on []*executor) {
+	u.starts++
+	u.activate(now, workload.RunNumber(f.term*runsPerTerm+u.starts))
+	for i, e := range on {
+		m := &member{unit: u, task: u.task(u.first + i), run: u.run, on: e, load: u.spec().Load(), state: memberReserved}
+		u.members = append(u.members, m)
+		e.add(m)
+		f.usage.add(u, m.load.GPU)
+	}
+}
+
+// startReserved starts the units whose room has become free, and gives up those that wait too long.
+func (f *Scheduler) startReserved(now time.Time) {
+	for _, j := range f.open {
+		for _, u := range j.units {
+			if u.state != unitActive || !u.reserved() {
+				continue
+			}
+			switch {
+			case f.canStart(now, u):
+				f.start(now, u, "room_vacated")
+			case now.Sub(u.startedAt) > f.settings.StopBound+reserveWait || f.blockedBy(now, u):
+				f.count(CountReserveBroken)
+				u.notBefore = now.Add(startRetry)
+				f.giveUpReservation(now, u)
+			}
+		}
+	}
+}
+
+// canStart reports whether what is ordered on the executors leaves room for all members of a reserved unit.
+func (f *Scheduler) canStart(now time.Time, u *unit) bool {
+	need := map[*executor]workload.Resources{}
+	for _, m := range u.members {
+		need[m.on] = need[m.on].Add(m.load)
+	}
+	for e, n := range need {
+		if !f.eligible(now, e) || !n.Fits(e.info.Capacity.Sub(e.ordered)) {
+			return false
+		}
+	}
+	return true
+}
+
+// blockedBy reports whether a reserved unit waits for an executor that gets no work any more.
+func (f *Scheduler) blockedBy(now time.Time, u *unit) bool {
+	return slices.ContainsFunc(u.members, func(m *member) bool { return !f.eligible(now, m.on) })
+}
+
+// candidate is a pending unit with what decides its turn.
+type candidate struct {
+	u     *unit
+	class class
+	// latest is when the unit must start for its job to meet its objective.
+	latest time.Time
+	// late is set if the objective cannot be met any more, expired if a completion would earn nothing.
+	late, expired bool
+	work          float64
+}
+
+// class orders units before all else; lower ones may take the room of higher ones.
+type class int
+
+// classGuaranteed is the class of priority 0 within the guarantee of its account.
+const classGuaranteed class = 0
+
+func (f *Scheduler) classOf(u *unit) class {
+	r := f.route(u.job)
+	if r.Priority > 0 {
+		return class(r.Priority + 1)
+	}
+	t := f.config.Tenant(u.job.rec.Account)
+	if t != nil && f.usage[u.job.rec.Account]+u.n*u.spec().Need.GPU <= t.Guaranteed {
+		return classGuaranteed
+	}
+	return 1
+}
+
+// expiryFactor is the multiple of the objective after which a completed job earns nothing.
+const expiryFactor = 3
+
+func (f *Scheduler) candidate(now time.Time, u *unit) *candidate {
+	j := u.job
+	r := f.route(j)
+	begin := j.arrived
+	if j.rec.Occurrences > 0 {
+		begin = j.dueAt(u.occurrence)
+	}
+	total := f.speed.expected(j.rec.Queue, j.chain(-1))
+	objective := time.Duration(r.Stretch*float64(total)) + r.Latency
+	rest := f.speed.expected(j.rec.Queue, j.chain(u.step))
+	c := &candidate{u: u, class: f.classOf(u), latest: begin.Add(objective - rest)}
+	c.late = now.After(c.latest)
+	c.expired = now.After(begin.Add(expiryFactor*objective - rest))
+	c.work = float64(u.n) * float64(weightOf(u.spec().Need)) * rest.Seconds()
+	return c
+}
+
+// gpuCores is how many cores an accelerator counts for.
+const gpuCores = 8
+
+// weightOf returns an amount as thousandths of a core.
+func weightOf(r workload.Resources) int { return r.CPU + r.GPU*gpuCores*1000 }
+
+// compare orders candidates: by class, then those that can still meet their objective by their latest start, then late
+// ones by their work, so that a backlog delays as few jobs as possible.
+func compare(a, b *candidate) int {
+	if c := cmp.Compare(a.class, b.class); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.tier(), b.tier()); c != 0 {
+		return c
+	}
+	if !a.late {
+		return a.latest.Compare(b.latest)
+	}
+	return cmp.Compare(a.work, b.work)
+}
+
+func (c *candidate) tier() int {
+	switch {
+	case c.expired:
+		return 2
+	case c.late:
+		return 1
+	default:
+		return 0
+	}
+}
