--- a/cmd/verbenaflowd/main.go
+++ b/cmd/verbenaflowd/main.go
@@ -18,8 +18,9 @@
 
 // options are the flags of the daemon.
 type options struct {
-	Config string `long:"config" required:"true" description:"settings file (INI)"`
-	Check  bool   `long:"check" description:"check the settings and exit"`
+	Config   string `long:"config" env:"VERBENAFLOW_CONFIG" required:"true" description:"settings file (INI)"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Platform bool   `long:"platform" description:"run on the users' platform, behind its balancer and store"`
 }
 
 // Exit codes of the daemon.
@@ -38,6 +39,9 @@
 		}
 		return exitUsage
 	}
+	if o.Platform {
+		return runFleet(o)
+	}
 	s, err := settings.Load(o.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -51,15 +55,16 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
-	return serve(s)
+	return serve(func(ctx context.Context) error { return daemon.Run(ctx, s) })
 }
 
-func serve(s settings.Settings) int {
+// serve runs the daemon until it is told to stop.
+func serve(run func(ctx context.Context) error) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// After the first signal the default action applies again, so that a second one ends the process.
 	defer context.AfterFunc(ctx, stop)()
-	if err := daemon.Run(ctx, s); err != nil {
+	if err := run(ctx); err != nil {
 		klog.ErrorS(err, "daemon failed")
 		klog.Flush()
 		return exitFailure
--- /dev/null
+++ b/node/daemon/fleet.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/decisions/fleet"
+	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/node/settings"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+	"github.com/verbenaflow/verbenaflow/platform/runner"
+	"github.com/verbenaflow/verbenaflow/services/admin"
+	"github.com/verbenaflow/verbenaflow/services/catalog"
+	"github.com/verbenaflow/verbenaflow/services/gateway"
+	"github.com/verbenaflow/verbenaflow/services/holder"
+	"github.com/verbenaflow/verbenaflow/services/intake"
+	"github.com/verbenaflow/verbenaflow/services/relay"
+)
+
+const (
+	// lookWait is how long a look at an executor waits for an end; executors wait 2 s at most.
+	lookWait = 1500 * time.Millisecond
+	// exitReserve is kept of the grace for the end of the process after the last call.
+	exitReserve = 700 * time.Millisecond
+)
+
+// RunFleet serves on the users' platform until ctx ends and then shuts down gracefully.
+func RunFleet(ctx context.Context, s settings.Fleet) error {
+	o := &observer{vm: s.VM, metrics: metrics.New()}
+	k, err := assembleFleet(s, o)
+	if err != nil {
+		return err
+	}
+	o.info("starting", "domain", s.Domain, "region", s.Region, "front", s.Front, "store", s.Store, "lease_ms", s.Lease.Milliseconds())
+	began := time.Now()
+	if err := k.Run(ctx); err != nil {
+		return err
+	}
+	o.info("stopped", "uptime_ms", time.Since(began).Milliseconds())
+	klog.Flush()
+	return nil
+}
+
+func assembleFleet(s settings.Fleet, o *observer) (*kernel.Kernel, error) {
+	var listeners []net.Listener
+	for _, a := range [...]string{s.Front, s.Ready, s.Relay, s.Admin} {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range listeners {
+				open.Close()
+			}
+			return nil, errors.Wrapf(err, "[listen] %s", a)
+		}
+		listeners = append(listeners, l)
+	}
+	m := o.metrics
+	store := metastore.NewClient(s.Store, s.StoreTimeout)
+	return kernel.New(
+		o,
+		admin.New(listeners[3], m).Spec(),
+		catalog.New(string(s.VM), store, m).Spec(),
+		relay.New(listeners[2], m).Spec(),
+		holder.New(holder.Settings{
+			VM: string(s.VM), Address: s.Relay, Weight: s.ProcessorShare,
+			Fleet: fleet.Settings{
+				Lease: s.Lease, LookWait: lookWait, StopBound: s.StopBound, SlowFactor: s.SlowFactor,
+				RestoreTime: s.RestoreTime, SaveInterval: s.SaveInterval, Retention: s.Retention,
+			},
+		}, store, runner.NewClient(s.ExecutorConns), m).Spec(),
+		intake.New(intake.Settings{VM: string(s.VM), Peers: others(s.Peers, s.Relay)}, store, m).Spec(),
+		gateway.New(gateway.Settings{
+			VM: string(s.VM), LameDuck: s.LameDuck, DrainTimeout: s.Grace - s.LameDuck - exitReserve,
+		}, listeners[0], listeners[1], m).Spec(),
+	)
+}
+
+// others returns the addresses but the own one.
+func others(addresses []string, own string) []string {
+	var out []string
+	for _, a := range addresses {
+		if a != own {
+			out = append(out, a)
+		}
+	}
+	return out
+}
--- a/node/settings/reader.go
+++ b/node/settings/reader.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -31,17 +32,33 @@
 
 // reader collects the faults of a file.
 type reader struct {
-	file     *ini.File
+	file *ini.File
+	// schema lists the known keys of each section, required the sections that must be present.
+	schema   map[string][]string
+	required []string
 	problems []Problem
 }
 
+// newReader parses a file or byte slice. It returns an *Error if it is no INI.
+func newReader(source any, schema map[string][]string, required []string) (*reader, error) {
+	// Shadow values make a key that occurs twice visible.
+	options := ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true}
+	file, err := ini.LoadSources(options, source)
+	if err != nil {
+		return nil, &Error{Problems: []Problem{{"-", "-", fmt.Sprintf("readable INI: %v", err)}}}
+	}
+	r := &reader{file: file, schema: schema, required: required}
+	r.checkNames()
+	return r, nil
+}
+
 func (r *reader) problem(section, key, format string, args ...any) {
 	r.problems = append(r.problems, Problem{section, key, fmt.Sprintf(format, args...)})
 }
 
 // checkNames reports missing and unknown sections, unknown keys and keys that occur twice.
 func (r *reader) checkNames() {
-	for _, name := range required {
+	for _, name := range r.required {
 		if !r.file.HasSection(name) {
 			r.problem(name, "-", "the section to be present")
 		}
@@ -50,9 +67,9 @@
 		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
 			continue
 		}
-		known, ok := schema[s.Name()]
+		known, ok := r.schema[s.Name()]
 		if !ok {
-			r.problem(s.Name(), "-", "one of the sections vm, listen, platform, peers, limits, timing, log")
+			r.problem(s.Name(), "-", "one of the sections %s", strings.Join(slices.Sorted(maps.Keys(r.schema)), ", "))
 			continue
 		}
 		r.checkKeys(s, known)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"gopkg.in/ini.v1"
-
 	"github.com/verbenaflow/verbenaflow/api/model"
 )
 
@@ -89,14 +87,10 @@
 
 // Load reads a file or byte slice. It returns an *Error that lists every fault.
 func Load(source any) (Settings, error) {
-	// Shadow values make a key that occurs twice visible.
-	options := ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true}
-	file, err := ini.LoadSources(options, source)
+	r, err := newReader(source, schema, required)
 	if err != nil {
-		return Settings{}, &Error{Problems: []Problem{{"-", "-", fmt.Sprintf("readable INI: %v", err)}}}
+		return Settings{}, err
 	}
-	r := &reader{file: file}
-	r.checkNames()
 	s := r.settings()
 	r.checkAddresses(s)
 	r.checkMembers(s)
--- /dev/null
+++ b/services/catalog/service.go
@@ -0,0 +1,163 @@
+// Package catalog is the service that follows what the operators write: the configuration and the failure domains that
+// are out of service.
+package catalog
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+	"github.com/verbenaflow/verbenaflow/platform/operator"
+)
+
+// unreachableAfter is how long the store may fail to answer before it counts as unreachable: two watches that wait in
+// full.
+const unreachableAfter = 2500 * time.Millisecond
+
+type (
+	followed  struct{ metastore.Update }
+	reachDue  struct{}
+	published struct {
+		config *workload.Config
+		out    []workload.Domain
+	}
+)
+
+// Kind implements kernel.Message.
+func (followed) Kind() string { return "catalog_followed" }
+
+// Kind implements kernel.Message.
+func (reachDue) Kind() string { return "catalog_reach_due" }
+
+// Service owns the watch of the operators' entries.
+type Service struct {
+	vm      string
+	store   *metastore.Client
+	metrics *metrics.Set
+
+	config *workload.Config
+	out    map[workload.Domain]bool
+	// answeredAt is when the store answered last, reachable what was published of it.
+	answeredAt time.Time
+	reachable  bool
+}
+
+// New returns the service.
+func New(vm string, store *metastore.Client, m *metrics.Set) *Service {
+	return &Service{vm: vm, store: store, metrics: m, out: map[workload.Domain]bool{}}
+}
+
+// Spec returns the registration of the service.
+func (s *Service) Spec() kernel.Spec { return kernel.Spec{Name: names.Catalog, Service: s} }
+
+// Start implements kernel.Service.
+func (s *Service) Start(c *kernel.Context) error {
+	post := c.Post()
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		s.store.Follow(ctx, operator.Prefix, func(u metastore.Update) bool { return post(followed{u}) })
+		return nil
+	})
+	c.After(unreachableAfter, reachDue{})
+	return nil
+}
+
+// Drain implements kernel.Service.
+func (s *Service) Drain(c *kernel.Context) { c.Drained() }
+
+// Handle implements kernel.Service.
+func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
+	switch m := e.Body.(type) {
+	case followed:
+		s.apply(c, m.Update)
+	case reachDue:
+		s.checkReach(c)
+		c.After(unreachableAfter/2, reachDue{})
+	}
+}
+
+func (s *Service) apply(c *kernel.Context, u metastore.Update) {
+	if u.Err != nil {
+		s.metrics.Event("operator_watch_failed", 1)
+		return
+	}
+	s.answeredAt = time.Now()
+	s.setReachable(c, true)
+	before := published{s.config, s.domainsOut()}
+	if u.Snapshot {
+		clear(s.out)
+	}
+	for i := range u.Items {
+		s.set(&u.Items[i])
+	}
+	for i := range u.Events {
+		if u.Events[i].Removed {
+			s.remove(u.Events[i].Key)
+		} else {
+			s.set(&u.Events[i].Item)
+		}
+	}
+	if out := s.domainsOut(); s.config != before.config || !slices.Equal(out, before.out) {
+		c.Publish(message.CatalogChanged{Config: s.config, Out: out})
+	}
+}
+
+func (s *Service) set(item *metastore.Item) {
+	if d, ok := operator.EvacuatedDomain(item.Key); ok {
+		if !s.out[d] {
+			klog.InfoS("failure domain taken out of service", "vm", s.vm, "service", names.Catalog, "domain", d, "revision", item.Revision)
+		}
+		s.out[d] = true
+		return
+	}
+	if item.Key != operator.ConfigKey || s.config != nil && item.Revision <= s.config.Revision {
+		return
+	}
+	config, err := operator.DecodeConfig(item.Value, item.Revision)
+	if err != nil {
+		s.metrics.Event("config_unreadable", 1)
+		klog.ErrorS(err, "configuration ignored", "vm", s.vm, "service", names.Catalog)
+		return
+	}
+	klog.InfoS("configuration in force", "vm", s.vm, "service", names.Catalog, "version", config.Version, "revision", config.Revision,
+		"routes", len(config.Routes), "accounts", len(config.Tenants))
+	s.config = config
+}
+
+func (s *Service) remove(key string) {
+	if d, ok := operator.EvacuatedDomain(key); ok && s.out[d] {
+		delete(s.out, d)
+		klog.InfoS("failure domain back in service", "vm", s.vm, "service", names.Catalog, "domain", d)
+	}
+}
+
+func (s *Service) domainsOut() []workload.Domain {
+	out := make([]workload.Domain, 0, len(s.out))
+	for d := range s.out {
+		out = append(out, d)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *Service) checkReach(c *kernel.Context) {
+	if time.Since(s.answeredAt) > unreachableAfter {
+		s.setReachable(c, false)
+	}
+}
+
+func (s *Service) setReachable(c *kernel.Context, reachable bool) {
+	if s.reachable == reachable {
+		return
+	}
+	s.reachable = reachable
+	klog.InfoS("store dependency changed", "vm", s.vm, "service", names.Catalog, "reachable", reachable)
+	c.Publish(message.StoreReach{Reachable: reachable})
+}
--- /dev/null
+++ b/services/gateway/service.go
@@ -0,0 +1,131 @@
+// Package gateway is the service that serves the calls of clients and the platform's readiness checks over HTTP.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/front"
+)
+
+// Settings are the figures of the service.
+type Settings struct {
+	VM string
+	// LameDuck is how long connections are accepted after the begin of a shutdown, until the platform has noticed.
+	LameDuck time.Duration
+	// DrainTimeout bounds the calls in progress after that.
+	DrainTimeout time.Duration
+}
+
+const (
+	// headerTimeout bounds the arrival of a request's header, idleTimeout the time between two requests of a connection.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeader is the largest accepted header in bytes.
+	maxHeader = 32 << 10
+)
+
+type (
+	readyQuery    struct{}
+	readyAnswer   struct{ ready bool }
+	lameDuckEnded struct{}
+	closed        struct{}
+)
+
+// Kind implements kernel.Message.
+func (readyQuery) Kind() string { return "gateway_ready_query" }
+
+// Kind implements kernel.Message.
+func (readyAnswer) Kind() string { return "gateway_ready_answer" }
+
+// Kind implements kernel.Message.
+func (lameDuckEnded) Kind() string { return "gateway_lame_duck_ended" }
+
+// Kind implements kernel.Message.
+func (closed) Kind() string { return "gateway_closed" }
+
+// Service owns the listeners of clients and of readiness checks.
+type Service struct {
+	settings Settings
+	front    net.Listener
+	ready    net.Listener
+	metrics  *metrics.Set
+	server   *http.Server
+
+	configured, reachable, draining bool
+}
+
+// New returns the service. It takes over the listeners.
+func New(s Settings, front, ready net.Listener, m *metrics.Set) *Service {
+	return &Service{settings: s, front: front, ready: ready, metrics: m}
+}
+
+// Spec returns the registration of the service.
+func (s *Service) Spec() kernel.Spec {
+	return kernel.Spec{
+		Name: names.Gateway, Service: s, After: []kernel.Name{names.Intake},
+		Subscribes:   []string{message.KindCatalogChanged, message.KindStoreReach},
+		DrainTimeout: s.settings.LameDuck + s.settings.DrainTimeout + time.Second,
+	}
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(c *kernel.Context) error {
+	h := &handler{caller: c.Caller(), metrics: s.metrics}
+	s.server = &http.Server{Handler: h.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	s.serve(c, s.server, s.front)
+	check := httprouter.New()
+	check.GET(front.ReadyPath, h.ready)
+	s.serve(c, &http.Server{Handler: check, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, s.ready)
+	return nil
+}
+
+func (s *Service) serve(c *kernel.Context, server *http.Server, l net.Listener) {
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		defer context.AfterFunc(ctx, func() { server.Close() })()
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			s.metrics.Event("listener_failed", 1)
+		}
+		return nil
+	})
+}
+
+// Drain implements kernel.Service. New connections are served until the platform has seen that the VM is not ready.
+func (s *Service) Drain(c *kernel.Context) {
+	s.draining = true
+	c.Publish(message.DrainStarted{})
+	s.server.SetKeepAlivesEnabled(false)
+	c.After(s.settings.LameDuck, lameDuckEnded{})
+}
+
+// Handle implements kernel.Service.
+func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
+	switch m := e.Body.(type) {
+	case message.CatalogChanged:
+		s.configured = m.Config != nil
+	case message.StoreReach:
+		s.reachable = m.Reachable
+	case readyQuery:
+		e.Reply(readyAnswer{ready: s.configured && s.reachable && !s.draining})
+	case lameDuckEnded:
+		server, timeout := s.server, s.settings.DrainTimeout
+		c.Spawn(func(ctx context.Context) kernel.Message {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			if err := server.Shutdown(ctx); err != nil {
+				s.metrics.Event("drain_cut_calls", 1)
+			}
+			return closed{}
+		})
+	case closed:
+		c.Drained()
+	}
+}
--- /dev/null
+++ b/services/holder/service.go
@@ -0,0 +1,140 @@
+// Package holder is the service that takes part in the election of the fleet's holder and, while it holds, runs the
+// scheduler: it feeds it with events, carries out its actions and records the progress of jobs.
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/api/records"
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/fleet"
+	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+	"github.com/verbenaflow/verbenaflow/platform/runner"
+)
+
+// Settings are the figures of the service.
+type Settings struct {
+	VM string
+	// Address is where other VMs reach this one.
+	Address string
+	// Weight is the VM's share of processors; stronger VMs stand for election first.
+	Weight float64
+	Fleet  fleet.Settings
+}
+
+// Service owns the election and, while this VM holds the fleet, the scheduler.
+type Service struct {
+	settings Settings
+	store    *metastore.Client
+	runner   *runner.Client
+	metrics  *metrics.Set
+	election election
+	term     *term
+	catalog  message.CatalogChanged
+	draining bool
+}
+
+// New returns the service.
+func New(s Settings, store *metastore.Client, r *runner.Client, m *metrics.Set) *Service {
+	return &Service{
+		settings: s, store: store, runner: r, metrics: m,
+		election: election{incarnation: uuid.NewString()},
+		catalog:  message.CatalogChanged{Config: (&workload.Config{}).Index()},
+	}
+}
+
+// Spec returns the registration of the service.
+func (s *Service) Spec() kernel.Spec {
+	return kernel.Spec{
+		Name: names.Holder, Service: s, After: []kernel.Name{names.Relay}, Mailbox: mailbox,
+		Subscribes:   []string{message.KindCatalogChanged, message.KindDrainStarted},
+		DrainTimeout: drainTimeout,
+	}
+}
+
+const (
+	// mailbox holds a burst of submissions and state queries of all VMs.
+	mailbox = 4096
+	// drainTimeout bounds the release of the fleet.
+	drainTimeout = 1500 * time.Millisecond
+)
+
+// Start implements kernel.Service.
+func (s *Service) Start(c *kernel.Context) error {
+	post := c.Post()
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		s.store.Follow(ctx, records.HolderPrefix, func(u metastore.Update) bool { return post(holderFollowed{u}) })
+		return nil
+	})
+	return nil
+}
+
+// Drain implements kernel.Service.
+func (s *Service) Drain(c *kernel.Context) {
+	s.draining = true
+	s.release(c)
+	if s.term == nil && !s.election.releasing {
+		c.Drained()
+	}
+}
+
+// Handle implements kernel.Service.
+func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
+	switch m := e.Body.(type) {
+	case message.CatalogChanged:
+		s.catalog = m
+		if t := s.term; t != nil {
+			t.fleet.SetConfig(m.Config)
+			t.fleet.SetOut(m.Out)
+			s.plan(c)
+		}
+	case message.DrainStarted:
+		s.draining = true
+		s.release(c)
+	case message.JobStored, message.JobCancelled, message.StateQuery, message.WaitingQuery:
+		s.query(c, e)
+	default:
+		if !s.handleElection(c, m) {
+			s.handleTerm(c, m)
+		}
+	}
+}
+
+// query answers messages of front ends. Without a loaded term they are refused; the front end then reads the store.
+func (s *Service) query(c *kernel.Context, e kernel.Envelope) {
+	t := s.term
+	if t == nil || !t.loaded() {
+		e.Fail(notHolder())
+		return
+	}
+	now := time.Now()
+	switch m := e.Body.(type) {
+	case message.JobStored:
+		t.addJob(now, s, &m.Job, m.Revision)
+		e.Reply(message.Done{})
+		s.plan(c)
+	case message.JobCancelled:
+		if t.fleet.Cancel(now, m.ID) {
+			s.log("job cancelled", "job", m.ID, "source", "call")
+		}
+		e.Reply(message.Done{})
+		s.plan(c)
+	case message.StateQuery:
+		state, _ := t.fleet.Status(m.ID)
+		e.Reply(message.StateReply{State: state})
+	case message.WaitingQuery:
+		e.Reply(message.WaitingReply{Waiting: t.fleet.Waiting(m.Queue)})
+	}
+}
+
+func (s *Service) log(msg string, keysAndValues ...any) {
+	klog.InfoS(msg, append([]any{"vm", s.settings.VM, "service", names.Holder}, keysAndValues...)...)
+}
--- /dev/null
+++ b/services/holder/term.go
@@ -0,0 +1,290 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/records"
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/fleet"
+	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+	"github.com/verbenaflow/verbenaflow/platform/runner"
+)
+
+// term is the state of this VM as the holder.
+type term struct {
+	number int64
+	// fence is the revision of the own holder entry.
+	fence  int64
+	cancel context.CancelFunc
+	ctx    context.Context
+	fleet  *fleet.Scheduler
+
+	// progress is what earlier holders have recorded; nil until it is read.
+	progress map[workload.JobID]*workload.Progress
+	// queuesRead and serversRead are set once the first list of each was applied; early holds what came before
+	// progress was read.
+	queuesRead, serversRead bool
+	early                   []metastore.Update
+	begunAt                 time.Time
+	logged                  bool
+
+	saving    bool
+	saveAfter time.Time
+	roster    records.Roster
+
+	// plannedAt is the time of the last plan, planAt that of the next one if planSet.
+	plannedAt  time.Time
+	planAt     time.Time
+	planSet    bool
+	planCancel func()
+	expireAt   time.Time
+	log        actionLog
+}
+
+type (
+	progressRead struct {
+		term   int64
+		items  []metastore.Item
+		roster records.Roster
+		err    error
+	}
+	queueFollowed struct {
+		term int64
+		metastore.Update
+	}
+	serversFollowed struct {
+		term int64
+		metastore.Update
+	}
+)
+
+// Kind implements kernel.Message.
+func (progressRead) Kind() string { return "holder_progress_read" }
+
+// Kind implements kernel.Message.
+func (queueFollowed) Kind() string { return "holder_queue_followed" }
+
+// Kind implements kernel.Message.
+func (serversFollowed) Kind() string { return "holder_servers_followed" }
+
+// loaded reports whether all that earlier holders and the callers have recorded is known.
+func (t *term) loaded() bool { return t.progress != nil && t.queuesRead && t.serversRead }
+
+// beginTerm starts to read the records and to follow jobs and executors.
+func (s *Service) beginTerm(c *kernel.Context, number, fence int64, inherited bool) {
+	if s.term != nil {
+		s.endTerm("a new term begins")
+	}
+	now := time.Now()
+	t := &term{number: number, fence: fence, begunAt: now}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.fleet = fleet.New(s.settings.Fleet, number, fence, inherited, now)
+	t.fleet.SetConfig(s.catalog.Config)
+	t.fleet.SetOut(s.catalog.Out)
+	s.term = t
+	s.metrics.Event("terms_begun", 1)
+	s.readProgress(c, t)
+	post := c.Post()
+	s.follow(c, t, records.QueuePrefix, func(u metastore.Update) bool { return post(queueFollowed{number, u}) })
+	s.follow(c, t, runner.RegistryPrefix, func(u metastore.Update) bool { return post(serversFollowed{number, u}) })
+}
+
+func (s *Service) follow(c *kernel.Context, t *term, prefix string, deliver func(metastore.Update) bool) {
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(t.ctx, cancel)()
+		s.store.Follow(ctx, prefix, deliver)
+		return nil
+	})
+}
+
+func (s *Service) readProgress(c *kernel.Context, t *term) {
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		out := progressRead{term: t.number}
+		out.items, _, out.err = s.store.List(ctx, records.ProgressPrefix)
+		if out.err != nil {
+			return out
+		}
+		entries, _, err := s.store.List(ctx, records.RosterKey)
+		if err != nil {
+			out.err = err
+			return out
+		}
+		for i := range entries {
+			out.roster, out.err = records.Decode[records.Roster](entries[i].Key, entries[i].Value)
+		}
+		return out
+	})
+}
+
+func (s *Service) endTerm(reason string, keysAndValues ...any) {
+	t := s.term
+	t.cancel()
+	s.term = nil
+	s.log("fleet given up", append([]any{"reason", reason, "term_ended", t.number}, keysAndValues...)...)
+	s.metrics.Event("terms_ended", 1)
+}
+
+func (s *Service) handleTerm(c *kernel.Context, m kernel.Message) {
+	t := s.term
+	if t == nil {
+		return
+	}
+	switch m := m.(type) {
+	case progressRead:
+		if m.term == t.number {
+			s.progressRead(c, m)
+		}
+	case queueFollowed:
+		if m.term == t.number {
+			s.queueFollowed(c, m.Update)
+		}
+	case serversFollowed:
+		if m.term == t.number {
+			s.serversFollowed(c, m.Update)
+		}
+	default:
+		s.handleAction(c, m)
+	}
+}
+
+func (s *Service) progressRead(c *kernel.Context, m progressRead) {
+	t := s.term
+	if m.err != nil {
+		s.log("records not read; trying again", "error", m.err.Error())
+		s.metrics.Event("records_unread", 1)
+		s.readProgress(c, t)
+		return
+	}
+	t.progress = make(map[workload.JobID]*workload.Progress, len(m.items))
+	for i := range m.items {
+		p, err := records.Decode[workload.Progress](m.items[i].Key, m.items[i].Value)
+		if err != nil {
+			s.log("progress ignored", "error", err.Error())
+			s.metrics.Event("records_unreadable", 1)
+			continue
+		}
+		t.progress[records.ProgressJob(m.items[i].Key)] = &p
+	}
+	t.roster = m.roster
+	for id, address := range m.roster {
+		t.fleet.AddUnlisted(time.Now(), id, address)
+	}
+	early := t.early
+	t.early = nil
+	for _, u := range early {
+		s.queueFollowed(c, u)
+	}
+	s.plan(c)
+}
+
+// queueFollowed applies accepted jobs and cancellations.
+func (s *Service) queueFollowed(c *kernel.Context, u metastore.Update) {
+	t := s.term
+	if u.Err != nil {
+		s.metrics.Event("queue_watch_failed", 1)
+		return
+	}
+	if t.progress == nil {
+		t.early = append(t.early, u)
+		return
+	}
+	now := time.Now()
+	// Jobs come before cancellations, whose keys follow them in the order of the store.
+	for i := range u.Items {
+		s.queueItem(now, &u.Items[i])
+	}
+	for i := range u.Events {
+		if !u.Events[i].Removed {
+			s.queueItem(now, &u.Events[i].Item)
+		}
+	}
+	t.queuesRead = t.queuesRead || u.Snapshot
+	if u.Snapshot || len(u.Events) > 0 {
+		s.plan(c)
+	}
+}
+
+func (s *Service) queueItem(now time.Time, item *metastore.Item) {
+	t := s.term
+	id, cancelled, ok := records.Job(item.Key)
+	if !ok {
+		return
+	}
+	if cancelled {
+		if state, known := t.fleet.Status(id); known && !state.Final() && t.fleet.Cancel(now, id) {
+			s.log("job cancelled", "job", id, "source", "store", "revision", item.Revision)
+		}
+		return
+	}
+	if _, known := t.fleet.Status(id); known {
+		return
+	}
+	job, err := records.Decode[workload.Job](item.Key, item.Value)
+	if err != nil {
+		s.log("job ignored", "error", err.Error())
+		s.metrics.Event("records_unreadable", 1)
+		return
+	}
+	t.addJob(now, s, &job, item.Created)
+}
+
+func (t *term) addJob(now time.Time, s *Service, job *workload.Job, revision int64) {
+	if _, known := t.fleet.Status(job.ID); known {
+		return
+	}
+	t.fleet.AddJob(now, job, revision, t.progress[job.ID])
+	delete(t.progress, job.ID)
+	s.log("job taken up", "job", job.ID, "queue", job.Queue, "account", job.Account, "steps", len(job.Steps), "revision", revision)
+}
+
+// serversFollowed applies the registry of executors.
+func (s *Service) serversFollowed(c *kernel.Context, u metastore.Update) {
+	t := s.term
+	if u.Err != nil {
+		s.metrics.Event("registry_watch_failed", 1)
+		return
+	}
+	now := time.Now()
+	if u.Snapshot {
+		listed := make(map[workload.ExecutorID]bool, len(u.Items))
+		for i := range u.Items {
+			if s.upsertExecutor(now, &u.Items[i]) {
+				listed[runner.EntryID(u.Items[i].Key)] = true
+			}
+		}
+		t.fleet.KeepExecutors(now, listed)
+		t.serversRead = true
+	}
+	for i := range u.Events {
+		e := &u.Events[i]
+		if e.Removed {
+			s.log("executor left the registry", "executor", runner.EntryID(e.Key), "revision", e.Revision)
+			t.fleet.RemoveExecutor(now, runner.EntryID(e.Key))
+			continue
+		}
+		if !s.upsertExecutor(now, &e.Item) {
+			t.fleet.RemoveExecutor(now, runner.EntryID(e.Key))
+		}
+	}
+	if u.Snapshot || len(u.Events) > 0 {
+		s.plan(c)
+	}
+}
+
+func (s *Service) upsertExecutor(now time.Time, item *metastore.Item) bool {
+	info, err := runner.DecodeEntry(item.Key, item.Value)
+	if err != nil {
+		s.log("registry entry ignored", "error", err.Error(), "revision", item.Revision)
+		s.metrics.Event("registry_unreadable", 1)
+		return false
+	}
+	if info.Draining {
+		s.log("executor draining", "executor", info.ID, "remaining_ms", info.Remaining.Milliseconds(), "revision", item.Revision)
+	}
+	s.term.fleet.UpsertExecutor(now, info)
+	return true
+}
--- /dev/null
+++ b/services/intake/service.go
@@ -0,0 +1,134 @@
+// Package intake is the service that answers the calls of clients: it authenticates them, stores accepted jobs and
+// cancellations, and asks the holder for the state of jobs.
+package intake
+
+import (
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/verbenaflow/verbenaflow/api/failure"
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/front"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+)
+
+// Settings are the figures of the service.
+type Settings struct {
+	VM string
+	// Peers are addresses of other VMs, which may be stale.
+	Peers []string
+}
+
+// Service owns no sockets but those of the store's client; it remembers what it was told of the configuration and the
+// holder.
+type Service struct {
+	settings Settings
+	store    *metastore.Client
+	metrics  *metrics.Set
+	config   *workload.Config
+	holder   message.HolderChanged
+	// reachable is set while the store answers this VM.
+	reachable bool
+}
+
+// New returns the service.
+func New(s Settings, store *metastore.Client, m *metrics.Set) *Service {
+	return &Service{settings: s, store: store, metrics: m, reachable: true}
+}
+
+// Spec returns the registration of the service.
+func (s *Service) Spec() kernel.Spec {
+	return kernel.Spec{
+		Name: names.Intake, Service: s, After: []kernel.Name{names.Catalog, names.Relay, names.Holder},
+		Subscribes: []string{message.KindCatalogChanged, message.KindHolderChanged, message.KindStoreReach},
+	}
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(*kernel.Context) error { return nil }
+
+// Drain implements kernel.Service.
+func (s *Service) Drain(c *kernel.Context) { c.Drained() }
+
+// Handle implements kernel.Service.
+func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
+	switch m := e.Body.(type) {
+	case message.CatalogChanged:
+		s.config = m.Config
+	case message.HolderChanged:
+		s.holder = m
+	case message.StoreReach:
+		s.reachable = m.Reachable
+	case message.SubmitCall:
+		s.submit(c, m, e)
+	case message.ReadCall:
+		s.read(c, m, e)
+	case message.CancelCall:
+		s.cancel(c, m, e)
+	case message.AcceptJob:
+		s.accept(c, m.Job, time.Now().Add(relayedBudget), e, false)
+	case message.AcceptCancel:
+		s.storeCancel(c, m.ID, time.Now().Add(relayedBudget), e, false)
+	case stored:
+		s.stored(c, m)
+	case cancelled:
+		s.cancelled(c, m)
+	case looked:
+		s.looked(c, m)
+	}
+}
+
+// admitted is a call that the configuration allows.
+type admitted struct {
+	route   *workload.Route
+	account workload.Account
+	// rest is the part of the path after the route's prefix.
+	rest string
+}
+
+// admit applies the configuration to a call. It returns a failure for one that is not allowed.
+func (s *Service) admit(m *message.ClientCall) (admitted, *failure.Error) {
+	if s.config == nil {
+		return admitted{}, failure.New(failure.ConfigUnavailable, "no configuration yet")
+	}
+	r := s.config.Match(m.Host, m.Path)
+	if r == nil {
+		return admitted{}, failure.New(failure.NotFound, "no such queue")
+	}
+	account, ok := s.config.AccountOf(m.Key)
+	if !ok && !r.Public {
+		return admitted{}, failure.New(failure.Unauthorized, "unknown key")
+	}
+	return admitted{route: r, account: account, rest: strings.TrimPrefix(m.Path, r.Prefix)}, nil
+}
+
+// jobOf reads the job's identifier from the path.
+func (a *admitted) jobOf() (workload.JobID, *failure.Error) {
+	id, ok := front.ParseJobID(a.rest)
+	if !ok {
+		return "", failure.New(failure.NotFound, "no job at this path")
+	}
+	return id, nil
+}
+
+// refuse fails a call, counts the reason and logs it.
+func (s *Service) refuse(e kernel.Envelope, call string, id any, f *failure.Error) {
+	s.metrics.Refusal(f)
+	version := int64(0)
+	if s.config != nil {
+		version = s.config.Version
+	}
+	klog.InfoS("call refused", "vm", s.settings.VM, "service", names.Intake, "call", call, "job", id, "reason", f.Reason.Code(),
+		"detail", f.Detail, "outcome", f.Outcome, "config_version", version, "holder", s.holder.VM, "store_reachable", s.reachable)
+	e.Fail(f)
+}
+
+func (s *Service) log(msg string, keysAndValues ...any) {
+	klog.InfoS(msg, append([]any{"vm", s.settings.VM, "service", names.Intake}, keysAndValues...)...)
+}
