End the leases of executors that do not answer, however a look fails

Cause: (1) a dial that times out counts as an order that was certainly not carried out, and such a failed look did not mark the executor as silent, so that its lease never ended; (2) each failed look moved the end of the lease on; (3) after one refused start an idle executor was never looked at again and stayed ineligible; (4) the loop over leases forgot executors of the list that it ran over, which panicked the holder. Ruled out: lost start answers (all orders after 34 s were answered in the log). TestExecutorThatLeaves failed for (1), (2) and (4) before each change; the log names the stack of a panicked service.

--- a/api/workload/workload.go
+++ b/api/workload/workload.go
@@ -132,6 +132,9 @@
 	return b.String()
 }
 
+// MarshalText implements encoding.TextMarshaler, for logs.
+func (t TaskRef) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
 // ParseTaskRef reads the form of TaskRef.String; ok is false for any other text.
 func ParseTaskRef(s string) (ref TaskRef, ok bool) {
 	f := strings.Split(s, ".")
--- a/cmd/verbenaflowd/main.go
+++ b/cmd/verbenaflowd/main.go
@@ -8,9 +8,11 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
+	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/node/daemon"
 	"github.com/verbenaflow/verbenaflow/node/logging"
 	"github.com/verbenaflow/verbenaflow/node/settings"
@@ -65,6 +67,10 @@
 	// After the first signal the default action applies again, so that a second one ends the process.
 	defer context.AfterFunc(ctx, stop)()
 	if err := run(ctx); err != nil {
+		var p *kernel.PanicError
+		if errors.As(err, &p) {
+			klog.ErrorS(err, "service panicked", "panicked", p.Name, "stack", p.Stack)
+		}
 		klog.ErrorS(err, "daemon failed")
 		klog.Flush()
 		return exitFailure
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -244,10 +244,10 @@
 		!e.suspicion.blocks(now, e)
 }
 
-// wantsLook reports whether an executor is to be looked at: to learn what runs there, to renew its lease or to let it
-// forget ends.
+// wantsLook reports whether an executor is to be looked at: to learn what runs there or whether it answers again, to
+// renew its lease or to let it forget ends.
 func (e *executor) wantsLook() bool {
-	return !e.verified || len(e.ordersOut()) > 0 || e.acked < e.noted || len(e.ends) > 0
+	return !e.verified || e.refusals > 0 || !e.silentSince.IsZero() || len(e.ordersOut()) > 0 || e.acked < e.noted || len(e.ends) > 0
 }
 
 // ordersOut returns the members that the executor may know of.
@@ -267,7 +267,9 @@
 			continue
 		}
 		look := Look{Executor: e.info.ID, Address: e.info.Address, SeenUpTo: e.noted}
-		if e.verified && e.clock > 0 && len(e.ordersOut()) > 0 {
+		// A look at an executor that does not answer renews nothing: it may be carried out late, and the lease has to end
+		// for the tasks to start elsewhere.
+		if e.verified && e.clock > 0 && len(e.ordersOut()) > 0 && e.silentSince.IsZero() {
 			look.Deadline = e.renewal(now, f.settings.Lease)
 			look.Wait = f.settings.LookWait
 			e.deadline = max(e.deadline, look.Deadline)
--- /dev/null
+++ b/decisions/fleet/fleet_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// start runs a world with a holder.
+func start(t *testing.T, racks, perRack int) *world {
+	t.Helper()
+	w := newWorld(t, 1, racks, perRack)
+	w.newHolder()
+	w.work()
+	w.run(100 * time.Millisecond)
+	return w
+}
+
+var small = workload.Resources{CPU: 2800, Memory: 5700, GPU: 1}
+
+// TestCalmDay guards against a scheduler that does not bring jobs of all shapes to their end.
+func TestCalmDay(t *testing.T) {
+	w := start(t, 2, 4)
+	w.submit(oneStep("tasks", "batch", workload.Step{Count: 20, Need: small}), behavior{work: 3 * time.Second})
+	w.submit(oneStep("gang", "normal", workload.Step{Count: 4, Gang: true, SameRack: true, Need: workload.Resources{CPU: 13000, GPU: 4}}),
+		behavior{work: 2 * time.Second})
+	w.submit(&workload.Job{ID: "steps", Queue: "batch", Account: "a", Steps: []workload.Step{
+		{Count: 3, Need: small, Estimate: time.Second}, {Count: 2, Need: small, Estimate: time.Second, After: []int{0}},
+	}}, behavior{work: time.Second})
+	w.submit(oneStep("hopeless", "batch", workload.Step{Count: 1, Need: small}), behavior{work: time.Second, fails: true})
+	w.run(12 * time.Second)
+	w.expectDone()
+}
+
+// TestExecutorThatLeaves guards against tasks that are never started again after their executor has left without
+// another word: its address then does not answer at all, which a dial reports as an order that was certainly not
+// carried out.
+func TestExecutorThatLeaves(t *testing.T) {
+	for _, id := range []workload.ExecutorID{"e0-0", "e0-1", "e0-2"} {
+		w := start(t, 1, 3)
+		w.submit(oneStep("j", "batch", workload.Step{Count: 24, Need: small}), behavior{work: 4 * time.Second})
+		w.run(time.Second)
+		w.execs[id].cut = true
+		w.holder.fleet.RemoveExecutor(w.now, id)
+		w.run(20 * time.Second)
+		w.expectDone()
+	}
+}
+
+// TestRefusedOnce guards against an executor that gets no work for ever after one refused connection.
+func TestRefusedOnce(t *testing.T) {
+	w := start(t, 1, 1)
+	w.execs["e0-0"].up = false
+	w.submit(oneStep("j", "batch", workload.Step{Count: 1, Need: small}), behavior{work: time.Second})
+	w.run(10 * time.Millisecond)
+	w.execs["e0-0"].up = true
+	w.run(5 * time.Second)
+	w.expectDone()
+}
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -49,7 +49,8 @@
 
 // expire ends what ran on executors whose leases have ended.
 func (f *Scheduler) expire(now time.Time) {
-	for _, e := range f.order {
+	// The loop forgets executors, which changes the list.
+	for _, e := range slices.Clone(f.order) {
 		if len(e.ordersOut()) > 0 && !e.silentSince.IsZero() && e.deadline > 0 && now.After(e.lapsesAt()) {
 			f.loseAll(now, e)
 			f.dropIfGone(e)
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -339,6 +339,8 @@
 	}
 	e.looking = false
 	e.lookAt = now.Add(lookRetry)
+	// However the look failed, it did not renew the lease.
+	f.silent(now, e)
 	f.failed(now, e, why)
 }
 
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -7,13 +7,14 @@
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 )
 
-// maxLinesPerSecond bounds the log lines about single runs, so that a burst does not spend the processor on its log.
+// maxLinesPerSecond bounds the log lines about single runs, for each kind of line, so that a burst neither spends the
+// processor on its log nor hides lines of another kind.
 const maxLinesPerSecond = 60
 
 // actionLog bounds the lines about single runs.
 type actionLog struct {
 	second  time.Time
-	lines   int
+	lines   map[string]int
 	dropped int64
 }
 
@@ -25,9 +26,9 @@
 			s.log("log lines dropped", "lines", l.dropped)
 			s.metrics.Event("log_lines_dropped", l.dropped)
 		}
-		l.second, l.lines, l.dropped = now, 0, 0
+		l.second, l.lines, l.dropped = now, map[string]int{}, 0
 	}
-	if l.lines++; l.lines > maxLinesPerSecond {
+	if l.lines[msg]++; l.lines[msg] > maxLinesPerSecond {
 		l.dropped++
 		return
 	}
