Prove the fleet scheduler by stateful fuzzing and mend what it found

decisions/fleet/world_test.go simulates executors in virtual time and checks from their side that no task runs twice, no executor is overfull, no step starts early, no task exceeds its attempts and every job ends as it should.

--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -92,4 +92,6 @@
 	CountJobsHopeless  Count = "jobs_never_fit"
 	CountReserveBroken Count = "reservations_given_up"
 	CountExecutorLost  Count = "executors_lost"
+	// CountExecutorReborn counts new lives of executors under the same identifier.
+	CountExecutorReborn Count = "executors_reborn"
 )
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -216,12 +216,14 @@
 	}
 }
 
-// rebirth applies the start of a new life of an executor: nothing of before runs there.
+// rebirth applies the start of a new life of an executor. Nothing of before runs there, but an order that is under way
+// may reach the new life, so that the next report decides what is lost.
 func (f *Scheduler) rebirth(now time.Time, e *executor, born int64) {
-	f.loseAll(now, e)
+	f.count(CountExecutorReborn)
+	f.changed = true
 	e.born = born
 	e.seen, e.noted, e.acked, e.ends = 0, 0, 0, nil
-	e.clock, e.clockAt, e.deadline = 0, now, 0
+	e.clock, e.clockAt, e.deadline = 0, now, f.settings.Lease
 	e.verified = false
 	e.suspicion = suspicion{}
 	e.lookAt = now
--- a/decisions/fleet/fleet_test.go
+++ b/decisions/fleet/fleet_test.go
@@ -58,3 +58,29 @@
 	w.run(5 * time.Second)
 	w.expectDone()
 }
+
+// TestFailuresOutliveHolder guards against a start beyond the attempts of a task: a new holder that finds a later run
+// of a task in progress has to count the failures of the earlier ones, which were not recorded.
+func TestFailuresOutliveHolder(t *testing.T) {
+	w := start(t, 1, 4)
+	w.submit(oneStep("j", "batch", workload.Step{Count: 1, Need: small}), behavior{work: time.Second, fails: true})
+	w.storeDown = true
+	w.run(2500 * time.Millisecond)
+	if n := len(w.starts[workload.TaskRef{Job: "j"}]); n != 3 {
+		t.Fatalf("%d starts before the new holder, want 3", n)
+	}
+	w.storeDown = false
+	w.newHolder()
+	w.run(10 * time.Second)
+	w.expectDone()
+}
+
+// TestGangNeedsAllExecutors guards against a gang that never starts again after a failure, because it keeps away from an
+// executor without which it has no room.
+func TestGangNeedsAllExecutors(t *testing.T) {
+	w := start(t, 1, 3)
+	w.submit(oneStep("j", "normal", workload.Step{Count: 3, Gang: true, Need: workload.Resources{CPU: 1000, GPU: 8}}),
+		behavior{work: time.Second, fails: true})
+	w.run(20 * time.Second)
+	w.expectDone()
+}
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -49,8 +49,9 @@
 	// readyAt is when the unit could start for the first time, notBefore delays the next start.
 	readyAt   time.Time
 	notBefore time.Time
-	// avoid is the executor on which the latest run failed.
-	avoid workload.ExecutorID
+	// avoid is the executor on which the latest run failed, avoidUntil when it may be used again.
+	avoid      workload.ExecutorID
+	avoidUntil time.Time
 }
 
 func (u *unit) spec() *workload.Step { return &u.job.rec.Steps[u.step] }
@@ -59,6 +60,11 @@
 	return workload.TaskRef{Job: u.job.rec.ID, Occurrence: u.occurrence, Step: u.step, Index: index}
 }
 
+// shun keeps the next run away from an executor for a while.
+func (u *unit) shun(now time.Time, id workload.ExecutorID) {
+	u.avoid, u.avoidUntil = id, now.Add(avoidTime)
+}
+
 // reserved reports whether the run waits for room and has not been ordered.
 func (u *unit) reserved() bool { return len(u.members) > 0 && u.members[0].state == memberReserved }
 
--- a/decisions/fleet/move.go
+++ b/decisions/fleet/move.go
@@ -62,7 +62,7 @@
 					m.on.suspicion.add(now, stalledWeight)
 				}
 			}
-			u.avoid = u.members[0].on.info.ID
+			u.shun(now, u.members[0].on.info.ID)
 			f.interrupt(now, u, StopStalled)
 		}
 	}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -43,7 +43,7 @@
 func (f *Scheduler) find(now time.Time, c *candidate, usable []*executor) ([]*executor, string) {
 	u := c.u
 	s := u.spec()
-	fit := f.fitting(u, usable)
+	fit := f.fitting(now, u, usable)
 	if len(fit) == 0 {
 		return nil, ""
 	}
@@ -120,13 +120,13 @@
 }
 
 // fitting returns the executors that have room for at least one task of a unit, those with the least waste first.
-func (f *Scheduler) fitting(u *unit, usable []*executor) []slot {
+func (f *Scheduler) fitting(now time.Time, u *unit, usable []*executor) []slot {
 	s := u.spec()
 	load := s.Load()
 	var out []slot
 	for _, e := range usable {
 		free := e.free()
-		if !load.Fits(free) || !f.matches(u, e) || e.info.ID == u.avoid && len(usable) > 1 {
+		if !load.Fits(free) || !f.matches(u, e) || e.info.ID == u.avoid && now.Before(u.avoidUntil) {
 			continue
 		}
 		room := capacityFor(s, free)
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -194,9 +194,10 @@
 	m := e.find(row.Task, row.Run)
 	if m == nil && u != nil {
 		// The run ended before this holder knew of it.
-		m = &member{task: row.Task, run: row.Run, on: e, state: memberRunning}
-		if u.state != unitActive || u.run == row.Run {
-			m.unit = u
+		if row.How == workload.Erred && u.state == unitActive && u.run != row.Run {
+			f.countFailure(now, u, row.Run, e)
+		} else if row.How == workload.Done || u.state != unitActive || u.run == row.Run {
+			m = &member{unit: u, task: row.Task, run: row.Run, on: e, state: memberRunning}
 		}
 	}
 	if m != nil {
@@ -285,7 +286,7 @@
 		u := m.unit
 		f.endMember(now, m, workload.Stopped, "")
 		if u != nil {
-			u.avoid = id
+			u.shun(now, id)
 			u.notBefore = now.Add(startRetry)
 		}
 	}
@@ -359,6 +360,9 @@
 	f.changed = true
 	if done {
 		e.answered()
-		m.stopAckedAt = now
+		// The first answer counts: later ones would move the time that a report has to follow ever further.
+		if m.stopAckedAt.IsZero() {
+			m.stopAckedAt = now
+		}
 	}
 }
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -10,6 +10,9 @@
 const (
 	// startRetry is the delay before a unit whose start was refused is placed again.
 	startRetry = 50 * time.Millisecond
+	// avoidTime is how long a unit keeps away from the executor on which it failed. Without an end a gang that needs
+	// every executor would never start again.
+	avoidTime = 3 * time.Second
 	// brokenWait is how long the rest of a gang may take to end by itself before it is stopped.
 	brokenWait = 300 * time.Millisecond
 	// stopRetry is the delay before a stop without an effect is repeated.
@@ -50,7 +53,12 @@
 	default:
 		f.end(now, u, StopGang)
 	}
-	if u.state == unitDone && len(u.members) > 0 {
+	switch {
+	case u.state != unitDone || len(u.members) == 0:
+	case u.reserved():
+		// An earlier run was done after all.
+		f.giveUpReservation(now, u)
+	default:
 		// The members of a gang end together; what remains is stopped if it does not end by itself.
 		u.ending, u.endingAt, u.endWhy = true, now, StopCancelled
 	}
@@ -74,18 +82,25 @@
 	}
 }
 
-// runFailed records a run that ended failed. The members of a gang fail together and count once.
+// runFailed ends a unit's run that failed.
 func (f *Scheduler) runFailed(now time.Time, u *unit, m *member) {
-	if !slices.Contains(u.failed, m.run) {
-		u.failed = append(u.failed, m.run)
-		u.avoid = m.on.info.ID
-		u.job.dirty()
-		if len(u.failed) == 1 {
-			m.on.suspicion.add(now, failureWeight)
-		}
-	}
 	f.end(now, u, StopGang)
-	if limit := f.route(u.job).MaxAttempts; limit > 0 && len(u.failed) >= limit {
+	f.countFailure(now, u, m.run, m.on)
+}
+
+// countFailure records a run that ended failed, and ends the job if a unit has none of its attempts left. The members of
+// a gang fail together and count once.
+func (f *Scheduler) countFailure(now time.Time, u *unit, run workload.RunNumber, on *executor) {
+	if slices.Contains(u.failed, run) {
+		return
+	}
+	u.failed = append(u.failed, run)
+	u.shun(now, on.info.ID)
+	u.job.dirty()
+	if len(u.failed) == 1 {
+		on.suspicion.add(now, failureWeight)
+	}
+	if limit := f.route(u.job).MaxAttempts; limit > 0 && len(u.failed) >= limit && !u.job.state.Final() {
 		f.count(CountJobsFailed)
 		f.finish(now, u.job, workload.StateFailed)
 	}
--- a/decisions/fleet/world_test.go
+++ b/decisions/fleet/world_test.go
@@ -44,13 +44,20 @@
 	// runs holds what started, done the tasks that have ended done and were acknowledged.
 	active  map[workload.TaskRef]*fakeRun
 	acked   map[workload.TaskRef]time.Time
-	failed  map[workload.TaskRef]int
+	failed  map[workload.TaskRef][]time.Time
 	doneAt  map[workload.TaskRef]time.Time
-	starts  map[workload.TaskRef]int
+	starts  map[workload.TaskRef][]time.Time
+	endedAt map[endKey]time.Time
 	faults  []string
 	started int
 }
 
+// endKey names an end of an executor.
+type endKey struct {
+	on     workload.ExecutorID
+	number int64
+}
+
 // behavior is how the tasks of a job run.
 type behavior struct {
 	work  time.Duration
@@ -79,6 +86,8 @@
 	number   int64
 	seen     int64
 	bootAt   time.Time
+	// lapsedAt is the last time at which the lease was over.
+	lapsedAt time.Time
 	stopped  map[workload.TaskRef]workload.RunNumber
 }
 
@@ -125,8 +134,8 @@
 		execs: map[workload.ExecutorID]*fakeExecutor{}, jobs: map[workload.JobID]*workload.Job{},
 		behavior: map[workload.JobID]behavior{}, progress: map[workload.JobID]workload.Progress{},
 		created: map[workload.JobID]int64{}, cancelled: map[workload.JobID]time.Time{},
-		active: map[workload.TaskRef]*fakeRun{}, acked: map[workload.TaskRef]time.Time{}, failed: map[workload.TaskRef]int{},
-		doneAt: map[workload.TaskRef]time.Time{}, starts: map[workload.TaskRef]int{},
+		active: map[workload.TaskRef]*fakeRun{}, acked: map[workload.TaskRef]time.Time{}, failed: map[workload.TaskRef][]time.Time{},
+		doneAt: map[workload.TaskRef]time.Time{}, endedAt: map[endKey]time.Time{}, starts: map[workload.TaskRef][]time.Time{},
 	}
 	w.config = (&workload.Config{
 		Version: 1,
@@ -174,6 +183,13 @@
 	w.now = end
 }
 
+// trace records what happens when tests run verbosely, to follow a failing seed.
+func (w *world) trace(format string, args ...any) {
+	if testing.Verbose() {
+		fmt.Printf("%v: %s\n", w.now.Sub(time.Unix(1_700_000_000, 0)), fmt.Sprintf(format, args...))
+	}
+}
+
 func (w *world) fault(format string, args ...any) {
 	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now.Sub(time.Unix(1_700_000_000, 0)))+fmt.Sprintf(format, args...))
 }
@@ -235,6 +251,7 @@
 	}
 	actions, next := h.fleet.Plan(w.now)
 	for _, a := range actions {
+		w.trace("fence %d: %T %+v", h.fence, a, a)
 		switch a := a.(type) {
 		case Start:
 			w.start(h, a)
@@ -286,8 +303,10 @@
 	case e.cut:
 		w.after(900*time.Millisecond, func() { lost(CallNotDone) })
 	case w.rand.Float64() < w.lossy:
+		// An order that is carried out late does not outlive the process that received it.
+		life := e.bootAt
 		w.after(time.Duration(2000+w.rand.IntN(8000))*time.Millisecond, func() {
-			if e.up {
+			if e.up && e.bootAt.Equal(life) {
 				do(e)
 			}
 		})
@@ -352,6 +371,7 @@
 	}
 	w.extend(e, a.Deadline)
 	j := w.jobs[a.Task.Job]
+	w.trace("%s run %d begins on %s", a.Task, a.Run, e.info.ID)
 	w.checkStart(e, j, a)
 	b := w.behavior[a.Task.Job]
 	r := &fakeRun{task: a.Task, run: a.Run, on: e, job: j, left: b.work, lastAt: w.now, began: w.now}
@@ -365,7 +385,7 @@
 	}
 	e.runs = append(e.runs, r)
 	w.active[a.Task] = r
-	w.starts[a.Task]++
+	w.starts[a.Task] = append(w.starts[a.Task], w.now)
 	w.started++
 	return 0, true
 }
@@ -383,12 +403,6 @@
 	if r := w.active[a.Task]; r != nil && r.on.up && slices.Contains(r.on.runs, r) {
 		w.fault("TWICE: %s run %d on %s while run %d is on %s", a.Task, a.Run, e.info.ID, r.run, r.on.info.ID)
 	}
-	if at, ok := w.acked[a.Task]; ok {
-		w.fault("TWICE: %s run %d starts after its end was acknowledged at %v", a.Task, a.Run, at)
-	}
-	if w.failed[a.Task] >= w.config.Route(j.Queue).MaxAttempts {
-		w.fault("BUDGET: %s run %d after %d failures", a.Task, a.Run, w.failed[a.Task])
-	}
 	if at, ok := w.cancelled[j.ID]; ok && w.now.Sub(at) > 3*time.Second && w.lossy == 0 {
 		w.fault("UNASKED: %s starts %v after its job was cancelled", a.Task, w.now.Sub(at))
 	}
@@ -450,11 +464,15 @@
 			w.extend(e, a.Deadline)
 		}
 		e.ended = slices.DeleteFunc(e.ended, func(x workload.Ended) bool {
-			if x.Number <= a.SeenUpTo && x.How == workload.Done {
-				w.acked[x.Task] = w.now
-			}
-			if x.Number <= a.SeenUpTo && x.How == workload.Erred {
-				w.failed[x.Task]++
+			// An end whose executor's lease lapsed before its acknowledgement does not count.
+			at := w.endedAt[endKey{e.info.ID, x.Number}]
+			if x.Number <= a.SeenUpTo && !e.lapsedAt.After(at) {
+				switch x.How {
+				case workload.Done:
+					w.acked[x.Task] = at
+				case workload.Erred:
+					w.failed[x.Task] = append(w.failed[x.Task], at)
+				}
 			}
 			return x.Number <= a.SeenUpTo
 		})
@@ -500,6 +518,7 @@
 	}
 	w.after(callTime, func() {
 		if !h.gone {
+			w.trace("report of %s to the look of %v: %+v", a.Executor, sentAt.Sub(time.Unix(1_700_000_000, 0)), r)
 			h.fleet.Report(w.now, a.Executor, sentAt, a, r)
 			w.plan(h)
 		}
@@ -513,7 +532,8 @@
 		if !e.up {
 			continue
 		}
-		if len(e.runs) > 0 && w.now.After(e.deadline) {
+		if w.now.After(e.deadline) {
+			e.lapsedAt = w.now
 			for _, r := range slices.Clone(e.runs) {
 				w.end(r, workload.Lapsed)
 			}
@@ -567,12 +587,14 @@
 	whole := r.job.Steps[r.task.Step].Gang && w.together(r)
 	r.on.runs = slices.Delete(r.on.runs, i, i+1)
 	r.on.number++
+	w.trace("%s run %d on %s ends %s as %d", r.task, r.run, r.on.info.ID, how, r.on.number)
 	saved := ""
 	if r.job.Steps[r.task.Step].Checkpoint && how == workload.Stopped {
 		saved = fmt.Sprint((w.behavior[r.job.ID].work - r.left).Milliseconds())
 	}
 	r.on.ended = append(r.on.ended, workload.Ended{Number: r.on.number, Task: r.task, Run: r.run, How: how, Saved: saved})
 	r.on.stopped[r.task] = max(r.on.stopped[r.task], r.run)
+	w.endedAt[endKey{r.on.info.ID, r.on.number}] = w.now
 	if how == workload.Done {
 		w.doneAt[r.task] = w.now
 	}
@@ -594,6 +616,7 @@
 
 // crash ends an executor's process without a word.
 func (w *world) crash(id workload.ExecutorID) {
+	w.trace("%s crashes", id)
 	e := w.execs[id]
 	e.up, e.runs, e.ended = false, nil, nil
 	if h := w.holder; h != nil {
@@ -607,6 +630,7 @@
 
 // reborn starts an executor again under its id.
 func (w *world) reborn(id workload.ExecutorID) {
+	w.trace("%s starts again", id)
 	e := w.execs[id]
 	e.up, e.cut, e.fence, e.number, e.seen, e.bootAt = true, false, 0, 0, 0, w.now
 	e.info.Born = w.now.UnixMilli()
@@ -617,9 +641,32 @@
 	}
 }
 
+// checkBudgets is the oracle of attempts and of repeated runs: ends that are acknowledged at any time count for every start
+// after them.
+func (w *world) checkBudgets() {
+	for task, starts := range w.starts {
+		limit := w.config.Route(w.jobs[task.Job].Queue).MaxAttempts
+		for _, at := range starts {
+			if done, ok := w.acked[task]; ok && at.After(done) {
+				w.fault("TWICE: %s started at %v after its end at %v, which was acknowledged", task, at, done)
+			}
+			n := 0
+			for _, failed := range w.failed[task] {
+				if failed.Before(at) {
+					n++
+				}
+			}
+			if n >= limit {
+				w.fault("BUDGET: %s started after %d failures", task, n)
+			}
+		}
+	}
+}
+
 // expectDone fails the test unless all jobs have ended as their behavior says and no promise was broken.
 func (w *world) expectDone() {
 	w.t.Helper()
+	w.checkBudgets()
 	for _, f := range w.faults {
 		w.t.Error(f)
 	}
@@ -636,7 +683,7 @@
 			continue
 		}
 		if !known || got != want {
-			w.t.Errorf("job %s is %q, want %q", id, got, want)
+			w.t.Errorf("job %s is %q, want %q: %s", id, got, want, w.describe(id))
 		}
 	}
 }
@@ -648,3 +695,25 @@
 	}
 	return &workload.Job{ID: workload.JobID(id), Queue: queue, Account: "a", Spec: "spec of " + id, Steps: []workload.Step{s}}
 }
+
+// describe tells why a job has not ended.
+func (w *world) describe(id workload.JobID) string {
+	out := ""
+	for _, u := range w.holder.fleet.jobs[id].units {
+		if u.state == unitDone {
+			continue
+		}
+		out += fmt.Sprintf("\n  unit %d.%d state %d run %d ending %v failed %v avoid %q", u.step, u.first, u.state, u.run, u.ending, u.failed, u.avoid)
+		for _, m := range u.members {
+			out += fmt.Sprintf("\n    %s on %s state %d stopping %v acked %v", m.task, m.on.info.ID, m.state, m.stopping, m.stopAckedAt)
+		}
+	}
+	for _, e := range w.holder.fleet.order {
+		out += fmt.Sprintf("\n  executor %s free %v eligible %v verified %v silent %v refusals %d suspicion %.2f looking %v",
+			e.info.ID, e.free(), w.holder.fleet.eligible(w.now, e), e.verified, e.silentSince, e.refusals, e.suspicion.current(w.now), e.looking)
+		for _, m := range e.members {
+			out += fmt.Sprintf("\n    %s run %d state %d of a unit %v stopping %v %s acked %v", m.task, m.run, m.state, m.unit != nil, m.stopping, m.stopWhy, m.stopAckedAt)
+		}
+	}
+	return out
+}
