Keep room for the urgent work that is about to arrive

Room that an urgent task gives back was filled at once by tasks of the lowest priority, which the next urgent job had to stop again; the fleet summary in the log (new) shows 900 to 2,200 stopped units in 5 s beside 900 ends. Change: work below priority 0 starts only in the room beyond what urgent work took in the last seconds (moving average of arrivals, times about its run time, at most half of the fleet). Victims are weighed by priority and by what a restart costs; urgent work beyond its account's guarantee that is late already stops nothing.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -57,9 +57,12 @@
 	open      []*job
 	executors map[workload.ExecutorID]*executor
 	// order is the sorted list of executors, so that decisions do not depend on the order of a map.
-	order []*executor
-	usage usage
-	speed speeds
+	order  []*executor
+	usage  usage
+	speed  speeds
+	urgent demand
+	// keepFor is the time of arrivals of urgent work for which room is kept.
+	keepFor time.Duration
 
 	orders  []Action
 	changed bool
@@ -79,6 +82,7 @@
 		executors: map[workload.ExecutorID]*executor{},
 		usage:     usage{},
 		speed:     speeds{},
+		keepFor:   headroomTime,
 		counts:    map[Count]int64{},
 	}
 	if inherited {
@@ -122,6 +126,7 @@
 		return
 	}
 	f.open = append(f.open, j)
+	f.arrive(now, j)
 	f.changed = true
 	f.settleJob(now, j)
 }
--- /dev/null
+++ b/decisions/fleet/headroom.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+const (
+	// demandMemory is the time over which the arrival of urgent work is averaged.
+	demandMemory = 3 * time.Second
+	// headroomTime is how much urgent work, in time of its arrival, finds room without a preemption: about the run time
+	// of urgent tasks, so that the room which they give back waits for the next ones. Long tasks would otherwise fill it
+	// at once and be stopped again.
+	headroomTime = 3 * time.Second
+	// maxHeadroom bounds the share of the fleet that is kept free.
+	maxHeadroom = 0.5
+)
+
+// demand is the rate at which urgent work arrives, as a moving average of its weight in thousandths of a core.
+type demand struct {
+	value float64
+	at    time.Time
+}
+
+func (d *demand) decayed(now time.Time) float64 {
+	if d.value == 0 {
+		return 0
+	}
+	return d.value * math.Exp(-float64(now.Sub(d.at))/float64(demandMemory))
+}
+
+func (d *demand) add(now time.Time, weight float64) { d.value, d.at = d.decayed(now)+weight, now }
+
+// rate returns the weight that arrives in a second.
+func (d *demand) rate(now time.Time) float64 { return d.decayed(now) / demandMemory.Seconds() }
+
+// arrive observes the arrival of a job of priority 0.
+func (f *Scheduler) arrive(now time.Time, j *job) {
+	if f.route(j).Priority != 0 {
+		return
+	}
+	w := 0
+	for i := range j.rec.Steps {
+		w += j.rec.Steps[i].Count * weightOf(j.rec.Steps[i].Need)
+	}
+	f.urgent.add(now, float64(w))
+}
+
+// headroom is the room that other work may still take: what is free beyond what is kept for urgent work.
+type headroom struct{ left float64 }
+
+// headroom returns what work below priority 0 may take of the usable executors.
+func (f *Scheduler) headroom(now time.Time, usable []*executor) headroom {
+	free, capacity := 0, 0
+	for _, e := range usable {
+		free += max(0, weightOf(e.free()))
+		capacity += weightOf(e.info.Capacity)
+	}
+	keep := min(f.urgent.rate(now)*f.keepFor.Seconds(), maxHeadroom*float64(capacity))
+	return headroom{left: float64(free) - keep}
+}
+
+// take reports whether a unit may start, and takes its room if so. Urgent work takes any room.
+func (h *headroom) take(c *candidate, need workload.Resources) bool {
+	w := float64(c.u.n * weightOf(need))
+	if c.class > 1 && w > h.left {
+		return false
+	}
+	h.left -= w
+	return true
+}
--- /dev/null
+++ b/decisions/fleet/headroom_test.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// replayUrgent plays a steady stream of short urgent gangs over a fleet that long batch tasks would fill, and returns
+// the number of runs that were stopped and of urgent jobs that were done within their objective.
+func replayUrgent(t *testing.T, headroom time.Duration) (stopped, inTime int) {
+	t.Helper()
+	w := newWorld(t, 7, 2, 8)
+	w.newHolder()
+	w.holder.fleet.keepFor = headroom
+	w.work()
+	w.run(100 * time.Millisecond)
+	for i := range 12 {
+		w.submit(oneStep(fmt.Sprintf("batch%d", i), "batch", workload.Step{Count: 40, Need: small, Estimate: 8 * time.Second}), behavior{work: 8 * time.Second})
+	}
+	const urgent = 60
+	for i := range urgent {
+		w.submit(oneStep(fmt.Sprintf("urgent%02d", i), "urgent", workload.Step{Count: 3, Gang: true, SameRack: true, Need: workload.Resources{CPU: 3700, GPU: 4}}),
+			behavior{work: 2 * time.Second})
+		w.run(500 * time.Millisecond)
+	}
+	w.run(4 * time.Second)
+	for _, f := range w.faults {
+		t.Error(f)
+	}
+	for _, id := range w.order {
+		state, _ := w.holder.fleet.Status(id)
+		if w.jobs[id].Queue == "urgent" && state == workload.StateCompleted {
+			inTime++
+		}
+	}
+	return int(w.holder.fleet.Counts()[CountPreempt]), inTime
+}
+
+// TestHeadroomSparesWork guards against urgent work that stops long tasks again and again, because they fill the room
+// that it gives back. The load is a stream of short urgent gangs beside more batch work than the fleet holds.
+func TestHeadroomSparesWork(t *testing.T) {
+	without, servedWithout := replayUrgent(t, 0)
+	with, served := replayUrgent(t, headroomTime)
+	t.Logf("stopped units %d without headroom, %d with it; urgent jobs done %d and %d", without, with, servedWithout, served)
+	if with*2 > without {
+		t.Errorf("%d units stopped with headroom, %d without it; want at most half", with, without)
+	}
+	if served < servedWithout {
+		t.Errorf("%d urgent jobs done with headroom, %d without it", served, servedWithout)
+	}
+}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -20,6 +20,7 @@
 		return
 	}
 	usable := slices.DeleteFunc(slices.Clone(f.order), func(e *executor) bool { return !f.eligible(now, e) })
+	room := f.headroom(now, usable)
 	blocked := map[stepKey]bool{}
 	for _, c := range waiting {
 		u := c.u
@@ -29,6 +30,10 @@
 			continue
 		}
 		c.class = f.classOf(u)
+		if !room.take(c, u.spec().Need) {
+			blocked[key] = true
+			continue
+		}
 		on, reason := f.find(now, c, usable)
 		if on == nil {
 			blocked[key] = !f.preempt(now, c, usable)
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -11,7 +11,8 @@
 // preempt makes room for a unit of priority 0 by stopping units that come after it, those with the least lost work
 // first. It reports whether it did.
 func (f *Scheduler) preempt(now time.Time, c *candidate, usable []*executor) bool {
-	if c.class > 1 {
+	// Room is vacated for priority 0 only, and beyond the guarantee of its account only while that meets the objective.
+	if c.class > 1 || c.class > classGuaranteed && c.late {
 		return false
 	}
 	u := c.u
@@ -155,13 +156,32 @@
 	return 1
 }
 
+const (
+	// restartCost is the time that a stopped run loses beside its work: the stop, the wait for room and the start.
+	restartCost = time.Second
+	// importanceStep is how much more the work of a priority counts than that of the next one when room is vacated.
+	importanceStep = 4
+	// lowestPriority is the priority from which the importance does not fall further.
+	lowestPriority = 2
+)
+
+// importance weighs the lost work of a unit by its priority, so that the least urgent work gives way first.
+func (f *Scheduler) importance(u *unit) float64 {
+	w := 1.0
+	for p := f.route(u.job).Priority; p < lowestPriority; p++ {
+		w *= importanceStep
+	}
+	return w
+}
+
 // lostWork returns the work that a stop of a unit throws away, in core-seconds.
 func (f *Scheduler) lostWork(now time.Time, u *unit) float64 {
 	lost := now.Sub(u.startedAt)
 	if u.spec().Checkpoint {
 		lost = min(lost, f.settings.RestoreTime+f.settings.SaveInterval/2)
 	}
-	return lost.Seconds() * float64(u.n) * float64(weightOf(u.spec().Need)) / 1000
+	lost += restartCost
+	return lost.Seconds() * float64(u.n) * float64(weightOf(u.spec().Need)) / 1000 * f.importance(u)
 }
 
 // apply stops the victims of a vacancy and reserves their room.
--- a/decisions/fleet/world_test.go
+++ b/decisions/fleet/world_test.go
@@ -100,7 +100,6 @@
 	lastAt time.Time
 	began  time.Time
 	saved  time.Duration
-	endsAt int
 }
 
 const (
--- a/services/holder/act.go
+++ b/services/holder/act.go
@@ -19,6 +19,8 @@
 	lookMargin = 700 * time.Millisecond
 	// planPause is the shortest time between two plans, so that the events of a burst are planned together.
 	planPause = 5 * time.Millisecond
+	// summaryEvery is the time between two summaries in the log.
+	summaryEvery = 5 * time.Second
 )
 
 type (
@@ -132,11 +134,27 @@
 	s.planAfter(c, next)
 }
 
-// observe updates the gauges and counters of the scheduler.
+// observe updates the counters of the scheduler and, from time to time, its gauges and a summary in the log.
 func (s *Service) observe(now time.Time) {
-	for name, n := range s.term.fleet.Counts() {
+	t := s.term
+	for name, n := range t.fleet.Counts() {
 		s.metrics.Event("fleet_"+string(name), n)
+		t.sums[name] += n
+	}
+	if now.Sub(t.summaryAt) < summaryEvery {
+		return
+	}
+	t.summaryAt = now
+	g := t.fleet.Gauges(now)
+	for name, v := range map[string]int{
+		"jobs_open": g.OpenJobs, "units_waiting": g.WaitingUnits, "units_active": g.ActiveUnits,
+		"executors": g.Executors, "executors_eligible": g.Eligible,
+	} {
+		s.metrics.Gauge(name, int64(v))
 	}
+	s.log("fleet summary", "term", t.number, "jobs_open", g.OpenJobs, "units_waiting", g.WaitingUnits, "units_active", g.ActiveUnits,
+		"executors", g.Executors, "executors_eligible", g.Eligible, "counts", t.sums)
+	t.sums = map[fleet.Count]int64{}
 }
 
 func (s *Service) start(c *kernel.Context, a fleet.Start) {
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -41,6 +41,9 @@
 	planCancel func()
 	expireAt   time.Time
 	log        actionLog
+	// sums counts what has happened since the last summary.
+	sums      map[fleet.Count]int64
+	summaryAt time.Time
 }
 
 type (
@@ -78,7 +81,7 @@
 		s.endTerm("a new term begins")
 	}
 	now := time.Now()
-	t := &term{number: number, fence: fence, begunAt: now}
+	t := &term{number: number, fence: fence, begunAt: now, summaryAt: now, sums: map[fleet.Count]int64{}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.fleet = fleet.New(s.settings.Fleet, number, fence, inherited, now)
 	t.fleet.SetConfig(s.catalog.Config)
