--- /dev/null
+++ b/tests/fleet/fleet_test.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/platform/operator"
+	"github.com/verbenaflow/verbenaflow/platform/runner"
+	storestandin "github.com/verbenaflow/verbenaflow/standins/metastore"
+)
+
+// ready waits until a VM takes jobs and returns the first that was accepted.
+func (f *fleet) ready() {
+	f.t.Helper()
+	f.await(f.mustSubmit(1, 10*time.Millisecond, false), workload.StateCompleted)
+}
+
+func (f *fleet) mustSubmit(count int, took time.Duration, gang bool) workload.JobID {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	j := job(f.newID(), count, took, gang)
+	if accepted, _ := f.submit(ctx, j); !accepted {
+		f.t.Fatalf("job %s not accepted", j.ID)
+	}
+	return j.ID
+}
+
+// TestCalmDay guards the whole path: acceptance at any VM, repeated submissions, states, the length of a queue,
+// cancellation, and refusals of unknown keys, queues and jobs.
+func TestCalmDay(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.ready()
+	var ids []workload.JobID
+	for i := range 12 {
+		ids = append(ids, f.mustSubmit(1+i%4, 100*time.Millisecond, i%2 == 0))
+	}
+	ctx := context.Background()
+	for _, v := range f.vms {
+		if r, err := f.client(v).Submit(ctx, job(ids[0], 1, 100*time.Millisecond, true)); err != nil || r.Status != http.StatusOK {
+			t.Errorf("repeated submission at %s: %v, %v", v.name, r, err)
+		}
+	}
+	for _, id := range ids {
+		f.await(id, workload.StateCompleted)
+	}
+	long := f.mustSubmit(2, time.Hour, false)
+	f.await(long, workload.StateRunning)
+	if r, err := f.client(f.vms[0]).Cancel(ctx, long); err != nil || r.Status != http.StatusOK {
+		t.Errorf("cancel: %v, %v", r, err)
+	}
+	f.await(long, workload.StateCancelled)
+	c := f.client(f.vms[1])
+	if r, err := c.Queue(ctx); err != nil || r.Status != http.StatusOK || r.Waiting != 0 {
+		t.Errorf("queue: %v, %v", r, err)
+	}
+	if r, err := c.State(ctx, "00000000deadbeef"); err != nil || r.Status != http.StatusGone {
+		t.Errorf("unknown job: %v, %v", r, err)
+	}
+	c.Key = "unknown"
+	if r, err := c.Queue(ctx); err != nil || r.Status != http.StatusUnauthorized {
+		t.Errorf("unknown key: %v, %v", r, err)
+	}
+	c.Key, c.Prefix = apiKey, "/none/"
+	if r, err := c.Queue(ctx); err != nil || r.Status != http.StatusNotFound {
+		t.Errorf("unknown queue: %v, %v", r, err)
+	}
+	f.eventually("stopped tasks", func() bool {
+		for _, e := range f.executors {
+			for _, p := range e.Evidence() {
+				if p.Ended.IsZero() {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if runs := f.checkExecutors(); runs[ids[0]] != 1 {
+		t.Errorf("job %s ran %d times", ids[0], runs[ids[0]])
+	}
+}
+
+// TestHolderLost guards against tasks that run twice and jobs that are lost when the holder is killed, and when all VMs
+// are.
+func TestHolderLost(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.ready()
+	var ids []workload.JobID
+	for range 6 {
+		ids = append(ids, f.mustSubmit(2, 1500*time.Millisecond, true))
+	}
+	v := f.holder()
+	f.kill(v)
+	ids = append(ids, f.mustSubmit(2, 200*time.Millisecond, false))
+	f.start(v)
+	for _, v := range f.vms {
+		f.kill(v)
+	}
+	for _, v := range f.vms {
+		f.start(v)
+	}
+	ids = append(ids, f.mustSubmit(2, 200*time.Millisecond, false))
+	for _, id := range ids {
+		f.await(id, workload.StateCompleted)
+	}
+	f.checkExecutors()
+}
+
+// TestStoreAway guards against work that stops while the store is away, and against acknowledgements of what is not
+// stored.
+func TestStoreAway(t *testing.T) {
+	for name, fault := range map[string]storestandin.Fault{
+		"busy": {Busy: true}, "silent": {Silent: true}, "lost": {Lost: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, 3)
+			f.ready()
+			running := f.mustSubmit(3, 4*time.Second, false)
+			f.await(running, workload.StateRunning)
+			f.store.SetFault(fault)
+			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			defer cancel()
+			j := job(f.newID(), 1, 50*time.Millisecond, false)
+			accepted, refused := f.submit(ctx, j)
+			if accepted && fault.Lost == 0 {
+				t.Errorf("job %s acknowledged without a store", j.ID)
+			}
+			time.Sleep(4 * time.Second)
+			f.store.SetFault(storestandin.Fault{})
+			f.await(running, workload.StateCompleted)
+			runs := f.checkExecutors()
+			if runs[running] != 3 {
+				t.Errorf("the job that ran through the outage had %d runs, want 3", runs[running])
+			}
+			if refused && runs[j.ID] > 0 {
+				t.Errorf("job %s was refused and ran", j.ID)
+			}
+			if accepted {
+				f.await(j.ID, workload.StateCompleted)
+			}
+		})
+	}
+}
+
+// TestGracefulShutdown guards against calls that are cut off, and against a pause of the fleet, when VMs are stopped in
+// turn.
+func TestGracefulShutdown(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.ready()
+	for _, v := range f.vms {
+		_ = v.cmd.Process.Signal(syscall.SIGTERM)
+		// Connections are accepted until the platform has noticed.
+		for range 3 {
+			if r, err := f.client(v).Queue(context.Background()); err != nil {
+				t.Errorf("call to %s after SIGTERM: %v, %v", v.name, r, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if err := <-v.done; err != nil {
+			t.Errorf("%s ended with %v", v.name, err)
+		}
+		f.await(f.mustSubmit(1, 10*time.Millisecond, false), workload.StateCompleted)
+		f.start(v)
+	}
+	f.checkExecutors()
+}
+
+// TestExecutorLost guards against tasks that are forgotten when their executor crashes and comes back, or leaves.
+func TestExecutorLost(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.ready()
+	id := f.mustSubmit(9, 2*time.Second, false)
+	f.await(id, workload.StateRunning)
+	f.executors["e0"].Crash()
+	f.store.Remove(runner.RegistryPrefix + "e1")
+	f.await(id, workload.StateCompleted)
+	f.checkExecutors()
+}
+
+// TestDomainOut guards against starts in a failure domain that operators have taken out of service, and against an older
+// configuration that comes back.
+func TestDomainOut(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.ready()
+	f.store.Set(operator.EvacuateKey("domain-a"), []byte("{}"))
+	f.eventually("domain out", func() bool {
+		id := f.mustSubmit(1, 10*time.Millisecond, false)
+		time.Sleep(300 * time.Millisecond)
+		got, _ := f.state(id)
+		return got == workload.StateQueued
+	})
+	f.store.Compact()
+	f.store.Remove(operator.EvacuateKey("domain-a"))
+	f.await(f.mustSubmit(1, 10*time.Millisecond, false), workload.StateCompleted)
+	f.checkExecutors()
+}
--- /dev/null
+++ b/tests/fleet/harness_test.go
@@ -0,0 +1,305 @@
+// Package fleet tests real daemons on a stand-in of the users' platform, as separate processes on the loopback
+// interface. The checks use what clients and executors see.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/verbenaflow/verbenaflow/api/records"
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/platform/front"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+	"github.com/verbenaflow/verbenaflow/platform/operator"
+	"github.com/verbenaflow/verbenaflow/platform/runner"
+	storestandin "github.com/verbenaflow/verbenaflow/standins/metastore"
+	runnerstandin "github.com/verbenaflow/verbenaflow/standins/runner"
+)
+
+const (
+	// waitLimit bounds every wait of a test. It only ends a hanging test; no check depends on its length.
+	waitLimit = 60 * time.Second
+	// callTimeout is the deadline of the test's clients.
+	callTimeout = 3 * time.Second
+	apiKey      = "key-of-a"
+	hostName    = "jobs.example"
+	prefix      = "/jobs/"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "verbenaflow-fleet-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "verbenaflowd")
+	build := exec.Command("go", "build", "-o", binary, "github.com/verbenaflow/verbenaflow/cmd/verbenaflowd")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// vm is an entry VM: a daemon process that may be ended and started again.
+type vm struct {
+	name     string
+	front    string
+	settings string
+	log      string
+	cmd      *exec.Cmd
+	done     chan error
+}
+
+// fleet is a stand-in platform with entry VMs.
+type fleet struct {
+	t         *testing.T
+	store     *storestandin.Store
+	executors map[workload.ExecutorID]*runnerstandin.Executor
+	infos     map[workload.ExecutorID]workload.Executor
+	vms       []*vm
+	http      *http.Client
+	rand      *rand.Rand
+	next      int
+}
+
+// listen opens a loopback listener.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// serve runs an HTTP server until the test ends.
+func serve(t *testing.T, wg *conc.WaitGroup, l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h}
+	wg.Go(func() { _ = server.Serve(l) })
+	t.Cleanup(func() { server.Close() })
+}
+
+// newFleet starts a store, executors with 4 accelerators each, and entry VMs.
+func newFleet(t *testing.T, vms, executors int) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	wg := &conc.WaitGroup{}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	f := &fleet{
+		t: t, store: storestandin.New(), executors: map[workload.ExecutorID]*runnerstandin.Executor{},
+		infos: map[workload.ExecutorID]workload.Executor{}, rand: rand.New(rand.NewPCG(1, 2)),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+	}
+	wg.Go(func() { f.store.Run(ctx) })
+	storeListener := listen(t)
+	serve(t, wg, storeListener, metastore.NewHandler(f.store))
+	f.store.Set(operator.ConfigKey, operator.EncodeConfig(testConfig(1)))
+	for i := range executors {
+		l := listen(t)
+		info := workload.Executor{
+			ID: workload.ExecutorID(fmt.Sprintf("e%d", i)), Pool: "pool", Address: l.Addr().String(), Domain: "domain-a",
+			Capacity: workload.Resources{CPU: 32000, Memory: 64000, GPU: 4}, Labels: []string{"a", fmt.Sprintf("r%d", i/2)}, Born: time.Now().UnixMilli(),
+		}
+		e := runnerstandin.New(info)
+		wg.Go(func() { e.Run(ctx) })
+		serve(t, wg, l, runner.NewHandler(info.ID, e))
+		f.executors[info.ID], f.infos[info.ID] = e, info
+		f.store.Set(runner.RegistryPrefix+string(info.ID), runner.EncodeEntry(info))
+	}
+	for i := range vms {
+		f.addVM(fmt.Sprintf("vm%d", i), storeListener.Addr().String())
+	}
+	return f
+}
+
+func testConfig(version int64) *workload.Config {
+	return (&workload.Config{
+		Version:  version,
+		Routes:   []workload.Route{{Name: "jobs", Host: hostName, Prefix: prefix, Pool: "pool", Priority: 1, MaxAttempts: 3, Stretch: 3, Latency: time.Second}},
+		Services: []workload.Service{{Name: "pool"}},
+		Tenants:  []workload.Tenant{{Name: "a", Keys: []string{apiKey}, Guaranteed: 4}},
+	}).Index()
+}
+
+// addVM writes the settings of an entry VM and starts it.
+func (f *fleet) addVM(name, store string) {
+	f.t.Helper()
+	var addresses []string
+	for range 4 {
+		l := listen(f.t)
+		addresses = append(addresses, l.Addr().String())
+		l.Close()
+	}
+	dir := f.t.TempDir()
+	v := &vm{name: name, front: addresses[0], settings: filepath.Join(dir, "settings.ini"), log: filepath.Join(dir, "log")}
+	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n[platform]\nstore = %s\npeers =\n"+
+		"[executor]\nlongest_lease = 3s\nstop_bound = 100ms\n[timing]\ngrace = 4s\nlame_duck = 300ms\n",
+		name, addresses[0], addresses[1], addresses[2], addresses[3], store)
+	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.vms = append(f.vms, v)
+	f.start(v)
+	f.t.Cleanup(func() {
+		_ = v.cmd.Process.Kill()
+		if f.t.Failed() {
+			text, _ := os.ReadFile(v.log)
+			f.t.Logf("%s:\n%s", v.name, text)
+		}
+	})
+}
+
+// start starts the daemon of a VM, whose log goes on.
+func (f *fleet) start(v *vm) {
+	f.t.Helper()
+	out, err := os.OpenFile(v.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer out.Close()
+	v.cmd = exec.Command(binary, "--platform", "--config", v.settings)
+	v.cmd.Stdout, v.cmd.Stderr = out, out
+	if err := v.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	v.done = make(chan error, 1)
+	cmd, done := v.cmd, v.done
+	go func() { done <- cmd.Wait() }()
+}
+
+// kill ends the daemon of a VM at once.
+func (f *fleet) kill(v *vm) {
+	_ = v.cmd.Process.Signal(syscall.SIGKILL)
+	<-v.done
+}
+
+// holder returns the VM that holds the fleet, or nil.
+func (f *fleet) holder() *vm {
+	for _, item := range f.store.Entries(records.HolderKey) {
+		h, err := records.Decode[records.Holder](item.Key, item.Value)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, v := range f.vms {
+			if v.name == h.VM && !h.Released {
+				return v
+			}
+		}
+	}
+	return nil
+}
+
+// eventually waits until a condition holds.
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("%s: not within %s", what, waitLimit)
+}
+
+func (f *fleet) client(v *vm) *front.Client {
+	return &front.Client{Address: v.front, Host: hostName, Prefix: prefix, Key: apiKey, Timeout: callTimeout, HTTP: f.http}
+}
+
+func (f *fleet) newID() workload.JobID {
+	f.next++
+	return workload.JobID(fmt.Sprintf("%016x", f.next))
+}
+
+// job returns a job whose tasks run for a time.
+func job(id workload.JobID, count int, took time.Duration, gang bool) *workload.Job {
+	return &workload.Job{ID: id, Spec: took.String(), Steps: []workload.Step{{
+		Count: count, Need: workload.Resources{CPU: 1000, GPU: 1}, Estimate: took, Gang: gang,
+	}}}
+}
+
+// submit hands a job in as clients do: after an answer that leaves the outcome open, or none, the same job goes to
+// another VM. It reports whether the job was accepted, and whether every attempt was refused.
+func (f *fleet) submit(ctx context.Context, j *workload.Job) (accepted, refused bool) {
+	refused = true
+	for ctx.Err() == nil {
+		v := f.vms[f.rand.IntN(len(f.vms))]
+		r, err := f.client(v).Submit(ctx, j)
+		switch {
+		case err == nil && r.Status/100 == 2:
+			return true, false
+		case err != nil && strings.Contains(err.Error(), "connection refused"):
+		case err != nil || r.Status == http.StatusGatewayTimeout || r.Status == http.StatusBadGateway:
+			refused = false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false, refused
+}
+
+// state asks any VM for the state of a job; empty if none answers.
+func (f *fleet) state(id workload.JobID) (workload.State, int) {
+	v := f.vms[f.rand.IntN(len(f.vms))]
+	r, err := f.client(v).State(context.Background(), id)
+	if err != nil {
+		return "", 0
+	}
+	return r.State, r.Status
+}
+
+// await waits until a job has a state.
+func (f *fleet) await(id workload.JobID, want workload.State) {
+	f.t.Helper()
+	f.eventually(fmt.Sprintf("job %s %s", id, want), func() bool {
+		got, status := f.state(id)
+		if status == http.StatusGone {
+			f.t.Fatalf("accepted job %s is answered as unknown", id)
+		}
+		return got == want
+	})
+}
+
+// checkExecutors checks what the executors saw: no executor is overfull, no task runs twice at a time or after it is
+// done.
+func (f *fleet) checkExecutors() map[workload.JobID]int {
+	f.t.Helper()
+	runs := map[workload.TaskRef][]runnerstandin.Evidence{}
+	perJob := map[workload.JobID]int{}
+	for id, e := range f.executors {
+		if n := e.Overfull(); n > 0 {
+			f.t.Errorf("%d starts brought %s over its capacity", n, id)
+		}
+		for _, p := range e.Evidence() {
+			runs[p.Task] = append(runs[p.Task], p)
+			perJob[p.Task.Job]++
+		}
+	}
+	for task, list := range runs {
+		slices.SortFunc(list, func(a, b runnerstandin.Evidence) int { return a.Began.Compare(b.Began) })
+		for i := 1; i < len(list); i++ {
+			before := list[i-1]
+			if before.Ended.IsZero() || before.Ended.After(list[i].Began) {
+				f.t.Errorf("task %s: run %d on %s began while run %d on %s went on", task, list[i].Run, list[i].Executor, before.Run, before.Executor)
+			}
+			if before.How == workload.Done {
+				f.t.Errorf("task %s: run %d began after run %d was done", task, list[i].Run, before.Run)
+			}
+		}
+	}
+	return perJob
+}
