--- /dev/null
+++ b/standins/metastore/metastore_test.go
@@ -0,0 +1,133 @@
+package metastore
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+)
+
+func newClient(t *testing.T) (*Store, *metastore.Client) {
+	t.Helper()
+	s := New()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { s.Run(ctx) })
+	server := httptest.NewServer(metastore.NewHandler(s))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		cancel()
+		wg.Wait()
+	})
+	return s, metastore.NewClient(server.Listener.Addr().String(), time.Second)
+}
+
+// TestTransactions guards against a condition that is not kept, and against the loss of the entries that explain it.
+func TestTransactions(t *testing.T) {
+	s, c := newClient(t)
+	ctx := context.Background()
+	create := metastore.Txn{If: []metastore.Condition{{Key: "a"}}, Set: []metastore.Write{{Key: "a", Value: []byte("1")}}}
+	first, err := c.Commit(ctx, create)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conflict *metastore.ConflictError
+	if _, err := c.Commit(ctx, create); !errors.As(err, &conflict) || len(conflict.Items) != 1 || conflict.Items[0].Created != first {
+		t.Errorf("%v, want a conflict that names revision %d", err, first)
+	}
+	item, err := c.Get(ctx, "a")
+	if err != nil || string(item.Value) != "1" || item.Revision != first {
+		t.Errorf("%+v, %v", item, err)
+	}
+	var missing *metastore.NotFoundError
+	if _, err := c.Get(ctx, "b"); !errors.As(err, &missing) {
+		t.Errorf("%v, want a *NotFoundError", err)
+	}
+	s.SetFault(Fault{Busy: true})
+	var notDone *metastore.NotDoneError
+	if _, err := c.Commit(ctx, create); !errors.As(err, &notDone) {
+		t.Errorf("%v, want a *NotDoneError", err)
+	}
+	s.SetFault(Fault{Lost: 1})
+	var unknown *metastore.UnknownError
+	if _, err := c.Commit(ctx, metastore.Txn{Set: []metastore.Write{{Key: "b"}}}); !errors.As(err, &unknown) {
+		t.Errorf("%v, want an *UnknownError", err)
+	}
+}
+
+// TestLeases guards against keys that outlive their lease.
+func TestLeases(t *testing.T) {
+	s, c := newClient(t)
+	ctx := context.Background()
+	id, err := c.Grant(ctx, 100*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Commit(ctx, metastore.Txn{Set: []metastore.Write{{Key: "a", Lease: id}}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Renew(ctx, id); err != nil {
+		t.Error(err)
+	}
+	if err := c.Revoke(ctx, id); err != nil {
+		t.Error(err)
+	}
+	var ended *metastore.LeaseEndedError
+	if err := c.Renew(ctx, id); !errors.As(err, &ended) {
+		t.Errorf("%v, want a *LeaseEndedError", err)
+	}
+	if left := s.Entries("a"); len(left) != 0 {
+		t.Errorf("%v outlived its lease", left)
+	}
+}
+
+// TestFollow guards against news that a follower misses: changes before and after its list, and after history was
+// dropped.
+func TestFollow(t *testing.T) {
+	s, c := newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.Set("p/a", []byte("1"))
+	seen := make(chan string, 100)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() {
+		c.Follow(ctx, "p/", func(u metastore.Update) bool {
+			for i := range u.Items {
+				seen <- u.Items[i].Key
+			}
+			for i := range u.Events {
+				seen <- u.Events[i].Key
+			}
+			return true
+		})
+	})
+	expect := func(key string) {
+		t.Helper()
+		for {
+			select {
+			case got := <-seen:
+				if got == key {
+					return
+				}
+			case <-time.After(20 * time.Second):
+				t.Fatalf("no news of %s", key)
+			}
+		}
+	}
+	expect("p/a")
+	s.Set("p/b", nil)
+	expect("p/b")
+	s.SetFault(Fault{Busy: true})
+	s.Set("p/c", nil)
+	s.Compact()
+	s.SetFault(Fault{})
+	expect("p/c")
+}
