--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -11,6 +11,8 @@
 	Config *workload.Config
 	// Out lists the failure domains that are out of service.
 	Out []workload.Domain
+	// Waves lists the upkeep that operators have ordered.
+	Waves []workload.Wave
 }
 
 // KindCatalogChanged is the kind of CatalogChanged, for subscriptions.
@@ -32,8 +34,9 @@
 type HolderChanged struct {
 	// VM and Address are empty if there is no holder.
 	VM, Address string
-	// Self is set if this VM is the holder.
-	Self bool
+	// Self is set if this VM is the holder, Fence its fencing token.
+	Self  bool
+	Fence workload.Fence
 }
 
 // KindHolderChanged is the kind of HolderChanged, for subscriptions.
@@ -143,3 +146,15 @@
 
 // Kind implements kernel.Message.
 func (RelayCall) Kind() string { return "relay_call" }
+
+// Vacate replaces the executors that are to be emptied; answered by Occupied.
+type Vacate struct{ Executors []workload.ExecutorID }
+
+// Kind implements kernel.Message.
+func (Vacate) Kind() string { return "vacate" }
+
+// Occupied lists the executors that may run tasks.
+type Occupied struct{ Executors []workload.ExecutorID }
+
+// Kind implements kernel.Message.
+func (Occupied) Kind() string { return "occupied" }
--- a/api/names/names.go
+++ b/api/names/names.go
@@ -8,6 +8,7 @@
 	Intake  = "intake"
 	Relay   = "relay"
 	Gateway = "gateway"
+	Upkeep  = "upkeep"
 )
 
 // Names of the services of an entry VM's daemon.
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -6,7 +6,7 @@
 	"github.com/verbenaflow/verbenaflow/api/workload"
 )
 
-// Action is something that the holder does on behalf of the scheduler: Start, Stop or Look.
+// Action is something that the holder does on behalf of the scheduler: Start, Stop, Look, Pace or Advise.
 type Action interface{ action() }
 
 // Start starts one run of a task. The result comes back by Started, NotStarted or Unanswered.
@@ -17,6 +17,8 @@
 	Run      workload.RunNumber
 	Spec     string
 	Saved    string
+	// Ticket is the permission of the advisory service, or empty.
+	Ticket string
 	// Deadline is the end of the lease on the executor's clock.
 	Deadline time.Duration
 	// Reason tells why the task is placed there, for the log.
@@ -34,6 +36,22 @@
 	Reason   StopReason
 }
 
+// Pace lets a run work at a share of its speed.
+type Pace struct {
+	Executor workload.ExecutorID
+	Address  string
+	Task     workload.TaskRef
+	Run      workload.RunNumber
+	// Percent is the share, from 0 to 100.
+	Percent int
+}
+
+// Advise asks which executors may run a step. The answer comes back by Advised.
+type Advise struct {
+	Step    workload.TaskRef
+	Workers []workload.ExecutorID
+}
+
 // Look renews the lease of an executor and asks for a report, which comes back by Report or LookFailed.
 type Look struct {
 	Executor workload.ExecutorID
@@ -44,9 +62,11 @@
 	Wait     time.Duration
 }
 
-func (Start) action() {}
-func (Stop) action()  {}
-func (Look) action()  {}
+func (Start) action()  {}
+func (Stop) action()   {}
+func (Look) action()   {}
+func (Pace) action()   {}
+func (Advise) action() {}
 
 // StopReason tells why a run is stopped.
 type StopReason string
@@ -87,6 +107,9 @@
 	CountMoved         Count = "units_moved"
 	CountStalled       Count = "units_stalled"
 	CountSuspect       Count = "executors_suspected"
+	CountPace          Count = "pace"
+	CountAdvise        Count = "advise"
+	CountTicketRefused Count = "ticket_refused"
 	CountJobsCompleted Count = "jobs_completed"
 	CountJobsFailed    Count = "jobs_failed"
 	CountJobsHopeless  Count = "jobs_never_fit"
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -54,6 +54,9 @@
 	stopAckedAt       time.Time
 	percent           int
 	saved             string
+	// pace is the share in percent at which the task works, pacedAt when it last changed.
+	pace    int
+	pacedAt time.Time
 }
 
 // executor is one executor and what occupies it.
@@ -227,6 +230,7 @@
 	e.verified = false
 	e.suspicion = suspicion{}
 	e.lookAt = now
+	f.dropAdvice(nil, e.info.ID)
 }
 
 // loseAll ends all that ran on an executor without a report.
@@ -243,6 +247,7 @@
 // eligible reports whether an executor may get work.
 func (f *Scheduler) eligible(now time.Time, e *executor) bool {
 	return e.listed && e.verified && !e.info.Draining && !f.out[e.info.Domain] && e.silentSince.IsZero() && e.refusals == 0 &&
+		!f.vacated[e.info.ID] &&
 		!e.suspicion.blocks(now, e)
 }
 
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -63,6 +63,11 @@
 	urgent demand
 	// keepFor is the time of arrivals of urgent work for which room is kept.
 	keepFor time.Duration
+	// advice holds what the advisory service has said; asking is set while a question is under way.
+	advice map[stepKey]*advice
+	asking bool
+	// vacated holds the executors that are to be emptied for an upkeep.
+	vacated map[workload.ExecutorID]bool
 
 	orders  []Action
 	changed bool
@@ -83,6 +88,8 @@
 		usage:     usage{},
 		speed:     speeds{},
 		keepFor:   headroomTime,
+		advice:    map[stepKey]*advice{},
+		vacated:   map[workload.ExecutorID]bool{},
 		counts:    map[Count]int64{},
 	}
 	if inherited {
@@ -148,6 +155,7 @@
 	j.state, j.endedAt = s, now
 	j.dirty()
 	f.changed = true
+	f.dropAdvice(j, "")
 	for _, u := range j.units {
 		if u.state != unitDone {
 			u.state = unitDead
@@ -212,6 +220,26 @@
 	return ids
 }
 
+// Vacate replaces the set of executors that get no work and are emptied.
+func (f *Scheduler) Vacate(ids []workload.ExecutorID) {
+	clear(f.vacated)
+	for _, id := range ids {
+		f.vacated[id] = true
+	}
+	f.changed = true
+}
+
+// Occupied returns the executors that may run tasks.
+func (f *Scheduler) Occupied() []workload.ExecutorID {
+	var out []workload.ExecutorID
+	for _, e := range f.order {
+		if len(e.members) > 0 {
+			out = append(out, e.info.ID)
+		}
+	}
+	return out
+}
+
 // Roster returns the addresses of the executors that may run tasks.
 func (f *Scheduler) Roster() map[workload.ExecutorID]string {
 	out := make(map[workload.ExecutorID]string, len(f.executors))
--- a/decisions/fleet/move.go
+++ b/decisions/fleet/move.go
@@ -16,15 +16,16 @@
 // elsewhere.
 func (f *Scheduler) leaveDraining(now time.Time) {
 	for _, e := range f.order {
-		if !e.info.Draining {
+		if !e.info.Draining && !f.vacated[e.info.ID] {
 			continue
 		}
 		for _, m := range e.members {
 			u := m.unit
-			if u == nil || u.ending || u.state != unitActive || m.state != memberRunning || !u.spec().Checkpoint {
+			if u == nil || u.ending || u.state != unitActive || m.state != memberRunning || !f.mayInterrupt(u) {
 				continue
 			}
-			if f.remaining(now, u) > e.info.Remaining {
+			// A long-running task has no end to wait for; any other goes on from its checkpoint.
+			if u.spec().LongRunning || u.spec().Checkpoint && f.remaining(now, u) > e.info.Remaining {
 				f.count(CountMoved)
 				f.interrupt(now, u, StopMoved)
 			}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -49,6 +49,10 @@
 	u := c.u
 	s := u.spec()
 	fit := f.fitting(now, u, usable)
+	if a := f.adviceOf(u); a != nil {
+		f.ask(now, u, fit)
+		fit = slices.DeleteFunc(fit, func(c slot) bool { return !a.permits(now, c.e.info.ID) })
+	}
 	if len(fit) == 0 {
 		return nil, ""
 	}
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -170,7 +170,7 @@
 		m.on.deadline = max(m.on.deadline, m.on.renewal(now, f.settings.Lease))
 		f.count(CountStart)
 		f.orders = append(f.orders, Start{
-			Executor: m.on.info.ID, Address: m.on.info.Address, Task: m.task, Run: m.run, Spec: u.job.rec.Spec, Saved: u.saved,
+			Executor: m.on.info.ID, Address: m.on.info.Address, Task: m.task, Run: m.run, Spec: u.job.rec.Spec, Saved: u.saved, Ticket: f.ticketFor(u, m.on.info.ID),
 			Deadline: m.on.renewal(now, f.settings.Lease), Reason: reason, Waited: now.Sub(u.readyAt),
 		})
 	}
@@ -181,7 +181,7 @@
 	u.starts++
 	u.activate(now, workload.RunNumber(f.term*runsPerTerm+u.starts))
 	for i, e := range on {
-		m := &member{unit: u, task: u.task(u.first + i), run: u.run, on: e, load: u.spec().Load(), state: memberReserved}
+		m := &member{unit: u, task: u.task(u.first + i), run: u.run, on: e, load: u.spec().Load(), state: memberReserved, pace: fullPace}
 		u.members = append(u.members, m)
 		e.add(m)
 		f.usage.add(u, m.load.GPU)
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -65,9 +65,10 @@
 	freed := map[*executor]workload.Resources{}
 	placed := map[*executor]int{}
 	limit := u.spec().MaxPerExecutor
+	advice := f.adviceOf(u)
 	var hosts []*executor
 	for _, e := range usable {
-		if f.matches(u, e) && load.Fits(e.info.Capacity) {
+		if advice.permits(now, e.info.ID) && f.matches(u, e) && load.Fits(e.info.Capacity) {
 			hosts = append(hosts, e)
 		}
 	}
@@ -117,7 +118,7 @@
 	var options []option
 	for _, m := range e.members {
 		g := m.unit
-		if g == nil || given[g] || g.ending || g.state != unitActive || g.reserved() || f.classOfRunning(g) <= c.class {
+		if g == nil || given[g] || g.ending || g.state != unitActive || g.reserved() || f.classOfRunning(g) <= c.class || !f.mayInterrupt(g) {
 			continue
 		}
 		i := slices.IndexFunc(options, func(o option) bool { return o.u == g })
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -26,6 +26,8 @@
 	CallOldRun
 	CallLate
 	CallNoRoom
+	// CallNoTicket means that the ticket is missing or has expired.
+	CallNoTicket
 )
 
 // Report applies an executor's answer to a look that was sent at sentAt.
@@ -62,6 +64,7 @@
 	if len(r.Ended) < maxEnds {
 		f.absent(now, e, sentAt, r.Running)
 	}
+	f.share(now, e, r.Running)
 	e.noteRecorded()
 	switch {
 	case len(e.ends) == 0:
@@ -128,7 +131,7 @@
 
 // adopt takes over a run that an earlier holder has started, or stops it if nothing accounts for it.
 func (f *Scheduler) adopt(now time.Time, e *executor, row workload.Running) *member {
-	m := &member{task: row.Task, run: row.Run, on: e, state: memberRunning, sentAt: now, confirmedAt: now}
+	m := &member{task: row.Task, run: row.Run, on: e, state: memberRunning, sentAt: now, confirmedAt: now, pace: fullPace}
 	var u *unit
 	if j := f.jobs[row.Task.Job]; j != nil {
 		u = j.unitOf(row.Task)
@@ -286,7 +289,11 @@
 		u := m.unit
 		f.endMember(now, m, workload.Stopped, "")
 		if u != nil {
-			u.shun(now, id)
+			if why == CallNoTicket {
+				f.dropTicket(u, id)
+			} else {
+				u.shun(now, id)
+			}
 			u.notBefore = now.Add(startRetry)
 		}
 	}
--- a/node/daemon/fleet.go
+++ b/node/daemon/fleet.go
@@ -12,6 +12,8 @@
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/node/settings"
+	"github.com/verbenaflow/verbenaflow/platform/advisor"
+	"github.com/verbenaflow/verbenaflow/platform/cloud"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 	"github.com/verbenaflow/verbenaflow/services/admin"
@@ -20,6 +22,7 @@
 	"github.com/verbenaflow/verbenaflow/services/holder"
 	"github.com/verbenaflow/verbenaflow/services/intake"
 	"github.com/verbenaflow/verbenaflow/services/relay"
+	"github.com/verbenaflow/verbenaflow/services/upkeep"
 )
 
 const (
@@ -60,8 +63,11 @@
 	}
 	m := o.metrics
 	store := metastore.NewClient(s.Store, s.StoreTimeout)
-	return kernel.New(
-		o,
+	var advice *advisor.Client
+	if s.Advisor != "" {
+		advice = advisor.NewClient(s.Advisor)
+	}
+	specs := []kernel.Spec{
 		admin.New(listeners[3], m).Spec(),
 		catalog.New(string(s.VM), store, m).Spec(),
 		relay.New(listeners[2], m).Spec(),
@@ -71,12 +77,16 @@
 				Lease: s.Lease, LookWait: lookWait, StopBound: s.StopBound, SlowFactor: s.SlowFactor,
 				RestoreTime: s.RestoreTime, SaveInterval: s.SaveInterval, Retention: s.Retention,
 			},
-		}, store, runner.NewClient(s.ExecutorConns), m).Spec(),
+		}, store, runner.NewClient(s.ExecutorConns), advice, m).Spec(),
 		intake.New(intake.Settings{VM: string(s.VM), Peers: others(s.Peers, s.Relay)}, store, m).Spec(),
 		gateway.New(gateway.Settings{
 			VM: string(s.VM), LameDuck: s.LameDuck, DrainTimeout: s.Grace - s.LameDuck - exitReserve,
 		}, listeners[0], listeners[1], m).Spec(),
-	)
+	}
+	if s.Cloud != "" {
+		specs = append(specs, upkeep.New(string(s.VM), cloud.NewClient(s.Cloud), store, s.UpkeepTime, m).Spec())
+	}
+	return kernel.New(o, specs...)
 }
 
 // others returns the addresses but the own one.
--- a/node/settings/fleet.go
+++ b/node/settings/fleet.go
@@ -17,6 +17,11 @@
 	Front, Ready, Relay, Admin string
 	// Store is the address of the platform's metadata store.
 	Store string
+	// Advisor and Cloud are the addresses of the platform's advisory service and of its machines; empty where there are
+	// none.
+	Advisor, Cloud string
+	// UpkeepTime is how long an upkeep of a machine takes.
+	UpkeepTime time.Duration
 	// Peers are addresses of other VMs, which may be stale.
 	Peers []string
 	// StoreTimeout bounds a call to the store.
@@ -60,7 +65,7 @@
 var fleetSchema = map[string][]string{
 	"vm":       {"id", "domain", "region"},
 	"listen":   {"front", "ready", "relay", "admin"},
-	"platform": {"store", "peers", "store_timeout"},
+	"platform": {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
 	"limits":   {"processor_share", "memory", "executor_connections"},
 	"executor": {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
 	"timing":   {"retention", "grace", "lame_duck"},
@@ -83,6 +88,9 @@
 		Admin:          r.address("listen", "admin"),
 		Store:          r.address("platform", "store"),
 		Peers:          r.addresses("platform", "peers"),
+		Advisor:        r.optionalAddress("platform", "advisor"),
+		Cloud:          r.optionalAddress("platform", "cloud"),
+		UpkeepTime:     r.duration("platform", "upkeep_time", 2*time.Second, 0, maxTimeout),
 		StoreTimeout:   r.duration("platform", "store_timeout", DefaultStoreTimeout, minTimeout, maxTimeout),
 		ExecutorConns:  r.number("limits", "executor_connections", DefaultFleetConns, 2, maxExecutorConns),
 		ProcessorShare: r.fraction("limits", "processor_share", 1, 0.01, 1024),
@@ -120,6 +128,14 @@
 	}
 }
 
+// optionalAddress returns "" for an absent or empty key.
+func (r *reader) optionalAddress(section, key string) string {
+	if r.value(section, key) == "" {
+		return ""
+	}
+	return r.address(section, key)
+}
+
 // addresses reads a list of addresses that are separated by commas.
 func (r *reader) addresses(section, key string) []string {
 	var out []string
--- a/services/catalog/service.go
+++ b/services/catalog/service.go
@@ -3,7 +3,9 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,12 +25,8 @@
 const unreachableAfter = 2500 * time.Millisecond
 
 type (
-	followed  struct{ metastore.Update }
-	reachDue  struct{}
-	published struct {
-		config *workload.Config
-		out    []workload.Domain
-	}
+	followed struct{ metastore.Update }
+	reachDue struct{}
 )
 
 // Kind implements kernel.Message.
@@ -45,6 +43,9 @@
 
 	config *workload.Config
 	out    map[workload.Domain]bool
+	waves  map[string]workload.Wave
+	// changed is set if the last update changed what is published.
+	changed bool
 	// answeredAt is when the store answered last, reachable what was published of it.
 	answeredAt time.Time
 	reachable  bool
@@ -52,7 +53,7 @@
 
 // New returns the service.
 func New(vm string, store *metastore.Client, m *metrics.Set) *Service {
-	return &Service{vm: vm, store: store, metrics: m, out: map[workload.Domain]bool{}}
+	return &Service{vm: vm, store: store, metrics: m, out: map[workload.Domain]bool{}, waves: map[string]workload.Wave{}}
 }
 
 // Spec returns the registration of the service.
@@ -90,9 +91,10 @@
 	}
 	s.answeredAt = time.Now()
 	s.setReachable(c, true)
-	before := published{s.config, s.domainsOut()}
+	s.changed = u.Snapshot
 	if u.Snapshot {
 		clear(s.out)
+		clear(s.waves)
 	}
 	for i := range u.Items {
 		s.set(&u.Items[i])
@@ -104,8 +106,8 @@
 			s.set(&u.Events[i].Item)
 		}
 	}
-	if out := s.domainsOut(); s.config != before.config || !slices.Equal(out, before.out) {
-		c.Publish(message.CatalogChanged{Config: s.config, Out: out})
+	if s.changed && s.config != nil {
+		c.Publish(message.CatalogChanged{Config: s.config, Out: s.domainsOut(), Waves: s.ordersOfWaves()})
 	}
 }
 
@@ -114,7 +116,11 @@
 		if !s.out[d] {
 			klog.InfoS("failure domain taken out of service", "vm", s.vm, "service", names.Catalog, "domain", d, "revision", item.Revision)
 		}
-		s.out[d] = true
+		s.out[d], s.changed = true, true
+		return
+	}
+	if operator.IsWave(item.Key) {
+		s.setWave(item)
 		return
 	}
 	if item.Key != operator.ConfigKey || s.config != nil && item.Revision <= s.config.Revision {
@@ -128,14 +134,35 @@
 	}
 	klog.InfoS("configuration in force", "vm", s.vm, "service", names.Catalog, "version", config.Version, "revision", config.Revision,
 		"routes", len(config.Routes), "accounts", len(config.Tenants))
-	s.config = config
+	s.config, s.changed = config, true
+}
+
+func (s *Service) setWave(item *metastore.Item) {
+	w, err := operator.DecodeWave(item.Key, item.Value, item.Revision)
+	if err != nil {
+		s.metrics.Event("wave_unreadable", 1)
+		klog.ErrorS(err, "wave ignored", "vm", s.vm, "service", names.Catalog)
+		return
+	}
+	klog.InfoS("wave of upkeep ordered", "vm", s.vm, "service", names.Catalog, "wave", w.Number, "machines", len(w.Machines),
+		"at_once", w.AtOnce, "within_ms", w.Within.Milliseconds(), "revision", item.Revision)
+	s.waves[item.Key], s.changed = w, true
+}
+
+func (s *Service) ordersOfWaves() []workload.Wave {
+	return slices.SortedFunc(maps.Values(s.waves), func(a, b workload.Wave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
 func (s *Service) remove(key string) {
 	if d, ok := operator.EvacuatedDomain(key); ok && s.out[d] {
 		delete(s.out, d)
+		s.changed = true
 		klog.InfoS("failure domain back in service", "vm", s.vm, "service", names.Catalog, "domain", d)
 	}
+	if _, ok := s.waves[key]; ok {
+		delete(s.waves, key)
+		s.changed = true
+	}
 }
 
 func (s *Service) domainsOut() []workload.Domain {
--- a/services/holder/act.go
+++ b/services/holder/act.go
@@ -78,6 +78,15 @@
 		if m.term == t.number {
 			s.lookDone(c, m)
 		}
+	case paceDone:
+		if m.term == t.number {
+			s.paceDone(c, m)
+		}
+	case adviseDone:
+		if m.term == t.number {
+			t.fleet.Advised(time.Now(), m.question, m.advice.Tickets, m.advice.Valid, m.err == nil)
+			s.plan(c)
+		}
 	case saveDone:
 		if m.term == t.number {
 			s.saveDone(c, m)
@@ -127,6 +136,10 @@
 			s.stop(c, a)
 		case fleet.Look:
 			s.look(c, a)
+		case fleet.Pace:
+			s.pace(c, a)
+		case fleet.Advise:
+			s.advise(c, a)
 		}
 	}
 	s.save(c)
@@ -161,7 +174,7 @@
 	t := s.term
 	s.logStart(a)
 	order := runner.StartOrder{
-		Task: a.Task, Run: a.Run, Spec: a.Spec, Saved: a.Saved, Deadline: a.Deadline, Fence: workload.Fence(t.fence),
+		Task: a.Task, Run: a.Run, Spec: a.Spec, Saved: a.Saved, Ticket: a.Ticket, Deadline: a.Deadline, Fence: workload.Fence(t.fence),
 	}
 	to := runner.Target{ID: a.Executor, Address: a.Address}
 	c.Spawn(func(ctx context.Context) kernel.Message {
@@ -274,6 +287,8 @@
 			return fleet.CallLate, refused.Clock, false
 		case runner.NoRoom:
 			return fleet.CallNoRoom, refused.Clock, false
+		case runner.NoTicket:
+			return fleet.CallNoTicket, refused.Clock, false
 		}
 		return fleet.CallNotDone, refused.Clock, false
 	case errors.As(err, &replaced):
--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -10,6 +10,7 @@
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/records"
+	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 )
@@ -208,7 +209,10 @@
 
 func (s *Service) publishHolder(c *kernel.Context) {
 	el := &s.election
-	m := message.HolderChanged{Self: s.term != nil}
+	m := message.HolderChanged{}
+	if s.term != nil {
+		m.Self, m.Fence = true, workload.Fence(s.term.fence)
+	}
 	if el.revision != 0 && !el.record.Released {
 		m.VM, m.Address = el.record.VM, el.record.Address
 	}
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -71,6 +71,7 @@
 	fleet.CallOldRun:     "old_run",
 	fleet.CallLate:       "late",
 	fleet.CallNoRoom:     "no_room",
+	fleet.CallNoTicket:   "no_ticket",
 }
 
 func resultName(r fleet.CallResult) string { return resultNames[r] }
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -16,6 +16,7 @@
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/advisor"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 )
@@ -35,6 +36,8 @@
 	settings Settings
 	store    *metastore.Client
 	runner   *runner.Client
+	// advisor is nil where the platform has no advisory service.
+	advisor  *advisor.Client
 	metrics  *metrics.Set
 	election election
 	term     *term
@@ -43,9 +46,9 @@
 }
 
 // New returns the service.
-func New(s Settings, store *metastore.Client, r *runner.Client, m *metrics.Set) *Service {
+func New(s Settings, store *metastore.Client, r *runner.Client, a *advisor.Client, m *metrics.Set) *Service {
 	return &Service{
-		settings: s, store: store, runner: r, metrics: m,
+		settings: s, store: store, runner: r, advisor: a, metrics: m,
 		election: election{incarnation: uuid.NewString()},
 		catalog:  message.CatalogChanged{Config: (&workload.Config{}).Index()},
 	}
@@ -99,7 +102,7 @@
 	case message.DrainStarted:
 		s.draining = true
 		s.release(c)
-	case message.JobStored, message.JobCancelled, message.StateQuery, message.WaitingQuery:
+	case message.JobStored, message.JobCancelled, message.StateQuery, message.WaitingQuery, message.Vacate:
 		s.query(c, e)
 	default:
 		if !s.handleElection(c, m) {
@@ -130,6 +133,10 @@
 	case message.StateQuery:
 		state, _ := t.fleet.Status(m.ID)
 		e.Reply(message.StateReply{State: state})
+	case message.Vacate:
+		t.fleet.Vacate(m.Executors)
+		e.Reply(message.Occupied{Executors: t.fleet.Occupied()})
+		s.plan(c)
 	case message.WaitingQuery:
 		e.Reply(message.WaitingReply{Waiting: t.fleet.Waiting(m.Queue)})
 	}
