Write the operations page for the platform and serve latency histograms

docs/OPERATIONS.md (renamed) gains the log lines, counters and refusal reasons of the fleet, three ways from a request's id to its cause, and what happens while the store is away.

--- a/api/metrics/metrics.go
+++ b/api/metrics/metrics.go
@@ -17,6 +17,7 @@
 	dropped  expvar.Map
 	events   expvar.Map
 	gauges   expvar.Map
+	latency  latencies
 }
 
 // New returns a set with one zero counter for each reason.
@@ -34,6 +35,7 @@
 	s.root.Set("mailbox_refusals", &s.dropped)
 	s.root.Set("events", &s.events)
 	s.root.Set("gauges", &s.gauges)
+	s.root.Set("latency_ms", &s.latency)
 	return s
 }
 
--- a/cmd/verbenactl/docs_test.go
+++ b/cmd/verbenactl/docs_test.go
@@ -37,7 +37,7 @@
 // TestOperationsPage guards against a counter of a reason, or a log event, that operators cannot look up.
 func TestOperationsPage(t *testing.T) {
 	g := gomega.NewWithT(t)
-	page := read(t, "docs/operations.md")
+	page := read(t, "docs/OPERATIONS.md")
 	for _, r := range failure.Reasons() {
 		g.Expect(section(page, "### Refusals")).To(gomega.ContainSubstring("\n| `"+r.Code()+"` |"), "refusal")
 	}
@@ -55,7 +55,7 @@
 // logMessages returns the messages of the log calls in the daemon's code.
 func logMessages(t *testing.T) []string {
 	t.Helper()
-	position := map[string]int{"InfoS": 0, "ErrorS": 1, "info": 0}
+	position := map[string]int{"InfoS": 0, "ErrorS": 1, "info": 0, "log": 0, "runLine": 0}
 	var out []string
 	visit := func(n ast.Node) bool {
 		call, ok := n.(*ast.CallExpr)
--- a/node/daemon/fleet.go
+++ b/node/daemon/fleet.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	o.info("starting", "domain", s.Domain, "region", s.Region, "front", s.Front, "store", s.Store, "lease_ms", s.Lease.Milliseconds())
+	o.info("starting", "domain", s.Domain, "region", s.Region, "front", s.Front, "admin", s.Admin, "store", s.Store, "lease_ms", s.Lease.Milliseconds())
 	began := time.Now()
 	if err := k.Run(ctx); err != nil {
 		return err
--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -102,7 +103,9 @@
 func (h *handler) serve(w http.ResponseWriter, deadline time.Time, m kernel.Message) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	began := time.Now()
 	answer, err := h.caller.Call(ctx, names.Intake, m)
+	h.metrics.Latency("call_"+strings.TrimSuffix(m.Kind(), "_call"), time.Since(began))
 	if err != nil {
 		if errors.Is(err, context.DeadlineExceeded) {
 			err = h.metrics.Refusal(failure.New(failure.DeadlineExceeded, "no answer in time"))
--- a/services/holder/act.go
+++ b/services/holder/act.go
@@ -173,6 +173,7 @@
 func (s *Service) start(c *kernel.Context, a fleet.Start) {
 	t := s.term
 	s.logStart(a)
+	s.metrics.Latency("start_wait", a.Waited)
 	order := runner.StartOrder{
 		Task: a.Task, Run: a.Run, Spec: a.Spec, Saved: a.Saved, Ticket: a.Ticket, Deadline: a.Deadline, Fence: workload.Fence(t.fence),
 	}
@@ -181,7 +182,9 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		out := startDone{term: t.number, order: a}
+		began := time.Now()
 		out.clock, out.err = s.runner.Start(ctx, to, order)
+		s.metrics.Latency("executor_start", time.Since(began))
 		return out
 	})
 }
@@ -240,6 +243,7 @@
 		defer cancel()
 		out := lookDone{term: t.number, order: a, sentAt: time.Now()}
 		out.report, out.err = s.runner.Hold(ctx, to, order)
+		s.metrics.Latency("executor_look", time.Since(out.sentAt))
 		return out
 	})
 }
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -66,7 +66,9 @@
 	}
 	t.saving = true
 	c.Spawn(func(ctx context.Context) kernel.Message {
+		began := time.Now()
 		_, out.err = s.store.Commit(ctx, txn)
+		s.metrics.Latency("store_commit", time.Since(began))
 		return out
 	})
 }
