--- a/services/catalog/service.go
+++ b/services/catalog/service.go
@@ -63,7 +63,7 @@
 func (s *Service) Start(c *kernel.Context) error {
 	post := c.Post()
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		s.store.Follow(ctx, operator.Prefix, func(u metastore.Update) bool { return post(followed{u}) })
+		s.store.Follow(ctx, operator.Prefix, 0, func(u metastore.Update) bool { return post(followed{u}) })
 		return nil
 	})
 	c.After(unreachableAfter, reachDue{})
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -74,7 +74,7 @@
 func (s *Service) Start(c *kernel.Context) error {
 	post := c.Post()
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		s.store.Follow(ctx, records.HolderPrefix, func(u metastore.Update) bool { return post(holderFollowed{u}) })
+		s.store.Follow(ctx, records.HolderPrefix, 0, func(u metastore.Update) bool { return post(holderFollowed{u}) })
 		return nil
 	})
 	return nil
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -12,6 +12,14 @@
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 )
 
+const (
+	// queuePause is the pause of the watch of jobs, which front ends tell the holder of as well.
+	queuePause = 200 * time.Millisecond
+	// registryPause is the pause of the watch of executors, whose heartbeats change their entries all the time. It is short
+	// against the seconds in which a leaving executor must get no more work.
+	registryPause = 300 * time.Millisecond
+)
+
 // term is the state of this VM as the holder.
 type term struct {
 	number int64
@@ -90,16 +98,16 @@
 	s.metrics.Event("terms_begun", 1)
 	s.readProgress(c, t)
 	post := c.Post()
-	s.follow(c, t, records.QueuePrefix, func(u metastore.Update) bool { return post(queueFollowed{number, u}) })
-	s.follow(c, t, runner.RegistryPrefix, func(u metastore.Update) bool { return post(serversFollowed{number, u}) })
+	s.follow(c, t, records.QueuePrefix, queuePause, func(u metastore.Update) bool { return post(queueFollowed{number, u}) })
+	s.follow(c, t, runner.RegistryPrefix, registryPause, func(u metastore.Update) bool { return post(serversFollowed{number, u}) })
 }
 
-func (s *Service) follow(c *kernel.Context, t *term, prefix string, deliver func(metastore.Update) bool) {
+func (s *Service) follow(c *kernel.Context, t *term, prefix string, pause time.Duration, deliver func(metastore.Update) bool) {
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(t.ctx, cancel)()
-		s.store.Follow(ctx, prefix, deliver)
+		s.store.Follow(ctx, prefix, pause, deliver)
 		return nil
 	})
 }
--- a/standins/metastore/metastore_test.go
+++ b/standins/metastore/metastore_test.go
@@ -99,7 +99,7 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() {
-		c.Follow(ctx, "p/", func(u metastore.Update) bool {
+		c.Follow(ctx, "p/", 0, func(u metastore.Update) bool {
 			for i := range u.Items {
 				seen <- u.Items[i].Key
 			}
