--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -273,7 +273,11 @@
 		if e.looking || !e.wantsLook() || now.Before(e.lookAt) || e.info.Address == "" {
 			continue
 		}
-		look := Look{Executor: e.info.ID, Address: e.info.Address, SeenUpTo: e.noted}
+		look := Look{Executor: e.info.ID, Address: e.info.Address}
+		if e.silentSince.IsZero() && e.refusals == 0 {
+			// An executor that did not answer may be in a new life, which counts its ends anew.
+			look.SeenUpTo = e.noted
+		}
 		// A look at an executor that does not answer renews nothing: it may be carried out late, and the lease has to end
 		// for the tasks to start elsewhere.
 		if e.verified && e.clock > 0 && len(e.ordersOut()) > 0 && e.silentSince.IsZero() {
--- a/decisions/fleet/fleet_test.go
+++ b/decisions/fleet/fleet_test.go
@@ -84,3 +84,24 @@
 	w.run(20 * time.Second)
 	w.expectDone()
 }
+
+// TestRebirthBeforeItsNews guards against a task that runs twice because the end of its first run was acknowledged unread:
+// an executor that starts again counts its ends anew, and a look with the number of its last life makes it forget them.
+// The outstanding look ends with the old life, and the new one may run and end tasks before the next look.
+func TestRebirthBeforeItsNews(t *testing.T) {
+	// The end has to fall between the arrival of the start and that of the next look.
+	for offset := time.Duration(0); offset < tick; offset += time.Millisecond {
+		w := start(t, 1, 1)
+		w.submit(oneStep("before", "batch", workload.Step{Count: 4, Need: small}), behavior{work: 500 * time.Millisecond})
+		w.run(5 * time.Second)
+		w.submit(oneStep("long", "batch", workload.Step{Count: 1, Need: small}), behavior{work: 3 * time.Second})
+		w.run(500*time.Millisecond + offset)
+		w.submit(oneStep("short", "batch", workload.Step{Count: 1, Need: small}), behavior{work: time.Millisecond})
+		w.rebornUnnoticed("e0-0")
+		w.run(20 * time.Second)
+		w.expectDone()
+		if n := len(w.starts[workload.TaskRef{Job: "short"}]); n != 1 {
+			t.Errorf("offset %v: %d starts, want 1", offset, n)
+		}
+	}
+}
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -30,6 +30,10 @@
 	CallNoTicket
 )
 
+// maxAnswerDelay is the longest time that an answer may be overtaken by others: the longest call to an executor. A clock
+// that is further behind is that of a new life.
+const maxAnswerDelay = 2500 * time.Millisecond
+
 // Report applies an executor's answer to a look that was sent at sentAt.
 func (f *Scheduler) Report(now time.Time, id workload.ExecutorID, sentAt time.Time, look Look, r workload.Report) {
 	e, ok := f.executors[id]
@@ -88,7 +92,13 @@
 
 // setClock takes over a reading of an executor's clock. Answers on different connections may overtake each other.
 func (f *Scheduler) setClock(now time.Time, e *executor, clock time.Duration) {
-	if clock > 0 && clock >= e.clockLow(now) {
+	switch {
+	case clock <= 0:
+	case clock >= e.clockLow(now):
+		e.clock, e.clockAt = clock, now
+	case clock+maxAnswerDelay < e.clockLow(now):
+		// The clock of a new life begins anew. Its ends do too: the number of the last life must not be acknowledged.
+		f.rebirth(now, e, 0)
 		e.clock, e.clockAt = clock, now
 	}
 }
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -23,6 +23,9 @@
 	// Ended is zero while the run goes on.
 	Ended time.Time
 	How   workload.Outcome
+	// Noted is set once the holder has acknowledged the end, unless the lease lapsed between the two: a holder may not have
+	// heard of an end that is not noted, and starts the task again.
+	Noted bool
 }
 
 // Executor is the stand-in of one executor. Run owns its state; all other methods send it calls and may be used at the
@@ -44,6 +47,9 @@
 	number   int64
 	highest  map[workload.TaskRef]workload.RunNumber
 	evidence []*Evidence
+	// unnoted holds the evidence of ends that are not acknowledged, lapsedAt is the last time at which the lease was over.
+	unnoted  map[int64]*Evidence
+	lapsedAt time.Time
 	overfull int
 	// next is closed at the next end.
 	next chan struct{}
@@ -64,7 +70,7 @@
 
 // Run serves until ctx ends.
 func (e *Executor) Run(ctx context.Context) {
-	st := &state{info: e.info, boot: time.Now(), highest: map[workload.TaskRef]workload.RunNumber{}, next: make(chan struct{})}
+	st := &state{info: e.info, boot: time.Now(), highest: map[workload.TaskRef]workload.RunNumber{}, unnoted: map[int64]*Evidence{}, next: make(chan struct{})}
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	for {
@@ -107,6 +113,7 @@
 			r.proof.Ended, r.proof.How = now, workload.Lapsed
 		}
 		st.runs, st.ended, st.number, st.fence, st.deadline = nil, nil, 0, 0, time.Time{}
+		clear(st.unnoted)
 		st.boot, st.highest = now, map[workload.TaskRef]workload.RunNumber{}
 		st.info.Born = now.UnixMilli()
 	}
@@ -155,7 +162,7 @@
 			return result{err: err}
 		}
 		st.extend(o.Deadline)
-		st.ended = slices.DeleteFunc(st.ended, func(x workload.Ended) bool { return x.Number <= o.SeenUpTo })
+		st.note(o.SeenUpTo)
 		rep := workload.Report{Clock: st.clock(), Born: st.info.Born, Ended: slices.Clone(st.ended)}
 		for _, run := range st.runs {
 			rep.Running = append(rep.Running, workload.Running{Task: run.task, Run: run.number, Percent: 50})
@@ -213,8 +220,22 @@
 	return nil
 }
 
+// note forgets the ends up to a number.
+func (st *state) note(upTo int64) {
+	st.ended = slices.DeleteFunc(st.ended, func(x workload.Ended) bool { return x.Number <= upTo })
+	for number, proof := range st.unnoted {
+		if number <= upTo {
+			proof.Noted = !st.lapsedAt.After(proof.Ended)
+			delete(st.unnoted, number)
+		}
+	}
+}
+
 // work ends the runs whose time has come, and all of them if the lease is over.
 func (st *state) work(now time.Time) {
+	if now.After(st.deadline) {
+		st.lapsedAt = now
+	}
 	for _, r := range slices.Clone(st.runs) {
 		switch {
 		case now.After(st.deadline):
@@ -231,6 +252,7 @@
 	st.highest[r.task] = max(st.highest[r.task], r.number)
 	st.ended = append(st.ended, workload.Ended{Number: st.number, Task: r.task, Run: r.number, How: how})
 	r.proof.Ended, r.proof.How = time.Now(), how
+	st.unnoted[st.number] = r.proof
 	close(st.next)
 	st.next = make(chan struct{})
 }
