Record which jobs may run on executors that get no more starts

Change: a roster entry says whether the executor may still get starts. One that leaves or is not registered gets none, so that only the jobs recorded with it may run there; a new holder waits for these alone. An executor that was recorded as closed gets no start until a roster without that was recorded. The fuzz test now also takes executors out of the registry. Ruled out: shorter leases, which lose work in a takeover.

--- a/api/records/records.go
+++ b/api/records/records.go
@@ -68,9 +68,6 @@
 	Incarnation string `json:"incarnation"`
 }
 
-// Roster is the entry of RosterKey: the addresses of executors.
-type Roster map[workload.ExecutorID]string
-
 // DecodeError reports an entry that cannot be read.
 type DecodeError struct {
 	Key   string
--- a/api/workload/progress.go
+++ b/api/workload/progress.go
@@ -46,3 +46,15 @@
 func (s *StepProgress) IsDone(first int) bool {
 	return first/8 < len(s.Done) && s.Done[first/8]&(1<<(first%8)) != 0
 }
+
+// RosterEntry is what a holder records of an executor, for the next holder.
+type RosterEntry struct {
+	Address string
+	// Closed is set if the executor gets no more starts, because it leaves or is not registered. Only tasks of Jobs may
+	// still run there.
+	Closed bool    `json:",omitempty"`
+	Jobs   []JobID `json:",omitempty"`
+}
+
+// Roster lists the executors that may run tasks.
+type Roster map[ExecutorID]RosterEntry
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -82,6 +82,11 @@
 	seen, noted, acked int64
 	ends               []recordedEnd
 
+	// inherited is what the earlier holder recorded; recordedClosed is set while a roster may be recorded in which the
+	// executor is closed.
+	inherited      *workload.RosterEntry
+	recordedClosed bool
+
 	looking   bool
 	lookAt    time.Time
 	refusals  int
@@ -159,6 +164,7 @@
 // UpsertExecutor applies a registry entry.
 func (f *Scheduler) UpsertExecutor(now time.Time, info workload.Executor) {
 	f.changed = true
+	f.rosterVersion++
 	e, known := f.executors[info.ID]
 	if !known {
 		e = &executor{lookAt: now, clockAt: now}
@@ -178,16 +184,6 @@
 	e.lookAt = earlier(e.lookAt, now)
 }
 
-// AddUnlisted adds an executor that an earlier holder knew and that is not registered. It gets no work, but what runs
-// there is followed.
-func (f *Scheduler) AddUnlisted(now time.Time, id workload.ExecutorID, address string) {
-	if _, known := f.executors[id]; known {
-		return
-	}
-	f.UpsertExecutor(now, workload.Executor{ID: id, Address: address})
-	f.executors[id].listed = false
-}
-
 // RemoveExecutor applies the removal of a registry entry. What runs there is followed until its lease has ended.
 func (f *Scheduler) RemoveExecutor(now time.Time, id workload.ExecutorID) {
 	e, ok := f.executors[id]
@@ -196,6 +192,7 @@
 	}
 	e.listed = false
 	f.changed = true
+	f.rosterVersion++
 	f.dropIfGone(e)
 }
 
@@ -213,6 +210,7 @@
 	if e.listed || len(e.members) > 0 || !e.verified && f.executors[e.info.ID] == e && e.refusals < refusalsUntilGone {
 		return
 	}
+	f.rosterVersion++
 	delete(f.executors, e.info.ID)
 	if i := slices.Index(f.order, e); i >= 0 {
 		f.order = slices.Delete(f.order, i, i+1)
@@ -246,7 +244,7 @@
 
 // eligible reports whether an executor may get work.
 func (f *Scheduler) eligible(now time.Time, e *executor) bool {
-	return e.listed && e.verified && !e.info.Draining && !f.out[e.info.Domain] && e.silentSince.IsZero() && e.refusals == 0 &&
+	return !e.closed() && e.verified && !e.recordedClosed && !f.out[e.info.Domain] && e.silentSince.IsZero() && e.refusals == 0 &&
 		!f.vacated[e.info.ID] &&
 		!e.suspicion.blocks(now, e)
 }
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -69,9 +69,10 @@
 	// vacated holds the executors that are to be emptied for an upkeep.
 	vacated map[workload.ExecutorID]bool
 
-	orders  []Action
-	changed bool
-	counts  map[Count]int64
+	orders        []Action
+	changed       bool
+	rosterVersion int64
+	counts        map[Count]int64
 }
 
 // New returns the state of a holder at the beginning of a term. inherited is set if an earlier holder may have started
@@ -240,15 +241,6 @@
 	return out
 }
 
-// Roster returns the addresses of the executors that may run tasks.
-func (f *Scheduler) Roster() map[workload.ExecutorID]string {
-	out := make(map[workload.ExecutorID]string, len(f.executors))
-	for id, e := range f.executors {
-		out[id] = e.info.Address
-	}
-	return out
-}
-
 // Gauges are figures of the present state.
 type Gauges struct {
 	Jobs, OpenJobs, WaitingUnits, ActiveUnits, Executors, Eligible int
@@ -275,6 +267,17 @@
 	return g
 }
 
+// Unverified returns the executors that have not shown yet what earlier holders have started there.
+func (f *Scheduler) Unverified() []workload.ExecutorID {
+	var out []workload.ExecutorID
+	for _, e := range f.order {
+		if !e.verified {
+			out = append(out, e.info.ID)
+		}
+	}
+	return out
+}
+
 // Count names something that happens in the scheduler and is counted.
 type Count string
 
--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -28,6 +28,7 @@
 			w.fuzzStep(rt, i)
 		}
 		w.lossy, w.storeDown = 0, false
+		clear(w.unlisted)
 		for _, id := range w.names {
 			e := w.execs[id]
 			e.cut, e.hang, e.info.Draining = false, false, false
@@ -54,7 +55,7 @@
 func (w *world) fuzzStep(rt *rapid.T, i int) {
 	pick := func() workload.ExecutorID { return w.names[rapid.IntRange(0, len(w.names)-1).Draw(rt, "executor")] }
 	switch rapid.SampledFrom([]string{
-		"submit", "submit", "submit", "submit", "cancel", "holder", "crash", "reborn", "cut", "heal", "hang", "store", "lossy", "drain",
+		"submit", "submit", "submit", "submit", "cancel", "holder", "crash", "reborn", "cut", "heal", "hang", "store", "lossy", "drain", "unlist",
 	}).Draw(rt, "action") {
 	case "submit":
 		w.submit(drawJob(rt, i), behavior{
@@ -86,6 +87,13 @@
 		w.storeDown = !w.storeDown
 	case "lossy":
 		w.lossy = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(rt, "lossy")
+	case "unlist":
+		id := pick()
+		if w.unlisted[id] = !w.unlisted[id]; w.unlisted[id] {
+			w.holder.fleet.RemoveExecutor(w.now, id)
+		} else if w.execs[id].up {
+			w.holder.fleet.UpsertExecutor(w.now, w.execs[id].info)
+		}
 	case "drain":
 		e := w.execs[pick()]
 		e.info.Draining = !e.info.Draining
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -129,10 +129,11 @@
 
 // startable returns the pending units in the order in which they are placed.
 func (f *Scheduler) startable(now time.Time) []*candidate {
-	settled := f.settled(now)
+	unsettled := f.unsettled(now)
 	var out []*candidate
 	for _, j := range f.open {
-		if j.state.Final() || !settled && j.created <= f.since {
+		inherited := j.created <= f.since
+		if j.state.Final() || inherited && slices.ContainsFunc(unsettled, func(e *executor) bool { return e.mayRun(j.rec.ID) }) {
 			continue
 		}
 		for _, u := range j.units {
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -79,6 +79,9 @@
 		// The executor answers at once while it has ends to list, so that a look without pause would repeat at full speed.
 		e.lookAt = now.Add(unrecordedPause)
 	}
+	if first && e.closed() {
+		f.rosterVersion++
+	}
 	if first || len(r.Ended) > 0 || seen != e.seen {
 		f.changed = true
 	}
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -25,6 +25,9 @@
 func (f *Scheduler) endMember(now time.Time, m *member, how workload.Outcome, saved string) {
 	m.on.remove(m)
 	f.changed = true
+	if m.on.closed() {
+		f.rosterVersion++
+	}
 	f.countEnd(how)
 	u := m.unit
 	if u == nil {
--- a/decisions/fleet/world_test.go
+++ b/decisions/fleet/world_test.go
@@ -32,7 +32,7 @@
 	progress  map[workload.JobID]workload.Progress
 	created   map[workload.JobID]int64
 	cancelled map[workload.JobID]time.Time
-	roster    map[workload.ExecutorID]string
+	roster    workload.Roster
 	revision  int64
 
 	holder *holder
@@ -50,6 +50,8 @@
 	endedAt map[endKey]time.Time
 	faults  []string
 	started int
+	// unlisted holds the executors whose registry entries are gone although they are up.
+	unlisted map[workload.ExecutorID]bool
 }
 
 // endKey names an end of an executor.
@@ -70,8 +72,9 @@
 	fence workload.Fence
 	gone  bool
 	// planned is the time of the next plan.
-	planned time.Time
-	saving  bool
+	planned       time.Time
+	saving        bool
+	rosterVersion int64
 }
 
 type fakeExecutor struct {
@@ -134,7 +137,7 @@
 		behavior: map[workload.JobID]behavior{}, progress: map[workload.JobID]workload.Progress{},
 		created: map[workload.JobID]int64{}, cancelled: map[workload.JobID]time.Time{},
 		active: map[workload.TaskRef]*fakeRun{}, acked: map[workload.TaskRef]time.Time{}, failed: map[workload.TaskRef][]time.Time{},
-		doneAt: map[workload.TaskRef]time.Time{}, endedAt: map[endKey]time.Time{}, starts: map[workload.TaskRef][]time.Time{},
+		doneAt: map[workload.TaskRef]time.Time{}, endedAt: map[endKey]time.Time{}, unlisted: map[workload.ExecutorID]bool{}, starts: map[workload.TaskRef][]time.Time{},
 	}
 	w.config = (&workload.Config{
 		Version: 1,
@@ -203,11 +206,9 @@
 	h := &holder{fence: workload.Fence(w.revision)}
 	h.fleet = New(w.settings, w.term, w.revision, w.term > 1, w.now)
 	h.fleet.SetConfig(w.config)
-	for id, address := range w.roster {
-		h.fleet.AddUnlisted(w.now, id, address)
-	}
+	h.fleet.Inherit(w.now, w.roster)
 	for _, id := range w.names {
-		if w.execs[id].up {
+		if w.execs[id].up && !w.unlisted[id] {
 			h.fleet.UpsertExecutor(w.now, w.execs[id].info)
 		}
 	}
@@ -275,9 +276,11 @@
 		return
 	}
 	records := h.fleet.Dirty(30)
-	if len(records) == 0 {
+	if len(records) == 0 && h.rosterVersion == h.fleet.RosterVersion() {
 		return
 	}
+	version := h.fleet.RosterVersion()
+	roster := h.fleet.Roster()
 	h.saving = true
 	w.after(callTime, func() {
 		h.saving = false
@@ -287,7 +290,8 @@
 		for _, r := range records {
 			w.progress[r.Job] = r.Progress
 		}
-		w.roster = h.fleet.Roster()
+		w.roster, h.rosterVersion = roster, version
+		h.fleet.RosterRecorded(roster)
 		h.fleet.Recorded(records)
 		w.plan(h)
 	})
--- a/services/holder/act.go
+++ b/services/holder/act.go
@@ -166,7 +166,7 @@
 		s.metrics.Gauge(name, int64(v))
 	}
 	s.log("fleet summary", "term", t.number, "jobs_open", g.OpenJobs, "units_waiting", g.WaitingUnits, "units_active", g.ActiveUnits,
-		"executors", g.Executors, "executors_eligible", g.Eligible, "counts", t.sums)
+		"executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.Unverified(), "counts", t.sums)
 	t.sums = map[fleet.Count]int64{}
 }
 
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,7 +28,9 @@
 type saveDone struct {
 	term    int64
 	records []fleet.Record
-	roster  records.Roster
+	// roster is recorded too if it is not nil; version is its version.
+	roster  workload.Roster
+	version int64
 	err     error
 }
 
@@ -50,9 +51,9 @@
 		r := &out.records[i]
 		txn.Set = append(txn.Set, metastore.Write{Key: records.ProgressKey(r.Job), Value: records.Encode(r.Progress)})
 	}
-	if roster := records.Roster(t.fleet.Roster()); !maps.Equal(roster, t.roster) {
-		out.roster = roster
-		txn.Set = append(txn.Set, metastore.Write{Key: records.RosterKey, Value: records.Encode(roster)})
+	if out.version = t.fleet.RosterVersion(); out.version != t.rosterSaved {
+		out.roster = t.fleet.Roster()
+		txn.Set = append(txn.Set, metastore.Write{Key: records.RosterKey, Value: records.Encode(out.roster)})
 	}
 	if len(txn.Set) == 0 {
 		if now.Before(t.expireAt) {
@@ -88,7 +89,8 @@
 	switch {
 	case m.err == nil:
 		if m.roster != nil {
-			t.roster = m.roster
+			t.rosterSaved = m.version
+			t.fleet.RosterRecorded(m.roster)
 		}
 		for i := range m.records {
 			if r := &m.records[i]; r.Progress.State.Final() {
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -40,7 +40,8 @@
 
 	saving    bool
 	saveAfter time.Time
-	roster    records.Roster
+	// rosterSaved is the version of the recorded roster.
+	rosterSaved int64
 
 	// plannedAt is the time of the last plan, planAt that of the next one if planSet.
 	plannedAt  time.Time
@@ -58,7 +59,7 @@
 	progressRead struct {
 		term   int64
 		items  []metastore.Item
-		roster records.Roster
+		roster workload.Roster
 		err    error
 	}
 	queueFollowed struct {
@@ -125,7 +126,7 @@
 			return out
 		}
 		for i := range entries {
-			out.roster, out.err = records.Decode[records.Roster](entries[i].Key, entries[i].Value)
+			out.roster, out.err = records.Decode[workload.Roster](entries[i].Key, entries[i].Value)
 		}
 		return out
 	})
@@ -180,10 +181,7 @@
 		}
 		t.progress[records.ProgressJob(m.items[i].Key)] = &p
 	}
-	t.roster = m.roster
-	for id, address := range m.roster {
-		t.fleet.AddUnlisted(time.Now(), id, address)
-	}
+	t.fleet.Inherit(time.Now(), m.roster)
 	early := t.early
 	t.early = nil
 	for _, u := range early {
