Refuse submissions at once while the store is silent

Cause: a VM whose store was silent still sent each submission to it and could only answer 504 at the client's deadline, since the job might have been stored. Clients used their tries up inside the outage. Change: once the store has not answered this VM for some seconds, or has left a job undecided in the last second, a submission goes to another VM or is refused with 503 and a spread Retry-After before anything is sent, so that it certainly never runs. TestStoreAway/silent failed before (504).

--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -17,7 +17,7 @@
 	queuePause = 200 * time.Millisecond
 	// registryPause is the pause of the watch of executors, whose heartbeats change their entries all the time. It is short
 	// against the seconds in which a leaving executor must get no more work.
-	registryPause = 300 * time.Millisecond
+	registryPause = 200 * time.Millisecond
 )
 
 // term is the state of this VM as the holder.
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -35,6 +35,8 @@
 	holder   message.HolderChanged
 	// reachable is set while the store answers this VM.
 	reachable bool
+	// unansweredAt is when the store last left a job undecided.
+	unansweredAt time.Time
 }
 
 // New returns the service.
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -26,6 +26,9 @@
 	answerMargin = 250 * time.Millisecond
 	// storeRetry is the delay before a call that the store refused is repeated.
 	storeRetry = 60 * time.Millisecond
+	// silenceMemory is how long the store counts as unreachable after it left a job undecided. Clients that are refused at
+	// once come back; those that wait in vain have used up their time.
+	silenceMemory = time.Second
 	// refusalBudget is how long a store that refuses calls is tried before the client is told to come back.
 	refusalBudget = 350 * time.Millisecond
 )
@@ -72,7 +75,11 @@
 // repeated call at any VM finds the job of the first.
 func (s *Service) accept(c *kernel.Context, job workload.Job, deadline time.Time, e kernel.Envelope, relay bool) {
 	out := stored{env: e, job: job, deadline: deadline, relay: relay, began: time.Now()}
-	if !s.reachable && relay && s.relayJob(c, out) {
+	if !s.storeAnswers() {
+		// Without a try the job certainly does not run, and the client may come back; after a try it might.
+		if !relay || !s.relayJob(c, out) {
+			s.refuse(e, "submit", job.ID, failure.New(failure.StoreUnavailable, "the store does not answer; nothing was sent to it"))
+		}
 		return
 	}
 	txn := metastore.Txn{
@@ -85,6 +92,11 @@
 	})
 }
 
+// storeAnswers reports whether the store answers this VM, as far as is known.
+func (s *Service) storeAnswers() bool {
+	return s.reachable && time.Since(s.unansweredAt) >= silenceMemory
+}
+
 // commit applies a transaction that may be repeated, until it is decided or the deadline comes.
 func (s *Service) commit(ctx context.Context, txn metastore.Txn, deadline time.Time) (revision int64, existed bool, f *failure.Error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -136,6 +148,9 @@
 // stored answers a submission.
 func (s *Service) stored(c *kernel.Context, m stored) {
 	if m.failure != nil {
+		if m.failure.Reason == failure.AcceptanceUnknown {
+			s.unansweredAt = time.Now()
+		}
 		if m.relay && m.failure.Reason == failure.StoreUnavailable && s.relayJob(c, m) {
 			return
 		}
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -130,6 +130,18 @@
 				t.Errorf("job %s acknowledged without a store", j.ID)
 			}
 			time.Sleep(4 * time.Second)
+			if fault.Silent {
+				// By now the VMs know that the store is silent: they refuse, and what they refuse never runs.
+				late := job(f.newID(), 1, 50*time.Millisecond, false)
+				if r, err := f.client(f.vms[0]).Submit(context.Background(), late); err != nil || r.Status != http.StatusServiceUnavailable || r.RetryAfter == 0 {
+					t.Errorf("submission to a silent store: %+v, %v, want 503 with Retry-After", r, err)
+				}
+				defer func() {
+					if f.checkExecutors()[late.ID] > 0 {
+						t.Errorf("job %s was refused and ran", late.ID)
+					}
+				}()
+			}
 			f.store.SetFault(storestandin.Fault{})
 			f.await(running, workload.StateCompleted)
 			runs := f.checkExecutors()
