--- a/tests/rules/rules_test.go
+++ b/tests/rules/rules_test.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/verbenaflow/verbenaflow/platform/words"
 )
 
 const (
@@ -145,6 +147,26 @@
 	}
 }
 
+// TestWireNamesStayInPlatform guards against code outside the platform folder that knows the names of its wires.
+func TestWireNamesStayInPlatform(t *testing.T) {
+	for _, dir := range []string{"kernel", "api", "decisions", "services", "standins", "node", "bench", "cmd"} {
+		for _, s := range sources(t, dir) {
+			ast.Inspect(s.file, func(n ast.Node) bool {
+				lit, ok := n.(*ast.BasicLit)
+				if !ok || lit.Kind != token.STRING {
+					return true
+				}
+				for _, name := range words.Wire {
+					if !strings.Contains(lit.Value, modulePath) && strings.Contains(lit.Value, name) {
+						t.Errorf("%s: name of a wire: %s", s.at(lit), lit.Value)
+					}
+				}
+				return true
+			})
+		}
+	}
+}
+
 // maxFileLines is the bound of the house style for one file.
 const maxFileLines = 500
 
