Use one decaying sum, record the beginning of a wave, and remove what nothing uses

The moving averages of failures and of urgent arrivals were written twice; both modes of the daemon share the start. A wave of upkeep is recorded as running, as the operators expect.

--- a/cmd/verbenaflowd/fleet.go
+++ b/cmd/verbenaflowd/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -12,7 +11,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/node/daemon"
-	"github.com/verbenaflow/verbenaflow/node/logging"
 	"github.com/verbenaflow/verbenaflow/node/settings"
 )
 
@@ -27,17 +25,8 @@
 // runFleet runs the daemon on the users' platform, where logs go to standard output.
 func runFleet(o options) int {
 	s, err := settings.LoadFleet(o.Config)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
-	}
-	if o.Check {
-		fmt.Println("settings are valid")
-		return 0
-	}
-	if err := logging.Setup(os.Stdout, string(s.VM), "daemon", s.Verbosity); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailure
+	if code, end := o.prepare(err, os.Stdout, s.VM, s.Verbosity); end {
+		return code
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
--- a/cmd/verbenaflowd/main.go
+++ b/cmd/verbenaflowd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
+	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/node/daemon"
 	"github.com/verbenaflow/verbenaflow/node/logging"
@@ -45,19 +47,27 @@
 		return runFleet(o)
 	}
 	s, err := settings.Load(o.Config)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+	if code, end := o.prepare(err, os.Stderr, s.VM, s.Verbosity); end {
+		return code
+	}
+	return serve(func(ctx context.Context) error { return daemon.Run(ctx, s) })
+}
+
+// prepare reports faults of the settings, ends a check and sets up the log. It returns the exit code if the process ends.
+func (o options) prepare(invalid error, log io.Writer, vm model.VMID, verbosity int) (code int, end bool) {
+	if invalid != nil {
+		fmt.Fprintln(os.Stderr, invalid)
+		return exitUsage, true
 	}
 	if o.Check {
 		fmt.Println("settings are valid")
-		return 0
+		return 0, true
 	}
-	if err := logging.Setup(os.Stderr, string(s.VM), "daemon", s.Verbosity); err != nil {
+	if err := logging.Setup(log, string(vm), "daemon", verbosity); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailure
+		return exitFailure, true
 	}
-	return serve(func(ctx context.Context) error { return daemon.Run(ctx, s) })
+	return 0, false
 }
 
 // serve runs the daemon until it is told to stop.
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -106,13 +106,11 @@
 	CountOrphan        Count = "runs_orphaned"
 	CountMoved         Count = "units_moved"
 	CountStalled       Count = "units_stalled"
-	CountSuspect       Count = "executors_suspected"
 	CountPace          Count = "pace"
 	CountAdvise        Count = "advise"
 	CountTicketRefused Count = "ticket_refused"
 	CountJobsCompleted Count = "jobs_completed"
 	CountJobsFailed    Count = "jobs_failed"
-	CountJobsHopeless  Count = "jobs_never_fit"
 	CountReserveBroken Count = "reservations_given_up"
 	CountExecutorLost  Count = "executors_lost"
 	// CountExecutorReborn counts new lives of executors under the same identifier.
--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -18,9 +18,9 @@
 // advice is what the advisory service has said of a step.
 type advice struct {
 	tickets map[workload.ExecutorID]ticket
-	// asked holds the executors of answered questions, refused among them those without a ticket.
-	asked   map[workload.ExecutorID]bool
-	asking  bool
+	// asked holds the executors of answered questions; those without a ticket may not run the step.
+	asked map[workload.ExecutorID]bool
+	// askedAt is the time of the last question.
 	askedAt time.Time
 }
 
@@ -69,7 +69,7 @@
 	if len(workers) == 0 {
 		return
 	}
-	f.asking, a.asking, a.askedAt = true, true, now
+	f.asking, a.askedAt = true, now
 	f.count(CountAdvise)
 	f.orders = append(f.orders, Advise{Step: u.task(0), Workers: workers})
 }
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -103,7 +103,7 @@
 	version int64
 }
 
-// now returns a lower bound of the executor's clock at a local time.
+// clockLow returns a lower bound of the executor's clock at a local time.
 func (e *executor) clockLow(now time.Time) time.Duration {
 	return e.clock + time.Duration(float64(now.Sub(e.clockAt))*(1-clockDrift))
 }
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -57,10 +57,11 @@
 	open      []*job
 	executors map[workload.ExecutorID]*executor
 	// order is the sorted list of executors, so that decisions do not depend on the order of a map.
-	order  []*executor
-	usage  usage
-	speed  speeds
-	urgent demand
+	order []*executor
+	usage usage
+	speed speeds
+	// urgent is the weight of the urgent work that has arrived lately.
+	urgent decayingSum
 	// keepFor is the time of arrivals of urgent work for which room is kept.
 	keepFor time.Duration
 	// advice holds what the advisory service has said; asking is set while a question is under way.
@@ -165,13 +166,6 @@
 	}
 }
 
-// Status is what a caller sees of a job.
-type Status struct {
-	State workload.State
-	// Durable is set if the state would survive the loss of the holder. Only final states need to be durable.
-	Durable bool
-}
-
 // Status returns the state of a job; ok is false if the job is not known. A job whose end is not yet recorded is shown
 // as running.
 func (f *Scheduler) Status(id workload.JobID) (s workload.State, ok bool) {
--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// demandMemory is the time over which the arrival of urgent work is averaged.
-	demandMemory = 3 * time.Second
+	// demandHalfLife is the time in which the weight of an arrival of urgent work halves in the average.
+	demandHalfLife = 2 * time.Second
 	// headroomTime is how much urgent work, in time of its arrival, finds room without a preemption: about the run time
 	// of urgent tasks, so that the room which they give back waits for the next ones. Long tasks would otherwise fill it
 	// at once and be stopped again.
@@ -18,24 +18,6 @@
 	maxHeadroom = 0.5
 )
 
-// demand is the rate at which urgent work arrives, as a moving average of its weight in thousandths of a core.
-type demand struct {
-	value float64
-	at    time.Time
-}
-
-func (d *demand) decayed(now time.Time) float64 {
-	if d.value == 0 {
-		return 0
-	}
-	return d.value * math.Exp(-float64(now.Sub(d.at))/float64(demandMemory))
-}
-
-func (d *demand) add(now time.Time, weight float64) { d.value, d.at = d.decayed(now)+weight, now }
-
-// rate returns the weight that arrives in a second.
-func (d *demand) rate(now time.Time) float64 { return d.decayed(now) / demandMemory.Seconds() }
-
 // arrive observes the arrival of a job of priority 0.
 func (f *Scheduler) arrive(now time.Time, j *job) {
 	if f.route(j).Priority != 0 {
@@ -45,7 +27,7 @@
 	for i := range j.rec.Steps {
 		w += j.rec.Steps[i].Count * weightOf(j.rec.Steps[i].Need)
 	}
-	f.urgent.add(now, float64(w))
+	f.urgent.add(now, demandHalfLife, float64(w))
 }
 
 // headroom is the room that other work may still take: what is free beyond what is kept for urgent work.
@@ -58,7 +40,8 @@
 		free += max(0, weightOf(e.free()))
 		capacity += weightOf(e.info.Capacity)
 	}
-	keep := min(f.urgent.rate(now)*f.keepFor.Seconds(), maxHeadroom*float64(capacity))
+	rate := f.urgent.current(now, demandHalfLife) * math.Ln2 / demandHalfLife.Seconds()
+	keep := min(rate*f.keepFor.Seconds(), maxHeadroom*float64(capacity))
 	return headroom{left: float64(free) - keep}
 }
 
--- a/decisions/fleet/health.go
+++ b/decisions/fleet/health.go
@@ -24,29 +24,38 @@
 	probeInterval = 2 * time.Second
 )
 
-// suspicion is the recent failures of an executor. It wears off with time and with completed runs.
-type suspicion struct {
-	weight float64
-	at     time.Time
+// decayingSum is a sum whose parts lose half of their weight in each half-life.
+type decayingSum struct {
+	value float64
+	at    time.Time
 }
 
-func (s *suspicion) current(now time.Time) float64 {
-	if s.weight == 0 {
+func (s *decayingSum) current(now time.Time, halfLife time.Duration) float64 {
+	if s.value == 0 {
 		return 0
 	}
-	return s.weight * math.Exp2(-float64(now.Sub(s.at))/float64(suspicionHalfLife))
+	return s.value * math.Exp2(-float64(now.Sub(s.at))/float64(halfLife))
+}
+
+func (s *decayingSum) add(now time.Time, halfLife time.Duration, v float64) {
+	s.value, s.at = max(0, s.current(now, halfLife)+v), now
 }
 
-func (s *suspicion) add(now time.Time, w float64) { s.weight, s.at = s.current(now)+w, now }
+// suspicion is the recent failures of an executor. It wears off with time and with completed runs.
+type suspicion struct{ failures decayingSum }
+
+func (s *suspicion) current(now time.Time) float64 { return s.failures.current(now, suspicionHalfLife) }
+
+func (s *suspicion) add(now time.Time, w float64) { s.failures.add(now, suspicionHalfLife, w) }
 
-func (s *suspicion) relieve(now time.Time) { s.weight, s.at = max(0, s.current(now)-doneRelief), now }
+func (s *suspicion) relieve(now time.Time) { s.add(now, -doneRelief) }
 
 // blocks reports whether the executor is to get no work: it is suspected and either runs a probe or had one lately.
 func (s *suspicion) blocks(now time.Time, e *executor) bool {
 	if s.current(now) < suspicionBlocks {
 		return false
 	}
-	return len(e.members) > 0 || now.Sub(s.at) < probeInterval
+	return len(e.members) > 0 || now.Sub(s.failures.at) < probeInterval
 }
 
 // usage counts the accelerators that the running jobs of priority 0 of each client account occupy.
@@ -73,7 +82,7 @@
 )
 
 // done observes a completed run.
-func (s speeds) done(_ *executor, u *unit, now time.Time) {
+func (s speeds) done(now time.Time, u *unit) {
 	est := u.spec().Estimate
 	if est <= 0 || u.startedAt.IsZero() || u.saved != "" {
 		return
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -142,7 +142,7 @@
 		if s.MaxPerExecutor > 0 {
 			room = min(room, s.MaxPerExecutor-e.countOf(u))
 		}
-		if e.suspicion.weight >= suspicionBlocks {
+		if e.suspicion.current(now) >= suspicionBlocks {
 			// A suspected executor gets a single run as a probe.
 			room = min(room, 1)
 		}
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -47,7 +47,7 @@
 	switch {
 	case u.state == unitDone || u.state == unitDead:
 	case how == workload.Done && !u.spec().LongRunning:
-		f.speed.done(m.on, u, now)
+		f.speed.done(now, u)
 		m.on.suspicion.relieve(now)
 		u.job.complete(u)
 		f.settleJob(now, u.job)
--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -42,7 +42,8 @@
 	order    workload.Wave
 	since    time.Time
 	machines []*machine
-	reported bool
+	// announced and reported are set once the beginning and the end were handed out to be recorded.
+	announced, reported bool
 }
 
 type machine struct {
@@ -102,6 +103,8 @@
 	// Vacate lists the executors that get no work and are emptied.
 	Vacate []workload.ExecutorID
 	Orders []Order
+	// Begun lists waves that are new.
+	Begun []int64
 	// Completed lists waves of which every machine has had its upkeep or is gone, and that were not yet reported.
 	Completed []int64
 }
@@ -125,6 +128,10 @@
 }
 
 func (s *State) step(now time.Time, w *wave, list map[workload.MachineID]workload.Machine, occupied []workload.ExecutorID, p *Plan) {
+	if !w.announced {
+		w.announced = true
+		p.Begun = append(p.Begun, w.order.Number)
+	}
 	busy := 0
 	for _, m := range w.machines {
 		m.observe(now, list, s.downFor)
--- a/decisions/upkeep/upkeep_test.go
+++ b/decisions/upkeep/upkeep_test.go
@@ -58,6 +58,7 @@
 	s := New(downFor)
 	s.SetWaves(now, []workload.Wave{order})
 	began := now
+	announced := 0
 	for s.Active() {
 		if now.Sub(began) > order.Within {
 			t.Fatal("the wave is late")
@@ -68,6 +69,7 @@
 		}
 		c.advance(now)
 		p := s.Step(now, c.machines, []workload.ExecutorID{"e1"})
+		announced += len(p.Begun)
 		for _, o := range p.Orders {
 			c.order(now, o.Machine)
 			s.Ordered(now, o)
@@ -80,6 +82,9 @@
 	if p := s.Step(now, c.machines, nil); len(p.Completed) != 1 || p.Completed[0] != 3 {
 		t.Errorf("completed %v, want wave 3", p.Completed)
 	}
+	if announced != 1 {
+		t.Errorf("the beginning was announced %d times", announced)
+	}
 	s.Reported(3)
 	if p := s.Step(now, c.machines, nil); len(p.Completed) != 0 {
 		t.Errorf("reported again: %v", p.Completed)
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -39,8 +39,9 @@
 		err   error
 	}
 	reported struct {
-		wave int64
-		err  error
+		wave      int64
+		completed bool
+		err       error
 	}
 )
 
@@ -152,8 +153,11 @@
 	for _, o := range p.Orders {
 		s.order(c, o)
 	}
+	for _, w := range p.Begun {
+		s.report(c, w, false)
+	}
 	for _, w := range p.Completed {
-		s.report(c, w)
+		s.report(c, w, true)
 	}
 	if len(p.Vacate) > 0 || !slices.Equal(p.Vacate, s.vacated) {
 		s.vacated = p.Vacate
@@ -189,20 +193,23 @@
 	s.state.Refused(m.order, errors.As(m.err, &unknown))
 }
 
-// report records that a wave is completed.
-func (s *Service) report(c *kernel.Context, wave int64) {
-	key, value := operator.EncodeWaveStatus(wave, true)
+// report records how far a wave is.
+func (s *Service) report(c *kernel.Context, wave int64, completed bool) {
+	key, value := operator.EncodeWaveStatus(wave, completed)
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		_, err := s.store.Commit(ctx, metastore.Txn{Set: []metastore.Write{{Key: key, Value: value}}})
-		return reported{wave, err}
+		return reported{wave, completed, err}
 	})
 }
 
 func (s *Service) reported(m reported) {
-	if m.err != nil || s.state == nil {
+	if m.err != nil {
 		s.metrics.Event("wave_status_failed", 1)
 		return
 	}
+	if !m.completed || s.state == nil {
+		return
+	}
 	klog.InfoS("wave of upkeep completed", "vm", s.vm, "service", names.Upkeep, "wave", m.wave)
 	s.state.Reported(m.wave)
 }
