Keep records of the holder in their order when the store applies one late

A record without an answer was repeated with newer progress; the store then applied the first one late, since its only condition, the holder's entry, still held. Change: each record also changes one entry, on whose revision the next one depends, so that a late record fails. Ruled out: conditions on each progress entry, which halve the records of a transaction.

--- a/api/records/records.go
+++ b/api/records/records.go
@@ -24,6 +24,8 @@
 	progressPrefix = "vf/p/"
 	// ProgressPrefix covers what holders record of jobs.
 	ProgressPrefix = progressPrefix
+	// SaveKey changes with each record of a holder, so that a record that the store applies late does not replace a newer one.
+	SaveKey = "vf/save"
 	// RosterKey lists the executors that may run tasks.
 	RosterKey = "vf/roster"
 )
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	// saveBatch is the number of records of one transaction, beside the condition on the holder and the roster.
-	saveBatch = metastore.MaxTxn - 2
+	// saveBatch is the number of records of one transaction, beside two conditions, the entry of SaveKey and the roster.
+	saveBatch = metastore.MaxTxn - 4
 	// saveRetry is the delay before a failed record is repeated.
 	saveRetry = 250 * time.Millisecond
 	// expireBatch is the number of finished jobs whose three entries are removed in one transaction.
-	expireBatch = (metastore.MaxTxn - 1) / 3
+	expireBatch = (metastore.MaxTxn - 3) / 3
 	// expireEvery is the time between two looks for finished jobs whose retention has ended.
 	expireEvery = 5 * time.Second
 )
@@ -31,14 +31,17 @@
 	// roster is recorded too if it is not nil; version is its version.
 	roster  workload.Roster
 	version int64
-	err     error
+	// revision is that of the transaction.
+	revision int64
+	err      error
 }
 
 // Kind implements kernel.Message.
 func (saveDone) Kind() string { return "holder_save_done" }
 
 // save records what has changed: at most one transaction is under way, which carries all that changed since the last.
-// Its condition on the holder's entry keeps a replaced holder from writing.
+// Its condition on the holder's entry keeps a replaced holder from writing. The store may apply a transaction without an
+// answer seconds later, if its conditions still hold: each one changes SaveKey, on whose revision the next one depends.
 func (s *Service) save(c *kernel.Context) {
 	t := s.term
 	now := time.Now()
@@ -46,7 +49,10 @@
 		return
 	}
 	out := saveDone{term: t.number, records: t.fleet.Dirty(saveBatch)}
-	txn := metastore.Txn{If: []metastore.Condition{{Key: records.HolderKey, Revision: t.fence}}}
+	txn := metastore.Txn{If: []metastore.Condition{
+		{Key: records.HolderKey, Revision: t.fence},
+		{Key: records.SaveKey, Revision: t.saveRevision},
+	}}
 	for i := range out.records {
 		r := &out.records[i]
 		txn.Set = append(txn.Set, metastore.Write{Key: records.ProgressKey(r.Job), Value: records.Encode(r.Progress)})
@@ -65,10 +71,11 @@
 			return
 		}
 	}
+	txn.Set = append(txn.Set, metastore.Write{Key: records.SaveKey, Value: []byte("{}")})
 	t.saving = true
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		began := time.Now()
-		_, out.err = s.store.Commit(ctx, txn)
+		out.revision, out.err = s.store.Commit(ctx, txn)
 		s.metrics.Latency("store_commit", time.Since(began))
 		return out
 	})
@@ -88,6 +95,7 @@
 	var conflict *metastore.ConflictError
 	switch {
 	case m.err == nil:
+		t.saveRevision = m.revision
 		if m.roster != nil {
 			t.rosterSaved = m.version
 			t.fleet.RosterRecorded(m.roster)
@@ -101,6 +109,12 @@
 		s.plan(c)
 		return
 	case errors.As(m.err, &conflict):
+		if t.overtaken(conflict) {
+			// An earlier transaction without an answer was applied after all.
+			s.metrics.Event("save_repeated", 1)
+			s.plan(c)
+			return
+		}
 		// The own entry has changed: the watch or the renewal tells how.
 		s.metrics.Event("save_fenced", 1)
 	default:
@@ -110,3 +124,22 @@
 	t.saveAfter = time.Now().Add(saveRetry)
 	s.planAfter(c, saveRetry)
 }
+
+// overtaken reports whether a transaction failed only because an earlier one of this holder was applied, and takes over its
+// revision.
+func (t *term) overtaken(conflict *metastore.ConflictError) bool {
+	held, saved := false, t.saveRevision
+	for i := range conflict.Items {
+		switch item := &conflict.Items[i]; item.Key {
+		case records.HolderKey:
+			held = item.Revision == t.fence
+		case records.SaveKey:
+			saved = item.Revision
+		}
+	}
+	if !held || saved == t.saveRevision {
+		return false
+	}
+	t.saveRevision = saved
+	return true
+}
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -38,8 +38,10 @@
 	begunAt                 time.Time
 	logged                  bool
 
-	saving    bool
-	saveAfter time.Time
+	// saveRevision is the revision of SaveKey after the last record.
+	saveRevision int64
+	saving       bool
+	saveAfter    time.Time
 	// rosterSaved is the version of the recorded roster.
 	rosterSaved int64
 
@@ -60,7 +62,9 @@
 		term   int64
 		items  []metastore.Item
 		roster workload.Roster
-		err    error
+		// saved is the revision of SaveKey; 0 if there is none.
+		saved int64
+		err   error
 	}
 	queueFollowed struct {
 		term int64
@@ -125,6 +129,14 @@
 			out.err = err
 			return out
 		}
+		saves, _, err := s.store.List(ctx, records.SaveKey)
+		if err != nil {
+			out.err = err
+			return out
+		}
+		for i := range saves {
+			out.saved = saves[i].Revision
+		}
 		for i := range entries {
 			out.roster, out.err = records.Decode[workload.Roster](entries[i].Key, entries[i].Value)
 		}
@@ -181,6 +193,7 @@
 		}
 		t.progress[records.ProgressJob(m.items[i].Key)] = &p
 	}
+	t.saveRevision = m.saved
 	t.fleet.Inherit(time.Now(), m.roster)
 	early := t.early
 	t.early = nil
--- a/standins/metastore/metastore.go
+++ b/standins/metastore/metastore.go
@@ -23,8 +23,13 @@
 	Busy, Silent bool
 	// Lost is the share of transactions that are applied and not answered.
 	Lost float64
+	// Late is the share of transactions that are not answered and applied lateDelay later, if their conditions still hold.
+	Late float64
 }
 
+// lateDelay is the delay of late transactions.
+const lateDelay = 1500 * time.Millisecond
+
 // Store is the stand-in. Run owns its state; all other methods send it calls and may be used at the same time.
 type Store struct {
 	calls chan func(*state)
@@ -39,10 +44,16 @@
 	events   []metastore.Event
 	leases   map[metastore.LeaseID]*lease
 	watches  []*watch
+	late     []lateTxn
 	// dropped is the revision up to which history is gone.
 	dropped int64
 }
 
+type lateTxn struct {
+	at  time.Time
+	txn metastore.Txn
+}
+
 type lease struct {
 	ttl  time.Duration
 	ends time.Time
@@ -170,6 +181,11 @@
 func (s *Store) Commit(ctx context.Context, t metastore.Txn) (revision int64, err error) {
 	lost := false
 	called := s.do(ctx, func(st *state) {
+		if rand.Float64() < st.fault.Late {
+			st.late = append(st.late, lateTxn{time.Now().Add(lateDelay), t})
+			lost = true
+			return
+		}
 		revision, err = st.commit(t)
 		lost = rand.Float64() < st.fault.Lost
 	})
@@ -288,8 +304,13 @@
 	return out
 }
 
-// expire ends leases whose time is over.
+// expire ends leases whose time is over and applies late transactions.
 func (st *state) expire(now time.Time) {
+	for len(st.late) > 0 && now.After(st.late[0].at) {
+		// A condition that does not hold any more ends a late transaction.
+		_, _ = st.commit(st.late[0].txn)
+		st.late = st.late[1:]
+	}
 	for id, l := range st.leases {
 		if now.After(l.ends) {
 			st.end(id)
--- a/standins/metastore/metastore_test.go
+++ b/standins/metastore/metastore_test.go
@@ -49,6 +49,9 @@
 	if _, err := c.Get(ctx, "b"); !errors.As(err, &missing) {
 		t.Errorf("%v, want a *NotFoundError", err)
 	}
+	if _, err := c.Commit(ctx, metastore.Txn{Set: []metastore.Write{{Key: "empty"}}}); err != nil {
+		t.Errorf("an empty value is refused: %v", err)
+	}
 	s.SetFault(Fault{Busy: true})
 	var notDone *metastore.NotDoneError
 	if _, err := c.Commit(ctx, create); !errors.As(err, &notDone) {
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -211,3 +211,39 @@
 	f.await(f.mustSubmit(1, 10*time.Millisecond, false), workload.StateCompleted)
 	f.checkExecutors()
 }
+
+// TestLateRecords guards against a record of the holder that is applied late, over a newer one: the next holder would start
+// tasks again that were done and acknowledged.
+func TestLateRecords(t *testing.T) {
+	f := newFleet(t, 2, 4)
+	f.ready()
+	var ids []workload.JobID
+	for i := range 6 {
+		// The tasks of a job end one after the other, so that its progress is recorded several times.
+		j := job(f.newID(), 1, 200*time.Millisecond, false)
+		for range 5 {
+			j.Steps = append(j.Steps, j.Steps[0])
+			j.Steps[len(j.Steps)-1].After = []int{len(j.Steps) - 2}
+		}
+		j.Steps = append(j.Steps, workload.Step{Count: 1, Need: j.Steps[0].Need, After: []int{5}})
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		if accepted, _ := f.submit(ctx, j); !accepted {
+			t.Fatalf("job %d not accepted", i)
+		}
+		cancel()
+		ids = append(ids, j.ID)
+	}
+	f.store.SetFault(storestandin.Fault{Late: 0.5})
+	time.Sleep(2500 * time.Millisecond)
+	f.store.SetFault(storestandin.Fault{})
+	for _, id := range ids {
+		f.await(id, workload.StateCompleted)
+	}
+	time.Sleep(2 * time.Second)
+	for _, v := range f.vms {
+		f.restart(v, syscall.SIGKILL)
+	}
+	f.ready()
+	time.Sleep(500 * time.Millisecond)
+	f.checkExecutors()
+}
