Start nothing while another VM may hold the fleet

The cut holder took the leases on the other side for ended after 6 s and started their tasks on its own side; the next holder there had renewed these leases. Change: without a confirmed renewal of its lease in the store for 2.3 s a holder starts nothing and counts no lease of an executor as ended; for 9 s it goes on renewing what runs. The next holder waits that much longer for executors that it does not reach, but only for jobs of which an earlier holder recorded, before their first start, that they may run. Ruled out: a shorter hold, which would lose what runs in an outage of the store of 4 to 9 s.

--- a/api/workload/progress.go
+++ b/api/workload/progress.go
@@ -3,6 +3,9 @@
 // Progress is what a holder records of a job.
 type Progress struct {
 	State State
+	// MayRun is set before the first start of a task.
+	MayRun bool
+	// Begun is set once a task has started.
 	Begun bool
 	Steps []StepProgress
 }
--- a/decisions/fleet/contracts_test.go
+++ b/decisions/fleet/contracts_test.go
@@ -139,6 +139,10 @@
 		t.Error("two questions at a time")
 	}
 	f.Advised(w.now, *asked, map[workload.ExecutorID]string{"e0-2": "t2"}, 3*time.Second, true)
+	if _, starts = plan(); len(starts) != 0 {
+		t.Error("started before it was recorded that the job may run")
+	}
+	f.Recorded(f.Dirty(1))
 	_, starts = plan()
 	if len(starts) != 2 || starts[0].Executor != "e0-2" || starts[0].Ticket != "t2" {
 		t.Fatalf("started %+v", starts)
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -278,7 +278,7 @@
 		}
 		// A look at an executor that does not answer renews nothing: it may be carried out late, and the lease has to end
 		// for the tasks to start elsewhere.
-		if e.verified && e.clock > 0 && len(e.ordersOut()) > 0 && e.silentSince.IsZero() {
+		if e.verified && e.clock > 0 && len(e.ordersOut()) > 0 && e.silentSince.IsZero() && f.mayRenew(now) {
 			look.Deadline = e.renewal(now, f.settings.Lease)
 			look.Wait = f.settings.LookWait
 			e.deadline = max(e.deadline, look.Deadline)
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -20,6 +20,12 @@
 	LookWait time.Duration
 	// StopBound is the longest time that an executor takes to stop a run.
 	StopBound time.Duration
+	// HolderLease is the holder's lease in the store. Without a confirmed renewal for this time another VM may hold the
+	// fleet, so that nothing is started any more.
+	HolderLease time.Duration
+	// HoldOnly is how long after the last confirmed renewal the leases of executors are still renewed, so that what runs
+	// outlives an outage of the store.
+	HoldOnly time.Duration
 	// SlowFactor is how much longer a task takes away from its rack or its data.
 	SlowFactor float64
 	// RestoreTime is what a start from a checkpoint costs.
@@ -31,12 +37,19 @@
 }
 
 const (
+	// HolderLease is the usual lease of a holder in the store. It bounds the time without a holder after a crash, and
+	// exceeds some renewals with a store that is slow.
+	HolderLease = 2500 * time.Millisecond
+	// HoldOnly is the usual time for which a holder without the store keeps what runs: outages last for some seconds.
+	HoldOnly = 9 * time.Second
 	// clockDrift is how much slower than true time an executor's clock may run.
 	clockDrift = 0.02
 	// lapseMargin covers the delay between an executor's clock and the end of its runs.
 	lapseMargin = 50 * time.Millisecond
 	// runsPerTerm separates the run numbers of two holders, so that they rise without a shared counter.
 	runsPerTerm = 100_000
+	// confirmMargin is kept of the holder's lease for the way of an order to an executor.
+	confirmMargin = 200 * time.Millisecond
 	// settleMargin is how long a replaced holder may go on with renewals: one look that shows it the higher fence.
 	settleMargin = 1500 * time.Millisecond
 )
@@ -47,6 +60,8 @@
 	term     int64
 	// since is the store's revision at the beginning of the term. Jobs accepted later were not seen by earlier holders.
 	since int64
+	// confirmedAt is when the last renewal of the holder's lease that the store has answered was sent.
+	confirmedAt time.Time
 	// settleBy is when the leases that an earlier holder has given have all ended.
 	settleBy time.Time
 
@@ -93,14 +108,32 @@
 		advice:    map[stepKey]*advice{},
 		vacated:   map[workload.ExecutorID]bool{},
 		counts:    map[Count]int64{},
+
+		confirmedAt: now,
 	}
 	if inherited {
 		lease := time.Duration(float64(s.Lease) / (1 - clockDrift))
-		f.settleBy = now.Add(lease + settleMargin)
+		f.settleBy = now.Add(lease + max(0, s.HoldOnly-s.HolderLease) + settleMargin)
 	}
 	return f
 }
 
+// Confirm applies that the store has answered a renewal of the holder's lease that was sent at a time.
+func (f *Scheduler) Confirm(sentAt time.Time) {
+	if sentAt.After(f.confirmedAt) {
+		f.confirmedAt = sentAt
+		f.changed = true
+	}
+}
+
+// mayStart reports whether no other VM can hold the fleet at present.
+func (f *Scheduler) mayStart(now time.Time) bool {
+	return now.Sub(f.confirmedAt) < f.settings.HolderLease-confirmMargin
+}
+
+// mayRenew reports whether the leases of executors may be renewed.
+func (f *Scheduler) mayRenew(now time.Time) bool { return now.Sub(f.confirmedAt) < f.settings.HoldOnly }
+
 // SetConfig applies a configuration. Versions never go back.
 func (f *Scheduler) SetConfig(c *workload.Config) {
 	if c == nil || c.Version < f.config.Version {
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -75,6 +75,10 @@
 	created int64
 	state   workload.State
 	endedAt time.Time
+	// mayRun is set before the first start, and recorded as cleared, so that the next holder knows which jobs cannot run
+	// anywhere.
+	mayRun  bool
+	cleared int64
 	// begun is set once a task has started.
 	begun bool
 	units []*unit
@@ -116,6 +120,16 @@
 	}
 }
 
+// clear reports whether it is durable that the job may run, and asks for the record if it is not.
+func (j *job) clear() bool {
+	if !j.mayRun {
+		j.mayRun = true
+		j.dirty()
+		j.cleared = j.version
+	}
+	return j.recorded >= j.cleared
+}
+
 func (j *job) finalVersion() int64 { return j.final }
 
 // live reports whether a run of the job may still occupy an executor.
@@ -192,7 +206,7 @@
 
 // progress returns what is to be recorded.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{State: j.state, Begun: j.begun}
+	p := workload.Progress{State: j.state, MayRun: j.mayRun, Begun: j.begun}
 	if j.state.Final() {
 		return p
 	}
@@ -213,7 +227,7 @@
 
 // restore applies what an earlier holder has recorded.
 func (j *job) restore(p *workload.Progress) {
-	j.begun = p.Begun
+	j.mayRun, j.begun = p.MayRun, p.Begun
 	if p.State.Final() {
 		j.state = p.State
 		for _, u := range j.units {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -35,8 +35,12 @@
 			continue
 		}
 		on, reason := f.find(now, c, usable)
+		if on != nil && !u.job.clear() {
+			// The job starts once it is recorded that it may run.
+			continue
+		}
 		if on == nil {
-			blocked[key] = !f.preempt(now, c, usable)
+			blocked[key] = !u.job.clear() || !f.preempt(now, c, usable)
 			continue
 		}
 		f.reserve(now, u, on)
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -23,9 +23,12 @@
 	f.closeRuns(now)
 	f.leaveDraining(now)
 	f.restartStalled(now)
-	waiting := f.startable(now)
-	f.place(now, waiting)
-	f.startReserved(now)
+	var waiting []*candidate
+	if f.mayStart(now) {
+		waiting = f.startable(now)
+		f.place(now, waiting)
+		f.startReserved(now)
+	}
 	f.planStops(now)
 	f.planLooks(now)
 	out := f.orders
@@ -49,6 +52,10 @@
 
 // expire ends what ran on executors whose leases have ended.
 func (f *Scheduler) expire(now time.Time) {
+	if !f.mayStart(now) {
+		// Another holder may have renewed the leases.
+		return
+	}
 	// The loop forgets executors, which changes the list.
 	for _, e := range slices.Clone(f.order) {
 		if len(e.ordersOut()) > 0 && !e.silentSince.IsZero() && e.deadline > 0 && now.After(e.lapsesAt()) {
@@ -132,7 +139,7 @@
 	unsettled := f.unsettled(now)
 	var out []*candidate
 	for _, j := range f.open {
-		inherited := j.created <= f.since
+		inherited := j.created <= f.since && j.mayRun
 		if j.state.Final() || inherited && slices.ContainsFunc(unsettled, func(e *executor) bool { return e.mayRun(j.rec.ID) }) {
 			continue
 		}
--- a/node/daemon/fleet.go
+++ b/node/daemon/fleet.go
@@ -74,7 +74,7 @@
 		holder.New(holder.Settings{
 			VM: string(s.VM), Address: s.Relay, Weight: s.ProcessorShare,
 			Fleet: fleet.Settings{
-				Lease: s.Lease, LookWait: lookWait, StopBound: s.StopBound, SlowFactor: s.SlowFactor,
+				Lease: s.Lease, HolderLease: fleet.HolderLease, HoldOnly: fleet.HoldOnly, LookWait: lookWait, StopBound: s.StopBound, SlowFactor: s.SlowFactor,
 				RestoreTime: s.RestoreTime, SaveInterval: s.SaveInterval, Retention: s.Retention,
 			},
 		}, store, runner.NewClient(s.ExecutorConns), advice, m).Spec(),
--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -11,14 +11,14 @@
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 )
 
 const (
-	// leaseTTL is the holder's lease. It bounds the time without a holder after a crash, and must exceed some renewals
-	// with a store that is slow.
-	leaseTTL = 2500 * time.Millisecond
+	// leaseTTL is the holder's lease.
+	leaseTTL = fleet.HolderLease
 	// renewEvery is the time between two renewals.
 	renewEvery = 600 * time.Millisecond
 	// incumbentGrace is how long other VMs leave the fleet to the VM whose lease has ended while the store was in trouble:
@@ -39,6 +39,7 @@
 	holderFollowed struct{ metastore.Update }
 	candidacyDue   struct{ revision int64 }
 	candidacyDone  struct {
+		sentAt   time.Time
 		lease    metastore.LeaseID
 		record   records.Holder
 		revision int64
@@ -46,8 +47,9 @@
 	}
 	renewDue struct{ lease metastore.LeaseID }
 	renewed  struct {
-		lease metastore.LeaseID
-		err   error
+		lease  metastore.LeaseID
+		sentAt time.Time
+		err    error
 	}
 	released struct{ err error }
 )
@@ -242,7 +244,7 @@
 		conditions[0].Revision = 0
 	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		out := candidacyDone{record: record}
+		out := candidacyDone{record: record, sentAt: time.Now()}
 		if predecessor {
 			if out.err = s.store.Revoke(ctx, bound); out.err != nil {
 				return out
@@ -278,6 +280,7 @@
 		} else {
 			s.beginTerm(c, m.record.Term, m.revision, inherited)
 		}
+		s.term.fleet.Confirm(m.sentAt)
 		s.publishHolder(c)
 		c.After(renewEvery, renewDue{m.lease})
 	case errors.As(m.err, &conflict):
@@ -313,7 +316,8 @@
 	if s.term == nil || s.election.lease != lease {
 		return
 	}
-	c.Spawn(func(ctx context.Context) kernel.Message { return renewed{lease, s.store.Renew(ctx, lease)} })
+	sentAt := time.Now()
+	c.Spawn(func(ctx context.Context) kernel.Message { return renewed{lease, sentAt, s.store.Renew(ctx, lease)} })
 }
 
 // renewed applies the result of a renewal. While the store does not answer, the holder goes on: its executors refuse its
@@ -336,6 +340,8 @@
 	}
 	if m.err != nil {
 		s.metrics.Event("holder_renewal_failed", 1)
+	} else {
+		s.term.fleet.Confirm(m.sentAt)
 	}
 	c.After(renewEvery, renewDue{m.lease})
 }
