Shorten the holder's lease to 2 s

Cause: since a holder without a confirmed lease starts nothing, its length trades the pause after a loss against the pause in an outage of the store. Ruled out: below 1.8 s one renewal without an answer ends the lease.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -39,7 +39,7 @@
 const (
 	// HolderLease is the usual lease of a holder in the store. It bounds the time without a holder after a crash, and
 	// exceeds some renewals with a store that is slow.
-	HolderLease = 2500 * time.Millisecond
+	HolderLease = 2000 * time.Millisecond
 	// HoldOnly is the usual time for which a holder without the store keeps what runs: outages last for some seconds.
 	HoldOnly = 9 * time.Second
 	// clockDrift is how much slower than true time an executor's clock may run.
