Plan from lists of units, and order steps instead of tasks

Cause: a plan passed five times over all units of all open jobs (to make them startable, to close runs, to find stalled ones, to collect the waiting ones and to start reserved ones), made a candidate with its chain of work for each waiting task, and sorted the executors with room for each single task.

Now one pass lists the pending and the active units. The pending tasks of a step are alike, so that one candidate stands for all of them. The chain of work is computed once for each job, and a single task takes the executor with the least waste without a sort. The order of jobs moves to decisions/joborder, apart from the fleet's state, so that orders can be compared. The field `changed`, which nothing read, the method `vacate` and `finalVersion` are gone.

--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -77,7 +77,7 @@
 // Advised applies an answer of the advisory service: the tickets of the executors that may run the step, and how long
 // they are valid. ok is false if there was no answer.
 func (f *Scheduler) Advised(now time.Time, q Advise, tickets map[workload.ExecutorID]string, valid time.Duration, ok bool) {
-	f.asking, f.changed = false, true
+	f.asking = false
 	j := f.jobs[q.Step.Job]
 	if j == nil || !ok {
 		return
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -163,7 +163,6 @@
 
 // UpsertExecutor applies a registry entry.
 func (f *Scheduler) UpsertExecutor(now time.Time, info workload.Executor) {
-	f.changed = true
 	f.rosterVersion++
 	e, known := f.executors[info.ID]
 	if !known {
@@ -191,7 +190,6 @@
 		return
 	}
 	e.listed = false
-	f.changed = true
 	f.rosterVersion++
 	f.dropIfGone(e)
 }
@@ -221,7 +219,6 @@
 // may reach the new life, so that the next report decides what is lost.
 func (f *Scheduler) rebirth(now time.Time, e *executor, born int64) {
 	f.count(CountExecutorReborn)
-	f.changed = true
 	e.born = born
 	e.seen, e.noted, e.acked, e.ends = 0, 0, 0, nil
 	e.clock, e.clockAt, e.deadline = 0, now, f.settings.Lease
@@ -239,7 +236,6 @@
 	for _, m := range slices.Clone(e.members) {
 		f.endMember(now, m, workload.Lapsed, "")
 	}
-	f.changed = true
 }
 
 // eligible reports whether an executor may get work.
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/joborder"
 )
 
 // Settings are the figures that the scheduler works with.
@@ -76,7 +77,8 @@
 	usage usage
 	speed speeds
 	// urgent is the weight of the urgent work that has arrived lately.
-	urgent decayingSum
+	urgent   decayingSum
+	jobOrder joborder.Order
 	// keepFor is the time of arrivals of urgent work for which room is kept.
 	keepFor time.Duration
 	// advice holds what the advisory service has said; asking is set while a question is under way.
@@ -85,8 +87,13 @@
 	// vacated holds the executors that are to be emptied for an upkeep.
 	vacated map[workload.ExecutorID]bool
 
+	// pending and active are scratch lists of a plan: the units that can start, and those with a run or its remains, in the
+	// order of their jobs.
+	pending, active []*unit
+	// slots is the scratch list of fitting.
+	slots []slot
+
 	orders        []Action
-	changed       bool
 	rosterVersion int64
 	counts        map[Count]int64
 }
@@ -104,6 +111,7 @@
 		executors: map[workload.ExecutorID]*executor{},
 		usage:     usage{},
 		speed:     speeds{},
+		jobOrder:  joborder.InTimeFirst,
 		keepFor:   headroomTime,
 		advice:    map[stepKey]*advice{},
 		vacated:   map[workload.ExecutorID]bool{},
@@ -122,7 +130,6 @@
 func (f *Scheduler) Confirm(sentAt time.Time) {
 	if sentAt.After(f.confirmedAt) {
 		f.confirmedAt = sentAt
-		f.changed = true
 	}
 }
 
@@ -140,7 +147,6 @@
 		return
 	}
 	f.config = c
-	f.changed = true
 }
 
 // SetOut replaces the failure domains that operators have taken out of service.
@@ -149,7 +155,6 @@
 	for _, d := range domains {
 		f.out[d] = true
 	}
-	f.changed = true
 }
 
 // AddJob adds an accepted job. created is the store's revision of its acceptance, progress what an earlier holder has
@@ -169,7 +174,6 @@
 	}
 	f.open = append(f.open, j)
 	f.arrive(now, j)
-	f.changed = true
 	f.settleJob(now, j)
 }
 
@@ -189,7 +193,6 @@
 func (f *Scheduler) finish(now time.Time, j *job, s workload.State) {
 	j.state, j.endedAt = s, now
 	j.dirty()
-	f.changed = true
 	f.dropAdvice(j, "")
 	for _, u := range j.units {
 		if u.state != unitDone {
@@ -207,7 +210,7 @@
 		return "", false
 	}
 	switch {
-	case j.state.Final() && j.recorded < j.finalVersion():
+	case j.state.Final() && j.recorded < j.final:
 		return workload.StateRunning, true
 	case j.state.Final():
 		return j.state, true
@@ -254,7 +257,6 @@
 	for _, id := range ids {
 		f.vacated[id] = true
 	}
-	f.changed = true
 }
 
 // Occupied returns the executors that may run tasks.
--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/verbenaflow/verbenaflow/api/workload"
 )
 
 const (
@@ -46,9 +44,9 @@
 }
 
 // take reports whether a unit may start, and takes its room if so. Urgent work takes any room.
-func (h *headroom) take(c *candidate, need workload.Resources) bool {
-	w := float64(c.u.n * weightOf(need))
-	if c.class > 1 && w > h.left {
+func (h *headroom) take(class int, u *unit) bool {
+	w := float64(u.n * weightOf(u.spec().Need))
+	if class > classUrgent && w > h.left {
 		return false
 	}
 	h.left -= w
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -82,6 +82,9 @@
 	// begun is set once a task has started.
 	begun bool
 	units []*unit
+	// chains is the estimated work from each step to the end of the job, longest that of the whole job.
+	chains  []time.Duration
+	longest time.Duration
 	// left counts the units that are not done, by occurrence and step.
 	left []int
 	// open counts the units that are not done.
@@ -93,7 +96,10 @@
 }
 
 func newJob(now time.Time, rec *workload.Job, created int64) *job {
-	j := &job{rec: rec, arrived: now, created: created, state: workload.StateQueued}
+	j := &job{rec: rec, arrived: now, created: created, state: workload.StateQueued, chains: chains(rec.Steps)}
+	for _, d := range j.chains {
+		j.longest = max(j.longest, d)
+	}
 	steps := len(rec.Steps)
 	j.left = make([]int, rec.Runs()*steps)
 	for occ := range rec.Runs() {
@@ -130,8 +136,6 @@
 	return j.recorded >= j.cleared
 }
 
-func (j *job) finalVersion() int64 { return j.final }
-
 // live reports whether a run of the job may still occupy an executor.
 func (j *job) live() bool {
 	return slices.ContainsFunc(j.units, func(u *unit) bool { return len(u.members) > 0 })
@@ -188,9 +192,8 @@
 	j.dirty()
 }
 
-// chain returns the estimated work from a step to the end of the job, in the longest order of steps.
-func (j *job) chain(step int) time.Duration {
-	steps := j.rec.Steps
+// chains returns the estimated work from each step to the end of the job, in the longest order of steps.
+func chains(steps []workload.Step) []time.Duration {
 	rest := make([]time.Duration, len(steps))
 	for s := len(steps) - 1; s >= 0; s-- {
 		rest[s] += steps[s].Estimate
@@ -198,10 +201,7 @@
 			rest[a] = max(rest[a], rest[s])
 		}
 	}
-	if step >= 0 {
-		return rest[step]
-	}
-	return slices.Max(rest)
+	return rest
 }
 
 // progress returns what is to be recorded.
--- a/decisions/fleet/move.go
+++ b/decisions/fleet/move.go
@@ -44,27 +44,25 @@
 
 // restartStalled stops runs that make no progress, so that they start on another executor.
 func (f *Scheduler) restartStalled(now time.Time) {
-	for _, j := range f.open {
-		for _, u := range j.units {
-			if u.state != unitActive || u.ending || u.reserved() || u.spec().LongRunning || len(u.members) == 0 {
-				continue
-			}
-			if u.members[0].state != memberRunning || !u.members[0].on.silentSince.IsZero() {
-				continue
-			}
-			est := f.speed.expected(j.rec.Queue, u.spec().Estimate)
-			bound := max(stallFloor, time.Duration(stallFactor*stallPercent*f.settings.SlowFactor*float64(est)))
-			if now.Sub(u.progressAt) < bound+f.settings.LookWait {
-				continue
-			}
-			f.count(CountStalled)
-			for _, m := range u.members {
-				if u.n == 1 || m.percent < u.percent {
-					m.on.suspicion.add(now, stalledWeight)
-				}
+	for _, u := range f.active {
+		if u.state != unitActive || u.ending || u.reserved() || u.spec().LongRunning || len(u.members) == 0 {
+			continue
+		}
+		if u.members[0].state != memberRunning || !u.members[0].on.silentSince.IsZero() {
+			continue
+		}
+		est := f.speed.expected(u.job.rec.Queue, u.spec().Estimate)
+		bound := max(stallFloor, time.Duration(stallFactor*stallPercent*f.settings.SlowFactor*float64(est)))
+		if now.Sub(u.progressAt) < bound+f.settings.LookWait {
+			continue
+		}
+		f.count(CountStalled)
+		for _, m := range u.members {
+			if u.n == 1 || m.percent < u.percent {
+				m.on.suspicion.add(now, stalledWeight)
 			}
-			u.shun(now, u.members[0].on.info.ID)
-			f.interrupt(now, u, StopStalled)
 		}
+		u.shun(now, u.members[0].on.info.ID)
+		f.interrupt(now, u, StopStalled)
 	}
 }
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -21,36 +21,39 @@
 	}
 	usable := slices.DeleteFunc(slices.Clone(f.order), func(e *executor) bool { return !f.eligible(now, e) })
 	room := f.headroom(now, usable)
-	blocked := map[stepKey]bool{}
 	for _, c := range waiting {
-		u := c.u
-		key := stepKey{u.job, u.occurrence, u.step}
-		if blocked[key] {
-			// The tasks of a step are alike: where one finds no room, the others find none.
-			continue
-		}
-		c.class = f.classOf(u)
-		if !room.take(c, u.spec().Need) {
-			blocked[key] = true
-			continue
-		}
-		on, reason := f.find(now, c, usable)
-		if on != nil && !u.job.clear() {
-			// The job starts once it is recorded that it may run.
-			continue
-		}
-		if on == nil {
-			blocked[key] = !u.job.clear() || !f.preempt(now, c, usable)
-			continue
+		for _, u := range c.units {
+			if now.Before(u.notBefore) {
+				continue
+			}
+			// Each start uses up the guarantee of its account.
+			c.Class = f.classOf(u)
+			if !room.take(c.Class, u) || !f.placeUnit(now, c, u, usable) {
+				// The tasks of a step are alike: where one finds no room, the others find none.
+				break
+			}
 		}
+	}
+}
+
+// placeUnit starts a unit, or reserves room that others give up for it. It reports whether the next one of its step may be
+// tried.
+func (f *Scheduler) placeUnit(now time.Time, c *candidate, u *unit, usable []*executor) bool {
+	on, reason := f.find(now, c, u, usable)
+	// A job starts once it is recorded that it may run.
+	cleared := u.job.clear()
+	switch {
+	case on == nil:
+		return cleared && f.preempt(now, c, u, usable)
+	case cleared:
 		f.reserve(now, u, on)
 		f.start(now, u, reason)
 	}
+	return true
 }
 
 // find returns an executor for each task of a unit, or nil if there is no room.
-func (f *Scheduler) find(now time.Time, c *candidate, usable []*executor) ([]*executor, string) {
-	u := c.u
+func (f *Scheduler) find(now time.Time, c *candidate, u *unit, usable []*executor) ([]*executor, string) {
 	s := u.spec()
 	fit := f.fitting(now, u, usable)
 	if a := f.adviceOf(u); a != nil {
@@ -66,7 +69,7 @@
 	if on := f.findNear(u, fit); on != nil {
 		return on, "fits_rack"
 	}
-	if !f.mayGoFar(now, c, usable) {
+	if !f.mayGoFar(now, c, u, usable) {
 		return nil, ""
 	}
 	return pack(u, fit), "fits_far"
@@ -74,11 +77,10 @@
 
 // mayGoFar reports whether a unit may start away from its rack although it takes longer there: its objective is met even
 // so, its racks could never hold it, or the wait has cost more than the longer run would.
-func (f *Scheduler) mayGoFar(now time.Time, c *candidate, usable []*executor) bool {
-	u := c.u
+func (f *Scheduler) mayGoFar(now time.Time, c *candidate, u *unit, usable []*executor) bool {
 	expected := f.speed.expected(u.job.rec.Queue, u.spec().Estimate)
 	extra := time.Duration((f.settings.SlowFactor - 1) * float64(expected))
-	if now.Add(extra).Before(c.latest) && c.class > 1 {
+	if now.Add(extra).Before(c.Latest) && c.Class > classUrgent {
 		return true
 	}
 	if now.Sub(u.readyAt) > extra {
@@ -90,9 +92,10 @@
 // nearPossible reports whether the empty executors of a wanted rack could hold a unit.
 func (f *Scheduler) nearPossible(u *unit, usable []*executor) bool {
 	s := u.spec()
+	pool := f.route(u.job).Pool
 	room := map[string]int{}
 	for _, e := range usable {
-		if s.Rack != "" && e.rack != s.Rack || !f.matches(u, e) {
+		if s.Rack != "" && e.rack != s.Rack || !e.matches(pool, s) {
 			continue
 		}
 		room[e.rack] += capacityFor(s, e.info.Capacity)
@@ -126,20 +129,24 @@
 	waste float64
 }
 
-// matches reports whether an executor may run a unit, apart from its room.
-func (f *Scheduler) matches(u *unit, e *executor) bool {
-	s := u.spec()
-	return e.info.Pool == f.route(u.job).Pool && (s.Requires == "" || slices.Contains(e.info.Labels, s.Requires))
+// byWaste orders slots by what stays unused.
+func byWaste(a, b slot) int { return cmp.Compare(a.waste, b.waste) }
+
+// matches reports whether an executor of a pool may run tasks of a step, apart from its room.
+func (e *executor) matches(pool workload.Pool, s *workload.Step) bool {
+	return e.info.Pool == pool && (s.Requires == "" || slices.Contains(e.info.Labels, s.Requires))
 }
 
-// fitting returns the executors that have room for at least one task of a unit, those with the least waste first.
+// fitting returns the executors that have room for at least one task of a unit. For several tasks those with the least
+// waste come first; a single one needs no order. The result is valid until the next call.
 func (f *Scheduler) fitting(now time.Time, u *unit, usable []*executor) []slot {
 	s := u.spec()
 	load := s.Load()
-	var out []slot
+	pool := f.route(u.job).Pool
+	out := f.slots[:0]
 	for _, e := range usable {
 		free := e.free()
-		if !load.Fits(free) || !f.matches(u, e) || e.info.ID == u.avoid && now.Before(u.avoidUntil) {
+		if !load.Fits(free) || !e.matches(pool, s) || e.info.ID == u.avoid && now.Before(u.avoidUntil) {
 			continue
 		}
 		room := capacityFor(s, free)
@@ -154,7 +161,10 @@
 			out = append(out, slot{e, room, waste(e, load)})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b slot) int { return cmp.Compare(a.waste, b.waste) })
+	f.slots = out
+	if u.n > 1 {
+		slices.SortStableFunc(out, byWaste)
+	}
 	return out
 }
 
@@ -189,8 +199,15 @@
 	return w
 }
 
-// pack fills the executors in their order until all tasks of a unit have a place, or returns nil.
+// pack places a single task where it wastes least, and several by filling the executors in their order; it returns nil if
+// not all have a place.
 func pack(u *unit, fit []slot) []*executor {
+	if u.n == 1 {
+		if len(fit) == 0 {
+			return nil
+		}
+		return []*executor{slices.MinFunc(fit, byWaste).e}
+	}
 	on := make([]*executor, 0, u.n)
 	for _, s := range fit {
 		for range s.room {
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -1,11 +1,11 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/joborder"
 )
 
 const (
@@ -19,7 +19,7 @@
 // comes before.
 func (f *Scheduler) Plan(now time.Time) ([]Action, time.Duration) {
 	f.expire(now)
-	f.promote(now)
+	f.listUnits(now)
 	f.closeRuns(now)
 	f.leaveDraining(now)
 	f.restartStalled(now)
@@ -33,7 +33,6 @@
 	f.planLooks(now)
 	out := f.orders
 	f.orders = nil
-	f.changed = false
 	return out, f.nextPlan(now, len(waiting) > 0)
 }
 
@@ -84,7 +83,6 @@
 	}
 	f.settleBy = time.Time{}
 	f.dropUnverified()
-	f.changed = true
 	return true
 }
 
@@ -98,16 +96,21 @@
 	}
 }
 
-// promote makes units startable whose earlier steps are done and whose time has come.
-func (f *Scheduler) promote(now time.Time) {
+// listUnits fills the lists of pending and active units. On its way it makes those units startable whose earlier steps
+// are done and whose time has come.
+func (f *Scheduler) listUnits(now time.Time) {
+	f.pending, f.active = f.pending[:0], f.active[:0]
 	for _, j := range f.open {
-		if j.state.Final() {
-			continue
-		}
 		for _, u := range j.units {
-			if u.state == unitBlocked && j.ready(u) && !now.Before(j.dueAt(u.occurrence)) {
+			if u.state == unitBlocked && !j.state.Final() && j.ready(u) && !now.Before(j.dueAt(u.occurrence)) {
 				u.state, u.readyAt = unitPending, now
 			}
+			if u.state == unitPending {
+				f.pending = append(f.pending, u)
+			}
+			if len(u.members) > 0 {
+				f.active = append(f.active, u)
+			}
 		}
 	}
 }
@@ -115,41 +118,41 @@
 // closeRuns stops the rest of runs that do not go on: gangs that lost a member, and runs whose job has ended.
 func (f *Scheduler) closeRuns(now time.Time) {
 	settled := f.settled(now)
-	for _, j := range f.open {
-		for _, u := range j.units {
-			if len(u.members) == 0 {
-				continue
-			}
-			if settled && u.state == unitActive && !u.ending && !u.reserved() && len(u.members) < u.n {
-				f.end(now, u, StopGang)
-			}
-			if u.ending && now.Sub(u.endingAt) >= brokenWait {
-				for _, m := range u.members {
-					if !m.stopping {
-						m.stopping, m.stopWhy = true, u.endWhy
-					}
+	for _, u := range f.active {
+		if settled && u.state == unitActive && !u.ending && !u.reserved() && len(u.members) < u.n {
+			f.end(now, u, StopGang)
+		}
+		if u.ending && now.Sub(u.endingAt) >= brokenWait {
+			for _, m := range u.members {
+				if !m.stopping {
+					m.stopping, m.stopWhy = true, u.endWhy
 				}
 			}
 		}
 	}
 }
 
-// startable returns the pending units in the order in which they are placed.
+// startable returns what may start, in the order in which it is placed.
 func (f *Scheduler) startable(now time.Time) []*candidate {
 	unsettled := f.unsettled(now)
 	var out []*candidate
-	for _, j := range f.open {
-		inherited := j.created <= f.since && j.mayRun
-		if j.state.Final() || inherited && slices.ContainsFunc(unsettled, func(e *executor) bool { return e.mayRun(j.rec.ID) }) {
+	for rest := f.pending; len(rest) > 0; {
+		u := rest[0]
+		n := 1
+		for n < len(rest) && rest[n].job == u.job && rest[n].occurrence == u.occurrence && rest[n].step == u.step {
+			n++
+		}
+		units := rest[:n]
+		rest = rest[n:]
+		inherited := u.job.created <= f.since && u.job.mayRun
+		if inherited && slices.ContainsFunc(unsettled, func(e *executor) bool { return e.mayRun(u.job.rec.ID) }) {
 			continue
 		}
-		for _, u := range j.units {
-			if u.state == unitPending && !now.Before(u.notBefore) {
-				out = append(out, f.candidate(now, u))
-			}
+		if slices.ContainsFunc(units, func(u *unit) bool { return !now.Before(u.notBefore) }) {
+			out = append(out, f.candidate(now, units))
 		}
 	}
-	slices.SortStableFunc(out, compare)
+	slices.SortStableFunc(out, func(a, b *candidate) int { return f.jobOrder(now, &a.Candidate, &b.Candidate) })
 	return out
 }
 
@@ -194,23 +197,22 @@
 		e.add(m)
 		f.usage.add(u, m.load.GPU)
 	}
+	f.active = append(f.active, u)
 }
 
 // startReserved starts the units whose room has become free, and gives up those that wait too long.
 func (f *Scheduler) startReserved(now time.Time) {
-	for _, j := range f.open {
-		for _, u := range j.units {
-			if u.state != unitActive || !u.reserved() {
-				continue
-			}
-			switch {
-			case f.canStart(now, u):
-				f.start(now, u, "room_vacated")
-			case now.Sub(u.startedAt) > f.settings.StopBound+reserveWait || f.blockedBy(now, u):
-				f.count(CountReserveBroken)
-				u.notBefore = now.Add(startRetry)
-				f.giveUpReservation(now, u)
-			}
+	for _, u := range f.active {
+		if u.state != unitActive || !u.reserved() {
+			continue
+		}
+		switch {
+		case f.canStart(now, u):
+			f.start(now, u, "room_vacated")
+		case now.Sub(u.startedAt) > f.settings.StopBound+reserveWait || f.blockedBy(now, u):
+			f.count(CountReserveBroken)
+			u.notBefore = now.Add(startRetry)
+			f.giveUpReservation(now, u)
 		}
 	}
 }
@@ -234,53 +236,50 @@
 	return slices.ContainsFunc(u.members, func(m *member) bool { return !f.eligible(now, m.on) })
 }
 
-// candidate is a pending unit with what decides its turn.
+// candidate is the pending units of a step of an occurrence of a job, with what decides their turn.
 type candidate struct {
-	u     *unit
-	class class
-	// latest is when the unit must start for its job to meet its objective.
-	latest time.Time
-	// late is set if the objective cannot be met any more, expired if a completion would earn nothing.
-	late, expired bool
-	work          float64
+	joborder.Candidate
+	units []*unit
 }
 
-// class orders units before all else; lower ones may take the room of higher ones.
-type class int
-
-// classGuaranteed is the class of priority 0 within the guarantee of its account.
-const classGuaranteed class = 0
+const (
+	// classGuaranteed is the class of priority 0 within the guarantee of its account, classUrgent that of priority 0 beyond
+	// it. Lower priorities follow.
+	classGuaranteed = iota
+	classUrgent
+)
 
-func (f *Scheduler) classOf(u *unit) class {
+// classOf returns the class of a unit that is to start; lower classes may take the room of higher ones.
+func (f *Scheduler) classOf(u *unit) int {
 	r := f.route(u.job)
 	if r.Priority > 0 {
-		return class(r.Priority + 1)
+		return classUrgent + r.Priority
 	}
 	t := f.config.Tenant(u.job.rec.Account)
 	if t != nil && f.usage[u.job.rec.Account]+u.n*u.spec().Need.GPU <= t.Guaranteed {
 		return classGuaranteed
 	}
-	return 1
+	return classUrgent
 }
 
 // expiryFactor is the multiple of the objective after which a completed job earns nothing.
 const expiryFactor = 3
 
-func (f *Scheduler) candidate(now time.Time, u *unit) *candidate {
+func (f *Scheduler) candidate(now time.Time, units []*unit) *candidate {
+	u := units[0]
 	j := u.job
 	r := f.route(j)
 	begin := j.arrived
 	if j.rec.Occurrences > 0 {
 		begin = j.dueAt(u.occurrence)
 	}
-	total := f.speed.expected(j.rec.Queue, j.chain(-1))
-	objective := time.Duration(r.Stretch*float64(total)) + r.Latency
-	rest := f.speed.expected(j.rec.Queue, j.chain(u.step))
-	c := &candidate{u: u, class: f.classOf(u), latest: begin.Add(objective - rest)}
-	c.late = now.After(c.latest)
-	c.expired = now.After(begin.Add(expiryFactor*objective - rest))
-	c.work = float64(u.n) * float64(weightOf(u.spec().Need)) * rest.Seconds()
-	return c
+	objective := time.Duration(r.Stretch*float64(f.speed.expected(j.rec.Queue, j.longest))) + r.Latency
+	rest := f.speed.expected(j.rec.Queue, j.chains[u.step])
+	return &candidate{units: units, Candidate: joborder.Candidate{
+		Class: f.classOf(u), Arrived: begin,
+		Latest: begin.Add(objective - rest), Expiry: begin.Add(expiryFactor*objective - rest),
+		Work: float64(u.n) * float64(weightOf(u.spec().Need)) / 1000 * rest.Seconds(),
+	}}
 }
 
 // gpuCores is how many cores an accelerator counts for.
@@ -288,29 +287,3 @@
 
 // weightOf returns an amount as thousandths of a core.
 func weightOf(r workload.Resources) int { return r.CPU + r.GPU*gpuCores*1000 }
-
-// compare orders candidates: by class, then those that can still meet their objective by their latest start, then late
-// ones by their work, so that a backlog delays as few jobs as possible.
-func compare(a, b *candidate) int {
-	if c := cmp.Compare(a.class, b.class); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.tier(), b.tier()); c != 0 {
-		return c
-	}
-	if !a.late {
-		return a.latest.Compare(b.latest)
-	}
-	return cmp.Compare(a.work, b.work)
-}
-
-func (c *candidate) tier() int {
-	switch {
-	case c.expired:
-		return 2
-	case c.late:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -10,15 +10,14 @@
 
 // preempt makes room for a unit of priority 0 by stopping units that come after it, those with the least lost work
 // first. It reports whether it did.
-func (f *Scheduler) preempt(now time.Time, c *candidate, usable []*executor) bool {
+func (f *Scheduler) preempt(now time.Time, c *candidate, u *unit, usable []*executor) bool {
 	// Room is vacated for priority 0 only, and beyond the guarantee of its account only while that meets the objective.
-	if c.class > 1 || c.class > classGuaranteed && c.late {
+	if c.Class > classUrgent || c.Class > classGuaranteed && now.After(c.Latest) {
 		return false
 	}
-	u := c.u
 	s := u.spec()
 	if s.Rack == "" && !(s.Gang && s.SameRack && u.n > 1) {
-		return f.vacate(now, c, usable)
+		return f.apply(now, u, f.vacancy(now, c.Class, u, usable))
 	}
 	// The racks are tried one after the other, the one with the least loss first.
 	racks := map[string][]*executor{}
@@ -34,21 +33,17 @@
 	}
 	var best *vacancy
 	for _, r := range names {
-		if v := f.vacancy(now, c, racks[r]); v != nil && (best == nil || v.cost < best.cost) {
+		if v := f.vacancy(now, c.Class, u, racks[r]); v != nil && (best == nil || v.cost < best.cost) {
 			best = v
 		}
 	}
 	if best == nil {
 		// No rack holds the unit even without its borrowers.
-		best = f.vacancy(now, c, usable)
+		best = f.vacancy(now, c.Class, u, usable)
 	}
 	return f.apply(now, u, best)
 }
 
-func (f *Scheduler) vacate(now time.Time, c *candidate, usable []*executor) bool {
-	return f.apply(now, c.u, f.vacancy(now, c, usable))
-}
-
 // vacancy is a placement of a unit in room that other units give up.
 type vacancy struct {
 	on      []*executor
@@ -57,8 +52,7 @@
 }
 
 // vacancy returns the placement of a unit with the least lost work, task by task, or nil if there is none.
-func (f *Scheduler) vacancy(now time.Time, c *candidate, usable []*executor) *vacancy {
-	u := c.u
+func (f *Scheduler) vacancy(now time.Time, class int, u *unit, usable []*executor) *vacancy {
 	load := u.spec().Load()
 	v := &vacancy{}
 	given := map[*unit]bool{}
@@ -66,9 +60,10 @@
 	placed := map[*executor]int{}
 	limit := u.spec().MaxPerExecutor
 	advice := f.adviceOf(u)
+	pool := f.route(u.job).Pool
 	var hosts []*executor
 	for _, e := range usable {
-		if advice.permits(now, e.info.ID) && f.matches(u, e) && load.Fits(e.info.Capacity) {
+		if advice.permits(now, e.info.ID) && e.matches(pool, u.spec()) && load.Fits(e.info.Capacity) {
 			hosts = append(hosts, e)
 		}
 	}
@@ -82,7 +77,7 @@
 			if limit > 0 && e.countOf(u)+placed[e] >= limit {
 				continue
 			}
-			give, cost, ok := f.victims(now, c, e, load.Sub(e.free().Add(freed[e])), given)
+			give, cost, ok := f.victims(now, class, e, load.Sub(e.free().Add(freed[e])), given)
 			if ok && (best == nil || cost < bestCost) {
 				best, bestCost, bestGive = e, cost, give
 			}
@@ -106,7 +101,7 @@
 }
 
 // victims returns the units to stop on an executor so that the missing amount becomes free, and their lost work.
-func (f *Scheduler) victims(now time.Time, c *candidate, e *executor, missing workload.Resources, given map[*unit]bool) ([]*unit, float64, bool) {
+func (f *Scheduler) victims(now time.Time, class int, e *executor, missing workload.Resources, given map[*unit]bool) ([]*unit, float64, bool) {
 	if missing.CPU <= 0 && missing.Memory <= 0 && missing.GPU <= 0 {
 		return nil, 0, true
 	}
@@ -118,7 +113,7 @@
 	var options []option
 	for _, m := range e.members {
 		g := m.unit
-		if g == nil || given[g] || g.ending || g.state != unitActive || g.reserved() || f.classOfRunning(g) <= c.class || !f.mayInterrupt(g) {
+		if g == nil || given[g] || g.ending || g.state != unitActive || g.reserved() || f.classOfRunning(g) <= class || !f.mayInterrupt(g) {
 			continue
 		}
 		i := slices.IndexFunc(options, func(o option) bool { return o.u == g })
@@ -146,15 +141,15 @@
 
 // classOfRunning returns the class of a unit that runs: priority 0 beyond the guarantee of its account gives way to
 // guaranteed work.
-func (f *Scheduler) classOfRunning(u *unit) class {
+func (f *Scheduler) classOfRunning(u *unit) int {
 	r := f.route(u.job)
 	if r.Priority > 0 {
-		return class(r.Priority + 1)
+		return classUrgent + r.Priority
 	}
 	if t := f.config.Tenant(u.job.rec.Account); t != nil && f.usage[u.job.rec.Account] <= t.Guaranteed {
 		return classGuaranteed
 	}
-	return 1
+	return classUrgent
 }
 
 const (
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -82,9 +82,6 @@
 	if first && e.closed() {
 		f.rosterVersion++
 	}
-	if first || len(r.Ended) > 0 || seen != e.seen {
-		f.changed = true
-	}
 	f.dropIfGone(e)
 }
 
@@ -138,7 +135,6 @@
 func (f *Scheduler) begin(j *job) {
 	if !j.begun {
 		j.begun = true
-		f.changed = true
 	}
 }
 
@@ -157,7 +153,6 @@
 		m.stopping, m.stopWhy = true, StopOrphan
 	}
 	e.add(m)
-	f.changed = true
 	return m
 }
 
@@ -284,7 +279,6 @@
 	}
 	f.setClock(now, e, clock)
 	m := e.find(t, run)
-	f.changed = true
 	if why == CallUnanswered {
 		f.count(CountStartUnknown)
 		f.silent(now, e)
@@ -330,7 +324,6 @@
 	case CallUnanswered:
 		f.silent(now, e)
 	}
-	f.changed = true
 }
 
 // refused applies a refused connection. After some in a row nothing runs at the address.
@@ -377,7 +370,6 @@
 		return
 	}
 	m.stopOut = false
-	f.changed = true
 	if done {
 		e.answered()
 		// The first answer counts: later ones would move the time that a report has to follow ever further.
--- a/decisions/fleet/roster.go
+++ b/decisions/fleet/roster.go
@@ -40,7 +40,6 @@
 			e.recordedClosed = false
 		}
 	}
-	f.changed = true
 }
 
 // Inherit adds the executors of an earlier holder's roster. Those that are not registered get no work, but what runs there
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -24,7 +24,6 @@
 // endMember applies the end of a run of one task.
 func (f *Scheduler) endMember(now time.Time, m *member, how workload.Outcome, saved string) {
 	m.on.remove(m)
-	f.changed = true
 	if m.on.closed() {
 		f.rosterVersion++
 	}
@@ -148,7 +147,6 @@
 	u.members = nil
 	u.ending = true
 	f.settleUnit(now, u)
-	f.changed = true
 }
 
 // settleUnit makes a unit startable again once its run has ended.
@@ -169,7 +167,6 @@
 		j.dirty()
 		f.count(CountJobsCompleted)
 	}
-	f.changed = true
 }
 
 // route returns the configuration of a job's queue, or that of its acceptance if the queue was removed.
@@ -220,5 +217,4 @@
 	f.open = slices.DeleteFunc(f.open, func(j *job) bool {
 		return j.state.Final() && j.recorded >= j.version && !j.live()
 	})
-	f.changed = true
 }
--- a/decisions/fleet/sharing.go
+++ b/decisions/fleet/sharing.go
@@ -52,7 +52,6 @@
 		m.pace, m.pacedAt = want, now
 		f.count(CountPace)
 		f.orders = append(f.orders, Pace{Executor: e.info.ID, Address: e.info.Address, Task: m.task, Run: m.run, Percent: want})
-		f.changed = true
 	}
 }
 
--- /dev/null
+++ b/decisions/joborder/joborder_test.go
@@ -0,0 +1,47 @@
+package joborder
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+
+// candidates are, by name, jobs that the orders tell apart.
+var candidates = map[string]*Candidate{
+	"large in time": {Class: 1, Arrived: at(-500), Latest: at(200), Expiry: at(5000), Work: 900},
+	"small in time": {Class: 1, Arrived: at(-100), Latest: at(900), Expiry: at(5000), Work: 10},
+	"small late":    {Class: 1, Arrived: at(-3000), Latest: at(-100), Expiry: at(2000), Work: 5},
+	"large late":    {Class: 1, Arrived: at(-4000), Latest: at(-900), Expiry: at(2000), Work: 500},
+	"small expired": {Class: 1, Arrived: at(-9000), Latest: at(-6000), Expiry: at(-1), Work: 1},
+	"lower class":   {Class: 2, Arrived: at(-9999), Latest: at(1), Expiry: at(9000), Work: 0.5},
+}
+
+// TestOrders guards against an order that serves what is late before what can still be in time, or that lets a lower
+// class wait behind a higher one.
+func TestOrders(t *testing.T) {
+	for name, tc := range map[string]struct {
+		order Order
+		want  []string
+	}{
+		"in time first":  {InTimeFirst, []string{"large in time", "small in time", "small late", "large late", "small expired", "lower class"}},
+		"fifo":           {FIFO, []string{"small expired", "large late", "small late", "large in time", "small in time", "lower class"}},
+		"least work":     {LeastWork, []string{"small expired", "small late", "small in time", "large late", "large in time", "lower class"}},
+		"least slack":    {LeastSlack, []string{"small expired", "large late", "small late", "large in time", "small in time", "lower class"}},
+		"credit density": {CreditDensity, []string{"small late", "small in time", "large late", "large in time", "small expired", "lower class"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := make([]string, 0, len(candidates))
+			for n := range candidates {
+				got = append(got, n)
+			}
+			slices.SortFunc(got, func(a, b string) int { return tc.order(now, candidates[a], candidates[b]) })
+			if !slices.Equal(got, tc.want) {
+				t.Errorf("got  %q\nwant %q", got, tc.want)
+			}
+		})
+	}
+}
