--- a/decisions/fleet/world_test.go
+++ b/decisions/fleet/world_test.go
@@ -50,8 +50,12 @@
 	endedAt map[endKey]time.Time
 	faults  []string
 	started int
+	// lost is the work in core-seconds that was thrown away by stops.
+	lost float64
 	// late is set while an order is carried out late, for which no bound of time holds.
 	late bool
+	// calm is set while nothing happens that excuses a member of a gang that ends alone.
+	calm bool
 	// unlisted holds the executors whose registry entries are gone although they are up.
 	unlisted map[workload.ExecutorID]bool
 }
@@ -591,6 +595,9 @@
 			s := &r.job.Steps[r.task.Step]
 			if s.Gang && !w.together(r) {
 				if w.now.Sub(r.began) > 3*time.Second {
+					if _, cancelled := w.cancelled[r.job.ID]; w.calm && !cancelled {
+						w.fault("GANG: %s run %d on %s ends alone", r.task, r.run, r.on.info.ID)
+					}
 					w.end(r, workload.Alone)
 				}
 				r.lastAt = w.now
@@ -637,6 +644,8 @@
 	saved := ""
 	if r.job.Steps[r.task.Step].Checkpoint && how == workload.Stopped {
 		saved = fmt.Sprint((w.behavior[r.job.ID].work - r.left).Milliseconds())
+	} else if how == workload.Stopped || how == workload.Broken {
+		w.lost += (w.behavior[r.job.ID].work - r.saved - r.left).Seconds() * float64(weightOf(r.job.Steps[r.task.Step].Need)) / 1000
 	}
 	r.on.ended = append(r.on.ended, workload.Ended{Number: r.on.number, Task: r.task, Run: r.run, How: how, Saved: saved})
 	r.on.stopped[r.task] = max(r.on.stopped[r.task], r.run)
--- a/services/catalog/service.go
+++ b/services/catalog/service.go
@@ -132,6 +132,12 @@
 		klog.ErrorS(err, "configuration ignored", "vm", s.vm, "service", names.Catalog)
 		return
 	}
+	if s.config != nil && config.Version < s.config.Version {
+		s.metrics.Event("config_older", 1)
+		klog.InfoS("older configuration ignored", "vm", s.vm, "service", names.Catalog, "version", config.Version, "revision", config.Revision,
+			"in_force", s.config.Version)
+		return
+	}
 	klog.InfoS("configuration in force", "vm", s.vm, "service", names.Catalog, "version", config.Version, "revision", config.Revision,
 		"routes", len(config.Routes), "accounts", len(config.Tenants))
 	s.config, s.changed = config, true
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -259,8 +259,8 @@
 	f.checkExecutors()
 }
 
-// TestDomainOut guards against starts in a failure domain that operators have taken out of service, and against an older
-// configuration that comes back.
+// TestDomainOut guards against starts in a failure domain that operators have taken out of service, also after the store
+// has dropped its history.
 func TestDomainOut(t *testing.T) {
 	f := newFleet(t, 2, 2)
 	f.ready()
@@ -277,6 +277,44 @@
 	f.checkExecutors()
 }
 
+// configBound is the time in which a configuration must be in force on a VM that reaches the store.
+const configBound = 2 * time.Second
+
+// TestConfigAfterCut guards against a VM that was cut off while a key was taken away and takes it for valid after that, or
+// again later: the cut heals, the store drops its history, and an older version is written once more.
+func TestConfigAfterCut(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.ready()
+	allowed := func(v *vm) bool {
+		r, err := f.client(v).Queue(context.Background())
+		return err == nil && r.Status != http.StatusUnauthorized
+	}
+	cut, other := f.vms[0], f.vms[1]
+	f.set(cut.name, link.Hold, 0)
+	next := testConfig(2)
+	next.Tenants[0].Keys = []string{"another key"}
+	f.store.Set(operator.ConfigKey, operator.EncodeConfig(next))
+	time.Sleep(configBound)
+	if allowed(other) {
+		t.Errorf("%s reaches the store and takes the old key %v after its end", other.name, configBound)
+	}
+	f.set(cut.name, link.Pass, 0)
+	time.Sleep(configBound)
+	for i, change := range []func(){
+		func() {}, f.store.Compact, func() { f.store.Set(operator.ConfigKey, operator.EncodeConfig(testConfig(1))) }, f.store.Compact,
+	} {
+		change()
+		for range 10 {
+			for _, v := range f.vms {
+				if allowed(v) {
+					t.Fatalf("%s takes the old key again after change %d", v.name, i)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
 // TestLateRecords guards against a record of the holder that is applied late, over a newer one: the next holder would start
 // tasks again that were done and acknowledged.
 func TestLateRecords(t *testing.T) {
