Put work that earns nothing any more behind all priorities

Within a load of twice the capacity, strict priorities serve jobs that can earn nothing any more before lower ones that still can.

--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -245,7 +245,7 @@
 const (
 	// classGuaranteed is the class of priority 0 within the guarantee of its account, classUrgent that of priority 0 beyond
 	// it. Lower priorities follow.
-	classGuaranteed = iota
+	classGuaranteed = joborder.Guaranteed + iota
 	classUrgent
 )
 
--- a/decisions/joborder/joborder.go
+++ b/decisions/joborder/joborder.go
@@ -4,13 +4,12 @@
 
 import (
 	"cmp"
-	"math"
 	"time"
 )
 
 // Candidate is what decides the turn of the waiting tasks of a job's step.
 type Candidate struct {
-	// Class comes before all else: lower classes are served first and may take the room of higher ones.
+	// Class is the urgency: lower classes are served first and may take the room of higher ones.
 	Class int
 	// Arrived is when the job was accepted.
 	Arrived time.Time
@@ -24,9 +23,16 @@
 // Order compares two candidates of one moment: the result is negative if a comes first and positive if b does.
 type Order func(now time.Time, a, b *Candidate) int
 
-// InTimeFirst serves first what can still meet its objective, by the latest start; then what is late, by its work, so that
-// a backlog delays as few jobs as possible; last what earns nothing any more.
+// Guaranteed is the class of work within the guarantee of its account, which nothing comes before.
+const Guaranteed = 0
+
+// InTimeFirst serves, class by class, first what can still meet its objective, by the latest start; then what is late, by
+// its work, so that a backlog delays as few jobs as possible. What earns nothing any more comes after all classes but the
+// guaranteed one.
 func InTimeFirst(now time.Time, a, b *Candidate) int {
+	if c := cmp.Compare(a.rank(now), b.rank(now)); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(a.Class, b.Class); c != 0 {
 		return c
 	}
@@ -40,6 +46,14 @@
 	return cmp.Compare(a.Work, b.Work)
 }
 
+// rank separates what a class may put before others from what earns nothing.
+func (c *Candidate) rank(now time.Time) int {
+	if c.Class != Guaranteed && c.stage(now) == expired {
+		return 1
+	}
+	return 0
+}
+
 // stage is how far a candidate is from earning its credit.
 type stage uint8
 
@@ -59,46 +73,3 @@
 		return inTime
 	}
 }
-
-// FIFO serves in the order of acceptance.
-func FIFO(_ time.Time, a, b *Candidate) int {
-	if c := cmp.Compare(a.Class, b.Class); c != 0 {
-		return c
-	}
-	return a.Arrived.Compare(b.Arrived)
-}
-
-// LeastWork serves first what needs least.
-func LeastWork(_ time.Time, a, b *Candidate) int {
-	if c := cmp.Compare(a.Class, b.Class); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.Work, b.Work)
-}
-
-// LeastSlack serves first what has to start first, late or not.
-func LeastSlack(_ time.Time, a, b *Candidate) int {
-	if c := cmp.Compare(a.Class, b.Class); c != 0 {
-		return c
-	}
-	return a.Latest.Compare(b.Latest)
-}
-
-// CreditDensity serves first what earns most for its work: the credit of a start at this moment, which falls from the
-// latest start to the expiry, and which counts the more the longer the job has waited.
-func CreditDensity(now time.Time, a, b *Candidate) int {
-	if c := cmp.Compare(a.Class, b.Class); c != 0 {
-		return c
-	}
-	return cmp.Compare(b.density(now), a.density(now))
-}
-
-func (c *Candidate) density(now time.Time) float64 {
-	credit := 1.0
-	if now.After(c.Latest) {
-		credit = max(0, float64(c.Expiry.Sub(now))/math.Max(1, float64(c.Expiry.Sub(c.Latest))))
-	}
-	// The weight of a job doubles each time that it has waited as long as it may.
-	age := float64(now.Sub(c.Arrived)) / math.Max(float64(time.Millisecond), float64(c.Latest.Sub(c.Arrived)))
-	return credit * (1 + max(0, age)) / max(c.Work, 1e-3)
-}
--- a/decisions/joborder/joborder_test.go
+++ b/decisions/joborder/joborder_test.go
@@ -18,30 +18,19 @@
 	"large late":    {Class: 1, Arrived: at(-4000), Latest: at(-900), Expiry: at(2000), Work: 500},
 	"small expired": {Class: 1, Arrived: at(-9000), Latest: at(-6000), Expiry: at(-1), Work: 1},
 	"lower class":   {Class: 2, Arrived: at(-9999), Latest: at(1), Expiry: at(9000), Work: 0.5},
+	"guaranteed":    {Class: Guaranteed, Arrived: at(-9999), Latest: at(-6000), Expiry: at(-2), Work: 700},
 }
 
-// TestOrders guards against an order that serves what is late before what can still be in time, or that lets a lower
-// class wait behind a higher one.
-func TestOrders(t *testing.T) {
-	for name, tc := range map[string]struct {
-		order Order
-		want  []string
-	}{
-		"in time first":  {InTimeFirst, []string{"large in time", "small in time", "small late", "large late", "small expired", "lower class"}},
-		"fifo":           {FIFO, []string{"small expired", "large late", "small late", "large in time", "small in time", "lower class"}},
-		"least work":     {LeastWork, []string{"small expired", "small late", "small in time", "large late", "large in time", "lower class"}},
-		"least slack":    {LeastSlack, []string{"small expired", "large late", "small late", "large in time", "small in time", "lower class"}},
-		"credit density": {CreditDensity, []string{"small late", "small in time", "large late", "large in time", "small expired", "lower class"}},
-	} {
-		t.Run(name, func(t *testing.T) {
-			got := make([]string, 0, len(candidates))
-			for n := range candidates {
-				got = append(got, n)
-			}
-			slices.SortFunc(got, func(a, b string) int { return tc.order(now, candidates[a], candidates[b]) })
-			if !slices.Equal(got, tc.want) {
-				t.Errorf("got  %q\nwant %q", got, tc.want)
-			}
-		})
+// TestInTimeFirst guards against an order that serves what is late before what can still be in time, large late work
+// before small, a lower priority before a higher one, or what earns nothing before what does. Guaranteed work comes first even so.
+func TestInTimeFirst(t *testing.T) {
+	want := []string{"guaranteed", "large in time", "small in time", "small late", "large late", "lower class", "small expired"}
+	got := make([]string, 0, len(candidates))
+	for n := range candidates {
+		got = append(got, n)
+	}
+	slices.SortFunc(got, func(a, b string) int { return InTimeFirst(now, candidates[a], candidates[b]) })
+	if !slices.Equal(got, want) {
+		t.Errorf("got  %q\nwant %q", got, want)
 	}
 }
