Keep room for gangs that find none at once

Room that a unit did not get after all was also subtracted from what later ones may take.

Now later work below priority 0 starts only if it ends before the latest start of such a gang. TestRoomForGangs fails without it (the gang never starts while the stream of small tasks lasts).

--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -43,12 +43,10 @@
 	return headroom{left: float64(free) - keep}
 }
 
-// take reports whether a unit may start, and takes its room if so. Urgent work takes any room.
-func (h *headroom) take(class int, u *unit) bool {
-	w := float64(u.n * weightOf(u.spec().Need))
-	if class > classUrgent && w > h.left {
-		return false
-	}
-	h.left -= w
-	return true
+// allows reports whether a unit may start. Urgent work takes any room.
+func (h *headroom) allows(class int, u *unit) bool {
+	return class <= classUrgent || float64(u.n*weightOf(u.spec().Need)) <= h.left
 }
+
+// take takes the room of a unit that was placed.
+func (h *headroom) take(u *unit) { h.left -= float64(u.n * weightOf(u.spec().Need)) }
--- a/decisions/fleet/headroom_test.go
+++ b/decisions/fleet/headroom_test.go
@@ -52,3 +52,27 @@
 		t.Errorf("%d urgent jobs done with headroom, %d without it", served, servedWithout)
 	}
 }
+
+// TestRoomForGangs guards against a gang that never finds enough room at once, because a stream of small tasks fills what
+// becomes free. The load is more batch work than the fleet holds, beside a gang that needs three quarters of it.
+func TestRoomForGangs(t *testing.T) {
+	w := start(t, 2, 4)
+	gang := oneStep("gang", "normal", workload.Step{Count: 6, Gang: true, Need: workload.Resources{CPU: 13000, GPU: 8}, Estimate: 4 * time.Second})
+	for i := range 60 {
+		w.submit(oneStep(fmt.Sprintf("batch%02d", i), "batch", workload.Step{Count: 10, Need: small, Estimate: 4 * time.Second}), behavior{work: 4 * time.Second})
+		if i == 10 {
+			w.submit(gang, behavior{work: 4 * time.Second})
+		}
+		w.run(500 * time.Millisecond)
+	}
+	for _, f := range w.faults {
+		t.Error(f)
+	}
+	route := w.config.Route("normal")
+	// The gang arrives after 5.6 s and meets its objective if it starts within its slack.
+	latest := time.Unix(1_700_000_000, 0).Add(5600*time.Millisecond + time.Duration((route.Stretch-1)*float64(4*time.Second)) + route.Latency)
+	starts := w.starts[workload.TaskRef{Job: "gang"}]
+	if len(starts) == 0 || starts[0].After(latest) {
+		t.Errorf("the gang started at %v, want %v at the latest", starts, latest)
+	}
+}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -21,21 +21,49 @@
 	}
 	usable := slices.DeleteFunc(slices.Clone(f.order), func(e *executor) bool { return !f.eligible(now, e) })
 	room := f.headroom(now, usable)
+	var held reservation
 	for _, c := range waiting {
+		if c.Class > classUrgent && !held.permits(now, f.speed.expected(c.units[0].job.rec.Queue, c.units[0].spec().Estimate)) {
+			continue
+		}
 		for _, u := range c.units {
 			if now.Before(u.notBefore) {
 				continue
 			}
 			// Each start uses up the guarantee of its account.
 			c.Class = f.classOf(u)
-			if !room.take(c.Class, u) || !f.placeUnit(now, c, u, usable) {
+			if !room.allows(c.Class, u) || !f.placeUnit(now, c, u, usable) {
+				if f.mayReserve(now, c, u, usable) {
+					held.hold(c.Latest)
+				}
 				// The tasks of a step are alike: where one finds no room, the others find none.
 				break
 			}
+			room.take(u)
 		}
 	}
 }
 
+// reservation keeps room for gangs that found none: until the latest start of the first of them, only work that ends before
+// it starts.
+type reservation struct{ at time.Time }
+
+func (r *reservation) hold(at time.Time) {
+	if r.at.IsZero() || at.Before(r.at) {
+		r.at = at
+	}
+}
+
+// permits reports whether work of an expected time may start.
+func (r *reservation) permits(now time.Time, expected time.Duration) bool {
+	return r.at.IsZero() || !now.Add(expected).After(r.at)
+}
+
+// mayReserve reports whether room is to be kept for a gang: it can still meet its objective, and the executors could hold it.
+func (f *Scheduler) mayReserve(now time.Time, c *candidate, u *unit, usable []*executor) bool {
+	return u.n > 1 && c.Class > classUrgent && !now.After(c.Latest) && f.couldHold(u, usable)
+}
+
 // placeUnit starts a unit, or reserves room that others give up for it. It reports whether the next one of its step may be
 // tried.
 func (f *Scheduler) placeUnit(now time.Time, c *candidate, u *unit, usable []*executor) bool {
@@ -89,6 +117,19 @@
 	return !f.nearPossible(u, usable)
 }
 
+// couldHold reports whether the executors, if they were empty, could hold a unit.
+func (f *Scheduler) couldHold(u *unit, usable []*executor) bool {
+	s := u.spec()
+	pool := f.route(u.job).Pool
+	room := 0
+	for _, e := range usable {
+		if e.matches(pool, s) {
+			room += capacityFor(s, e.info.Capacity)
+		}
+	}
+	return room >= u.n
+}
+
 // nearPossible reports whether the empty executors of a wanted rack could hold a unit.
 func (f *Scheduler) nearPossible(u *unit, usable []*executor) bool {
 	s := u.spec()
