Count machines that an earlier holder took down for a wave of upkeep

Cause: a new holder begins with all machines of a wave as waiting. A machine that its predecessor had taken down was in upkeep and not counted, so that the next one was taken down beside it: more than the operators allow (rule LIMIT of the platform). Waves had tests without processes only.

Ruled out: late orders of the earlier holder.

Before: TestWaveAcrossHolders "at most 2 machines down, want 1", TestWaveOfNewHolder "2 machines in upkeep after 600ms". After: both pass, the first four times in a row.

Left: a new holder empties and orders machines again that had their upkeep, which the platform answers as done, and waits for each as long as for an upkeep.

--- a/api/workload/machine.go
+++ b/api/workload/machine.go
@@ -10,6 +10,8 @@
 	ID MachineID
 	// Up is set unless the machine moves between pools, is in upkeep or is down.
 	Up bool
+	// InUpkeep is set while the machine is down for an upkeep.
+	InUpkeep bool
 	// Executor is the present life of the machine.
 	Executor ExecutorID
 }
--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -135,7 +135,8 @@
 	busy := 0
 	for _, m := range w.machines {
 		m.observe(now, list, s.downFor)
-		if m.phase == emptying || m.phase == ordered {
+		// An earlier holder may have taken down a machine that is in upkeep.
+		if m.phase == emptying || m.phase == ordered || m.phase == waiting && list[m.id].InUpkeep {
 			busy++
 		}
 	}
--- a/decisions/upkeep/upkeep_test.go
+++ b/decisions/upkeep/upkeep_test.go
@@ -22,7 +22,7 @@
 func (c *fakeCloud) order(now time.Time, id workload.MachineID) {
 	for i := range c.machines {
 		if c.machines[i].ID == id && c.machines[i].Up {
-			c.machines[i].Up = false
+			c.machines[i].Up, c.machines[i].InUpkeep = false, true
 			c.backAt[id] = now.Add(downFor)
 			c.upkeeps[id]++
 		}
@@ -35,7 +35,7 @@
 		m := &c.machines[i]
 		if !m.Up && now.After(c.backAt[m.ID]) {
 			c.life++
-			m.Up, m.Executor = true, workload.ExecutorID(fmt.Sprintf("life%d", c.life))
+			m.Up, m.InUpkeep, m.Executor = true, false, workload.ExecutorID(fmt.Sprintf("life%d", c.life))
 		}
 		if !m.Up {
 			down++
@@ -101,3 +101,54 @@
 		t.Errorf("%d machines had their upkeep, want 5", len(c.upkeeps))
 	}
 }
+
+// TestWaveOfNewHolder guards against a holder that takes the next machine down while one that an earlier holder took down is
+// not back, and against a wave that waits for a machine which is down for another cause.
+func TestWaveOfNewHolder(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := &fakeCloud{backAt: map[workload.MachineID]time.Time{}, upkeeps: map[workload.MachineID]int{}}
+	order := workload.Wave{Number: 3, Within: 40 * time.Second, AtOnce: 1}
+	for i := range 4 {
+		id := workload.MachineID(fmt.Sprintf("m%d", i))
+		c.machines = append(c.machines, workload.Machine{ID: id, Up: true, Executor: workload.ExecutorID(fmt.Sprintf("e%d", i))})
+		order.Machines = append(order.Machines, id)
+	}
+	c.machines[3].Up = false
+	c.backAt["m3"] = now.Add(15 * time.Second)
+	s := New(downFor)
+	s.SetWaves(now, []workload.Wave{order})
+	for step := 0; s.Active(); step++ {
+		if step > 400 {
+			t.Fatal("the wave is late")
+		}
+		if step%7 == 6 && step < 60 {
+			s = New(downFor)
+			s.SetWaves(now, []workload.Wave{order})
+		}
+		c.advance(now)
+		for _, o := range s.Step(now, c.machines, nil).Orders {
+			c.order(now, o.Machine)
+			s.Ordered(now, o)
+		}
+		if n := c.inUpkeep(); n > order.AtOnce {
+			t.Fatalf("%d machines in upkeep after %v, want at most %d", n, now.Sub(time.Unix(0, 0)), order.AtOnce)
+		}
+		if now.Sub(time.Unix(0, 0)) == 14*time.Second && len(c.upkeeps) < 3 {
+			t.Errorf("%d machines had their upkeep before the last one was back, want 3", len(c.upkeeps))
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if len(c.upkeeps) != 4 {
+		t.Errorf("%d machines had their upkeep, want 4", len(c.upkeeps))
+	}
+}
+
+func (c *fakeCloud) inUpkeep() int {
+	n := 0
+	for i := range c.machines {
+		if c.machines[i].InUpkeep {
+			n++
+		}
+	}
+	return n
+}
--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -93,6 +93,8 @@
 	next      int
 	// links are the network paths from the VMs to the store and to the executors, by name.
 	links map[string]*path
+	// platform holds more lines of the VMs' settings of the platform.
+	platform string
 }
 
 // path is a network path that can be cut.
@@ -142,6 +144,12 @@
 
 // newFleet starts a store, executors with 4 accelerators each, and entry VMs.
 func newFleet(t *testing.T, vms, executors int) *fleet {
+	t.Helper()
+	return newFleetWith(t, vms, executors, "")
+}
+
+// newFleetWith is newFleet with more settings of the section platform.
+func newFleetWith(t *testing.T, vms, executors int, platform string) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	wg := &conc.WaitGroup{}
@@ -150,6 +158,7 @@
 		t: t, store: storestandin.New(), executors: map[workload.ExecutorID]*runnerstandin.Executor{},
 		infos: map[workload.ExecutorID]workload.Executor{}, rand: rand.New(rand.NewPCG(1, 2)),
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, links: map[string]*path{},
+		platform: platform,
 	}
 	wg.Go(func() { f.store.Run(ctx) })
 	storeListener := listen(t)
@@ -195,9 +204,9 @@
 	}
 	dir := f.t.TempDir()
 	v := &vm{name: name, front: addresses[0], settings: filepath.Join(dir, "settings.ini"), log: filepath.Join(dir, "log"), current: make(chan child, 1)}
-	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n[platform]\nstore = %s\npeers =\n"+
+	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n[platform]\nstore = %s\npeers =\n%s"+
 		"[executor]\nlongest_lease = 3s\nstop_bound = 100ms\n[timing]\ngrace = 4s\nlame_duck = 300ms\n",
-		name, addresses[0], addresses[1], addresses[2], addresses[3], store)
+		name, addresses[0], addresses[1], addresses[2], addresses[3], store, f.platform)
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/tests/fleet/upkeep_test.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/platform/cloud"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
+	"github.com/verbenaflow/verbenaflow/platform/operator"
+	"github.com/verbenaflow/verbenaflow/platform/runner"
+	cloudstandin "github.com/verbenaflow/verbenaflow/standins/cloud"
+)
+
+// TestWaveAcrossHolders guards against a wave of upkeep that takes two machines down at a time, leaves one out, takes one down twice or is
+// said to be completed too early, when the holder is killed in the middle of it; and against orders of two holders with one fencing token.
+func TestWaveAcrossHolders(t *testing.T) {
+	const machines = 3
+	downFor := 500 * time.Millisecond
+	platform := cloudstandin.New(downFor)
+	l := listen(t)
+	f := newFleetWith(t, 3, 2*machines, fmt.Sprintf("cloud = %s\nupkeep_time = %s\n", l.Addr(), downFor))
+	ctx, cancel := context.WithCancel(context.Background())
+	wg := &conc.WaitGroup{}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	var list []cloudstandin.Machine
+	var ids []workload.MachineID
+	for i := range machines {
+		first, second := workload.ExecutorID(fmt.Sprintf("e%d", i)), workload.ExecutorID(fmt.Sprintf("e%d", i+machines))
+		id := workload.MachineID(fmt.Sprintf("m%d", i))
+		ids = append(ids, id)
+		f.store.Remove(runner.RegistryPrefix + string(second))
+		list = append(list, cloudstandin.Machine{
+			ID: id, Lives: []workload.ExecutorID{first, second},
+			Ended: func(e workload.ExecutorID) {
+				f.executors[e].Crash()
+				f.store.Remove(runner.RegistryPrefix + string(e))
+			},
+			Begun: func(e workload.ExecutorID) {
+				f.store.Set(runner.RegistryPrefix+string(e), runner.EncodeEntry(f.infos[e]))
+			},
+		})
+	}
+	wg.Go(func() { platform.Run(ctx, list) })
+	serve(t, wg, l, cloud.NewHandler(platform))
+	f.ready()
+	var jobs []workload.JobID
+	for range 3 {
+		jobs = append(jobs, f.mustSubmit(2, 1500*time.Millisecond, false))
+	}
+	key, value := operator.EncodeWave(workload.Wave{Number: 7, Machines: ids, Within: 15 * time.Second, AtOnce: 1})
+	f.store.Set(key, value)
+	f.eventually("first machine in upkeep", func() bool { return len(platform.Evidence().Orders) > 0 })
+	f.restart(f.holder(), syscall.SIGKILL)
+
+	statusKey, want := operator.EncodeWaveStatus(7, true)
+	completed := func() bool {
+		return slices.ContainsFunc(f.store.Entries(statusKey), func(item metastore.Item) bool { return bytes.Equal(item.Value, want) })
+	}
+	f.eventually("wave completed", completed)
+	e := platform.Evidence()
+	seen := map[workload.MachineID]int{}
+	for _, o := range e.Orders {
+		seen[o.Machine]++
+	}
+	for _, id := range ids {
+		if seen[id] != 1 {
+			t.Errorf("machine %s had %d upkeeps of the wave, want 1", id, seen[id])
+		}
+	}
+	if e.MostDown != 1 || e.Faults != 0 {
+		t.Errorf("at most %d machines down, want 1; %d orders of two holders with one fencing token or out of order, want none", e.MostDown, e.Faults)
+	}
+	for _, id := range jobs {
+		f.await(id, workload.StateCompleted)
+	}
+	f.checkExecutors()
+}
