Wait for the rack of a gang instead of starting away from it at once

Its log shows "fits_far" after 8 ms: below priority 0 a gang started over several racks at once if its objective allowed three times its work. The objective of that kind is three times the work and 1.5 s, so that any delay made it late, and its executors were occupied three times as long.

Ruled out: failed runs or stops of the job (there were none).

--- a/decisions/fleet/fleet_test.go
+++ b/decisions/fleet/fleet_test.go
@@ -137,3 +137,27 @@
 	w.run(40 * time.Second)
 	w.expectDone()
 }
+
+// TestWaitsForItsRack guards against a gang that starts over two racks at once, where it takes three times as long, although a rack has
+// room soon and its objective leaves the time.
+func TestWaitsForItsRack(t *testing.T) {
+	w := start(t, 2, 2)
+	whole := workload.Resources{CPU: 13000, GPU: 8}
+	for _, rack := range []string{"r0", "r1"} {
+		w.submit(oneStep("first-"+rack, "normal", workload.Step{Count: 1, Need: whole, Rack: rack}), behavior{work: 2 * time.Second})
+	}
+	w.run(200 * time.Millisecond)
+	w.submit(oneStep("gang", "normal", workload.Step{Count: 2, Gang: true, SameRack: true, Need: whole, Estimate: 4 * time.Second}), behavior{work: 4 * time.Second})
+	w.run(5 * time.Second)
+	racks := map[string]bool{}
+	for i := range 2 {
+		r := w.active[workload.TaskRef{Job: "gang", Index: i}]
+		if r == nil {
+			t.Fatalf("task %d of the gang does not run after 5 s", i)
+		}
+		racks[r.on.info.Rack()] = true
+	}
+	if len(racks) != 1 {
+		t.Errorf("the gang runs on the racks %v, want one", racks)
+	}
+}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -67,7 +67,7 @@
 // placeUnit starts a unit, or reserves room that others give up for it. It reports whether the next one of its step may be
 // tried.
 func (f *Scheduler) placeUnit(now time.Time, c *candidate, u *unit, usable []*executor) bool {
-	on, reason := f.find(now, c, u, usable)
+	on, reason := f.find(now, u, usable)
 	// A job starts once it is recorded that it may run.
 	cleared := u.job.clear()
 	switch {
@@ -81,7 +81,7 @@
 }
 
 // find returns an executor for each task of a unit, or nil if there is no room.
-func (f *Scheduler) find(now time.Time, c *candidate, u *unit, usable []*executor) ([]*executor, string) {
+func (f *Scheduler) find(now time.Time, u *unit, usable []*executor) ([]*executor, string) {
 	s := u.spec()
 	fit := f.fitting(now, u, usable)
 	if a := f.adviceOf(u); a != nil {
@@ -97,24 +97,18 @@
 	if on := f.findNear(u, fit); on != nil {
 		return on, "fits_rack"
 	}
-	if !f.mayGoFar(now, c, u, usable) {
+	if !f.mayGoFar(now, u, usable) {
 		return nil, ""
 	}
 	return pack(u, fit), "fits_far"
 }
 
-// mayGoFar reports whether a unit may start away from its rack although it takes longer there: its objective is met even
-// so, its racks could never hold it, or the wait has cost more than the longer run would.
-func (f *Scheduler) mayGoFar(now time.Time, c *candidate, u *unit, usable []*executor) bool {
+// mayGoFar reports whether a unit may start away from its rack although it takes longer there, and occupies its executors
+// longer: its racks could never hold it, or the wait has cost more than the longer run would.
+func (f *Scheduler) mayGoFar(now time.Time, u *unit, usable []*executor) bool {
 	expected := f.speed.expected(u.job.rec.Queue, u.spec().Estimate)
 	extra := time.Duration((f.settings.SlowFactor - 1) * float64(expected))
-	if now.Add(extra).Before(c.Latest) && c.Class > classUrgent {
-		return true
-	}
-	if now.Sub(u.readyAt) > extra {
-		return true
-	}
-	return !f.nearPossible(u, usable)
+	return now.Sub(u.readyAt) > extra || !f.nearPossible(u, usable)
 }
 
 // couldHold reports whether the executors, if they were empty, could hold a unit.
