Follow the settings file while the process runs

Cause: SIGHUP only checked the file, and a change without a signal was not seen. The addresses of other VMs in it go stale when VMs are replaced; a VM that is cut off from the store and knows no holder passes calls on to them.

The service reload reads the file again on SIGHUP and when its time or size has changed, which it looks at every 2 s. Addresses of other VMs apply at once; the line "settings read again" tells whether another setting needs a restart.

Ruled out: applying listeners, bounds and leases to a running process: their users rely on them from their start on.

Before: TestSettingsChange fails without the subscription of intake ("a job passed on to the other VM: not within 1m0s").

--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -30,6 +30,19 @@
 // Kind implements kernel.Message.
 func (StoreReach) Kind() string { return KindStoreReach }
 
+// SettingsChanged is published when the settings file was read again. It holds the settings that change while a process
+// runs.
+type SettingsChanged struct {
+	// Peers are control addresses of other VMs, which may be stale.
+	Peers []string
+}
+
+// KindSettingsChanged is the kind of SettingsChanged, for subscriptions.
+const KindSettingsChanged = "settings_changed"
+
+// Kind implements kernel.Message.
+func (SettingsChanged) Kind() string { return KindSettingsChanged }
+
 // HolderChanged is published when another VM holds the fleet, or none.
 type HolderChanged struct {
 	// VM and Address are empty if there is no holder.
--- a/api/names/names.go
+++ b/api/names/names.go
@@ -9,6 +9,7 @@
 	Relay   = "relay"
 	Gateway = "gateway"
 	Upkeep  = "upkeep"
+	Reload  = "reload"
 )
 
 // Names of the services of an entry VM's daemon.
--- a/cmd/verbenaflowd/fleet.go
+++ b/cmd/verbenaflowd/fleet.go
@@ -7,9 +7,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/sourcegraph/conc"
-	"k8s.io/klog/v2"
-
 	"github.com/verbenaflow/verbenaflow/node/daemon"
 	"github.com/verbenaflow/verbenaflow/node/settings"
 )
@@ -30,24 +27,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
-	var reloads conc.WaitGroup
-	defer reloads.Wait()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	reloads.Go(func() { reload(o.Config, hup) })
-	defer close(hup)
-	defer signal.Stop(hup)
-	return serve(func(ctx context.Context) error { return daemon.RunFleet(ctx, s) })
-}
-
-// reload checks the settings file on each SIGHUP. The settings of a process do not change while it runs: addresses and
-// bounds are those of its start.
-func reload(path string, hup <-chan os.Signal) {
-	for range hup {
-		if _, err := settings.LoadFleet(path); err != nil {
-			klog.ErrorS(err, "settings file is invalid; the settings of the start stay in force")
-			continue
-		}
-		klog.InfoS("settings file checked; it takes effect at the next start")
-	}
+	return serve(func(ctx context.Context) error { return daemon.RunFleet(ctx, o.Config, s, hup) })
 }
--- a/node/daemon/fleet.go
+++ b/node/daemon/fleet.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"os"
+	"reflect"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
@@ -20,6 +23,7 @@
 	"github.com/verbenaflow/verbenaflow/services/holder"
 	"github.com/verbenaflow/verbenaflow/services/intake"
 	"github.com/verbenaflow/verbenaflow/services/relay"
+	"github.com/verbenaflow/verbenaflow/services/reload"
 	"github.com/verbenaflow/verbenaflow/services/upkeep"
 )
 
@@ -30,15 +34,16 @@
 	exitReserve = 700 * time.Millisecond
 )
 
-// RunFleet serves on the users' platform until ctx ends and then shuts down gracefully.
-func RunFleet(ctx context.Context, s settings.Fleet) error {
+// RunFleet serves on the users' platform until ctx ends and then shuts down gracefully. path is the file of the settings,
+// which is read again when it changes and on hup.
+func RunFleet(ctx context.Context, path string, s settings.Fleet, hup <-chan os.Signal) error {
 	l, err := listenFleet(s)
 	if err != nil {
 		return err
 	}
 	defer l.close()
 	o := &observer{vm: s.VM, metrics: metrics.New()}
-	k, err := assembleFleet(s, l, o)
+	k, err := assembleFleet(s, l, reload.New(string(s.VM), path, reloader(path, s), hup, o.metrics), o)
 	if err != nil {
 		return err
 	}
@@ -52,7 +57,7 @@
 	return nil
 }
 
-func assembleFleet(s settings.Fleet, l fleetListeners, o *observer) (*kernel.Kernel, error) {
+func assembleFleet(s settings.Fleet, l fleetListeners, r *reload.Service, o *observer) (*kernel.Kernel, error) {
 	m := o.metrics
 	store := metastore.NewClient(s.Store, s.StoreTimeout)
 	var advice *advisor.Client
@@ -61,6 +66,7 @@
 	}
 	specs := []kernel.Spec{
 		admin.New(l.admin, m).Spec(),
+		r.Spec(),
 		catalog.New(string(s.VM), store, m).Spec(),
 		relay.New(l.relay, m).Spec(),
 		holder.New(holder.Settings{
@@ -81,6 +87,19 @@
 	return kernel.New(o, specs...)
 }
 
+// reloader returns how the settings file is read again. All but the addresses of other VMs is that of the start.
+func reloader(path string, start settings.Fleet) reload.Loader {
+	return func() (message.SettingsChanged, bool, error) {
+		s, err := settings.LoadFleet(path)
+		if err != nil {
+			return message.SettingsChanged{}, false, err
+		}
+		peers := s.Peers
+		s.Peers = start.Peers
+		return message.SettingsChanged{Peers: others(peers, start.Relay)}, !reflect.DeepEqual(s, start), nil
+	}
+}
+
 // others returns the addresses but the own one.
 func others(addresses []string, own string) []string {
 	var out []string
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -48,7 +48,7 @@
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{
 		Name: names.Intake, Service: s, After: []kernel.Name{names.Catalog, names.Relay, names.Holder},
-		Subscribes: []string{message.KindCatalogChanged, message.KindHolderChanged, message.KindStoreReach},
+		Subscribes: []string{message.KindCatalogChanged, message.KindHolderChanged, message.KindStoreReach, message.KindSettingsChanged},
 	}
 }
 
@@ -67,6 +67,8 @@
 		s.holder = m
 	case message.StoreReach:
 		s.reachable = m.Reachable
+	case message.SettingsChanged:
+		s.settings.Peers = m.Peers
 	case message.SubmitCall:
 		s.submit(c, m, e)
 	case message.ReadCall:
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -223,6 +225,38 @@
 	f.checkExecutors()
 }
 
+// TestSettingsChange guards against a VM that goes on with the addresses of other VMs that it was started with: cut off
+// from the store, it could not pass calls on to a VM that came later. The file changes without a signal.
+func TestSettingsChange(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.ready()
+	cut := f.holder()
+	other := f.vms[0]
+	if other == cut {
+		other = f.vms[1]
+	}
+	f.set(cut.name, link.Hold, 0)
+	f.eventually("the other VM holds the fleet", func() bool { return f.holder() == other })
+	text, err := os.ReadFile(cut.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := f.newID()
+	if r, err := f.client(cut).Submit(context.Background(), job(id, 1, 50*time.Millisecond, false)); err == nil && r.Status/100 == 2 {
+		t.Fatalf("%s is cut off from the store, knows no other VM and accepted a job: %+v", cut.name, r)
+	}
+	if err := os.WriteFile(cut.settings, bytes.Replace(text, []byte("peers =\n"), []byte("peers = "+other.relay+"\n"), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("a job passed on to the other VM", func() bool {
+		r, err := f.client(cut).Submit(context.Background(), job(id, 1, 50*time.Millisecond, false))
+		return err == nil && r.Status/100 == 2
+	})
+	f.await(id, workload.StateCompleted)
+	f.set(cut.name, link.Pass, 0)
+	f.checkExecutors()
+}
+
 // TestGracefulShutdown guards against calls that are cut off, and against a pause of the fleet, when VMs are stopped in
 // turn.
 func TestGracefulShutdown(t *testing.T) {
--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -62,6 +62,7 @@
 type vm struct {
 	name     string
 	front    string
+	relay    string
 	settings string
 	log      string
 	// current holds the running process; who ends or replaces it holds the token meanwhile.
@@ -203,7 +204,7 @@
 		l.Close()
 	}
 	dir := f.t.TempDir()
-	v := &vm{name: name, front: addresses[0], settings: filepath.Join(dir, "settings.ini"), log: filepath.Join(dir, "log"), current: make(chan child, 1)}
+	v := &vm{name: name, front: addresses[0], relay: addresses[2], settings: filepath.Join(dir, "settings.ini"), log: filepath.Join(dir, "log"), current: make(chan child, 1)}
 	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n[platform]\nstore = %s\npeers =\n%s"+
 		"[executor]\nlongest_lease = 3s\nstop_bound = 100ms\n[timing]\ngrace = 4s\nlame_duck = 300ms\n",
 		name, addresses[0], addresses[1], addresses[2], addresses[3], store, f.platform)
