Give a call that is passed on the time in which its answer is needed

Its VM had 0.3 s left and passed the submission on; the other VM tried the store for its own budget and refused 0.1 s after the first had given up and could only say that the job may have been accepted. Clients do not repeat after that.

Ruled out: lost answers of the store (it answered 503 to each try), a cut between the VMs.

--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -138,13 +138,21 @@
 func (WaitingQuery) Kind() string { return "waiting_query" }
 
 // AcceptJob asks another VM to store a job because the own VM does not reach the store; answered by SubmitReply.
-type AcceptJob struct{ Job workload.Job }
+type AcceptJob struct {
+	Job workload.Job
+	// Within is the time in which the answer is needed. A later one leaves the caller without knowledge.
+	Within time.Duration
+}
 
 // Kind implements kernel.Message.
 func (AcceptJob) Kind() string { return "accept_job" }
 
 // AcceptCancel asks another VM to store a cancellation; answered by Done.
-type AcceptCancel struct{ ID workload.JobID }
+type AcceptCancel struct {
+	ID workload.JobID
+	// Within is the time in which the answer is needed.
+	Within time.Duration
+}
 
 // Kind implements kernel.Message.
 func (AcceptCancel) Kind() string { return "accept_cancel" }
--- a/services/intake/read.go
+++ b/services/intake/read.go
@@ -177,16 +177,16 @@
 	s.nudge(c, message.JobCancelled{ID: m.id})
 }
 
-// relayCancel passes a cancellation on to a VM that may reach the store; false if there is none.
+// relayCancel passes a cancellation on to a VM that may reach the store; false if there is none, or not enough time.
 func (s *Service) relayCancel(c *kernel.Context, m cancelled) bool {
-	address := s.relayTarget()
-	if address == "" || time.Until(m.deadline) <= 0 {
+	address, left := s.relayTarget(), time.Until(m.deadline)
+	if address == "" || left < minRelay {
 		return false
 	}
 	s.metrics.Retry(failure.RetryForward)
 	call := message.RelayCall{
-		Address: address, To: names.Intake, Body: message.AcceptCancel{ID: m.id},
-		Timeout: min(relayTimeout, time.Until(m.deadline)),
+		Address: address, To: names.Intake, Body: message.AcceptCancel{ID: m.id, Within: left - relayMargin},
+		Timeout: min(relayTimeout, left),
 	}
 	c.Request(names.Relay, call, func(r kernel.Message, err error) {
 		if err != nil {
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -76,9 +76,9 @@
 	case message.CancelCall:
 		s.cancel(c, m, e)
 	case message.AcceptJob:
-		s.accept(c, m.Job, time.Now().Add(relayedBudget), e, false)
+		s.accept(c, m.Job, relayedDeadline(m.Within), e, false)
 	case message.AcceptCancel:
-		s.storeCancel(c, m.ID, time.Now().Add(relayedBudget), e, false)
+		s.storeCancel(c, m.ID, relayedDeadline(m.Within), e, false)
 	case stored:
 		s.stored(c, m)
 	case cancelled:
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -18,6 +18,10 @@
 const (
 	// relayedBudget bounds the work on a call that another VM has passed on.
 	relayedBudget = 1200 * time.Millisecond
+	// relayMargin is kept of the time of a call to another VM for the way there and back, about 60 ms between regions.
+	// With less than minRelay a call is not passed on.
+	relayMargin = 100 * time.Millisecond
+	minRelay    = 2 * relayMargin
 	// relayTimeout bounds a call to another VM.
 	relayTimeout = 1500 * time.Millisecond
 	// nudgeTimeout bounds the message that tells the holder of news; its watch brings them too.
@@ -192,15 +196,20 @@
 	}
 }
 
-// relayJob passes a submission on to a VM that may reach the store; false if there is none.
+// relayedDeadline returns the deadline of a call that another VM has passed on, which needs the answer within a time.
+func relayedDeadline(within time.Duration) time.Time {
+	return time.Now().Add(min(relayedBudget, within))
+}
+
+// relayJob passes a submission on to a VM that may reach the store; false if there is none, or not enough time.
 func (s *Service) relayJob(c *kernel.Context, m stored) bool {
-	address := s.relayTarget()
-	if address == "" || time.Until(m.deadline) <= 0 {
+	address, left := s.relayTarget(), time.Until(m.deadline)
+	if address == "" || left < minRelay {
 		return false
 	}
 	call := message.RelayCall{
-		Address: address, To: names.Intake, Body: message.AcceptJob{Job: m.job},
-		Timeout: min(relayTimeout, time.Until(m.deadline)),
+		Address: address, To: names.Intake, Body: message.AcceptJob{Job: m.job, Within: left - relayMargin},
+		Timeout: min(relayTimeout, left),
 	}
 	s.metrics.Retry(failure.RetryForward)
 	c.Request(names.Relay, call, func(r kernel.Message, err error) {
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -225,6 +225,30 @@
 	f.checkExecutors()
 }
 
+// TestShortDeadline guards against a refusal that comes too late to be true: with little time left a VM passes a submission on to
+// one that tries the busy store for longer, and can then only say that the job may have been accepted.
+func TestShortDeadline(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.ready()
+	holder := f.holder()
+	f.store.SetFault(storestandin.Fault{Busy: true})
+	for _, v := range f.vms {
+		if v == holder {
+			continue
+		}
+		c := f.client(v)
+		for _, left := range []time.Duration{500, 600, 700, 800, 1000} {
+			c.Timeout = left * time.Millisecond
+			if r, err := c.Submit(context.Background(), job(f.newID(), 1, 50*time.Millisecond, false)); err != nil || r.Status != http.StatusServiceUnavailable {
+				t.Errorf("submission with %v left while the store is busy: %+v, %v, want 503", c.Timeout, r, err)
+			}
+		}
+	}
+	f.store.SetFault(storestandin.Fault{})
+	f.ready()
+	f.checkExecutors()
+}
+
 // TestSettingsChange guards against a VM that goes on with the addresses of other VMs that it was started with: cut off
 // from the store, it could not pass calls on to a VM that came later. The file changes without a signal.
 func TestSettingsChange(t *testing.T) {
