Keep room for gangs in a crowded fleet only

Cause, found by reading: room was kept for a gang also while most of the fleet was free, for instance for one that needs a whole rack of which each executor runs a small task. Other jobs, and long-running tasks at any time, would then not start although there is room for them twice over, which the platform's rule LOST counts after 3 s. Room kept for urgent work held long-running tasks back as well.

Now room for gangs is kept while less than 0.4 of the fleet is free and 2 s longer, and long-running tasks wait for neither.

Ruled out: keeping room only at moments at which little is free: the gang of TestRoomForGangs then never starts.

Before: TestIdleFleetKeepsNoRoom fails in both cases ("task 0 waits for a gang"). After: it passes.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -81,6 +81,8 @@
 	jobOrder joborder.Order
 	// keepFor is the time of arrivals of urgent work for which room is kept.
 	keepFor time.Duration
+	// crowdedAt is when little of the fleet was last free.
+	crowdedAt time.Time
 	// advice holds what the advisory service has said; asking is set while a question is under way.
 	advice map[stepKey]*advice
 	asking bool
--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -12,6 +12,11 @@
 	// of urgent tasks, so that the room which they give back waits for the next ones. Long tasks would otherwise fill it
 	// at once and be stopped again.
 	headroomTime = 3 * time.Second
+	// crowdedBelow is the free share of the fleet below which room is kept for gangs, crowdedMemory how long after that it is
+	// still kept, while more becomes free. Work that does not start for 3 s while half of the fleet is free counts as
+	// forgotten.
+	crowdedBelow  = 0.4
+	crowdedMemory = 2 * time.Second
 	// maxHeadroom bounds the share of the fleet that is kept free.
 	maxHeadroom = 0.5
 )
@@ -29,7 +34,11 @@
 }
 
 // headroom is the room that other work may still take: what is free beyond what is kept for urgent work.
-type headroom struct{ left float64 }
+type headroom struct {
+	left float64
+	// crowded is set if, at present or a moment ago, so little was free that gangs need room to be kept for them.
+	crowded bool
+}
 
 // headroom returns what work below priority 0 may take of the usable executors.
 func (f *Scheduler) headroom(now time.Time, usable []*executor) headroom {
@@ -40,12 +49,16 @@
 	}
 	rate := f.urgent.current(now, demandHalfLife) * math.Ln2 / demandHalfLife.Seconds()
 	keep := min(rate*f.keepFor.Seconds(), maxHeadroom*float64(capacity))
-	return headroom{left: float64(free) - keep}
+	if float64(free) < crowdedBelow*float64(capacity) {
+		f.crowdedAt = now
+	}
+	return headroom{left: float64(free) - keep, crowded: now.Sub(f.crowdedAt) < crowdedMemory}
 }
 
-// allows reports whether a unit may start. Urgent work takes any room.
+// allows reports whether a unit may start. Urgent work takes any room, and long-running tasks do, whose absence counts at
+// once.
 func (h *headroom) allows(class int, u *unit) bool {
-	return class <= classUrgent || float64(u.n*weightOf(u.spec().Need)) <= h.left
+	return class <= classUrgent || u.spec().LongRunning || float64(u.n*weightOf(u.spec().Need)) <= h.left
 }
 
 // take takes the room of a unit that was placed.
--- a/decisions/fleet/headroom_test.go
+++ b/decisions/fleet/headroom_test.go
@@ -76,3 +76,40 @@
 		t.Errorf("the gang started at %v, want %v at the latest", starts, latest)
 	}
 }
+
+// TestIdleFleetKeepsNoRoom guards against work that waits for a gang although most of the fleet is free, and against a
+// long-running task that waits for one: its absence counts from the first second.
+func TestIdleFleetKeepsNoRoom(t *testing.T) {
+	for name, tc := range map[string]struct {
+		busy workload.Step
+		then workload.Step
+	}{
+		"idle": {
+			workload.Step{Count: 8, MaxPerExecutor: 1, Need: small, Estimate: 30 * time.Second},
+			workload.Step{Count: 4, Need: small, Estimate: 30 * time.Second},
+		},
+		"long-running": {
+			workload.Step{Count: 8, MaxPerExecutor: 1, Need: workload.Resources{CPU: 20000, GPU: 5}, Estimate: 30 * time.Second},
+			workload.Step{Count: 4, Need: small, Estimate: 30 * time.Second, LongRunning: true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := start(t, 2, 4)
+			w.submit(oneStep("busy", "normal", tc.busy), behavior{work: 30 * time.Second})
+			w.run(200 * time.Millisecond)
+			w.submit(oneStep("gang", "normal", workload.Step{Count: 4, Gang: true, SameRack: true, Need: workload.Resources{CPU: 13000, GPU: 8}, Estimate: 4 * time.Second}),
+				behavior{work: 4 * time.Second})
+			w.run(200 * time.Millisecond)
+			w.submit(oneStep("then", "batch", tc.then), behavior{work: 30 * time.Second})
+			w.run(500 * time.Millisecond)
+			for i := range tc.then.Count {
+				if w.active[workload.TaskRef{Job: "then", Index: i}] == nil {
+					t.Errorf("task %d waits for a gang", i)
+				}
+			}
+			if w.active[workload.TaskRef{Job: "gang"}] != nil {
+				t.Error("the gang did not have to wait, so that the test shows nothing")
+			}
+		})
+	}
+}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -23,7 +23,8 @@
 	room := f.headroom(now, usable)
 	var held reservation
 	for _, c := range waiting {
-		if c.Class > classUrgent && !held.permits(now, f.speed.expected(c.units[0].job.rec.Queue, c.units[0].spec().Estimate)) {
+		if first := c.units[0]; c.Class > classUrgent && !first.spec().LongRunning &&
+			!held.permits(now, f.speed.expected(first.job.rec.Queue, first.spec().Estimate)) {
 			continue
 		}
 		for _, u := range c.units {
@@ -33,7 +34,7 @@
 			// Each start uses up the guarantee of its account.
 			c.Class = f.classOf(u)
 			if !room.allows(c.Class, u) || !f.placeUnit(now, c, u, usable) {
-				if f.mayReserve(now, c, u, usable) {
+				if room.crowded && f.mayReserve(now, c, u, usable) {
 					held.hold(c.Latest)
 				}
 				// The tasks of a step are alike: where one finds no room, the others find none.
