Look for no room before the record of a job is durable

Cause: while the record that a job may run was under way, each plan searched executors for each of its tasks in vain, and counted for single tasks how many fit.

Ruled out as a mend of the slow recovery at that size (8.5 s after all VMs were killed, 5.5 s after a lost failure domain): the time did not change with the processor time. It is the wait for executors that do not answer; docs/CAPACITY.md says what would shorten it.

--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -136,6 +136,9 @@
 	return j.recorded >= j.cleared
 }
 
+// unrecorded reports whether the record that the job may run is under way.
+func (j *job) unrecorded() bool { return j.mayRun && j.recorded < j.cleared }
+
 // live reports whether a run of the job may still occupy an executor.
 func (j *job) live() bool {
 	return slices.ContainsFunc(j.units, func(u *unit) bool { return len(u.members) > 0 })
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -31,6 +31,10 @@
 			if now.Before(u.notBefore) {
 				continue
 			}
+			if u.job.unrecorded() {
+				// Nothing of the job starts before the record; a look for room would be in vain.
+				break
+			}
 			// Each start uses up the guarantee of its account.
 			c.Class = f.classOf(u)
 			if !room.allows(c.Class, u) || !f.placeUnit(now, c, u, usable) {
@@ -185,7 +189,10 @@
 		if !load.Fits(free) || !e.matches(pool, s) || e.info.ID == u.avoid && now.Before(u.avoidUntil) {
 			continue
 		}
-		room := capacityFor(s, free)
+		room := 1
+		if u.n > 1 {
+			room = capacityFor(s, free)
+		}
 		if s.MaxPerExecutor > 0 {
 			room = min(room, s.MaxPerExecutor-e.countOf(u))
 		}
