Check the term of the holder's messages once, and use one piece for twins

Found by a second reading of the whole change; behaviour stays as it is.

- services/holder: ten message kinds carried the number of their term and were each compared with the present one where they are handled.
They now embed inTerm, and handleTerm drops those of other terms, so that a new kind cannot miss the check.
- services/intake: submissions and cancellations were passed on to another VM by two copies of the same call; both use relay.
- decisions/fleet: couldHold repeated the loop of nearPossible; one function counts all executors, or those of a rack.
- decisions/fleet: TestCompareOrders was a test that skipped itself without a variable, and asserted nothing.
It is BenchmarkOrders now, so that nothing is skipped; TestOrderOverload keeps its assertion.
- decisions/upkeep: both tests of waves set up their machines in newWave.

--- a/decisions/fleet/orders_test.go
+++ b/decisions/fleet/orders_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -115,7 +114,7 @@
 }
 
 // replay plays traffic under an order of jobs.
-func replay(t *testing.T, order joborder.Order, seed uint64, load float64) served {
+func replay(t testing.TB, order joborder.Order, seed uint64, load float64) served {
 	t.Helper()
 	const racks, perRack = 2, 8
 	w := newWorld(t, seed, racks, perRack)
@@ -267,12 +266,9 @@
 	return cmp.Compare(density(b), density(a))
 }
 
-// TestCompareOrders prints the table of docs/decisions/job-order.md: VERBENAFLOW_ORDERS=1 go test -run TestCompareOrders -v
-// ./decisions/fleet.
-func TestCompareOrders(t *testing.T) {
-	if os.Getenv("VERBENAFLOW_ORDERS") == "" {
-		t.Skip("a comparison by hand; TestOrderOverload checks the order in use")
-	}
+// BenchmarkOrders gives the table of docs/decisions/job-order.md: go test -run '^$' -bench Orders -benchtime 1x ./decisions/fleet.
+// It compares orders by what they earn; TestOrderOverload checks the one in use.
+func BenchmarkOrders(b *testing.B) {
 	orders := []struct {
 		name  string
 		order joborder.Order
@@ -288,17 +284,25 @@
 	seeds := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
 	for _, load := range []float64{0.8, 1, 1.3, 2} {
 		for _, o := range orders {
-			var mean served
-			for _, seed := range seeds {
-				s := replay(t, o.order, seed, load)
-				n := float64(len(seeds))
-				mean.all += s.all / n
-				mean.worstKind += s.worstKind / n
-				mean.worstAccount += s.worstAccount / n
-				mean.largest += s.largest / n
-				mean.lost += s.lost / n
-			}
-			t.Logf("| %.1f | %s | %.3f | %.3f | %.3f | %.3f | %.3f |", load, o.name, mean.all, mean.worstKind, mean.worstAccount, mean.largest, mean.lost)
+			b.Run(fmt.Sprintf("%.1f/%s", load, o.name), func(b *testing.B) {
+				for b.Loop() {
+					var mean served
+					for _, seed := range seeds {
+						s := replay(b, o.order, seed, load)
+						n := float64(len(seeds))
+						mean.all += s.all / n
+						mean.worstKind += s.worstKind / n
+						mean.worstAccount += s.worstAccount / n
+						mean.largest += s.largest / n
+						mean.lost += s.lost / n
+					}
+					b.ReportMetric(mean.all, "credit")
+					b.ReportMetric(mean.worstKind, "worst-kind")
+					b.ReportMetric(mean.worstAccount, "worst-account")
+					b.ReportMetric(mean.largest, "largest")
+					b.ReportMetric(mean.lost, "lost")
+				}
+			})
 		}
 	}
 }
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -74,7 +74,7 @@
 // limitsBackfill reports whether room is to be kept for a unit: a gang that can still meet its objective, and that the
 // executors could hold.
 func (f *Scheduler) limitsBackfill(now time.Time, c *candidate, u *unit, usable []*executor) bool {
-	return u.n > 1 && c.Class > classUrgent && !now.After(c.Latest) && f.couldHold(u, usable)
+	return u.n > 1 && c.Class > classUrgent && !now.After(c.Latest) && f.couldHold(u, usable, false)
 }
 
 // placeUnit starts a unit, or reserves room that others give up for it. It reports whether the next one of its step may be
@@ -121,33 +121,25 @@
 func (f *Scheduler) mayGoFar(now time.Time, u *unit, usable []*executor) bool {
 	expected := f.speed.expected(u.job.rec.Queue, u.spec().Estimate)
 	extra := time.Duration((f.settings.SlowFactor - 1) * float64(expected))
-	return now.Sub(u.readyAt) > extra || !f.nearPossible(u, usable)
+	return now.Sub(u.readyAt) > extra || !f.couldHold(u, usable, true)
 }
 
-// couldHold reports whether the executors, if they were empty, could hold a unit.
-func (f *Scheduler) couldHold(u *unit, usable []*executor) bool {
-	s := u.spec()
-	pool := f.route(u.job).Pool
-	room := 0
-	for _, e := range usable {
-		if e.matches(pool, s) {
-			room += capacityFor(s, e.info.Capacity)
-		}
-	}
-	return room >= u.n
-}
-
-// nearPossible reports whether the empty executors of a wanted rack could hold a unit.
-func (f *Scheduler) nearPossible(u *unit, usable []*executor) bool {
+// couldHold reports whether the executors, if they were empty, could hold a unit: all together, or those of a rack that the
+// unit may use.
+func (f *Scheduler) couldHold(u *unit, usable []*executor, inRack bool) bool {
 	s := u.spec()
 	pool := f.route(u.job).Pool
 	room := map[string]int{}
 	for _, e := range usable {
-		if s.Rack != "" && e.rack != s.Rack || !e.matches(pool, s) {
+		rack := ""
+		if inRack {
+			rack = e.rack
+		}
+		if inRack && s.Rack != "" && rack != s.Rack || !e.matches(pool, s) {
 			continue
 		}
-		room[e.rack] += capacityFor(s, e.info.Capacity)
-		if room[e.rack] >= u.n {
+		room[rack] += capacityFor(s, e.info.Capacity)
+		if room[rack] >= u.n {
 			return true
 		}
 	}
--- a/decisions/upkeep/upkeep_test.go
+++ b/decisions/upkeep/upkeep_test.go
@@ -19,6 +19,18 @@
 	upkeeps  map[workload.MachineID]int
 }
 
+// newWave returns a platform with machines that are up, and a wave of all of them.
+func newWave(machines, atOnce int) (*fakeCloud, workload.Wave) {
+	c := &fakeCloud{backAt: map[workload.MachineID]time.Time{}, upkeeps: map[workload.MachineID]int{}}
+	order := workload.Wave{Number: 3, Within: 40 * time.Second, AtOnce: atOnce}
+	for i := range machines {
+		id := workload.MachineID(fmt.Sprintf("m%d", i))
+		c.machines = append(c.machines, workload.Machine{ID: id, Up: true, Executor: workload.ExecutorID(fmt.Sprintf("e%d", i))})
+		order.Machines = append(order.Machines, id)
+	}
+	return c, order
+}
+
 func (c *fakeCloud) order(now time.Time, id workload.MachineID) {
 	for i := range c.machines {
 		if c.machines[i].ID == id && c.machines[i].Up {
@@ -48,13 +60,7 @@
 // end or is late, also if a machine is never empty and one leaves.
 func TestWave(t *testing.T) {
 	now := time.Unix(0, 0)
-	c := &fakeCloud{backAt: map[workload.MachineID]time.Time{}, upkeeps: map[workload.MachineID]int{}}
-	order := workload.Wave{Number: 3, Within: 40 * time.Second, AtOnce: 2}
-	for i := range 6 {
-		id := workload.MachineID(fmt.Sprintf("m%d", i))
-		c.machines = append(c.machines, workload.Machine{ID: id, Up: true, Executor: workload.ExecutorID(fmt.Sprintf("e%d", i))})
-		order.Machines = append(order.Machines, id)
-	}
+	c, order := newWave(6, 2)
 	s := New(downFor)
 	s.SetWaves(now, []workload.Wave{order})
 	began := now
@@ -106,13 +112,7 @@
 // not back, and against a wave that waits for a machine which is down for another cause.
 func TestWaveOfNewHolder(t *testing.T) {
 	now := time.Unix(0, 0)
-	c := &fakeCloud{backAt: map[workload.MachineID]time.Time{}, upkeeps: map[workload.MachineID]int{}}
-	order := workload.Wave{Number: 3, Within: 40 * time.Second, AtOnce: 1}
-	for i := range 4 {
-		id := workload.MachineID(fmt.Sprintf("m%d", i))
-		c.machines = append(c.machines, workload.Machine{ID: id, Up: true, Executor: workload.ExecutorID(fmt.Sprintf("e%d", i))})
-		order.Machines = append(order.Machines, id)
-	}
+	c, order := newWave(4, 1)
 	c.machines[3].Up = false
 	c.backAt["m3"] = now.Add(15 * time.Second)
 	s := New(downFor)
--- a/services/holder/act.go
+++ b/services/holder/act.go
@@ -24,21 +24,21 @@
 )
 
 type (
-	planDue   struct{ term int64 }
+	planDue   struct{ inTerm }
 	startDone struct {
-		term  int64
+		inTerm
 		order fleet.Start
 		clock time.Duration
 		err   error
 	}
 	stopDone struct {
-		term  int64
+		inTerm
 		order fleet.Stop
 		clock time.Duration
 		err   error
 	}
 	lookDone struct {
-		term   int64
+		inTerm
 		order  fleet.Look
 		sentAt time.Time
 		report workload.Report
@@ -62,35 +62,21 @@
 	t := s.term
 	switch m := m.(type) {
 	case planDue:
-		if m.term == t.number {
-			t.planSet = false
-			s.planNow(c)
-		}
+		t.planSet = false
+		s.planNow(c)
 	case startDone:
-		if m.term == t.number {
-			s.startDone(c, m)
-		}
+		s.startDone(c, m)
 	case stopDone:
-		if m.term == t.number {
-			s.stopDone(c, m)
-		}
+		s.stopDone(c, m)
 	case lookDone:
-		if m.term == t.number {
-			s.lookDone(c, m)
-		}
+		s.lookDone(c, m)
 	case paceDone:
-		if m.term == t.number {
-			s.paceDone(c, m)
-		}
+		s.paceDone(c, m)
 	case adviseDone:
-		if m.term == t.number {
-			t.fleet.Advised(time.Now(), m.question, m.advice.Tickets, m.advice.Valid, m.err == nil)
-			s.plan(c)
-		}
+		t.fleet.Advised(time.Now(), m.question, m.advice.Tickets, m.advice.Valid, m.err == nil)
+		s.plan(c)
 	case saveDone:
-		if m.term == t.number {
-			s.saveDone(c, m)
-		}
+		s.saveDone(c, m)
 	}
 }
 
@@ -113,7 +99,7 @@
 		t.planCancel()
 	}
 	t.planSet, t.planAt = true, at
-	t.planCancel = c.After(d, planDue{t.number})
+	t.planCancel = c.After(d, planDue{inTerm{t.number}})
 }
 
 // planNow carries out what the scheduler asks for.
@@ -181,7 +167,7 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		out := startDone{term: t.number, order: a}
+		out := startDone{inTerm: inTerm{t.number}, order: a}
 		began := time.Now()
 		out.clock, out.err = s.runner.Start(ctx, to, order)
 		s.metrics.Latency("executor_start", time.Since(began))
@@ -213,7 +199,7 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		out := stopDone{term: t.number, order: a}
+		out := stopDone{inTerm: inTerm{t.number}, order: a}
 		out.clock, out.err = s.runner.Stop(ctx, to, a.Task, a.Run, fence)
 		return out
 	})
@@ -241,7 +227,7 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, a.Wait+lookMargin)
 		defer cancel()
-		out := lookDone{term: t.number, order: a, sentAt: time.Now()}
+		out := lookDone{inTerm: inTerm{t.number}, order: a, sentAt: time.Now()}
 		out.report, out.err = s.runner.Hold(ctx, to, order)
 		s.metrics.Latency("executor_look", time.Since(out.sentAt))
 		return out
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -26,7 +26,7 @@
 
 // saveDone is the result of a transaction of records.
 type saveDone struct {
-	term    int64
+	inTerm
 	records []fleet.Record
 	// roster is recorded too if it is not nil; version is its version.
 	roster  workload.Roster
@@ -48,7 +48,7 @@
 	if t.saving || now.Before(t.saveAfter) {
 		return
 	}
-	out := saveDone{term: t.number, records: t.fleet.Dirty(saveBatch)}
+	out := saveDone{inTerm: inTerm{t.number}, records: t.fleet.Dirty(saveBatch)}
 	txn := metastore.Txn{If: []metastore.Condition{
 		{Key: records.HolderKey, Revision: t.fence},
 		{Key: records.SaveKey, Revision: t.saveRevision},
--- a/services/holder/side.go
+++ b/services/holder/side.go
@@ -18,12 +18,12 @@
 
 type (
 	paceDone struct {
-		term  int64
+		inTerm
 		order fleet.Pace
 		err   error
 	}
 	adviseDone struct {
-		term     int64
+		inTerm
 		question fleet.Advise
 		advice   advisor.Advice
 		err      error
@@ -46,7 +46,7 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		_, err := s.runner.Pace(ctx, to, a.Task, a.Run, a.Percent, fence)
-		return paceDone{term: t.number, order: a, err: err}
+		return paceDone{inTerm: inTerm{t.number}, order: a, err: err}
 	})
 }
 
@@ -77,7 +77,7 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, adviseTimeout)
 		defer cancel()
-		out := adviseDone{term: t.number, question: a}
+		out := adviseDone{inTerm: inTerm{t.number}, question: a}
 		out.advice, out.err = s.advisor.Advise(ctx, step, a.Workers)
 		return out
 	})
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -60,9 +60,14 @@
 	summaryAt time.Time
 }
 
+// inTerm is part of the messages that concern one term: they come from its tasks and timers, which may outlive it.
+type inTerm struct{ term int64 }
+
+func (t inTerm) termNumber() int64 { return t.term }
+
 type (
 	progressRead struct {
-		term   int64
+		inTerm
 		items  []metastore.Item
 		roster workload.Roster
 		// saved is the revision of SaveKey; 0 if there is none.
@@ -70,11 +75,11 @@
 		err   error
 	}
 	queueFollowed struct {
-		term int64
+		inTerm
 		metastore.Update
 	}
 	serversFollowed struct {
-		term int64
+		inTerm
 		metastore.Update
 	}
 )
@@ -106,8 +111,8 @@
 	s.metrics.Event("terms_begun", 1)
 	s.readProgress(c, t)
 	post := c.Post()
-	s.follow(c, t, records.QueuePrefix, queuePause, func(u metastore.Update) bool { return post(queueFollowed{number, u}) })
-	s.follow(c, t, runner.RegistryPrefix, registryPause, func(u metastore.Update) bool { return post(serversFollowed{number, u}) })
+	s.follow(c, t, records.QueuePrefix, queuePause, func(u metastore.Update) bool { return post(queueFollowed{inTerm{number}, u}) })
+	s.follow(c, t, runner.RegistryPrefix, registryPause, func(u metastore.Update) bool { return post(serversFollowed{inTerm{number}, u}) })
 }
 
 func (s *Service) follow(c *kernel.Context, t *term, prefix string, pause time.Duration, deliver func(metastore.Update) bool) {
@@ -122,7 +127,7 @@
 
 func (s *Service) readProgress(c *kernel.Context, t *term) {
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		out := progressRead{term: t.number}
+		out := progressRead{inTerm: inTerm{t.number}}
 		var (
 			wg                              conc.WaitGroup
 			rosters, saves                  []metastore.Item
@@ -155,24 +160,18 @@
 	s.metrics.Event("terms_ended", 1)
 }
 
+// handleTerm handles a message of the present term and drops those of others.
 func (s *Service) handleTerm(c *kernel.Context, m kernel.Message) {
-	t := s.term
-	if t == nil {
+	if of, ok := m.(interface{ termNumber() int64 }); !ok || s.term == nil || of.termNumber() != s.term.number {
 		return
 	}
 	switch m := m.(type) {
 	case progressRead:
-		if m.term == t.number {
-			s.progressRead(c, m)
-		}
+		s.progressRead(c, m)
 	case queueFollowed:
-		if m.term == t.number {
-			s.queueFollowed(c, m.Update)
-		}
+		s.queueFollowed(c, m.Update)
 	case serversFollowed:
-		if m.term == t.number {
-			s.serversFollowed(c, m.Update)
-		}
+		s.serversFollowed(c, m.Update)
 	default:
 		s.handleAction(c, m)
 	}
--- a/services/intake/read.go
+++ b/services/intake/read.go
@@ -8,7 +8,6 @@
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
-	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/kernel"
@@ -179,21 +178,12 @@
 
 // relayCancel passes a cancellation on to a VM that may reach the store; false if there is none, or not enough time.
 func (s *Service) relayCancel(c *kernel.Context, m cancelled) bool {
-	address, left := s.relayTarget(), time.Until(m.deadline)
-	if address == "" || left < minRelay {
-		return false
-	}
-	s.metrics.Retry(failure.RetryForward)
-	call := message.RelayCall{
-		Address: address, To: names.Intake, Body: message.AcceptCancel{ID: m.id, Within: left - relayMargin},
-		Timeout: min(relayTimeout, left),
-	}
-	c.Request(names.Relay, call, func(r kernel.Message, err error) {
+	body := func(within time.Duration) kernel.Message { return message.AcceptCancel{ID: m.id, Within: within} }
+	return s.relay(c, m.deadline, body, func(_ string, r kernel.Message, err error) {
 		if err != nil {
 			s.refuse(m.env, "cancel", m.id, failure.From(err))
 			return
 		}
 		m.env.Reply(r)
 	})
-	return true
 }
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -203,16 +203,8 @@
 
 // relayJob passes a submission on to a VM that may reach the store; false if there is none, or not enough time.
 func (s *Service) relayJob(c *kernel.Context, m stored) bool {
-	address, left := s.relayTarget(), time.Until(m.deadline)
-	if address == "" || left < minRelay {
-		return false
-	}
-	call := message.RelayCall{
-		Address: address, To: names.Intake, Body: message.AcceptJob{Job: m.job, Within: left - relayMargin},
-		Timeout: min(relayTimeout, left),
-	}
-	s.metrics.Retry(failure.RetryForward)
-	c.Request(names.Relay, call, func(r kernel.Message, err error) {
+	body := func(within time.Duration) kernel.Message { return message.AcceptJob{Job: m.job, Within: within} }
+	return s.relay(c, m.deadline, body, func(address string, r kernel.Message, err error) {
 		if err == nil {
 			s.log("job accepted", "job", m.job.ID, "queue", m.job.Queue, "account", m.job.Account, "through", address,
 				"took_ms", time.Since(m.began).Milliseconds())
@@ -228,6 +220,20 @@
 		}
 		s.refuse(m.env, "submit", m.job.ID, f)
 	})
+}
+
+// relay passes a call on to the intake of a VM that may reach the store; false if there is none, or not enough time. body
+// returns the call, whose answer is needed within a time; done gets the VM's address and its answer.
+func (s *Service) relay(
+	c *kernel.Context, deadline time.Time, body func(within time.Duration) kernel.Message, done func(address string, r kernel.Message, err error),
+) bool {
+	address, left := s.relayTarget(), time.Until(deadline)
+	if address == "" || left < minRelay {
+		return false
+	}
+	s.metrics.Retry(failure.RetryForward)
+	call := message.RelayCall{Address: address, To: names.Intake, Body: body(left - relayMargin), Timeout: min(relayTimeout, left)}
+	c.Request(names.Relay, call, func(r kernel.Message, err error) { done(address, r, err) })
 	return true
 }
 
