Check registry entries field by field at the boundary

Cause: DecodeRegistryEntry checked four fields. Of 135 entries that differ from a sound one in a single way, 61 became executors: ports of 99999 or 0, addresses with a path, capacities whose sum overflows, durations of 1e300 ms whose conversion differs between arm64 and x86-64, missing or negative start times.

Change: platform/limits bounds size, nesting, durations, addresses and identifiers. The decoder checks presence, type and range of each field that the protocol names, and returns one of eight typed problems. The holder counts each refusal by problem and logs an entry again only when its problem changes.

Ruled out: a nesting that ends the process; encoding/json refuses it at 10,000 levels.

--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -56,6 +56,8 @@
 	cancelPlan    func()
 	nextExpiryAt  time.Time
 	runLog        runLogLimiter
+	// refusedEntries holds the registry entries that are ignored now and why.
+	refusedEntries map[string]runner.EntryProblem
 	// summaryCounts holds the scheduler's counts since the last summary.
 	summaryCounts map[fleet.Counter]int64
 	lastSummaryAt time.Time
@@ -104,7 +106,7 @@
 		s.endTerm("a new term begins")
 	}
 	now := time.Now()
-	t := &term{number: number, fence: fence, startedAt: now, lastSummaryAt: now, summaryCounts: map[fleet.Counter]int64{}}
+	t := &term{number: number, fence: fence, startedAt: now, lastSummaryAt: now, summaryCounts: map[fleet.Counter]int64{}, refusedEntries: map[string]runner.EntryProblem{}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.fleet = fleet.New(s.settings.Fleet, number, fence, hasPredecessor, now)
 	t.fleet.SetConfig(s.catalog.Config)
@@ -266,51 +268,3 @@
 	delete(t.progress, job.ID)
 	s.log("job added to the scheduler", "job", job.ID, "queue", job.Queue, "account", job.Account, "steps", len(job.Steps), "revision", revision)
 }
-
-// applyRegistryUpdate applies changes of the registry of executors.
-func (s *Service) applyRegistryUpdate(c *kernel.Context, u metastore.Update) {
-	t := s.term
-	if u.Err != nil {
-		s.metrics.CountEvent("registry_watch_failed", 1)
-		return
-	}
-	now := time.Now()
-	if u.Snapshot {
-		listed := make(map[workload.ExecutorID]bool, len(u.Items))
-		for i := range u.Items {
-			if s.upsertExecutor(now, &u.Items[i]) {
-				listed[runner.ExecutorIDFromKey(u.Items[i].Key)] = true
-			}
-		}
-		t.fleet.RetainExecutors(now, listed)
-		t.registryListed = true
-	}
-	for i := range u.Events {
-		e := &u.Events[i]
-		if e.Removed {
-			s.log("executor left the registry", "executor", runner.ExecutorIDFromKey(e.Key), "revision", e.Revision)
-			t.fleet.RemoveExecutor(now, runner.ExecutorIDFromKey(e.Key))
-			continue
-		}
-		if !s.upsertExecutor(now, &e.Item) {
-			t.fleet.RemoveExecutor(now, runner.ExecutorIDFromKey(e.Key))
-		}
-	}
-	if u.Snapshot || len(u.Events) > 0 {
-		s.requestPlan(c)
-	}
-}
-
-func (s *Service) upsertExecutor(now time.Time, item *metastore.Item) bool {
-	info, err := runner.DecodeRegistryEntry(item.Key, item.Value)
-	if err != nil {
-		s.log("registry entry ignored", "error", err.Error(), "revision", item.Revision)
-		s.metrics.CountEvent("registry_unreadable", 1)
-		return false
-	}
-	if info.Draining {
-		s.log("executor draining", "executor", info.ID, "remaining_ms", info.DrainRemaining.Milliseconds(), "revision", item.Revision)
-	}
-	s.term.fleet.UpsertExecutor(now, info)
-	return true
-}
