Treat the registry's address and start time of an executor as hints

Cause: another writer that overwrites the entry of an executor with a usable one could make the holder give up its runs. An address at which nothing listens, or another executor, led to a second run of each task within 1 s; a start time in the future made the holder ignore all reports for ever and poll every 10 ms.

Change: an executor that may run tasks is called where it last answered until that address fails, and failures at any other address do not show that its runs ended. Only a report of the executor itself shows that it has restarted. The address is handed on in the roster. A late answer of an earlier process no longer causes a poll at once.

--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -64,6 +64,9 @@
 type executor struct {
 	info workload.Executor
 	rack string
+	// address is where calls go. provenAddress is where the executor last answered, or where an earlier holder reached it;
+	// empty if unknown.
+	address, provenAddress string
 	// registered is set while the executor has a registry entry.
 	registered bool
 	// used is the capacity that all task runs occupy, dispatched the part of those whose start was sent.
@@ -177,13 +180,11 @@
 		})
 		f.sortedExecutors = slices.Insert(f.sortedExecutors, i, e)
 	}
-	if known && info.StartedAtMS != 0 && e.incarnation != 0 && info.StartedAtMS > e.incarnation {
-		f.handleRestart(now, e, info.StartedAtMS)
-	}
-	if known && e.info.Address != info.Address && info.Address != "" && e.info.Address != "" {
+	if known && e.incarnation != 0 && info.StartedAtMS > e.incarnation {
+		// Only a report of the executor itself shows that it has restarted.
 		e.verified = false
 	}
-	e.info, e.rack, e.registered = info, info.Rack(), true
+	e.register(info)
 	e.nextPollAt = earliest(e.nextPollAt, now)
 }
 
@@ -268,12 +269,13 @@
 // planPolls adds the polls that are due to the actions.
 func (f *Scheduler) planPolls(now time.Time) {
 	for _, e := range f.sortedExecutors {
-		if e.polling || !e.needsPoll() || now.Before(e.nextPollAt) || e.info.Address == "" {
+		if e.polling || !e.needsPoll() || now.Before(e.nextPollAt) || e.address == "" {
 			continue
 		}
-		poll := Poll{Executor: e.info.ID, Address: e.info.Address}
-		if e.unresponsiveSince.IsZero() && e.refusals == 0 {
-			// An executor that did not answer may have restarted, and numbers its ends from the beginning then.
+		poll := Poll{Executor: e.info.ID, Address: e.address}
+		if e.verified && e.unresponsiveSince.IsZero() && e.refusals == 0 {
+			// An executor that is not verified or did not answer may have restarted, and numbers its ends from the beginning
+			// then.
 			poll.AckedThrough = e.durableEnd
 		}
 		// A poll of an executor that does not answer does not renew its lease: it may take effect late, and the lease has
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -170,7 +170,7 @@
 			}
 			r.stopInFlight, r.stopSentAt = true, now
 			f.count(CountStop)
-			f.actions = append(f.actions, Stop{Executor: e.info.ID, Address: e.info.Address, Task: r.task, Run: r.run, Reason: r.stopReason})
+			f.actions = append(f.actions, Stop{Executor: e.info.ID, Address: e.address, Task: r.task, Run: r.run, Reason: r.stopReason})
 		}
 	}
 }
@@ -184,7 +184,7 @@
 		r.executor.leaseDeadline = max(r.executor.leaseDeadline, r.executor.renewedDeadline(now, f.settings.Lease))
 		f.count(CountStart)
 		f.actions = append(f.actions, Start{
-			Executor: r.executor.info.ID, Address: r.executor.info.Address, Task: r.task, Run: r.run, Spec: u.job.rec.Spec, Checkpoint: u.checkpoint, Ticket: f.ticketFor(u, r.executor.info.ID),
+			Executor: r.executor.info.ID, Address: r.executor.address, Task: r.task, Run: r.run, Spec: u.job.rec.Spec, Checkpoint: u.checkpoint, Ticket: f.ticketFor(u, r.executor.info.ID),
 			Deadline: r.executor.renewedDeadline(now, f.settings.Lease), Reason: reason, Waited: now.Sub(u.readyAt),
 		})
 	}
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -41,8 +41,13 @@
 		return
 	}
 	e.polling = false
+	if poll.Address == e.address {
+		e.proveAddress()
+	}
 	e.markResponsive()
 	if r.StartedAtMS != 0 && e.incarnation != 0 && r.StartedAtMS < e.incarnation {
+		// An answer of an earlier process that arrived late.
+		e.nextPollAt = now.Add(pollRetryDelay)
 		return
 	}
 	if r.StartedAtMS != 0 && e.incarnation != r.StartedAtMS {
@@ -315,7 +320,11 @@
 func (f *Scheduler) applyCallFailure(now time.Time, e *executor, result CallFailure) {
 	switch result {
 	case CallWrongExecutor:
+		if !e.atProvenAddress() {
+			break
+		}
 		f.markRunsLost(now, e)
+		e.forgetAddress()
 		e.verified = false
 		e.incarnation = 0
 		e.processedEnd, e.durableEnd, e.ackedEnd, e.pendingEnds = 0, 0, 0, nil
@@ -332,6 +341,9 @@
 
 // applyRefusal counts a refused connection. After refusalsUntilLost in a row the runs at the address are lost.
 func (f *Scheduler) applyRefusal(now time.Time, e *executor) {
+	if !e.atProvenAddress() {
+		return
+	}
 	if e.refusals == 0 {
 		e.firstRefusalAt = now
 	}
@@ -339,6 +351,7 @@
 	if e.refusals >= refusalsUntilLost && now.Sub(e.firstRefusalAt) >= minRefusalSpan {
 		f.markRunsLost(now, e)
 		e.verified = false
+		e.forgetAddress()
 		f.removeIfUnused(e)
 	}
 }
@@ -360,6 +373,7 @@
 	// A failed poll, whatever its cause, may not have renewed the lease.
 	f.markUnresponsive(now, e)
 	f.applyCallFailure(now, e, result)
+	e.tryOtherAddress()
 }
 
 // StopAnswered applies the result of a stop. done is false if the executor may not have received it.
--- a/decisions/fleet/roster.go
+++ b/decisions/fleet/roster.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,7 +20,7 @@
 func (f *Scheduler) Roster() workload.Roster {
 	out := make(workload.Roster, len(f.executors))
 	for _, e := range f.sortedExecutors {
-		entry := workload.RosterEntry{Address: e.info.Address}
+		entry := workload.RosterEntry{Address: cmp.Or(e.provenAddress, e.address)}
 		if e.verified && e.closed() {
 			entry.Closed = true
 			for _, r := range e.taskRuns {
@@ -52,6 +53,7 @@
 			f.executors[id].registered = false
 		}
 		f.executors[id].inheritedEntry = &entry
+		f.executors[id].inheritAddress(entry.Address)
 	}
 }
 
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -41,6 +41,10 @@
 	// late.
 	storeDown bool
 	lossRate  float64
+	// addressTaken is set if another executor answers at wrong addresses.
+	addressTaken bool
+	// polls counts the polls that holders have sent.
+	polls int
 
 	// activeRuns holds the latest run of each task, doneAt the time of its successful end. ackedDoneAt and failedAt hold
 	// the times of the successful and the failed ends that were acknowledged.
@@ -334,11 +338,14 @@
 	})
 }
 
-// call delivers a call to an executor or reports its failure. A call that is reported as unanswered takes effect late.
-func (sim *simulation) call(h *holder, id workload.ExecutorID, deliver func(e *fakeExecutor), fail func(r CallFailure)) {
+// call delivers a call to an executor at an address or reports its failure. Nothing listens at addresses other than that
+// of the executor, or another executor does if addressTaken is set. A call that is reported as unanswered takes effect late.
+func (sim *simulation) call(h *holder, id workload.ExecutorID, address string, deliver func(e *fakeExecutor), fail func(r CallFailure)) {
 	e := sim.executors[id]
 	switch {
-	case e == nil || !e.up:
+	case e != nil && address != e.info.Address && sim.addressTaken:
+		sim.schedule(callLatency, func() { fail(CallWrongExecutor) })
+	case e == nil || !e.up || address != e.info.Address:
 		sim.schedule(callLatency, func() { fail(CallRefused) })
 	case e.unreachable || h.reachable != nil && !h.reachable[id]:
 		sim.schedule(900*time.Millisecond, func() { fail(CallNotExecuted) })
@@ -373,7 +380,7 @@
 		})
 	}
 	answered := false
-	sim.call(h, a.Executor, func(e *fakeExecutor) {
+	sim.call(h, a.Executor, a.Address, func(e *fakeExecutor) {
 		result, ok := sim.handleStart(e, h.fence, a)
 		if !answered {
 			answered = true
@@ -472,7 +479,7 @@
 		})
 	}
 	answered := false
-	sim.call(h, a.Executor, func(e *fakeExecutor) {
+	sim.call(h, a.Executor, a.Address, func(e *fakeExecutor) {
 		if h.fence >= e.fence {
 			e.fence = h.fence
 			e.stopped[a.Task] = max(e.stopped[a.Task], a.Run)
@@ -494,8 +501,9 @@
 
 func (sim *simulation) poll(h *holder, a Poll) {
 	sentAt := sim.now
+	sim.polls++
 	answered := false
-	sim.call(h, a.Executor, func(e *fakeExecutor) {
+	sim.call(h, a.Executor, a.Address, func(e *fakeExecutor) {
 		if h.fence < e.fence {
 			if h.partitioned {
 				h.replaced = true
--- a/decisions/fleet/throttle.go
+++ b/decisions/fleet/throttle.go
@@ -53,7 +53,7 @@
 		}
 		r.speedPercent, r.speedChangedAt = want, now
 		f.count(CountThrottle)
-		f.actions = append(f.actions, Throttle{Executor: e.info.ID, Address: e.info.Address, Task: r.task, Run: r.run, SpeedPercent: want})
+		f.actions = append(f.actions, Throttle{Executor: e.info.ID, Address: e.address, Task: r.task, Run: r.run, SpeedPercent: want})
 	}
 }
 
