Send no order of a holder after its lease may have ended

Cause: the holder measured its lease with the monotonic clock, which does not count a suspension of the machine, and checked it when it planned an order, not when it sent it. A holder that was suspended between the answer to its renewal and its next order started work on a lease that had ended seconds before; an order that waited for a connection was sent however late. Orders for machines did not check the lease at all, although the platform may not check fencing tokens, and the status of a wave was written without a condition on the holder's entry.

Change: api/boottime reads a clock that counts suspensions; the lease is measured with it. Each order has a guard that httpjson calls before it writes the first byte, after it has a connection; an order that the guard stops counts as not executed. The status of a wave depends on the holder's entry.

Ruled out: shifting all times of the scheduler by the suspension.

--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -175,6 +175,18 @@
 // Kind implements kernel.Message.
 func (EvacuateExecutors) Kind() string { return "vacate" }
 
+// PermitQuery asks the holder whether an order that only the holder may give can be sent; answered by OrderPermit.
+type PermitQuery struct{ FencingToken workload.FencingToken }
+
+// Kind implements kernel.Message.
+func (PermitQuery) Kind() string { return "permit_query" }
+
+// OrderPermit permits to send an order until a reading of boottime.Now.
+type OrderPermit struct{ ValidUntil time.Duration }
+
+// Kind implements kernel.Message.
+func (OrderPermit) Kind() string { return "order_permit" }
+
 // OccupiedExecutors lists the executors on which tasks may be running.
 type OccupiedExecutors struct{ Executors []workload.ExecutorID }
 
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -64,7 +64,7 @@
 	// termRevision is the store's revision at the beginning of the term. Earlier holders have not seen jobs that were
 	// accepted after it.
 	termRevision int64
-	// leaseConfirmedAt is the time at which the latest confirmed renewal of the holder's lease was sent.
+	// leaseConfirmedAt is when the latest confirmed renewal of the holder's lease was sent, as of the last SetLeaseAge.
 	leaseConfirmedAt time.Time
 	// reconcileBy is when all executor leases granted by earlier holders have expired; zero once all executors have
 	// reported or that time has passed.
@@ -133,16 +133,16 @@
 	return f
 }
 
-// ConfirmLease records that the store has confirmed a renewal of the holder's lease that was sent at sentAt.
-func (f *Scheduler) ConfirmLease(sentAt time.Time) {
-	if sentAt.After(f.leaseConfirmedAt) {
-		f.leaseConfirmedAt = sentAt
-	}
-}
+// SetLeaseAge sets the time that has passed since the last confirmed renewal of the holder's lease was sent. The caller
+// measures it, because the clock of events does not count the time for which the process was suspended.
+func (f *Scheduler) SetLeaseAge(now time.Time, age time.Duration) { f.leaseConfirmedAt = now.Add(-age) }
+
+// MaxStartAge is the age of the holder's lease from which on another VM may be the holder soon.
+func MaxStartAge(s Settings) time.Duration { return s.HolderLease - dispatchMargin }
 
 // mayStart reports whether the holder's lease is certainly valid, so that no other VM can be the holder.
 func (f *Scheduler) mayStart(now time.Time) bool {
-	return now.Sub(f.leaseConfirmedAt) < f.settings.HolderLease-dispatchMargin
+	return now.Sub(f.leaseConfirmedAt) < MaxStartAge(f.settings)
 }
 
 // mayRenew reports whether the leases of executors may be renewed.
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -315,7 +315,7 @@
 	if h.saving || sim.storeDown || h.partitioned {
 		return
 	}
-	h.scheduler.ConfirmLease(sim.now)
+	h.scheduler.SetLeaseAge(sim.now, 0)
 	records := h.scheduler.UnrecordedProgress(30)
 	if len(records) == 0 && h.rosterVersion == h.scheduler.RosterVersion() {
 		return
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -114,6 +114,7 @@
 			"took_ms", now.Sub(t.startedAt).Milliseconds())
 	}
 	t.lastPlanAt = now
+	t.fleet.SetLeaseAge(now, s.leaseAge())
 	actions, next := t.fleet.Plan(now)
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -164,7 +165,7 @@
 	command := runner.StartOrder{
 		Task: a.Task, Run: a.Run, Spec: a.Spec, Checkpoint: a.Checkpoint, Ticket: a.Ticket, Deadline: a.Deadline, Fence: workload.FencingToken(t.fence),
 	}
-	to := runner.Target{ID: a.Executor, Address: a.Address}
+	to := s.exclusiveOrder(a.Executor, a.Address)
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 		defer cancel()
@@ -195,7 +196,7 @@
 func (s *Service) stopTask(c *kernel.Context, a fleet.Stop) {
 	t := s.term
 	s.logStop(a)
-	to := runner.Target{ID: a.Executor, Address: a.Address}
+	to := s.renewalOrder(a.Executor, a.Address)
 	fence := workload.FencingToken(t.fence)
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
@@ -223,7 +224,7 @@
 
 func (s *Service) pollExecutor(c *kernel.Context, a fleet.Poll) {
 	t := s.term
-	to := runner.Target{ID: a.Executor, Address: a.Address}
+	to := s.renewalOrder(a.Executor, a.Address)
 	command := runner.RenewOrder{Deadline: a.Deadline, Fence: workload.FencingToken(t.fence), SeenUpTo: a.AckedThrough, Wait: a.Wait}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, a.Wait+pollMargin)
--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -40,7 +40,8 @@
 	holderUpdate  struct{ metastore.Update }
 	candidacyDue  struct{ revision int64 }
 	candidacyDone struct {
-		sentAt   time.Time
+		// sentAt is a reading of the service's clock.
+		sentAt   time.Duration
 		lease    metastore.LeaseID
 		record   records.Holder
 		revision int64
@@ -48,8 +49,9 @@
 	}
 	renewDue  struct{ lease metastore.LeaseID }
 	renewDone struct {
-		lease  metastore.LeaseID
-		sentAt time.Time
+		lease metastore.LeaseID
+		// sentAt is a reading of the service's clock.
+		sentAt time.Duration
 		err    error
 	}
 	releaseDone struct{ err error }
@@ -245,7 +247,7 @@
 		conditions[0].Revision = 0
 	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		out := candidacyDone{record: record, sentAt: time.Now()}
+		out := candidacyDone{record: record, sentAt: s.now()}
 		if earlierProcess {
 			if out.err = s.store.Revoke(ctx, earlierLease); out.err != nil {
 				return out
@@ -281,7 +283,7 @@
 		} else {
 			s.beginTerm(c, m.record.Term, m.revision, hasPredecessor)
 		}
-		s.term.fleet.ConfirmLease(m.sentAt)
+		s.term.confirmLease(m.sentAt)
 		s.publishHolder(c)
 		c.SendAfter(renewInterval, renewDue{m.lease})
 	case errors.As(m.err, &conflict):
@@ -317,7 +319,7 @@
 	if s.term == nil || s.election.ownLease != lease {
 		return
 	}
-	sentAt := time.Now()
+	sentAt := s.now()
 	c.Spawn(func(ctx context.Context) kernel.Message { return renewDone{lease, sentAt, s.store.Renew(ctx, lease)} })
 }
 
@@ -342,23 +344,26 @@
 	if m.err != nil {
 		s.metrics.CountEvent("holder_renewal_failed", 1)
 	} else {
-		s.term.fleet.ConfirmLease(m.sentAt)
+		s.term.confirmLease(m.sentAt)
 	}
 	c.SendAfter(renewInterval, renewDue{m.lease})
 }
 
-// release resigns: it marks the holder's entry as released, so that another VM takes over immediately.
+// release resigns: it marks the holder's entry as released, so that another VM takes over immediately. Before that it
+// waits until no order of another service can be sent any more.
 func (s *Service) release(c *kernel.Context) {
 	el := &s.election
 	if s.term == nil || el.releasing {
 		return
 	}
 	fence, record := s.term.fence, el.record
+	permitRemaining := s.term.permitUntil - s.now()
 	record.Released = true
 	s.endTerm("released for shutdown")
 	s.publishHolder(c)
 	el.releasing = true
 	c.Spawn(func(ctx context.Context) kernel.Message {
+		metastore.Sleep(ctx, permitRemaining)
 		_, err := s.store.Commit(ctx, metastore.Txn{
 			Conditions: []metastore.Condition{{Key: records.HolderKey, Revision: fence}},
 			Writes:     []metastore.Write{{Key: records.HolderKey, Value: records.Encode(record)}},
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
+	"github.com/verbenaflow/verbenaflow/api/boottime"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/names"
@@ -29,6 +30,8 @@
 	// Weight is the VM's share of a processor; VMs with a small share stand for election later.
 	Weight float64
 	Fleet  fleet.Settings
+	// Clock measures the age of the lease; nil means boottime.Now.
+	Clock boottime.Clock
 }
 
 // Service owns the election and, while this VM holds the fleet, the scheduler.
@@ -43,13 +46,19 @@
 	term     *term
 	catalog  message.CatalogChanged
 	draining bool
+	// now is the clock of the lease.
+	now boottime.Clock
 }
 
 // New returns the service.
 func New(s Settings, store *metastore.Client, r *runner.Client, a *advisor.Client, m *metrics.Set) *Service {
+	if s.Clock == nil {
+		s.Clock = boottime.Now
+	}
 	return &Service{
 		settings: s, store: store, runner: r, advisor: a, metrics: m,
 		election: election{incarnation: uuid.NewString()},
+		now:      s.Clock,
 		catalog:  message.CatalogChanged{Config: (&workload.Config{}).Index()},
 	}
 }
@@ -102,7 +111,7 @@
 	case message.DrainStarted:
 		s.draining = true
 		s.release(c)
-	case message.JobStored, message.JobCancelled, message.StateQuery, message.WaitingQuery, message.EvacuateExecutors:
+	case message.JobStored, message.JobCancelled, message.StateQuery, message.WaitingQuery, message.EvacuateExecutors, message.PermitQuery:
 		s.handleQuery(c, e)
 	default:
 		if !s.handleElection(c, m) {
@@ -137,6 +146,8 @@
 		t.fleet.SetEvacuating(m.Executors)
 		e.Reply(message.OccupiedExecutors{Executors: t.fleet.OccupiedExecutors()})
 		s.requestPlan(c)
+	case message.PermitQuery:
+		s.handlePermitQuery(m, e)
 	case message.WaitingQuery:
 		e.Reply(message.WaitingReply{Waiting: t.fleet.WaitingJobs(m.Queue)})
 	}
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -28,9 +28,14 @@
 type term struct {
 	number int64
 	// fence is the fencing token: the store revision of this VM's holder entry.
-	fence  int64
-	cancel context.CancelFunc
+	fence int64
+	// leaseConfirmedAt is the reading of the service's clock at which the last confirmed renewal of the lease was sent.
+	leaseConfirmedAt time.Duration
+	// permitUntil is the reading of the service's clock until which another service may send an order.
+	permitUntil time.Duration
+	// ctx ends with the term, and with it the tasks of the term.
 	ctx    context.Context
+	cancel context.CancelFunc
 	fleet  *fleet.Scheduler
 
 	// progress is the recorded progress of jobs that are not yet added to the scheduler; nil until it is read.
--- a/services/holder/throttle_advice.go
+++ b/services/holder/throttle_advice.go
@@ -9,7 +9,6 @@
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/advisor"
-	"github.com/verbenaflow/verbenaflow/platform/runner"
 )
 
 // adviceTimeout bounds a call to the advisory service. The service needs some time for each executor of a call and
@@ -40,7 +39,7 @@
 func (s *Service) throttleTask(c *kernel.Context, a fleet.Throttle) {
 	t := s.term
 	s.runLine("task speed change ordered", "task", a.Task, "run", a.Run, "executor", a.Executor, "percent", a.SpeedPercent)
-	to := runner.Target{ID: a.Executor, Address: a.Address}
+	to := s.renewalOrder(a.Executor, a.Address)
 	fence := workload.FencingToken(t.fence)
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -4,15 +4,18 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/verbenaflow/verbenaflow/api/boottime"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/upkeep"
 	"github.com/verbenaflow/verbenaflow/kernel"
@@ -36,8 +39,9 @@
 		err          error
 	}
 	orderSent struct {
-		order upkeep.Order
-		err   error
+		order        upkeep.Order
+		fencingToken workload.FencingToken
+		err          error
 	}
 	waveStatusRecorded struct {
 		wave      int64
@@ -74,11 +78,31 @@
 	// which tasks may be running, from the latest reply.
 	occupied   []workload.ExecutorID
 	evacuating []workload.ExecutorID
+	// now is the clock of permits.
+	now boottime.Clock
+}
+
+// PermitError reports an order that was not sent because this VM may not be the holder any more.
+type PermitError struct{ Cause error }
+
+func (e *PermitError) Error() string { return fmt.Sprintf("no permit for the order: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *PermitError) Unwrap() error { return e.Cause }
+
+// PermitExpiredError reports an order that was not sent because its permit had expired.
+type PermitExpiredError struct {
+	// Late is how much too late the order was.
+	Late time.Duration
+}
+
+func (e *PermitExpiredError) Error() string {
+	return fmt.Sprintf("order not sent: its permit expired %v ago", e.Late)
 }
 
 // New returns the service; upkeepTime is the duration of an upkeep.
 func New(vm string, cloud *cloud.Client, store *metastore.Client, upkeepTime time.Duration, m *metrics.Set) *Service {
-	return &Service{vm: vm, cloud: cloud, store: store, upkeepTime: upkeepTime, metrics: m}
+	return &Service{vm: vm, cloud: cloud, store: store, upkeepTime: upkeepTime, metrics: m, now: boottime.Now}
 }
 
 // Spec returns the registration of the service.
@@ -180,15 +204,34 @@
 	klog.InfoS("upkeep ordered", "vm", s.vm, "service", names.Upkeep, "wave", o.Wave, "machine", o.Machine, "fence", s.fencingToken)
 	s.planner.MarkOrdered(time.Now(), o)
 	fencingToken := s.fencingToken
-	c.Spawn(func(ctx context.Context) kernel.Message {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		return orderSent{o, s.cloud.StartUpkeep(ctx, o.Machine, o.Wave, s.vm, fencingToken)}
+	c.Request(names.Holder, message.PermitQuery{FencingToken: fencingToken}, func(r kernel.Message, err error) {
+		permit, ok := r.(message.OrderPermit)
+		if err != nil || !ok {
+			s.handleOrderSent(orderSent{o, fencingToken, &PermitError{Cause: err}})
+			return
+		}
+		c.Spawn(func(ctx context.Context) kernel.Message {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			err := s.cloud.StartUpkeep(ctx, o.Machine, o.Wave, s.vm, fencingToken, permitGuard(s.now, permit))
+			return orderSent{o, fencingToken, err}
+		})
 	})
 }
 
+// permitGuard returns a guard of an order that fails once the permit has expired. The machine service may not check
+// fencing tokens, so that a late order could reach a machine after those of the next holder.
+func permitGuard(now boottime.Clock, permit message.OrderPermit) func() error {
+	return func() error {
+		if late := now() - permit.ValidUntil; late >= 0 {
+			return &PermitExpiredError{Late: late}
+		}
+		return nil
+	}
+}
+
 func (s *Service) handleOrderSent(m orderSent) {
-	if m.err == nil || s.planner == nil {
+	if m.err == nil || s.planner == nil || m.fencingToken != s.fencingToken {
 		return
 	}
 	var unknown *cloud.UnknownMachineError
@@ -200,8 +243,13 @@
 // recordWaveStatus writes to the store that a wave has started or is completed.
 func (s *Service) recordWaveStatus(c *kernel.Context, wave int64, completed bool) {
 	key, value := operator.EncodeWaveStatus(wave, completed)
+	// A holder that has been replaced must not overwrite what the next one has recorded.
+	txn := metastore.Txn{
+		Conditions: []metastore.Condition{{Key: records.HolderKey, Revision: int64(s.fencingToken)}},
+		Writes:     []metastore.Write{{Key: key, Value: value}},
+	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		_, err := s.store.Commit(ctx, metastore.Txn{Writes: []metastore.Write{{Key: key, Value: value}}})
+		_, err := s.store.Commit(ctx, txn)
 		return waveStatusRecorded{wave, completed, err}
 	})
 }
