Check every other input at the boundary

Cause: submissions, waves, configurations, reports of executors, lists of machines, advice and calls between VMs were decoded and hardly checked.

The relay accepts six kinds of messages for two services, closes a connection whose bytes cause a panic, and answers an overloaded service as not run.

--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -26,8 +26,6 @@
 	defaultTimeout = 3 * time.Second
 	// readyTimeout bounds a readiness check.
 	readyTimeout = 500 * time.Millisecond
-	// maxBodyBytes is the largest accepted body in bytes; the largest job of the platform's clients is far smaller.
-	maxBodyBytes = 512 << 10
 	// maxRetryAfterSeconds is the largest Retry-After value. Random values up to it spread the retries of clients.
 	maxRetryAfterSeconds = 3
 )
@@ -73,11 +71,11 @@
 
 func (h *handler) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	m := message.SubmitCall{ClientCall: clientCall(r)}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, front.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		h.fail(w, h.metrics.CountRefusal(failure.New(failure.TooLarge, "body over %d bytes", maxBodyBytes)))
+		h.fail(w, h.metrics.CountRefusal(failure.New(failure.TooLarge, "body over %d bytes", front.MaxBodyBytes)))
 		return
 	case err != nil:
 		h.fail(w, h.metrics.CountRefusal(failure.New(failure.Malformed, "%v", err)))
@@ -110,7 +108,7 @@
 		if errors.Is(err, context.DeadlineExceeded) {
 			err = h.metrics.CountRefusal(failure.New(failure.DeadlineExceeded, "no answer in time"))
 		}
-		h.fail(w, failure.From(err))
+		h.fail(w, failure.FromDelivery(err))
 		return
 	}
 	switch reply := reply.(type) {
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -269,6 +269,11 @@
 	if _, known := t.fleet.Status(job.ID); known {
 		return
 	}
+	if err := job.Validate(); err != nil {
+		s.log("unusable job ignored", "error", err.Error(), "revision", revision)
+		s.metrics.CountEvent("records_unreadable", 1)
+		return
+	}
 	t.fleet.AddJob(now, job, revision, t.progress[job.ID])
 	delete(t.progress, job.ID)
 	s.log("job added to the scheduler", "job", job.ID, "queue", job.Queue, "account", job.Account, "steps", len(job.Steps), "revision", revision)
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -76,6 +76,10 @@
 	case message.CancelCall:
 		s.cancel(c, m, e)
 	case message.AcceptJob:
+		if err := m.Job.Validate(); err != nil {
+			s.refuse(e, "submit", m.Job.ID, failure.New(failure.Malformed, "%v", err))
+			return
+		}
 		s.accept(c, m.Job, relayedDeadline(m.Within), e, false)
 	case message.AcceptCancel:
 		s.storeCancel(c, m.ID, relayedDeadline(m.Within), e, false)
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -214,10 +215,10 @@
 			m.env.Reply(r)
 			return
 		}
-		f := failure.From(err)
+		f := failure.FromDelivery(err)
 		switch {
-		case f.Outcome == failure.NotRun && (f.Reason == failure.NoHolder || f.Reason == failure.StoreUnavailable):
-			f = failure.New(failure.StoreUnavailable, "%s", f.Detail)
+		case f.Outcome == failure.NotRun && f.Reason.HTTPStatus() == http.StatusServiceUnavailable:
+			f = failure.New(failure.StoreUnavailable, "%s", f.Error())
 		default:
 			f = failure.New(failure.AcceptanceUnknown, "%s", f.Detail)
 		}
--- a/services/relay/service.go
+++ b/services/relay/service.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/rpc"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"k8s.io/klog/v2"
 
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
@@ -98,13 +101,32 @@
 			conns.Go(func() {
 				stop := context.AfterFunc(ctx, func() { conn.Close() })
 				defer stop()
-				server.ServeConn(conn)
+				s.serve(server, conn)
 			})
 		}
 	})
 	return nil
 }
 
+// serve serves the calls of one connection. Bytes that cannot be decoded end only this connection.
+func (s *Service) serve(server *rpc.Server, conn net.Conn) {
+	p := panics.Try(func() { server.ServeConn(conn) })
+	if p == nil {
+		return
+	}
+	conn.Close()
+	s.metrics.CountEvent("relay_connection_panics", 1)
+	klog.ErrorS(&ConnectionError{Cause: p.AsError()}, "connection of another VM closed after a panic", "service", names.Relay, "from", conn.RemoteAddr())
+}
+
+// ConnectionError reports a connection that was closed because decoding its bytes caused a panic.
+type ConnectionError struct{ Cause error }
+
+func (e *ConnectionError) Error() string { return fmt.Sprintf("decode a call: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ConnectionError) Unwrap() error { return e.Cause }
+
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
@@ -196,13 +218,27 @@
 // receiver is the net/rpc receiver that forwards messages of other VMs to this VM's services.
 type receiver struct{ caller kernel.Caller }
 
+// accepted holds the messages that a VM accepts from others, and the services that receive them.
+var accepted = map[string]kernel.Name{
+	message.JobStored{}.Kind():    names.Holder,
+	message.JobCancelled{}.Kind(): names.Holder,
+	message.StateQuery{}.Kind():   names.Holder,
+	message.WaitingQuery{}.Kind(): names.Holder,
+	message.AcceptJob{}.Kind():    names.Intake,
+	message.AcceptCancel{}.Kind(): names.Intake,
+}
+
 // Deliver is the net/rpc method rpcMethod.
 func (r *receiver) Deliver(request Parcel, response *Receipt) error {
+	if request.Body == nil || request.To == "" || accepted[request.Body.Kind()] != kernel.Name(request.To) {
+		response.Failure = failure.New(failure.Malformed, "no service %.40q for the message", request.To)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	body, err := r.caller.Call(ctx, kernel.Name(request.To), request.Body)
 	if err != nil {
-		response.Failure = failure.From(err)
+		response.Failure = failure.FromDelivery(err)
 		return nil
 	}
 	response.Body = body
--- /dev/null
+++ b/tests/holder/records_test.go
@@ -0,0 +1,49 @@
+package holder
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/message"
+	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/api/records"
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/kernel"
+)
+
+// TestUnusableRecords guards against holders that end one after the other because of an entry among their records that
+// another build or another writer left: such an entry is read by each new holder.
+func TestUnusableRecords(t *testing.T) {
+	env := newEnvironment(t)
+	step := workload.Step{Count: 1, Need: workload.Resources{GPU: 1}}
+	for id, job := range map[workload.JobID]workload.Job{
+		"bad-no-steps":    {},
+		"bad-after":       {Steps: []workload.Step{{Count: 1, After: []int{7}}}},
+		"bad-negative":    {Steps: []workload.Step{{Count: 1, After: []int{-1}}}},
+		"bad-cycle":       {Steps: []workload.Step{{Count: 1, After: []int{0}}}},
+		"bad-count":       {Steps: []workload.Step{{Count: -5}}},
+		"bad-size":        {Steps: []workload.Step{{Count: 1 << 40}}},
+		"bad-occurrences": {Steps: []workload.Step{step}, Occurrences: -2},
+		"bad-need":        {Steps: []workload.Step{{Count: 1, Need: workload.Resources{GPU: -1 << 60}}}},
+	} {
+		job.ID, job.Queue = id, "q"
+		env.store.Set(records.JobKey(id), records.Encode(job))
+	}
+	env.store.Set(records.JobKey("bad-json"), []byte(`{"Steps":5}`))
+	env.store.Set(records.ProgressKey("bad-progress"), []byte("\xff"))
+	env.store.Set(records.ProgressKey("0000000000000001"), []byte(`{"Steps":[{"Occurrence":-1,"Step":99,"Done":"AAAA","Units":[{"First":-3}]}]}`))
+	env.store.Set(records.CancelKey("none"), []byte("x"))
+	env.startLongJob()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	// The same jobs may come as notifications of other VMs.
+	if _, err := env.kernel.Call(ctx, names.Holder, message.JobStored{Job: workload.Job{ID: "bad-call", Steps: []workload.Step{{Count: 1, After: []int{3}}}}, Revision: 99}); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	state, err := kernel.Call[message.StateReply](ctx, env.kernel, names.Holder, message.StateQuery{ID: "0000000000000001"})
+	if err != nil || state.State != workload.StateRunning {
+		t.Errorf("%v, %v, want a running job", state, err)
+	}
+}
