Recover from panics of the services of an entry VM

Cause: a panic in any service ended the process with all calls in progress. A record or an operator's entry that caused it was read again by the next process and the next holder.

Change: a service may implement kernel.Recoverer. A failure with an unknown outcome is answered with 504, after which clients repeat their call; it was 500.

--- a/kernel/context.go
+++ b/kernel/context.go
@@ -88,13 +88,13 @@
 
 // Spawn runs a task on its own goroutine. The task may block, and the sockets that it uses belong to it. Its result, if
 // not nil, is delivered to this service as a message. The context of the task is canceled when the service stops.
-// A panic of the task stops the kernel.
+// A panic of the task stops the kernel unless the service is a Recoverer.
 func (c *Context) Spawn(task func(ctx context.Context) Message) {
 	r := c.r
 	ctx := r.ctx
 	r.tasks.Go(func() {
 		var m Message
-		r.catchPanic(func() { m = task(ctx) })
+		r.catchTaskPanic(ctx.Done(), func() { m = task(ctx) })
 		if m == nil {
 			return
 		}
--- a/kernel/errors.go
+++ b/kernel/errors.go
@@ -51,9 +51,14 @@
 	return fmt.Sprintf("service %q gave no answer before the stop", e.Name)
 }
 
-// PanicError reports a panic in a service or in one of its tasks. A panic stops the kernel.
+// PanicError reports a panic in a service or in one of its tasks. It stops the kernel unless the service is a Recoverer.
+// A message that was being handled may have been processed in part.
 type PanicError struct {
-	Name  Name
+	Name Name
+	// Kind is the kind of the message that was being handled, or empty.
+	Kind string
+	// Task is set if a task of the service panicked.
+	Task  bool
 	Value any
 	Stack string
 }
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -32,6 +32,21 @@
 	Drain(c *Context)
 }
 
+// Recoverer is a Service that continues after a panic of its handlers or tasks. A panic in any other service stops the
+// kernel.
+type Recoverer interface {
+	Service
+	// Recover restores a consistent state after a panic, which may have left a change of the state half done. The kernel
+	// has failed the message that was being handled with p. If Recover returns false or panics, the kernel stops.
+	Recover(c *Context, p *PanicError) bool
+}
+
+// PanicObserver is an Observer that is also notified of panics from which a service recovers. It is called on the
+// goroutine of the service.
+type PanicObserver interface {
+	ServiceRecovered(p *PanicError)
+}
+
 // Spec registers a service under a name.
 type Spec struct {
 	Name    Name
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -442,3 +442,74 @@
 		})
 	}
 }
+
+// recoveringService is a fakeService that recovers from panics unless refuse is set.
+type recoveringService struct {
+	fakeService
+	refuse    bool
+	recovered []*PanicError
+}
+
+func (s *recoveringService) Recover(_ *Context, p *PanicError) bool {
+	s.recovered = append(s.recovered, p)
+	return !s.refuse
+}
+
+// TestRecover guards against a panic of a Recoverer that stops the kernel or leaves the sender of the message without a
+// reply, and against one that goes unnoticed: in a handler, in a task, in a timer and in the handling of a reply.
+func TestRecover(t *testing.T) {
+	boom := func() { panic("boom") }
+	for name, handle := range map[string]func(c *Context, e Envelope){
+		"handle": func(*Context, Envelope) { boom() },
+		"task":   func(c *Context, _ Envelope) { c.Spawn(func(context.Context) Message { boom(); return nil }) },
+		"timer": func(c *Context, e Envelope) {
+			if e.Body == text("due") {
+				boom()
+			}
+			c.SendAfter(time.Second, text("due"))
+		},
+		"reply": func(c *Context, _ Envelope) { c.Request("other", text("q"), func(Message, error) { boom() }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, g *gomega.WithT) {
+				s := &recoveringService{}
+				s.handle = func(c *Context, e Envelope) {
+					if e.Body == text("ping") {
+						e.Reply(text("pong"))
+						return
+					}
+					handle(c, e)
+				}
+				other := &fakeService{handle: func(_ *Context, e Envelope) { e.Reply(text("a")) }}
+				r := startKernel(t, nil, Spec{Name: "other", Service: other}, Spec{Name: "a", Service: s})
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				_, err := r.Call(ctx, "a", text("x"))
+				var p *PanicError
+				g.Expect(errors.As(err, &p)).To(gomega.Equal(name == "handle"))
+				g.Expect(Call[text](freshContext(t), r, "a", text("ping"))).To(gomega.Equal(text("pong")))
+				g.Expect(r.stopAndWait()).To(gomega.Succeed())
+				g.Expect(s.recovered).To(gomega.HaveLen(1))
+				g.Expect(s.recovered[0].Value).To(gomega.Equal("boom"))
+				g.Expect(s.recovered[0].Task).To(gomega.Equal(name == "task"))
+			})
+		})
+	}
+	t.Run("refused", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, g *gomega.WithT) {
+			s := &recoveringService{refuse: true}
+			s.handle = func(*Context, Envelope) { boom() }
+			r := startKernel(t, nil, Spec{Name: "a", Service: s})
+			_ = r.Send("a", text("x"))
+			var p *PanicError
+			g.Expect(errors.As(<-r.result, &p)).To(gomega.BeTrue())
+		})
+	})
+}
+
+// freshContext returns a context for a call after the one that caused a panic.
+func freshContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
--- a/kernel/runner.go
+++ b/kernel/runner.go
@@ -21,10 +21,12 @@
 	mailbox      chan Envelope
 	replies      chan reply
 	taskMessages chan Message
-	ready        chan error
-	drain        chan struct{}
-	drained      chan struct{}
-	stop         chan struct{}
+	// taskPanics receives the panics of tasks of a Recoverer.
+	taskPanics chan *PanicError
+	ready      chan error
+	drain      chan struct{}
+	drained    chan struct{}
+	stop       chan struct{}
 	// stopped is closed once the service handles no more messages, finished once its tasks have ended, too.
 	stopped  chan struct{}
 	finished chan struct{}
@@ -69,6 +71,7 @@
 		mailbox:              make(chan Envelope, s.MailboxSize),
 		replies:              make(chan reply, maxPendingRequests),
 		taskMessages:         make(chan Message),
+		taskPanics:           make(chan *PanicError),
 		ready:                make(chan error, 1),
 		drain:                make(chan struct{}),
 		drained:              make(chan struct{}),
@@ -166,18 +169,20 @@
 		select {
 		case e := <-r.mailbox:
 			e.markHandled()
-			r.spec.Service.Handle(c, e)
+			r.handle(c, e)
 		case m := <-r.taskMessages:
-			r.spec.Service.Handle(c, Envelope{From: r.spec.Name, Body: m})
+			r.handle(c, Envelope{From: r.spec.Name, Body: m})
 		case a := <-r.replies:
-			r.completeRequest(a)
+			r.recoverPanics(c, Envelope{}, func() { r.completeRequest(a) })
 		case n := <-r.finishedServices:
-			r.handleServiceFinished(n)
+			r.recoverPanics(c, Envelope{}, func() { r.handleServiceFinished(n) })
+		case p := <-r.taskPanics:
+			r.recoverFrom(c, Envelope{}, p)
 		case <-timer.C:
 			r.fireTimers(c)
 		case <-drain:
 			drain = nil
-			r.spec.Service.Drain(c)
+			r.recoverPanics(c, Envelope{}, func() { r.spec.Service.Drain(c) })
 		case <-r.stop:
 			return
 		}
@@ -224,7 +229,7 @@
 			t.fire()
 			continue
 		}
-		r.spec.Service.Handle(c, Envelope{From: r.spec.Name, Body: t.m})
+		r.handle(c, Envelope{From: r.spec.Name, Body: t.m})
 	}
 }
 
--- a/node/daemon/observer.go
+++ b/node/daemon/observer.go
@@ -17,7 +17,10 @@
 	metrics *metrics.Set
 }
 
-var _ kernel.LifecycleObserver = (*observer)(nil)
+var (
+	_ kernel.LifecycleObserver = (*observer)(nil)
+	_ kernel.PanicObserver     = (*observer)(nil)
+)
 
 // MessageRefused implements kernel.Observer.
 func (o *observer) MessageRefused(to kernel.Name, _ string) {
@@ -42,6 +45,12 @@
 	klog.InfoS("service stopped", "vm", o.vm, "service", n, "drained", complete)
 }
 
+// ServiceRecovered implements kernel.PanicObserver.
+func (o *observer) ServiceRecovered(p *kernel.PanicError) {
+	o.metrics.CountEvent("panics_"+string(p.Name), 1)
+	klog.ErrorS(p, "service recovered from a panic", "vm", o.vm, "service", p.Name, "kind", p.Kind, "task", p.Task, "stack", p.Stack)
+}
+
 func (o *observer) info(msg string, keysAndValues ...any) {
 	klog.InfoS(msg, append([]any{"vm", o.vm, "service", serviceDaemon}, keysAndValues...)...)
 }
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -43,7 +43,7 @@
 	}
 	defer l.close()
 	o := &observer{vm: s.VM, metrics: metrics.New()}
-	k, err := assemblePlatform(s, l, reload.New(string(s.VM), path, settingsLoader(path, s), hup, o.metrics), o)
+	k, err := kernel.New(o, platformServices(s, l, reload.New(string(s.VM), path, settingsLoader(path, s), hup, o.metrics), o.metrics)...)
 	if err != nil {
 		return err
 	}
@@ -57,9 +57,8 @@
 	return nil
 }
 
-// assemblePlatform returns a kernel with the services of an entry VM on the users' platform.
-func assemblePlatform(s settings.Platform, l platformListeners, r *reload.Service, o *observer) (*kernel.Kernel, error) {
-	m := o.metrics
+// platformServices returns the services of an entry VM on the users' platform.
+func platformServices(s settings.Platform, l platformListeners, r *reload.Service, m *metrics.Set) []kernel.Spec {
 	store := metastore.NewClient(s.Store, s.StoreTimeout)
 	var advisorClient *advisor.Client
 	if s.Advisor != "" {
@@ -85,7 +84,7 @@
 	if s.Cloud != "" {
 		specs = append(specs, upkeep.New(string(s.VM), cloud.NewClient(s.Cloud), store, s.UpkeepTime, m).Spec())
 	}
-	return kernel.New(o, specs...)
+	return specs
 }
 
 // settingsLoader returns the function that reloads the settings file. Only the addresses of other VMs are applied; the
--- a/services/admin/service.go
+++ b/services/admin/service.go
@@ -70,6 +70,9 @@
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
+// Recover implements kernel.Recoverer. It does not recover a listener that has ended.
+func (s *Service) Recover(_ *kernel.Context, p *kernel.PanicError) bool { return !p.Task }
+
 // Handle implements kernel.Service.
 func (s *Service) Handle(_ *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
--- a/services/catalog/service.go
+++ b/services/catalog/service.go
@@ -25,11 +25,18 @@
 // watch calls that wait for their full time.
 const unreachableAfter = 2500 * time.Millisecond
 
+// recoveryDelay is the delay before the entries are listed again after a panic, which they may cause again.
+const recoveryDelay = time.Second
+
 type (
 	operatorUpdate  struct{ metastore.Update }
 	reachabilityDue struct{}
+	watchDue        struct{}
 )
 
+// Kind implements kernel.Message.
+func (watchDue) Kind() string { return "catalog_watch_due" }
+
 // Kind implements kernel.Message.
 func (operatorUpdate) Kind() string { return "catalog_followed" }
 
@@ -50,6 +57,8 @@
 	// lastAnswerAt is when the store last answered, reachable the reachability that was last published.
 	lastAnswerAt time.Time
 	reachable    bool
+	// cancelWatch ends the watch of the operators' entries.
+	cancelWatch context.CancelFunc
 }
 
 // New returns the service.
@@ -62,13 +71,34 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
+	s.watch(c)
+	c.SendAfter(unreachableAfter, reachabilityDue{})
+	return nil
+}
+
+// watch watches the operators' entries. It ends an earlier watch.
+func (s *Service) watch(c *kernel.Context) {
+	if s.cancelWatch != nil {
+		s.cancelWatch()
+	}
+	watch, cancel := context.WithCancel(context.Background())
+	s.cancelWatch = cancel
 	post := c.TaskSender()
 	c.Spawn(func(ctx context.Context) kernel.Message {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(watch, cancel)()
 		s.store.ListAndWatch(ctx, operator.KeyPrefix, 0, func(u metastore.Update) bool { return post(operatorUpdate{u}) })
 		return nil
 	})
-	c.SendAfter(unreachableAfter, reachabilityDue{})
-	return nil
+}
+
+// Recover implements kernel.Recoverer. An update may have been applied in part, so that the entries are listed again. The
+// configuration in force is kept.
+func (s *Service) Recover(c *kernel.Context, _ *kernel.PanicError) bool {
+	s.cancelWatch()
+	c.SendAfter(recoveryDelay, watchDue{})
+	return true
 }
 
 // Drain implements kernel.Service.
@@ -79,6 +109,8 @@
 	switch m := e.Body.(type) {
 	case operatorUpdate:
 		s.applyUpdate(c, m.Update)
+	case watchDue:
+		s.watch(c)
 	case reachabilityDue:
 		s.checkReachability(c)
 		c.SendAfter(unreachableAfter/2, reachabilityDue{})
--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -128,6 +128,10 @@
 		// Status 503 promises that the job does not run.
 		status = http.StatusGatewayTimeout
 	}
+	if status == http.StatusInternalServerError {
+		// Clients repeat a call after a gateway timeout, and the outcome of this one is unknown.
+		status = http.StatusGatewayTimeout
+	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(maxRetryAfterSeconds)))
 	}
--- a/services/gateway/service.go
+++ b/services/gateway/service.go
@@ -107,6 +107,11 @@
 	c.SendAfter(s.settings.LameDuck, lameDuckEnded{})
 }
 
+// Recover implements kernel.Recoverer. It does not recover a listener that has ended, or a drain.
+func (s *Service) Recover(_ *kernel.Context, p *kernel.PanicError) bool {
+	return !p.Task && !s.draining
+}
+
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -96,7 +96,9 @@
 	campaigning bool
 	// releasing is set while this VM's holder entry is being marked as released.
 	releasing bool
-	published message.HolderChanged
+	// abstainUntil is when this VM may stand for election again.
+	abstainUntil time.Time
+	published    message.HolderChanged
 }
 
 // heldByEarlierProcess reports whether the current holder is an earlier process of this VM. That process has ended, so
@@ -198,7 +200,7 @@
 	if s.draining || !vacant && !el.heldByEarlierProcess(s.settings.VM) {
 		return
 	}
-	if s.term != nil || !vacant {
+	if s.term != nil || !vacant && time.Now().After(el.abstainUntil) {
 		s.campaign(c)
 		return
 	}
@@ -209,6 +211,7 @@
 	if s.settings.Weight < lowWeightThreshold {
 		delay += lowWeightDelay
 	}
+	delay += max(0, time.Until(el.abstainUntil))
 	c.SendAfter(delay, candidacyDue{el.revision})
 }
 
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -46,6 +46,8 @@
 	term     *term
 	catalog  message.CatalogChanged
 	draining bool
+	// cancelWatch ends the watch of the entries of the holder and the term.
+	cancelWatch context.CancelFunc
 	// now is the clock of the lease.
 	now boottime.Clock
 }
@@ -81,12 +83,42 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
+	s.watchHolder(c)
+	return nil
+}
+
+// watchHolder watches the entries of the holder and the term. It ends an earlier watch.
+func (s *Service) watchHolder(c *kernel.Context) {
+	if s.cancelWatch != nil {
+		s.cancelWatch()
+	}
+	watch, cancel := context.WithCancel(context.Background())
+	s.cancelWatch = cancel
 	post := c.TaskSender()
 	c.Spawn(func(ctx context.Context) kernel.Message {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(watch, cancel)()
 		s.store.ListAndWatch(ctx, records.HolderPrefix, 0, func(u metastore.Update) bool { return post(holderUpdate{u}) })
 		return nil
 	})
-	return nil
+}
+
+// abstention is how long a VM does not stand for election after a panic, so that another VM takes over. If the same
+// records cause a panic there, too, the VMs take turns at this pace.
+const abstention = 5 * time.Second
+
+// Recover implements kernel.Recoverer. It ends the term, whose state may be inconsistent, and hands the fleet over: the
+// next holder builds its state from the store and from reports of the executors, and adopts what runs.
+func (s *Service) Recover(c *kernel.Context, _ *kernel.PanicError) bool {
+	s.election.abstainUntil = time.Now().Add(abstention)
+	s.release(c)
+	if s.draining && !s.election.releasing {
+		c.CompleteDrain()
+	}
+	s.election.loaded = false
+	s.watchHolder(c)
+	return true
 }
 
 // Drain implements kernel.Service.
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -58,6 +58,10 @@
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
+// Recover implements kernel.Recoverer. The service holds no state that a call changes in several steps; the call that
+// caused the panic fails with an unknown outcome.
+func (s *Service) Recover(*kernel.Context, *kernel.PanicError) bool { return true }
+
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
--- a/services/relay/service.go
+++ b/services/relay/service.go
@@ -130,6 +130,22 @@
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
+// Recover implements kernel.Recoverer. It closes all connections to other VMs and fails the calls that wait for one,
+// because no dial may be in progress for them any more. It does not recover a listener that has ended.
+func (s *Service) Recover(_ *kernel.Context, p *kernel.PanicError) bool {
+	for _, waiting := range s.pendingDials {
+		for _, w := range waiting {
+			w.env.Fail(p)
+		}
+	}
+	for _, client := range s.clients {
+		client.Close()
+	}
+	clear(s.pendingDials)
+	clear(s.clients)
+	return !p.Task
+}
+
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
--- a/services/reload/service.go
+++ b/services/reload/service.go
@@ -108,6 +108,9 @@
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
+// Recover implements kernel.Recoverer. It does not recover the watch of the file.
+func (s *Service) Recover(_ *kernel.Context, p *kernel.PanicError) bool { return !p.Task }
+
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	m, ok := e.Body.(settingsRead)
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -27,11 +27,14 @@
 const (
 	// stepInterval is the interval at which the machines are checked while a wave is unfinished.
 	stepInterval = 400 * time.Millisecond
+	// recoveryDelay is the delay before the waves are planned anew after a panic, which they may cause again.
+	recoveryDelay = time.Second
 	// callTimeout bounds a call to the platform.
 	callTimeout = 2 * time.Second
 )
 
 type (
+	replanDue      struct{}
 	stepDue        struct{ fencingToken workload.FencingToken }
 	machinesListed struct {
 		fencingToken workload.FencingToken
@@ -50,6 +53,9 @@
 	}
 )
 
+// Kind implements kernel.Message.
+func (replanDue) Kind() string { return "upkeep_replan_due" }
+
 // Kind implements kernel.Message.
 func (stepDue) Kind() string { return "upkeep_step_due" }
 
@@ -119,6 +125,13 @@
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
+// Recover implements kernel.Recoverer. It plans all waves anew, as the service of a new holder does.
+func (s *Service) Recover(c *kernel.Context, _ *kernel.PanicError) bool {
+	s.planner = nil
+	c.SendAfter(recoveryDelay, replanDue{})
+	return true
+}
+
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
@@ -130,6 +143,8 @@
 			s.fencingToken, s.planner = m.FencingToken, nil
 			s.updatePlanner(c)
 		}
+	case replanDue:
+		s.updatePlanner(c)
 	case stepDue:
 		if m.fencingToken == s.fencingToken && s.planner != nil {
 			s.listMachines(c)
