--- a/decisions/fencedlog/log.go
+++ b/decisions/fencedlog/log.go
@@ -86,8 +86,7 @@
 	// slot is the slot in flight or with an unknown result; inFlight lists its unanswered appends.
 	slot     Slot
 	inFlight []pendingAppend
-	// writeInterval is the minimum mean time between two slot writes. Open and Abandon reset it to zero, which is no
-	// limit until the next SetLogCount. theoreticalArrival is the time at which the intervals of all writes so far have
+	// writeInterval is the minimum mean time between two slot writes. theoreticalArrival is the time at which the intervals of all writes so far have
 	// passed (the theoretical arrival time of the generic cell rate algorithm).
 	writeInterval      time.Duration
 	theoreticalArrival time.Time
@@ -171,7 +170,7 @@
 	}
 	*l = Log{
 		writeIDPrefix: l.writeIDPrefix, lastWrite: l.lastWrite, lastCall: l.lastCall, lastTimer: l.lastTimer,
-		phase: idle, now: l.now, actions: l.actions,
+		phase: idle, writeInterval: l.writeInterval, now: l.now, actions: l.actions,
 	}
 }
 
--- a/decisions/fencedlog/snapshot_test.go
+++ b/decisions/fencedlog/snapshot_test.go
@@ -65,24 +65,45 @@
 		h := sim.elect()
 		sim.runWithoutFaults(50, h)
 		sim.step(h, fencedlog.SetLogCount{Count: logCount})
+		checkWritePace(t, sim, h, logCount)
+	}
+}
+
+// TestWritePaceOfNewEpoch guards against a log that writes without a limit in each epoch until the number of logs
+// changes, which may never happen: the number is known before the epoch begins.
+func TestWritePaceOfNewEpoch(t *testing.T) {
+	const logCount = 3
+	sim := newSimulation(t)
+	h := sim.elect()
+	sim.runWithoutFaults(50, h)
+	sim.step(h, fencedlog.SetLogCount{Count: logCount})
+	sim.step(h, fencedlog.Abandon{})
+	h.epoch.Store++
+	sim.step(h, fencedlog.Open{Epoch: h.epoch})
+	sim.runWithoutFaults(50, h)
+	checkWritePace(t, sim, h, logCount)
+}
+
+// checkWritePace checks the number of writes of a log that appends more often than its share permits.
+func checkWritePace(t *testing.T, sim *simulation, h *holder, logCount int) {
+	t.Helper()
+	sim.append(h, 1)
+	if len(h.calls) != 1 {
+		t.Fatalf("an idle log has %d calls in flight after an append", len(h.calls))
+	}
+	sim.completeCall(h, 0)
+	before, lastID := sim.puts, sim.lastID
+	for range 1000 {
 		sim.append(h, 1)
-		if len(h.calls) != 1 {
-			t.Fatalf("an idle log has %d calls in flight after an append", len(h.calls))
-		}
 		sim.completeCall(h, 0)
-		before, lastID := sim.puts, sim.lastID
-		for range 1000 {
-			sim.append(h, 1)
-			sim.completeCall(h, 0)
-			sim.advance(time.Millisecond)
-		}
-		share := fencedlog.WritesPerSecond / logCount
-		if puts := sim.puts - before; puts < share || puts > share+fencedlog.WriteBurst {
-			t.Fatalf("%d writes in a second by one of %d logs", puts, logCount)
-		}
-		sim.runWithoutFaults(10, h)
-		if durable := len(sim.durable); durable != int(sim.lastID-lastID)+1 {
-			t.Fatalf("%d of %d appends are durable", durable, sim.lastID-lastID+1)
-		}
+		sim.advance(time.Millisecond)
+	}
+	share := fencedlog.WritesPerSecond / logCount
+	if puts := sim.puts - before; puts < share || puts > share+fencedlog.WriteBurst {
+		t.Fatalf("%d writes in a second by one of %d logs", puts, logCount)
+	}
+	sim.runWithoutFaults(10, h)
+	if durable := len(sim.durable); durable != int(sim.lastID-lastID)+1 {
+		t.Fatalf("%d of %d appends are durable", durable, sim.lastID-lastID+1)
 	}
 }
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -77,6 +77,8 @@
 const (
 	// StopJobEnded ends a run of a job that has ended.
 	StopJobEnded StopReason = "job_ended"
+	// StopGangDone ends the remaining tasks of a gang whose run is done.
+	StopGangDone StopReason = "gang_done"
 	// StopPreempted frees capacity for a job of a higher class.
 	StopPreempted StopReason = "preempted"
 	// StopGangIncomplete ends the remaining tasks of a gang that lost a task.
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -179,6 +179,7 @@
 	case u.state == unitActive:
 		// A higher run number than that of the unit was not issued by this holder; the lower run is obsolete.
 		for _, other := range u.taskRuns {
+			f.usage.add(u, -other.load.GPU)
 			other.unit = nil
 			other.stopping, other.stopReason = true, StopOrphan
 		}
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -63,7 +63,7 @@
 		f.cancelReservation(now, u)
 	default:
 		// The tasks of a gang end together; those that do not end by themselves are stopped.
-		u.ending, u.endingSince, u.endReason = true, now, StopJobEnded
+		u.ending, u.endingSince, u.endReason = true, now, StopGangDone
 	}
 	f.resetIfEnded(now, u)
 }
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -22,6 +22,8 @@
 	// registryWatchPause is the pause between two calls of the watch of executors, whose heartbeats change their entries
 	// all the time. It is short compared with the seconds within which a leaving executor must get no more work.
 	registryWatchPause = 200 * time.Millisecond
+	// recordsRetryDelay is the delay before the records are read again after a failure. The store counts refused calls, too.
+	recordsRetryDelay = 100 * time.Millisecond
 )
 
 // term is the state of this VM while it is the holder.
@@ -83,6 +85,7 @@
 		saveRevision int64
 		err          error
 	}
+	recordsDue  struct{ termScoped }
 	queueUpdate struct {
 		termScoped
 		metastore.Update
@@ -96,6 +99,9 @@
 // Kind implements kernel.Message.
 func (recordsLoaded) Kind() string { return "holder_progress_read" }
 
+// Kind implements kernel.Message.
+func (recordsDue) Kind() string { return "holder_records_due" }
+
 // Kind implements kernel.Message.
 func (queueUpdate) Kind() string { return "holder_queue_followed" }
 
@@ -175,6 +181,8 @@
 		return
 	}
 	switch m := m.(type) {
+	case recordsDue:
+		s.loadRecords(c, s.term)
 	case recordsLoaded:
 		s.handleRecordsLoaded(c, m)
 	case queueUpdate:
@@ -191,7 +199,7 @@
 	if m.err != nil {
 		s.log("reading the records failed; retrying", "error", m.err.Error())
 		s.metrics.CountEvent("records_unread", 1)
-		s.loadRecords(c, t)
+		c.SendAfter(recordsRetryDelay, recordsDue{termScoped{t.number}})
 		return
 	}
 	t.progress = make(map[workload.JobID]*workload.Progress, len(m.progress))
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -14,6 +14,9 @@
 // tickInterval is the resolution of the ends of runs and of the lease.
 const tickInterval = 20 * time.Millisecond
 
+// fullSpeedPercent is the speed of a run that is not throttled.
+const fullSpeedPercent = 100
+
 // RunRecord is the executor's record of one run.
 type RunRecord struct {
 	Executor workload.ExecutorID
@@ -26,6 +29,8 @@
 	// EndAcknowledged is set once the holder has acknowledged the end, unless the lease has expired since the end. A
 	// holder may not know of an end that is not acknowledged, and may start the task again.
 	EndAcknowledged bool
+	// SpeedPercent is the share of its full speed at which the run was last ordered to work.
+	SpeedPercent int
 }
 
 // Executor is the stand-in for one executor. Run owns its state; all other methods send calls to Run and are safe for
@@ -162,6 +167,22 @@
 	return r.clock, r.err
 }
 
+// Throttle implements runner.API. It records the speed; tasks of this executor take as long at any speed.
+func (e *Executor) Throttle(task workload.TaskRef, number workload.RunNumber, percent int, f workload.FencingToken) (time.Duration, error) {
+	r := e.do(func(st *state) result {
+		if err := st.checkFence(f); err != nil {
+			return result{err: err}
+		}
+		for _, run := range st.runs {
+			if run.task == task && run.number == number {
+				run.record.SpeedPercent = percent
+			}
+		}
+		return result{clock: st.clock()}
+	})
+	return r.clock, r.err
+}
+
 // RenewLease implements runner.API.
 func (e *Executor) RenewLease(o runner.RenewOrder) (workload.Report, <-chan struct{}, error) {
 	r := e.do(func(st *state) result {
@@ -215,7 +236,7 @@
 	}
 	st.extendLease(o.Deadline)
 	now := time.Now()
-	record := &RunRecord{Executor: st.info.ID, Task: o.Task, Run: o.Run, Started: now}
+	record := &RunRecord{Executor: st.info.ID, Task: o.Task, Run: o.Run, Started: now, SpeedPercent: fullSpeedPercent}
 	st.records = append(st.records, record)
 	if st.runs = append(st.runs, &run{task: o.Task, number: o.Run, record: record}); len(st.runs) > st.info.Capacity.GPU {
 		st.overCapacity++
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -56,16 +56,40 @@
 	executor *runnerstandin.Executor
 	clock    *suspendableClock
 	kernel   *kernel.Kernel
+	// refuseRecords makes the store refuse to list the progress of jobs, recordReads counts these calls.
+	refuseRecords atomic.Bool
+	recordReads   atomic.Int64
+}
+
+// observeStore counts the calls that list the progress of jobs, and refuses them while refuseRecords is set.
+func (env *environment) observeStore(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("prefix") == records.ProgressPrefix {
+			env.recordReads.Add(1)
+			if env.refuseRecords.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 func newEnvironment(t *testing.T) *environment {
+	t.Helper()
+	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}}
+	env.start()
+	return env
+}
+
+func (env *environment) start() {
+	t := env.t
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
-	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}}
 	wg.Go(func() { env.store.Run(ctx) })
-	storeServer := serve(t, metastore.NewHandler(env.store))
+	storeServer := serve(t, env.observeStore(metastore.NewHandler(env.store)))
 
 	info := workload.Executor{
 		ID: "e", Pool: "pool", Domain: "d", Capacity: workload.Resources{CPU: 32000, Memory: 64000, GPU: 4}, Labels: []string{"a", "r"},
@@ -98,7 +122,6 @@
 	}
 	env.kernel = k
 	t.Cleanup(func() { _ = stop(nil) })
-	return env
 }
 
 // serve serves until the test ends. Calls in progress are cut off then.
--- a/tests/holder/records_test.go
+++ b/tests/holder/records_test.go
@@ -10,6 +10,7 @@
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/kernel"
+	storestandin "github.com/verbenaflow/verbenaflow/standins/metastore"
 )
 
 // TestUnusableRecords guards against holders that end one after the other because of an entry among their records that
@@ -47,3 +48,19 @@
 		t.Errorf("%v, %v, want a running job", state, err)
 	}
 }
+
+// TestRecordsRefused guards against a new holder that reads the records again at once and without end while the store
+// refuses: the store counts refused calls, too.
+func TestRecordsRefused(t *testing.T) {
+	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}}
+	env.refuseRecords.Store(true)
+	env.start()
+	env.eventually("the records are read", func() bool { return env.recordReads.Load() > 0 })
+	const observed = time.Second
+	time.Sleep(observed)
+	if n := env.recordReads.Load(); n < 2 || n > 20 {
+		t.Errorf("the records were read %d times in %v", n, observed)
+	}
+	env.refuseRecords.Store(false)
+	env.startLongJob()
+}
