Log the tasks of a run in one line, and print the history of a job

Cause: the holder wrote a line for each task, at most 60 a second of a kind. On the large site more than 60 tasks start in a second, so that lines about jobs were dropped in most seconds. The logs did not say why a job waited, a wait after a restart counted from the first one, ends that were done were not logged, and the logs of 97 VMs had to be read by hand.

Change: events of runs are collected for 0.1 s; the tasks of a run with the same event share a line that lists them with their executors. The scheduler keeps the reason why a unit waits and gives one notice for a job that waits for 2 s. An end that an executor reports again is logged once. verbenactl trace ID FILE... merges logs and adds the changes of the holder.

--- a/cmd/verbenactl/main.go
+++ b/cmd/verbenactl/main.go
@@ -86,6 +86,7 @@
 		{name: "account", help: "show client accounts", children: []commandNode{
 			{name: "show", help: "show the use of a client account", command: &accountShow{app: a}},
 		}},
+		{name: "trace", help: "print what the logs of entry VMs on the users' platform say about a job", command: &traceCommand{app: a}},
 		{name: "status", help: "show an entry VM and its members", command: &statusShow{app: a}},
 		{name: "demo", help: "run a cluster in this process and show its promises", command: &demoCommand{app: a}},
 		{name: "load", help: "send requests and jobs at a fixed rate", command: &loadCommand{app: a}},
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -6,7 +6,8 @@
 	"github.com/verbenaflow/verbenaflow/api/workload"
 )
 
-// Action is an action that the holder carries out for the scheduler: Start, Stop, Poll, Throttle or AdviceQuery.
+// Action is an action that the holder carries out for the scheduler: Start, Stop, Poll, Throttle, AdviceQuery or
+// WaitNotice.
 type Action interface{ action() }
 
 // Start starts one run of a task. The result is applied by Started or StartFailed.
@@ -23,8 +24,9 @@
 	Deadline time.Duration
 	// Reason is why the task is placed there, for the log.
 	Reason string
-	// Waited is the time since the task became startable.
-	Waited time.Duration
+	// Waited is the time since the task became startable, WaitedFor the last reason why it was not started.
+	Waited    time.Duration
+	WaitedFor WaitReason
 }
 
 // Stop stops one run of a task. The result is applied by StopAnswered.
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -46,9 +46,12 @@
 	progress   int
 	progressAt time.Time
 	startedAt  time.Time
-	// readyAt is when the unit first became startable, notBefore the earliest time of the next start.
-	readyAt   time.Time
-	notBefore time.Time
+	// readyAt is when the unit first became startable, pendingSince when it last did: after its latest run has ended.
+	// notBefore is the earliest time of the next start.
+	readyAt, pendingSince time.Time
+	notBefore             time.Time
+	// waitsFor is why the unit was not started in the last planning pass.
+	waitsFor WaitReason
 	// avoidedExecutor is the executor on which a run last failed, stalled or was refused; the unit does not start there
 	// before avoidUntil.
 	avoidedExecutor workload.ExecutorID
@@ -82,7 +85,9 @@
 	mayRunVersion int64
 	// begun is set once a task has started.
 	begun bool
-	units []*unit
+	// waitReported is set once a WaitNotice was given.
+	waitReported bool
+	units        []*unit
 	// criticalPaths is the estimated time from the start of each step to the end of the job, longestPath that of the job.
 	criticalPaths []time.Duration
 	longestPath   time.Duration
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -27,23 +27,28 @@
 		expected := f.runTimes.expected(first.job.rec.Queue, first.spec().Estimate)
 		if c.Class <= classUrgent || first.spec().LongRunning || filter.permits(now, expected) {
 			f.placeStep(now, c, usable, &budget, &filter)
+		} else {
+			setWaiting(c.units, WaitGang)
 		}
 	}
 }
 
 // placeStep places the waiting units of a step until one does not fit: the units of a step have equal demands.
 func (f *Scheduler) placeStep(now time.Time, c *candidate, usable []*executor, budget *headroom, filter *backfill) {
-	for _, u := range c.units {
+	for i, u := range c.units {
 		if now.Before(u.notBefore) {
+			u.waitsFor = WaitRetry
 			continue
 		}
 		if u.job.mayRunPending() {
 			// No unit of the job starts before the record is durable, so that no placement is needed yet.
+			setWaiting(c.units[i:], WaitRecord)
 			return
 		}
 		// Each placement uses some of the account's guarantee, so that the class of the next unit may differ.
 		c.Class = f.classOf(u)
-		if !budget.allows(c.Class, u) || !f.placeUnit(now, c, u, usable) {
+		if reason := f.tryPlace(now, c, u, usable, budget); reason != "" {
+			setWaiting(c.units[i:], reason)
 			if budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
 			}
@@ -53,6 +58,20 @@
 	}
 }
 
+// tryPlace places a unit if the headroom allows it. It returns why the next unit of the step is not worth trying, or "".
+func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, usable []*executor, budget *headroom) WaitReason {
+	if !budget.allows(c.Class, u) {
+		return WaitHeadroom
+	}
+	if !f.placeUnit(now, c, u, usable) {
+		return WaitCapacity
+	}
+	if u.job.mayRunPending() {
+		u.waitsFor = WaitRecord
+	}
+	return ""
+}
+
 // backfill restricts the work that may start ahead of gangs which do not fit, so that capacity becomes free for them:
 // it has to end before the earliest latest start of these gangs.
 type backfill struct {
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -28,7 +28,10 @@
 		waiting = f.startable(now)
 		f.placeWaiting(now, waiting)
 		f.startReserved(now)
+	} else {
+		setWaiting(f.pendingUnits, WaitLease)
 	}
+	f.reportWaiting(now)
 	f.planStops(now)
 	f.planPolls(now)
 	out := f.actions
@@ -105,7 +108,7 @@
 	for _, j := range f.openJobs {
 		for _, u := range j.units {
 			if u.state == unitBlocked && !j.state.Final() && j.dependenciesDone(u) && !now.Before(j.dueAt(u.occurrence)) {
-				u.state, u.readyAt = unitPending, now
+				u.state, u.readyAt, u.pendingSince = unitPending, now, now
 			}
 			if u.state == unitPending {
 				f.pendingUnits = append(f.pendingUnits, u)
@@ -149,10 +152,13 @@
 		rest = rest[n:]
 		inherited := u.job.createdRevision <= f.termRevision && u.job.mayRun
 		if inherited && slices.ContainsFunc(unreconciled, func(e *executor) bool { return e.mayHaveRun(u.job.rec.ID) }) {
+			setWaiting(units, WaitUnverified)
 			continue
 		}
 		if slices.ContainsFunc(units, func(u *unit) bool { return !now.Before(u.notBefore) }) {
 			out = append(out, f.newCandidate(now, units))
+		} else {
+			setWaiting(units, WaitRetry)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *candidate) int { return f.jobOrder(now, &a.Candidate, &b.Candidate) })
@@ -177,6 +183,7 @@
 
 // start adds the starts of all tasks of a unit that has reserved free capacity.
 func (f *Scheduler) start(now time.Time, u *unit, reason string) {
+	defer func() { u.waitsFor = "" }()
 	u.startedAt, u.progressAt, u.progress = now, now, 0
 	for _, r := range u.taskRuns {
 		r.state, r.startSentAt = taskStartSent, now
@@ -185,7 +192,7 @@
 		f.count(CountStart)
 		f.actions = append(f.actions, Start{
 			Executor: r.executor.info.ID, Address: r.executor.address, Task: r.task, Run: r.run, Spec: u.job.rec.Spec, Checkpoint: u.checkpoint, Ticket: f.ticketFor(u, r.executor.info.ID),
-			Deadline: r.executor.renewedDeadline(now, f.settings.Lease), Reason: reason, Waited: now.Sub(u.readyAt),
+			Deadline: r.executor.renewedDeadline(now, f.settings.Lease), Reason: reason, Waited: now.Sub(u.pendingSince), WaitedFor: u.waitsFor,
 		})
 	}
 }
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -157,7 +157,7 @@
 	}
 	u.ending = false
 	if u.state == unitActive {
-		u.state = unitPending
+		u.state, u.pendingSince = unitPending, now
 	}
 }
 
--- /dev/null
+++ b/decisions/fleet/waiting.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// WaitReason is why a unit that could start has not been started in the last planning pass.
+type WaitReason string
+
+// Reasons to wait.
+const (
+	// WaitLease means that the holder's lease is not confirmed, so that another VM may be the holder.
+	WaitLease WaitReason = "lease_unconfirmed"
+	// WaitUnverified means that the job may be running on executors that have not reported to this holder yet.
+	WaitUnverified WaitReason = "unverified_executors"
+	// WaitRecord means that the record that the job may run is not durable yet.
+	WaitRecord WaitReason = "record"
+	// WaitRetry means that the last start was refused a moment ago.
+	WaitRetry WaitReason = "retry_delay"
+	// WaitHeadroom means that the free capacity is kept for urgent work that is about to arrive.
+	WaitHeadroom WaitReason = "headroom"
+	// WaitGang means that the free capacity is kept for a gang that waits for more.
+	WaitGang WaitReason = "waiting_gang"
+	// WaitCapacity means that the unit does not fit on the executors that may run it.
+	WaitCapacity WaitReason = "capacity"
+)
+
+// noticeDelay is the wait from which on a job is reported once.
+const noticeDelay = 2 * time.Second
+
+// WaitNotice reports a job that has waited for noticeDelay.
+type WaitNotice struct {
+	Job              workload.JobID
+	Occurrence, Step int
+	Waited           time.Duration
+	Reason           WaitReason
+}
+
+func (WaitNotice) action() {}
+
+// setWaiting sets the reason of units that are not started.
+func setWaiting(units []*unit, r WaitReason) {
+	for _, u := range units {
+		u.waitsFor = r
+	}
+}
+
+// reportWaiting adds a notice for each job that has waited for long and was not reported yet.
+func (f *Scheduler) reportWaiting(now time.Time) {
+	for _, u := range f.pendingUnits {
+		if u.state != unitPending || u.job.waitReported || now.Sub(u.pendingSince) < noticeDelay {
+			continue
+		}
+		u.job.waitReported = true
+		f.actions = append(f.actions, WaitNotice{Job: u.job.rec.ID, Occurrence: u.occurrence, Step: u.step, Waited: now.Sub(u.pendingSince), Reason: u.waitsFor})
+	}
+}
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -128,9 +128,12 @@
 			s.throttleTask(c, a)
 		case fleet.AdviceQuery:
 			s.requestAdvice(c, a)
+		case fleet.WaitNotice:
+			s.logWait(a)
 		}
 	}
 	s.save(c)
+	s.flushRunLog(now, false)
 	s.updateMetrics(now)
 	s.schedulePlan(c, next)
 }
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -62,7 +62,8 @@
 	planScheduled bool
 	cancelPlan    func()
 	nextExpiryAt  time.Time
-	runLog        runLogLimiter
+	runLog        runLog
+	loggedEnds    map[workload.ExecutorID]loggedEnds
 	// refusedEntries holds the registry entries that are ignored now and why.
 	refusedEntries map[string]runner.EntryProblem
 	// summaryCounts holds the scheduler's counts since the last summary.
@@ -117,7 +118,10 @@
 		s.endTerm("a new term begins")
 	}
 	now := time.Now()
-	t := &term{number: number, fence: fence, startedAt: now, lastSummaryAt: now, summaryCounts: map[fleet.Counter]int64{}, refusedEntries: map[string]runner.EntryProblem{}}
+	t := &term{
+		number: number, fence: fence, startedAt: now, lastSummaryAt: now, summaryCounts: map[fleet.Counter]int64{}, refusedEntries: map[string]runner.EntryProblem{},
+		loggedEnds: map[workload.ExecutorID]loggedEnds{},
+	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.fleet = fleet.New(s.settings.Fleet, number, fence, hasPredecessor, now)
 	t.fleet.SetConfig(s.catalog.Config)
@@ -170,6 +174,7 @@
 func (s *Service) endTerm(reason string, keysAndValues ...any) {
 	t := s.term
 	t.cancel()
+	s.flushRunLog(time.Now(), true)
 	s.term = nil
 	s.log("holder term ended", append([]any{"reason", reason, "term_ended", t.number}, keysAndValues...)...)
 	s.metrics.CountEvent("terms_ended", 1)
--- a/services/holder/throttle_advice.go
+++ b/services/holder/throttle_advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,7 +39,7 @@
 // throttleTask limits a task to a percentage of its speed; 100 lifts the limit.
 func (s *Service) throttleTask(c *kernel.Context, a fleet.Throttle) {
 	t := s.term
-	s.runLine("task speed change ordered", "task", a.Task, "run", a.Run, "executor", a.Executor, "percent", a.SpeedPercent)
+	s.runLine("task speed change ordered", a.Task, a.Run, a.Executor, "percent", strconv.Itoa(a.SpeedPercent), "")
 	to := s.renewalOrder(a.Executor, a.Address)
 	fence := workload.FencingToken(t.fence)
 	c.Spawn(func(ctx context.Context) kernel.Message {
