Do not take a time without reports for a run without progress

Cause: a run counted as stalled when the holder had seen no progress for some seconds, also when it had seen no report. After a pause of the holder's process of 5 s, with the store away or no other VM at hand, the first planning pass stopped every run before the reports that waited in its sockets were read.

Change: only a report that shows no progress counts.

--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -93,6 +93,8 @@
 	inheritedEntry *workload.RosterEntry
 	closedInRoster bool
 
+	// reportedAt is when the last report was applied.
+	reportedAt     time.Time
 	polling        bool
 	nextPollAt     time.Time
 	refusals       int
--- a/decisions/fleet/move.go
+++ b/decisions/fleet/move.go
@@ -55,7 +55,8 @@
 		}
 		est := f.runTimes.expected(u.job.rec.Queue, u.spec().Estimate)
 		bound := max(minStallTime, time.Duration(stallFactor*stallProgressShare*f.settings.RemoteSlowdown*float64(est)))
-		if now.Sub(u.progressAt) < bound+f.settings.PollWait {
+		// Only a report shows that there was no progress. Time without reports, such as a pause of this process, does not.
+		if u.taskRuns[0].executor.reportedAt.Sub(u.progressAt) < bound+f.settings.PollWait {
 			continue
 		}
 		f.count(CountStalled)
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -57,6 +57,7 @@
 		e.incarnation = r.StartedAtMS
 	}
 	f.setClock(now, e, r.Clock)
+	e.reportedAt = now
 	firstReport := !e.verified
 	e.verified = true
 	e.ackedEnd = max(e.ackedEnd, poll.AckedThrough)
--- /dev/null
+++ b/tests/fleet/reports_test.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/platform/operator"
+	"github.com/verbenaflow/verbenaflow/platform/runner"
+	"github.com/verbenaflow/verbenaflow/standins/link"
+	storestandin "github.com/verbenaflow/verbenaflow/standins/metastore"
+)
+
+// The tests of this file bring about what operators of similar systems have reported; docs/platform.md lists them.
+
+// TestSilentExecutors guards against work that is started again or given up because its executor was silent, slow or not
+// registered for a while, but for less than its lease.
+func TestSilentExecutors(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.awaitReady()
+	gang := f.mustSubmit(9, 6*time.Second, true)
+	f.awaitState(gang, workload.StateRunning)
+	entry := runner.RegistryPrefix + "e0"
+	f.setPath("e0", link.ModeHold, 0)
+	f.setPath("e1", link.ModePass, 300*time.Millisecond)
+	f.store.Remove(entry)
+	time.Sleep(1200 * time.Millisecond)
+	f.setPath("e0", link.ModePass, 0)
+	f.setPath("e1", link.ModePass, 0)
+	f.store.Set(entry, runner.EncodeRegistryEntry(f.infos["e0"]))
+	time.Sleep(time.Second)
+	f.setPath("e2", link.ModeRefuse, 0)
+	time.Sleep(200 * time.Millisecond)
+	f.setPath("e2", link.ModePass, 0)
+	f.awaitState(gang, workload.StateCompleted)
+	if n := f.checkExecutors()[gang]; n != 9 {
+		t.Errorf("%d runs of 9 tasks", n)
+	}
+}
+
+// TestHolderFrozen guards against orders that a frozen holder sends after the next one has taken over, while work waits
+// for capacity that becomes free meanwhile, and against work that is stopped or lost by the change.
+func TestHolderFrozen(t *testing.T) {
+	for _, frozen := range []time.Duration{3 * time.Second, 5 * time.Second} {
+		t.Run(frozen.String(), func(t *testing.T) {
+			f := newFleet(t, 3, 3)
+			f.awaitReady()
+			// Two gangs occupy all accelerators and end while the holder is frozen; the others wait for their capacity.
+			var ids []workload.JobID
+			for range 6 {
+				ids = append(ids, f.mustSubmit(6, 1500*time.Millisecond, true))
+			}
+			f.awaitState(ids[0], workload.StateRunning)
+			v := f.holder()
+			p := v.process()
+			_ = p.Signal(syscall.SIGSTOP)
+			time.Sleep(frozen)
+			_ = p.Signal(syscall.SIGCONT)
+			for _, id := range ids {
+				f.awaitState(id, workload.StateCompleted)
+			}
+			f.checkRunning()
+			runs := f.checkExecutors()
+			for _, id := range ids {
+				if runs[id] != 6 {
+					t.Errorf("job %s: %d runs of 6 tasks", id, runs[id])
+				}
+			}
+		})
+	}
+}
+
+// TestHandoverWithOrdersInFlight guards against tasks that two holders start during a rolling restart, in which orders
+// of the old one are still on their way to slow executors when the next one begins.
+func TestHandoverWithOrdersInFlight(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	f.awaitReady()
+	for id := range f.executors {
+		f.setPath(string(id), link.ModePass, 150*time.Millisecond)
+	}
+	var ids []workload.JobID
+	for range 3 {
+		for range 3 {
+			ids = append(ids, f.mustSubmit(4, 400*time.Millisecond, true), f.mustSubmit(2, 300*time.Millisecond, false))
+		}
+		f.restart(f.holder(), syscall.SIGTERM)
+		f.eventually("a holder", func() bool { return f.holder() != nil })
+	}
+	for _, id := range ids {
+		f.awaitState(id, workload.StateCompleted)
+	}
+	f.checkExecutors()
+}
+
+// TestRestartAfterWithdrawal guards against a VM that uses a withdrawn key or an executor that has left after it was
+// started again: while the store turns it away, and when it reaches the store again.
+func TestRestartAfterWithdrawal(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.awaitReady()
+	f.awaitState(f.mustSubmit(12, 10*time.Millisecond, true), workload.StateCompleted)
+	for _, v := range f.vms {
+		_ = f.stop(v, syscall.SIGKILL)
+	}
+	next := testConfig(2)
+	next.Accounts[0].Keys = []string{"another key"}
+	f.store.Set(operator.ConfigKey, operator.EncodeConfig(next))
+	f.store.Remove(runner.RegistryPrefix + "e1")
+	before := len(f.executors["e1"].RunRecords())
+	turnedAway := f.vms[0]
+	f.setPath(turnedAway.name, link.ModeRefuse, 0)
+	for _, v := range f.vms {
+		f.start(v)
+	}
+	refused := func(v *vm) (status int, ok bool) {
+		r, err := f.client(v).Submit(context.Background(), job(f.newID(), 1, time.Millisecond, false))
+		return r.Status, err == nil
+	}
+	f.eventually("the VM that is turned away answers", func() bool {
+		status, ok := refused(turnedAway)
+		if ok && status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d for a withdrawn key without a configuration, want 503", status)
+		}
+		return ok
+	})
+	f.setPath(turnedAway.name, link.ModePass, 0)
+	for _, v := range f.vms {
+		f.eventually("the withdrawn key is refused", func() bool {
+			status, ok := refused(v)
+			if ok && status/100 == 2 {
+				t.Fatalf("%s accepts a withdrawn key after its restart", v.name)
+			}
+			return ok && status == http.StatusUnauthorized
+		})
+	}
+	c := f.client(f.vms[0])
+	c.APIKey = "another key"
+	id := f.newID()
+	f.eventually("a job with the new key completes", func() bool {
+		if r, err := c.Submit(context.Background(), job(id, 4, 10*time.Millisecond, true)); err != nil || r.Status != http.StatusOK {
+			return false
+		}
+		r, err := c.JobState(context.Background(), id)
+		return err == nil && r.State == workload.StateCompleted
+	})
+	if n := len(f.executors["e1"].RunRecords()); n != before {
+		t.Errorf("%d runs on an executor that had left before the restart", n-before)
+	}
+}
+
+// TestLostAnswers guards against work that runs twice, or that is reported as not run, because answers of the store were
+// lost: to a submission, to a cancellation and to the record of an end. The client repeats its calls at the other VM.
+func TestLostAnswers(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.awaitReady()
+	ctx := context.Background()
+	lost := storestandin.Faults{LoseAnswerShare: 1}
+	id := f.newID()
+	j := job(id, 2, 300*time.Millisecond, true)
+	f.store.SetFaults(lost)
+	if r, err := f.client(f.vms[0]).Submit(ctx, j); err == nil && r.Status != http.StatusGatewayTimeout && r.Status != http.StatusOK {
+		t.Errorf("status %d for a submission whose answer is lost, want 504 or 200", r.Status)
+	}
+	f.store.SetFaults(storestandin.Faults{})
+	f.eventually("the repeated submission is accepted", func() bool {
+		r, err := f.client(f.vms[1]).Submit(ctx, j)
+		return err == nil && r.Status == http.StatusOK
+	})
+	f.awaitState(id, workload.StateRunning)
+	// The record of the end is written without an answer.
+	f.store.SetFaults(lost)
+	time.Sleep(time.Second)
+	f.store.SetFaults(storestandin.Faults{})
+	f.awaitState(id, workload.StateCompleted)
+
+	long := f.mustSubmit(2, time.Hour, true)
+	f.awaitState(long, workload.StateRunning)
+	f.store.SetFaults(lost)
+	if r, err := f.client(f.vms[0]).Cancel(ctx, long); err == nil && r.Status != http.StatusGatewayTimeout && r.Status != http.StatusOK {
+		t.Errorf("status %d for a cancellation whose answer is lost, want 504 or 200", r.Status)
+	}
+	f.store.SetFaults(storestandin.Faults{})
+	f.eventually("the repeated cancellation is accepted", func() bool {
+		r, err := f.client(f.vms[1]).Cancel(ctx, long)
+		return err == nil && r.Status == http.StatusOK
+	})
+	f.awaitState(long, workload.StateCancelled)
+	runs := f.checkExecutors()
+	if runs[id] != 2 || runs[long] != 2 {
+		t.Errorf("%d and %d runs of jobs with 2 tasks", runs[id], runs[long])
+	}
+}
