Hand the fleet over when the store turns only the holder away

Cause: the store refused the holder for seconds and served all other VMs; nothing was started until the lease had ended and another VM had stood for election.

Change: after two failed renewals, 0.1 s apart, the holder asks the other VMs of its settings to record its resignation, on the condition that its entry is unchanged. Starts are suspended meanwhile, planned ones are not sent.

--- a/api/message/doc.go
+++ b/api/message/doc.go
@@ -52,6 +52,7 @@
 	WaitingQuery{},
 	AcceptJob{},
 	AcceptCancel{},
+	ResignHolder{},
 }
 
 // Done acknowledges a message that has no other result.
--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -175,6 +175,17 @@
 // Kind implements kernel.Message.
 func (EvacuateExecutors) Kind() string { return "vacate" }
 
+// ResignHolder asks another VM to record that the sender, whom the store turns away, is not the holder any more; answered
+// by Done if it is recorded.
+type ResignHolder struct {
+	VM, Address, Incarnation string
+	Term                     int64
+	FencingToken             workload.FencingToken
+}
+
+// Kind implements kernel.Message.
+func (ResignHolder) Kind() string { return "resign_holder" }
+
 // PermitQuery asks the holder whether an order that only the holder may give can be sent; answered by OrderPermit.
 type PermitQuery struct{ FencingToken workload.FencingToken }
 
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -70,7 +70,7 @@
 		catalog.New(string(s.VM), store, m).Spec(),
 		relay.New(l.relay, m).Spec(),
 		holder.New(holder.Settings{
-			VM: string(s.VM), Address: s.Relay, Weight: s.ProcessorShare,
+			VM: string(s.VM), Address: s.Relay, Peers: withoutAddress(s.Peers, s.Relay), Weight: s.ProcessorShare,
 			Fleet: fleet.Settings{
 				Lease: s.Lease, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: pollWait, MaxStopTime: s.MaxStopTime, RemoteSlowdown: s.RemoteSlowdown,
 				CheckpointRestoreTime: s.CheckpointRestoreTime, CheckpointInterval: s.CheckpointInterval, Retention: s.Retention,
--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -123,6 +123,8 @@
 		s.renew(c, m.lease)
 	case renewDone:
 		s.handleRenewDone(c, m)
+	case resignRecorded:
+		s.handleResignRecorded(m)
 	case releaseDone:
 		s.election.releasing = false
 		if s.draining {
@@ -283,6 +285,10 @@
 		s.log("elected as holder", "term", m.record.Term, "fence", m.revision, "continued", continued)
 		if continued {
 			s.term.fence = m.revision
+			s.term.renewFailures = 0
+			if s.term.startsSuspended() {
+				s.term.resumeStarts()
+			}
 		} else {
 			s.beginTerm(c, m.record.Term, m.revision, hasPredecessor)
 		}
@@ -344,12 +350,20 @@
 		s.campaign(c)
 		return
 	}
-	if m.err != nil {
+	delay := renewInterval
+	if t := s.term; m.err != nil {
 		s.metrics.CountEvent("holder_renewal_failed", 1)
+		t.renewFailures++
+		if t.renewFailures < handoverFailures {
+			delay = renewRetryDelay
+		} else {
+			s.tryHandover(c)
+		}
 	} else {
-		s.term.confirmLease(m.sentAt)
+		t.renewFailures = 0
+		t.confirmLease(m.sentAt)
 	}
-	c.SendAfter(renewInterval, renewDue{m.lease})
+	c.SendAfter(delay, renewDue{m.lease})
 }
 
 // release resigns: it marks the holder's entry as released, so that another VM takes over immediately. Before that it
--- a/services/holder/lease.go
+++ b/services/holder/lease.go
@@ -23,24 +23,32 @@
 	return fmt.Sprintf("order not sent: the holder's lease may have ended %v ago", e.Late)
 }
 
-// TermEndedError reports an order that was not sent because the term in which it was decided has ended.
+// TermEndedError reports an order that was not sent because the term in which it was decided has ended or may end at any
+// moment.
 type TermEndedError struct{}
 
 func (*TermEndedError) Error() string { return "order not sent: the term has ended" }
 
-// leaseAge returns the time since the last confirmed renewal of the lease was sent. It counts suspensions.
-func (s *Service) leaseAge() time.Duration { return s.now() - s.term.leaseConfirmedAt }
+// leaseAge returns the time since the last confirmed renewal of the lease was sent. It counts suspensions. While starts
+// are suspended, it is at least the duration of the lease.
+func (s *Service) leaseAge() time.Duration {
+	age := s.now() - s.term.leaseConfirmedAt
+	if s.term.startsSuspended() {
+		return max(age, s.settings.Fleet.HolderLease)
+	}
+	return age
+}
 
 // confirmLease records that the store has confirmed a renewal that was sent at sentAt.
 func (t *term) confirmLease(sentAt time.Duration) {
 	t.leaseConfirmedAt = max(t.leaseConfirmedAt, sentAt)
 }
 
-// leaseGuard returns a guard of orders that fails once the lease is older than maxAge or the term has ended. An order
+// leaseGuard returns a guard of orders that fails once the lease is older than maxAge or valid has ended. An order
 // may wait for a connection, or the process may be suspended, between the decision and the order.
-func leaseGuard(now boottime.Clock, term context.Context, confirmedAt, maxAge time.Duration) func() error {
+func leaseGuard(now boottime.Clock, valid context.Context, confirmedAt, maxAge time.Duration) func() error {
 	return func() error {
-		if term.Err() != nil {
+		if valid.Err() != nil {
 			return &TermEndedError{}
 		}
 		if late := now() - confirmedAt - maxAge; late >= 0 {
@@ -67,15 +75,14 @@
 
 // exclusiveOrder returns the target of an order that may be sent only while no other VM can be the holder.
 func (s *Service) exclusiveOrder(id workload.ExecutorID, address string) runner.Target {
-	return s.target(id, address, fleet.MaxStartAge(s.settings.Fleet))
+	return s.target(s.term.startsCtx, id, address, fleet.MaxStartAge(s.settings.Fleet))
 }
 
 // renewalOrder returns the target of an order that preserves running work. It may be sent during an outage of the store.
 func (s *Service) renewalOrder(id workload.ExecutorID, address string) runner.Target {
-	return s.target(id, address, s.settings.Fleet.RenewalGrace)
+	return s.target(s.term.ctx, id, address, s.settings.Fleet.RenewalGrace)
 }
 
-func (s *Service) target(id workload.ExecutorID, address string, maxAge time.Duration) runner.Target {
-	t := s.term
-	return runner.Target{ID: id, Address: address, Guard: leaseGuard(s.now, t.ctx, t.leaseConfirmedAt, maxAge)}
+func (s *Service) target(valid context.Context, id workload.ExecutorID, address string, maxAge time.Duration) runner.Target {
+	return runner.Target{ID: id, Address: address, Guard: leaseGuard(s.now, valid, s.term.leaseConfirmedAt, maxAge)}
 }
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -27,6 +27,8 @@
 	VM string
 	// Address is the address at which other VMs reach this one.
 	Address string
+	// Peers lists addresses of other VMs, some of which may be stale.
+	Peers []string
 	// Weight is the VM's share of a processor; VMs with a small share stand for election later.
 	Weight float64
 	Fleet  fleet.Settings
@@ -69,7 +71,7 @@
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{
 		Name: names.Holder, Service: s, DependsOn: []kernel.Name{names.Relay}, MailboxSize: mailboxSize,
-		Subscriptions: []string{message.KindCatalogChanged, message.KindDrainStarted},
+		Subscriptions: []string{message.KindCatalogChanged, message.KindDrainStarted, message.KindSettingsChanged},
 		DrainTimeout:  drainTimeout,
 	}
 }
@@ -140,6 +142,10 @@
 			t.fleet.SetExcludedDomains(m.Out)
 			s.requestPlan(c)
 		}
+	case message.SettingsChanged:
+		s.settings.Peers = m.Peers
+	case message.ResignHolder:
+		s.handleResign(c, m, e)
 	case message.DrainStarted:
 		s.draining = true
 		s.release(c)
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -38,7 +38,14 @@
 	// ctx ends with the term, and with it the tasks of the term.
 	ctx    context.Context
 	cancel context.CancelFunc
-	fleet  *fleet.Scheduler
+	// startsCtx ends with the term or while the holder hands over, and with it the permission to send planned starts.
+	startsCtx    context.Context
+	cancelStarts context.CancelFunc
+	// handover is not nil while the holder tries to hand over. renewFailures counts the renewals that have failed since the
+	// last success.
+	handover      *handover
+	renewFailures int
+	fleet         *fleet.Scheduler
 
 	// progress is the recorded progress of jobs that are not yet added to the scheduler; nil until it is read.
 	progress map[workload.JobID]*workload.Progress
@@ -123,6 +130,7 @@
 		loggedEnds: map[workload.ExecutorID]loggedEnds{},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.resumeStarts()
 	t.fleet = fleet.New(s.settings.Fleet, number, fence, hasPredecessor, now)
 	t.fleet.SetConfig(s.catalog.Config)
 	t.fleet.SetExcludedDomains(s.catalog.Out)
--- a/services/relay/service.go
+++ b/services/relay/service.go
@@ -240,6 +240,7 @@
 	message.JobCancelled{}.Kind(): names.Holder,
 	message.StateQuery{}.Kind():   names.Holder,
 	message.WaitingQuery{}.Kind(): names.Holder,
+	message.ResignHolder{}.Kind(): names.Holder,
 	message.AcceptJob{}.Kind():    names.Intake,
 	message.AcceptCancel{}.Kind(): names.Intake,
 }
