Notice the return of a silent store within half a second

Calls of the election waited up to 1.2 s. A VM held off for 1 s after its last transaction without an answer, although its watch had been answered since. A holder whose handover was undecided waited for the end of its own lease.

Calls of the election are bounded by 0.5 s. An answer to the watch ends the hold-off. An undecided handover leads to a new candidacy.

Tried and reverted: refusing submissions while one is in flight for 0.45 s without any answer.

--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -32,6 +32,9 @@
 	lowWeightThreshold = 0.3
 	// candidateJitter is the largest random delay of a candidacy, so that few candidates call the store for the same term.
 	candidateJitter = 60 * time.Millisecond
+	// electionCallTimeout bounds a call of the election. It exceeds the response time of a store that is 100 times slower
+	// than its usual 4 ms. Longer calls would hide the return of a silent store.
+	electionCallTimeout = 500 * time.Millisecond
 	// candidacyRetryDelay is the delay before a failed candidacy is repeated.
 	candidacyRetryDelay = 300 * time.Millisecond
 )
@@ -237,7 +240,8 @@
 func (s *Service) campaign(c *kernel.Context) {
 	el := &s.election
 	earlierProcess := el.heldByEarlierProcess(s.settings.VM)
-	if el.campaigning || s.draining || el.revision != 0 && !el.record.Released && !earlierProcess {
+	vacant := el.revision == 0 || el.record.Released
+	if el.campaigning || s.draining || !vacant && !earlierProcess && !s.leaseAbandoned() {
 		return
 	}
 	el.campaigning = true
@@ -254,14 +258,20 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		out := candidacyDone{record: record, sentAt: s.now()}
 		if earlierProcess {
-			if out.err = s.store.Revoke(ctx, earlierLease); out.err != nil {
+			if out.err = withTimeout(ctx, func(ctx context.Context) error { return s.store.Revoke(ctx, earlierLease) }); out.err != nil {
 				return out
 			}
 		}
-		out.lease, out.err = s.store.Grant(ctx, leaseTTL)
+		out.err = withTimeout(ctx, func(ctx context.Context) (err error) {
+			out.lease, err = s.store.Grant(ctx, leaseTTL)
+			return err
+		})
 		if out.err != nil {
 			return out
 		}
+		// The lease runs from the arrival of the grant, and the call may have waited in the store.
+		ctx, cancel := context.WithTimeout(ctx, electionCallTimeout)
+		defer cancel()
 		out.revision, out.err = s.store.Commit(ctx, metastore.Txn{Conditions: conditions, Writes: []metastore.Write{
 			{Key: records.HolderKey, Value: records.Encode(record), Lease: out.lease},
 			{Key: records.TermKey, Value: records.Encode(term)},
@@ -270,6 +280,20 @@
 	})
 }
 
+// leaseAbandoned reports whether this VM is the holder and does not renew its lease any more, so that it may stand for
+// election to begin a new one.
+func (s *Service) leaseAbandoned() bool {
+	el := &s.election
+	return s.term != nil && el.ownLease == 0 && el.revision == s.term.fence
+}
+
+// withTimeout makes a call of the election.
+func withTimeout(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, electionCallTimeout)
+	defer cancel()
+	return call(ctx)
+}
+
 // handleCandidacyDone applies the result of a candidacy.
 func (s *Service) handleCandidacyDone(c *kernel.Context, m candidacyDone) {
 	el := &s.election
@@ -329,7 +353,9 @@
 		return
 	}
 	sentAt := s.now()
-	c.Spawn(func(ctx context.Context) kernel.Message { return renewDone{lease, sentAt, s.store.Renew(ctx, lease)} })
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		return renewDone{lease, sentAt, withTimeout(ctx, func(ctx context.Context) error { return s.store.Renew(ctx, lease) })}
+	})
 }
 
 // handleRenewDone applies the result of a renewal. While the store does not answer, the holder continues. This is safe:
--- a/services/holder/handover.go
+++ b/services/holder/handover.go
@@ -88,9 +88,10 @@
 	}
 	t.handover = nil
 	if h.unknown {
-		// The resignation may still be recorded. Without renewals the lease ends, and this VM or another begins a new one.
-		s.log("handover undecided; the lease is left to expire", "term", t.number)
+		// The resignation may still be recorded. A new candidacy changes the revision on which that depends.
+		s.log("handover undecided; standing for election again", "term", t.number)
 		s.election.ownLease = 0
+		s.campaign(c)
 		return
 	}
 	t.resumeStarts()
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -78,6 +78,10 @@
 		s.holder = m
 	case message.StoreReachability:
 		s.storeReachable = m.Reachable
+		if m.Reachable {
+			// The store has answered since its transactions went without an answer.
+			s.undecidedAt = time.Time{}
+		}
 	case message.SettingsChanged:
 		s.settings.Peers = m.Peers
 	case message.SubmitCall:
