Repeat a start that an executor does not answer

Cause: one lost answer to a start gave up the whole run: its other tasks were stopped and the unit was placed anew after 0.9 s.

Change: the start of the same run is sent up to three times, 0.35 s apart, to the same executor. It has no effect if the first one arrived. A refusal of a repeated start says nothing about the earlier ones: as old it means that the run has ended there, and the next report shows how; otherwise the run is stopped like one with an unknown start.

--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -100,6 +100,7 @@
 	CountStart                Counter = "start"
 	CountStartRefused         Counter = "start_refused"
 	CountStartUnanswered      Counter = "start_unanswered"
+	CountStartRepeated        Counter = "start_repeated"
 	CountStop                 Counter = "stop"
 	CountPreempted            Counter = "preempted_units"
 	CountDone                 Counter = "end_done"
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -44,6 +44,8 @@
 	executor *executor
 	load     workload.Resources
 	state    taskRunState
+	// startAttempts is the number of times that the start was sent.
+	startAttempts int
 	// startSentAt is when the start was sent, confirmedAt when the scheduler first learned that the task was running.
 	startSentAt, confirmedAt time.Time
 	// stopping is set once the run is to be stopped, stopInFlight while a stop is unanswered. stopAckedAt is when the
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -188,15 +188,23 @@
 	for _, r := range u.taskRuns {
 		r.state, r.startSentAt = taskStartSent, now
 		r.executor.dispatched = r.executor.dispatched.Add(r.load)
-		r.executor.leaseDeadline = max(r.executor.leaseDeadline, r.executor.renewedDeadline(now, f.settings.Lease))
 		f.count(CountStart)
-		f.actions = append(f.actions, Start{
-			Executor: r.executor.info.ID, Address: r.executor.address, Task: r.task, Run: r.run, Spec: u.job.rec.Spec, Checkpoint: u.checkpoint, Ticket: f.ticketFor(u, r.executor.info.ID),
-			Deadline: r.executor.renewedDeadline(now, f.settings.Lease), Reason: reason, Waited: now.Sub(u.pendingSince), WaitedFor: u.waitsFor,
-		})
+		f.sendStart(now, r, reason)
 	}
 }
 
+// sendStart adds the start of a task run to the actions.
+func (f *Scheduler) sendStart(now time.Time, r *taskRun, reason string) {
+	u, e := r.unit, r.executor
+	deadline := e.renewedDeadline(now, f.settings.Lease)
+	e.leaseDeadline = max(e.leaseDeadline, deadline)
+	r.startAttempts++
+	f.actions = append(f.actions, Start{
+		Executor: e.info.ID, Address: e.address, Task: r.task, Run: r.run, Spec: u.job.rec.Spec, Checkpoint: u.checkpoint, Ticket: f.ticketFor(u, e.info.ID),
+		Deadline: deadline, Reason: reason, Waited: now.Sub(u.pendingSince), WaitedFor: u.waitsFor,
+	})
+}
+
 // reserve begins a new run of a unit and reserves capacity on the given executors, one for each task.
 func (f *Scheduler) reserve(now time.Time, u *unit, executors []*executor) {
 	u.starts++
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -290,17 +290,25 @@
 	}
 	f.setClock(now, e, clock)
 	r := e.find(t, run)
-	if result == CallUnanswered {
+	repeated := r != nil && r.state == taskStartSent && r.startAttempts > 1
+	switch {
+	case result == CallUnanswered:
 		f.count(CountStartUnanswered)
 		f.markUnresponsive(now, e)
-		if r != nil && r.state == taskStartSent {
-			r.state = taskStartUnknown
-			r.stopping, r.stopReason = true, StopStartUnanswered
-			if r.unit != nil {
-				f.markEnding(now, r.unit, StopGangIncomplete)
-			}
+		if !f.repeatStart(now, r) {
+			f.giveUpStart(now, r)
 		}
 		return
+	case repeated && result == CallStaleRun:
+		// An earlier attempt has arrived and its run has ended. The next report shows how.
+		r.state, r.confirmedAt = taskRunning, now
+		e.nextPollAt = now
+		return
+	case repeated:
+		// Only this attempt had no effect; an earlier one may still arrive.
+		f.giveUpStart(now, r)
+		f.applyCallFailure(now, e, result)
+		return
 	}
 	f.count(CountStartRefused)
 	if r != nil && r.state == taskStartSent {
@@ -318,6 +326,32 @@
 	f.applyCallFailure(now, e, result)
 }
 
+// giveUpStart stops a run whose start may have arrived or may still arrive.
+func (f *Scheduler) giveUpStart(now time.Time, r *taskRun) {
+	if r == nil || r.state != taskStartSent {
+		return
+	}
+	r.state = taskStartUnknown
+	r.stopping, r.stopReason = true, StopStartUnanswered
+	if r.unit != nil {
+		f.markEnding(now, r.unit, StopGangIncomplete)
+	}
+}
+
+// repeatStart sends the start of a run again if it may still be started. It reports false if the run is to be given up.
+func (f *Scheduler) repeatStart(now time.Time, r *taskRun) bool {
+	if r == nil || r.state != taskStartSent || r.startAttempts >= maxStartAttempts || r.stopping || !f.mayStart(now) {
+		return false
+	}
+	u := r.unit
+	if u == nil || u.state != unitActive || u.ending || !r.executor.registered || f.excludedDomains[r.executor.info.Domain] || r.executor.info.Draining {
+		return false
+	}
+	f.count(CountStartRepeated)
+	f.sendStart(now, r, "repeated")
+	return true
+}
+
 // applyCallFailure applies the failure of a call to the state of its executor.
 func (f *Scheduler) applyCallFailure(now time.Time, e *executor, result CallFailure) {
 	switch result {
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -17,6 +17,9 @@
 	gangEndGrace = 300 * time.Millisecond
 	// stopRetryInterval is the shortest time between two stops of the same run.
 	stopRetryInterval = 700 * time.Millisecond
+	// maxStartAttempts is how often the start of a run is sent to an executor that does not answer. A repeated start of the
+	// same run has no effect if the first one arrived, and the members of a gang wait for each other for some seconds.
+	maxStartAttempts = 3
 	// reservationMargin is the time that a reservation may wait for preempted capacity in addition to the maximum stop
 	// time.
 	reservationMargin = 1500 * time.Millisecond
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// commandTimeout bounds a start, stop or throttle command. An executor answers within a round trip between regions.
+	// commandTimeout bounds a stop or throttle command. An executor answers within a round trip between regions.
 	commandTimeout = 900 * time.Millisecond
+	// startTimeout bounds one attempt to start a run, of which the scheduler makes several. It leaves time for a lost packet
+	// to be sent again.
+	startTimeout = 350 * time.Millisecond
 	// pollMargin is added to the wait of a poll to give the timeout of the call.
 	pollMargin = 700 * time.Millisecond
 	// minPlanInterval is the shortest time between two planning passes, so that one pass handles a burst of events.
@@ -170,7 +173,7 @@
 	}
 	to := s.exclusiveOrder(a.Executor, a.Address)
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		ctx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
 		out := startDone{termScoped: termScoped{t.number}, action: a}
 		start := time.Now()
