Report the true progress of runs in the stand-in of the executors

Cause: the stand-in reported 50% at all times.

Change: the stand-in reports the share of the run time that has passed.

--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -72,6 +72,15 @@
 	record *RunRecord
 }
 
+// percent returns the progress of a run.
+func (r *run) percent(now time.Time) int {
+	total := r.endsAt.Sub(r.record.Started)
+	if total <= 0 {
+		return 100
+	}
+	return int(100 * min(total, now.Sub(r.record.Started)) / total)
+}
+
 // New returns an executor. A task runs for the duration in its specification, such as "300ms"; it fails at once if the
 // specification is not a duration.
 func New(info workload.Executor) *Executor {
@@ -193,7 +202,7 @@
 		st.acknowledge(o.SeenUpTo)
 		rep := workload.Report{Clock: st.clock(), StartedAtMS: st.info.StartedAtMS, Ended: slices.Clone(st.ended)}
 		for _, run := range st.runs {
-			rep.Running = append(rep.Running, workload.RunningTask{Task: run.task, Run: run.number, Percent: 50})
+			rep.Running = append(rep.Running, workload.RunningTask{Task: run.task, Run: run.number, Percent: run.percent(time.Now())})
 		}
 		return result{report: rep, nextEnd: st.nextEnd}
 	})
