Simplify the choice of an executor's address and the end of a wait

An executor without runs drops the address at which it last answered, so that refusals at its new one count. A repeated start keeps off executors that are evacuated.

--- a/decisions/fleet/address.go
+++ b/decisions/fleet/address.go
@@ -32,11 +32,11 @@
 	if info.Address == "" || e.address == info.Address {
 		return
 	}
-	mayRun := len(e.dispatchedRuns()) > 0 || !e.verified
-	if e.provenAddress == "" || !mayRun {
-		e.address = info.Address
-		e.verified = false
+	if mayRun := len(e.dispatchedRuns()) > 0 || !e.verified; mayRun && e.provenAddress != "" {
+		return
 	}
+	e.address, e.provenAddress = info.Address, ""
+	e.verified = false
 }
 
 // tryOtherAddress makes the next call go to the other one of the proven and the registered address, after a call to
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -183,7 +183,6 @@
 
 // start adds the starts of all tasks of a unit that has reserved free capacity.
 func (f *Scheduler) start(now time.Time, u *unit, reason string) {
-	defer func() { u.waitsFor = "" }()
 	u.startedAt, u.progressAt, u.progress = now, now, 0
 	for _, r := range u.taskRuns {
 		r.state, r.startSentAt = taskStartSent, now
@@ -191,6 +190,7 @@
 		f.count(CountStart)
 		f.sendStart(now, r, reason)
 	}
+	u.waitsFor = ""
 }
 
 // sendStart adds the start of a task run to the actions.
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -344,7 +344,10 @@
 		return false
 	}
 	u := r.unit
-	if u == nil || u.state != unitActive || u.ending || !r.executor.registered || f.excludedDomains[r.executor.info.Domain] || r.executor.info.Draining {
+	if u == nil || u.state != unitActive || u.ending {
+		return false
+	}
+	if e := r.executor; e.closed() || f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID] {
 		return false
 	}
 	f.count(CountStartRepeated)
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -20,6 +20,9 @@
 	maxLinesPerSecond = 600
 )
 
+// startMessage is the message of the line about the start of a run.
+const startMessage = "task start ordered"
+
 // runEvent is what happened to tasks of a run. Equal events share a log line.
 type runEvent struct {
 	msg string
@@ -110,8 +113,6 @@
 	s.log(e.msg, line...)
 }
 
-const startMessage = "task start ordered"
-
 // runLine adds a task to the log lines about runs.
 func (s *Service) runLine(msg string, task workload.TaskRef, run workload.RunNumber, executor workload.ExecutorID, detailKey, detail, cause string) *runEventTasks {
 	return s.term.runLog.add(time.Now(), runEvent{msg: msg, run: run, detailKey: detailKey, detail: detail, cause: cause}, task, executor)
