Give the daemons of tests/fleet ports outside the range of outgoing connections

The harness took a port that the kernel had given out and released it; a connection of another process took it before the daemon started. All tests of the folder could fail so.

Change: ports from 12000 to 32000 that are free. No check or bound is changed.

--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -137,6 +137,29 @@
 	return l
 }
 
+// Ports of the daemons are below those that the kernel gives to outgoing connections (from 32768 on): one of these could
+// take a port between the check that it is free and the start of the daemon.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
 // serve runs an HTTP server until the test ends.
 func serve(t *testing.T, wg *conc.WaitGroup, l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h}
@@ -200,9 +223,7 @@
 	f.t.Helper()
 	var addresses []string
 	for range 4 {
-		l := listen(f.t)
-		addresses = append(addresses, l.Addr().String())
-		l.Close()
+		addresses = append(addresses, freeAddress(f.t))
 	}
 	dir := f.t.TempDir()
 	v := &vm{name: name, frontAddress: addresses[0], relayAddress: addresses[2], settingsFile: filepath.Join(dir, "settings.ini"), logFile: filepath.Join(dir, "log"), current: make(chan daemon, 1)}
