--- a/decisions/fencedlog/log.go
+++ b/decisions/fencedlog/log.go
@@ -86,8 +86,8 @@
 	// slot is the slot in flight or with an unknown result; inFlight lists its unanswered appends.
 	slot     Slot
 	inFlight []pendingAppend
-	// writeInterval is the minimum mean time between two slot writes. theoreticalArrival is the time at which the intervals of all writes so far have
-	// passed (the theoretical arrival time of the generic cell rate algorithm).
+	// writeInterval is the minimum mean time between two slot writes. theoreticalArrival is the time at which the
+	// intervals of all writes so far have passed (the theoretical arrival time of the generic cell rate algorithm).
 	writeInterval      time.Duration
 	theoreticalArrival time.Time
 	call               Call
--- a/services/holder/handover.go
+++ b/services/holder/handover.go
@@ -24,7 +24,7 @@
 	renewRetryDelay = 100 * time.Millisecond
 	// handoverFailures is the number of consecutive failed renewals from which on the holder tries to hand over.
 	handoverFailures = 2
-	// handoverTimeout bounds the call to another VM, and resignTimeout its call to the store. Both end before the lease.
+	// handoverTimeout bounds the call to another VM, and resignTimeout its call to the store.
 	handoverTimeout = 600 * time.Millisecond
 	resignTimeout   = 400 * time.Millisecond
 )
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -15,8 +15,7 @@
 	runLogInterval = 100 * time.Millisecond
 	// maxTasksPerLine bounds the length of a line. Further tasks of the same event are in another line.
 	maxTasksPerLine = 128
-	// maxLinesPerSecond bounds the log lines about runs, so that a flood of events costs little processor time. The
-	// busiest days of 540 executors have about a third of it.
+	// maxLinesPerSecond bounds the log lines about runs, so that a flood of events costs little processor time.
 	maxLinesPerSecond = 600
 )
 
