--- a/review/harness/case_cancel.go
+++ b/review/harness/case_cancel.go
@@ -29,6 +29,8 @@
 	if trouble {
 		p.rec.add("trouble: %s, process %d, is stopped", still.name, still.cmd.Process.Pid)
 		_ = still.cmd.Process.Signal(syscall.SIGSTOP)
+		// On a busy machine the threads of a process run on for a moment.
+		time.Sleep(500 * time.Millisecond)
 	}
 	steps := []step{
 		{"count": 2, "cpu": 2800, "mem_mb": 5700, "gpu": 1, "estimate_ms": 5000},
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -125,6 +125,15 @@
 	s.notify()
 }
 
+// remove removes an entry for the platform.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.removeAt(key, s.revision)
+	s.notify()
+}
+
 // get returns the value of an entry.
 func (s *store) get(key string) ([]byte, bool) {
 	s.mu.Lock()
