Log and count why the runs on an executor are taken to have ended

The counter executors_lost tells that the holder gave runs up, but neither why nor whether they could still be running: a lease that has ended, refused connections and another executor at the address were one number and no log line.

The scheduler now reports each loss as an action with its reason, the time since calls began to fail and the time until the last lease has certainly ended.

--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -6,8 +6,8 @@
 	"github.com/verbenaflow/verbenaflow/api/workload"
 )
 
-// Action is an action that the holder carries out for the scheduler: Start, Stop, Poll, Throttle, AdviceQuery or
-// WaitNotice.
+// Action is an action that the holder carries out for the scheduler: Start, Stop, Poll, Throttle, AdviceQuery,
+// WaitNotice or LossNotice.
 type Action interface{ action() }
 
 // Start starts one run of a task. The result is applied by Started or StartFailed.
@@ -120,6 +120,8 @@
 	CountJobsFailed           Counter = "jobs_failed"
 	CountReservationCancelled Counter = "reservations_given_up"
 	CountExecutorLost         Counter = "executors_lost"
+	// CountExecutorLostPrefix precedes a LossReason in the counters of lost executors by reason.
+	CountExecutorLostPrefix Counter = "executors_lost_"
 	// CountExecutorRestarted counts restarts of executors under the same identifier.
 	CountExecutorRestarted Counter = "executors_reborn"
 )
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -237,16 +237,6 @@
 	f.dropAdvice(nil, e.info.ID)
 }
 
-// markRunsLost ends all runs on an executor that can no longer report them.
-func (f *Scheduler) markRunsLost(now time.Time, e *executor) {
-	if len(e.taskRuns) > 0 {
-		f.count(CountExecutorLost)
-	}
-	for _, r := range slices.Clone(e.taskRuns) {
-		f.endRun(now, r, workload.LeaseExpired, "")
-	}
-}
-
 // eligible reports whether an executor may be given work.
 func (f *Scheduler) eligible(now time.Time, e *executor) bool {
 	return !e.closed() && e.verified && !e.closedInRoster && !f.excludedDomains[e.info.Domain] && e.unresponsiveSince.IsZero() && e.refusals == 0 &&
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -61,7 +61,7 @@
 	// The loop removes executors from the list, so that it iterates over a copy.
 	for _, e := range slices.Clone(f.sortedExecutors) {
 		if len(e.dispatchedRuns()) > 0 && !e.unresponsiveSince.IsZero() && e.leaseDeadline > 0 && now.After(e.leaseExpiry()) {
-			f.markRunsLost(now, e)
+			f.markRunsLost(now, e, LossLeaseExpired)
 			f.removeIfUnused(e)
 		}
 	}
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -362,7 +362,7 @@
 		if !e.atProvenAddress() {
 			break
 		}
-		f.markRunsLost(now, e)
+		f.markRunsLost(now, e, LossReplaced)
 		e.forgetAddress()
 		e.verified = false
 		e.incarnation = 0
@@ -388,7 +388,7 @@
 	}
 	e.refusals++
 	if e.refusals >= refusalsUntilLost && now.Sub(e.firstRefusalAt) >= minRefusalSpan {
-		f.markRunsLost(now, e)
+		f.markRunsLost(now, e, LossConnectionRefused)
 		e.verified = false
 		e.forgetAddress()
 		f.removeIfUnused(e)
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -133,6 +133,8 @@
 			s.requestAdvice(c, a)
 		case fleet.WaitNotice:
 			s.logWait(a)
+		case fleet.LossNotice:
+			s.logLoss(a)
 		}
 	}
 	s.save(c)
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -134,6 +134,11 @@
 	s.log("job waits", "job", a.Job, "step", strconv.Itoa(a.Occurrence)+"."+strconv.Itoa(a.Step), "waited_ms", a.Waited.Milliseconds(), "waits_for", a.Reason)
 }
 
+func (s *Service) logLoss(a fleet.LossNotice) {
+	s.log("executor lost", "executor", a.Executor, "address", a.Address, "reason", a.Reason, "runs", a.Runs,
+		"unresponsive_ms", a.Unresponsive.Milliseconds(), "lease_remaining_ms", a.LeaseRemaining.Milliseconds())
+}
+
 // loggedEnds identifies the last end of an executor's process that was logged.
 type loggedEnds struct{ startedAtMS, number int64 }
 
