Do not take refused connections for the end of an executor

A refused connection shows only that nothing accepts connections there as seen from this VM. Ruled out: another executor at the address (no such loss), late or lost starts (the doubled tasks had been running).

Change: a refused connection is a failed call like one without an answer. Runs have ended only when the lease has, or when another process answers. The count of refusals and both of its uses are gone. A run that a new holder adopts has a bounded lease at once; otherwise an executor that ends before the first renewal could keep its job from ending for ever, which the refusals had hidden.

TestAdoptedRunOfEndedExecutor fails without the bound of the lease.

--- a/decisions/fleet/address.go
+++ b/decisions/fleet/address.go
@@ -10,8 +10,8 @@
 // only a hint: an executor that may run tasks is called at the address where it last answered until that one fails, and
 // failures at any other address do not show that its runs have ended.
 
-// atProvenAddress reports whether calls go to the address at which the executor last answered, so that a refused
-// connection or another executor there shows that its process has ended.
+// atProvenAddress reports whether calls go to the address at which the executor last answered, so that another executor
+// there shows that its process has ended.
 func (e *executor) atProvenAddress() bool {
 	return e.provenAddress == "" || e.address == e.provenAddress
 }
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// refusalsUntilLost is the number of consecutive refused connections, spread over at least minRefusalSpan, after which
-	// the process at an address counts as lost. A single refusal may be a connection that was reset in transit.
-	refusalsUntilLost = 3
-	minRefusalSpan    = 400 * time.Millisecond
 	// pollRetryDelay is the delay before a failed poll is repeated, recordDelay the usual time until reported ends are
 	// durable, and unrecordedPollDelay the delay between polls while ends cannot be recorded.
 	pollRetryDelay      = 200 * time.Millisecond
@@ -96,11 +92,9 @@
 	closedInRoster bool
 
 	// reportedAt is when the last report was applied.
-	reportedAt     time.Time
-	polling        bool
-	nextPollAt     time.Time
-	refusals       int
-	firstRefusalAt time.Time
+	reportedAt time.Time
+	polling    bool
+	nextPollAt time.Time
 	// unresponsiveSince is when calls to the executor began to fail; zero if it answers.
 	unresponsiveSince time.Time
 	suspicion         suspicion
@@ -212,9 +206,10 @@
 	}
 }
 
-// removeIfUnused removes an executor that is neither registered nor occupied from the state.
+// removeIfUnused removes an executor that is neither registered nor occupied from the state. Runs of earlier holders may
+// occupy one that is not verified until this holder is reconciled.
 func (f *Scheduler) removeIfUnused(e *executor) {
-	if e.registered || len(e.taskRuns) > 0 || !e.verified && f.executors[e.info.ID] == e && e.refusals < refusalsUntilLost {
+	if e.registered || len(e.taskRuns) > 0 || !e.verified && !f.reconcileBy.IsZero() {
 		return
 	}
 	f.rosterVersion++
@@ -239,7 +234,7 @@
 
 // eligible reports whether an executor may be given work.
 func (f *Scheduler) eligible(now time.Time, e *executor) bool {
-	return !e.closed() && e.verified && !e.closedInRoster && !f.excludedDomains[e.info.Domain] && e.unresponsiveSince.IsZero() && e.refusals == 0 &&
+	return !e.closed() && e.verified && !e.closedInRoster && !f.excludedDomains[e.info.Domain] && e.unresponsiveSince.IsZero() &&
 		!f.evacuating[e.info.ID] &&
 		!e.suspicion.blocks(now, e)
 }
@@ -247,7 +242,7 @@
 // needsPoll reports whether an executor is to be polled: to learn its runs or whether it answers again, to renew its
 // lease, or to acknowledge ends.
 func (e *executor) needsPoll() bool {
-	return !e.verified || e.refusals > 0 || !e.unresponsiveSince.IsZero() || len(e.dispatchedRuns()) > 0 || e.ackedEnd < e.durableEnd || len(e.pendingEnds) > 0
+	return !e.verified || !e.unresponsiveSince.IsZero() || len(e.dispatchedRuns()) > 0 || e.ackedEnd < e.durableEnd || len(e.pendingEnds) > 0
 }
 
 // dispatchedRuns returns the task runs of an executor if a start was sent for at least one of them, and nil otherwise.
@@ -267,7 +262,7 @@
 			continue
 		}
 		poll := Poll{Executor: e.info.ID, Address: e.address}
-		if e.verified && e.unresponsiveSince.IsZero() && e.refusals == 0 {
+		if e.verified && e.unresponsiveSince.IsZero() {
 			// An executor that is not verified or did not answer may have restarted, and numbers its ends from the beginning
 			// then.
 			poll.AckedThrough = e.durableEnd
--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -15,8 +15,8 @@
 
 // TestFleet checks the guarantees of the scheduler under random sequences of faults: no task runs twice, no executor is
 // overcommitted, no step starts early, no task exceeds its attempts and no job is lost. Holders are replaced and
-// partitioned, executors crash, restart, drain, stall and become unreachable, calls take effect late, and the store is
-// down for a while.
+// partitioned, executors crash, restart, drain, stall and become unreachable, silently or with rejected connections,
+// calls take effect late, and the store is down for a while.
 func TestFleet(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
@@ -33,7 +33,7 @@
 		sim.advance(20 * time.Second)
 		for _, id := range sim.executorIDs {
 			e := sim.executors[id]
-			e.unreachable, e.stalled, e.info.Draining = false, false, false
+			e.unreachable, e.rejecting, e.stalled, e.info.Draining = false, false, false, false
 			if !e.up {
 				sim.restart(id)
 			} else {
@@ -88,9 +88,11 @@
 			sim.restart(id)
 		}
 	case "cut":
-		sim.executors[pick()].unreachable = true
+		e := sim.executors[pick()]
+		e.unreachable, e.rejecting = true, rapid.Bool().Draw(rt, "rejecting")
 	case "heal":
-		sim.executors[pick()].unreachable = false
+		e := sim.executors[pick()]
+		e.unreachable, e.rejecting = false, false
 	case "stall":
 		e := sim.executors[pick()]
 		e.stalled = !e.stalled
--- a/decisions/fleet/loss.go
+++ b/decisions/fleet/loss.go
@@ -14,8 +14,6 @@
 const (
 	// LossLeaseExpired means that the executor does not answer and that its lease has ended.
 	LossLeaseExpired LossReason = "lease_expired"
-	// LossConnectionRefused means that several connections to the executor were refused in a row.
-	LossConnectionRefused LossReason = "connection_refused"
 	// LossReplaced means that another executor answers at the address.
 	LossReplaced LossReason = "replaced"
 )
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -74,14 +74,14 @@
 	}
 }
 
-// reconciled reports whether all runs that earlier holders started are known: every executor has reported or is lost,
-// or all leases granted by earlier holders have expired.
+// reconciled reports whether all runs that earlier holders started are known: every executor has reported, or all leases
+// granted by earlier holders have expired.
 func (f *Scheduler) reconciled(now time.Time) bool {
 	if f.reconcileBy.IsZero() {
 		return true
 	}
 	for _, e := range f.sortedExecutors {
-		if !e.verified && e.refusals < refusalsUntilLost {
+		if !e.verified {
 			return false
 		}
 	}
@@ -90,12 +90,11 @@
 	return true
 }
 
-// dropUnverified removes unregistered executors without runs that have not reported. It is called once the executors
-// that have not reported are lost, or all leases granted by earlier holders have expired.
+// dropUnverified removes unregistered executors without runs that have not reported. It is called once this holder is
+// reconciled.
 func (f *Scheduler) dropUnverified() {
 	for _, e := range slices.Clone(f.sortedExecutors) {
-		if !e.verified && !e.registered && len(e.taskRuns) == 0 {
-			e.refusals = refusalsUntilLost
+		if !e.verified {
 			f.removeIfUnused(e)
 		}
 	}
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -13,7 +13,8 @@
 const (
 	// CallUnanswered means that the outcome is unknown: the call may have taken effect, or may still do so.
 	CallUnanswered CallFailure = iota
-	// CallRefused means that the connection was refused: nothing listens at the address.
+	// CallRefused means that the connection was refused, so that the call had no effect. The executor's process may have
+	// ended, but a partition may also answer in its place while its runs go on.
 	CallRefused
 	// CallNotExecuted means that the call certainly had no effect.
 	CallNotExecuted
@@ -93,7 +94,6 @@
 }
 
 func (e *executor) markResponsive() {
-	e.refusals = 0
 	e.unresponsiveSince = time.Time{}
 }
 
@@ -162,6 +162,11 @@
 		r.stopping, r.stopReason = true, StopOrphan
 	}
 	e.add(r)
+	if e.clock > 0 {
+		// The lease that an earlier holder has granted ends at the latest after the full time, also if this holder never
+		// renews it.
+		e.leaseDeadline = max(e.leaseDeadline, e.renewedDeadline(now, f.settings.Lease))
+	}
 	return r
 }
 
@@ -367,34 +372,14 @@
 		e.verified = false
 		e.incarnation = 0
 		e.processedEnd, e.durableEnd, e.ackedEnd, e.pendingEnds = 0, 0, 0, nil
-		e.refusals = max(e.refusals, 1)
 		e.nextPollAt = now.Add(pollRetryDelay)
-	case CallRefused:
-		f.applyRefusal(now, e)
 	case CallUnhealthy:
 		e.suspicion.add(now, unhealthyWeight)
-	case CallUnanswered:
+	case CallUnanswered, CallRefused:
 		f.markUnresponsive(now, e)
 	}
 }
 
-// applyRefusal counts a refused connection. After refusalsUntilLost in a row the runs at the address are lost.
-func (f *Scheduler) applyRefusal(now time.Time, e *executor) {
-	if !e.atProvenAddress() {
-		return
-	}
-	if e.refusals == 0 {
-		e.firstRefusalAt = now
-	}
-	e.refusals++
-	if e.refusals >= refusalsUntilLost && now.Sub(e.firstRefusalAt) >= minRefusalSpan {
-		f.markRunsLost(now, e, LossConnectionRefused)
-		e.verified = false
-		e.forgetAddress()
-		f.removeIfUnused(e)
-	}
-}
-
 func (f *Scheduler) markUnresponsive(now time.Time, e *executor) {
 	if e.unresponsiveSince.IsZero() {
 		e.unresponsiveSince = now
--- a/decisions/fleet/roster.go
+++ b/decisions/fleet/roster.go
@@ -59,7 +59,7 @@
 
 // mayHaveRun reports whether an earlier holder may have started a job's tasks on an executor that has not reported yet.
 func (e *executor) mayHaveRun(id workload.JobID) bool {
-	if e.verified || e.refusals >= refusalsUntilLost {
+	if e.verified {
 		return false
 	}
 	return e.inheritedEntry == nil || !e.inheritedEntry.Closed || slices.Contains(e.inheritedEntry.Jobs, id)
@@ -73,7 +73,7 @@
 	}
 	var out []*executor
 	for _, e := range f.sortedExecutors {
-		if !e.verified && e.refusals < refusalsUntilLost {
+		if !e.verified {
 			out = append(out, e)
 		}
 	}
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -96,14 +96,16 @@
 	info        workload.Executor
 	up          bool
 	unreachable bool
-	stalled     bool
-	fence       workload.FencingToken
-	deadline    time.Time
-	runs        []*fakeRun
-	ends        []workload.EndedRun
-	lastEnd     int64
-	seen        int64
-	startedAt   time.Time
+	// rejecting is set if calls to the unreachable executor fail with a refused connection instead of a timeout.
+	rejecting bool
+	stalled   bool
+	fence     workload.FencingToken
+	deadline  time.Time
+	runs      []*fakeRun
+	ends      []workload.EndedRun
+	lastEnd   int64
+	seen      int64
+	startedAt time.Time
 	// leaseExpiredAt is the latest time at which the lease was found expired.
 	leaseExpiredAt time.Time
 	stopped        map[workload.TaskRef]workload.RunNumber
@@ -347,6 +349,8 @@
 		sim.schedule(callLatency, func() { fail(CallWrongExecutor) })
 	case e == nil || !e.up || address != e.info.Address:
 		sim.schedule(callLatency, func() { fail(CallRefused) })
+	case e.unreachable && e.rejecting:
+		sim.schedule(callLatency, func() { fail(CallRefused) })
 	case e.unreachable || h.reachable != nil && !h.reachable[id]:
 		sim.schedule(900*time.Millisecond, func() { fail(CallNotExecuted) })
 	case sim.rand.Float64() < sim.lossRate:
@@ -561,7 +565,11 @@
 		return
 	}
 	if !e.up || e.unreachable {
-		sim.schedule(700*time.Millisecond, func() {
+		delay := 700 * time.Millisecond
+		if e.rejecting {
+			delay = callLatency
+		}
+		sim.schedule(delay, func() {
 			if !h.replaced {
 				h.scheduler.PollFailed(sim.now, a.Executor, CallUnanswered)
 				sim.plan(h)
@@ -708,7 +716,7 @@
 func (sim *simulation) restartUnregistered(id workload.ExecutorID) {
 	sim.trace("%s starts again", id)
 	e := sim.executors[id]
-	e.up, e.unreachable, e.fence, e.lastEnd, e.seen, e.startedAt = true, false, 0, 0, 0, sim.now
+	e.up, e.unreachable, e.rejecting, e.fence, e.lastEnd, e.seen, e.startedAt = true, false, false, 0, 0, 0, sim.now
 	e.info.StartedAtMS = sim.now.UnixMilli()
 	e.stopped = map[workload.TaskRef]workload.RunNumber{}
 	e.deadline = time.Time{}
@@ -783,8 +791,8 @@
 		}
 	}
 	for _, e := range sim.holder.scheduler.sortedExecutors {
-		out += fmt.Sprintf("\n  executor %s free %v eligible %v verified %v unresponsive since %v refusals %d suspicion %.2f polling %v",
-			e.info.ID, e.free(), sim.holder.scheduler.eligible(sim.now, e), e.verified, e.unresponsiveSince, e.refusals, e.suspicion.current(sim.now), e.polling)
+		out += fmt.Sprintf("\n  executor %s free %v eligible %v verified %v unresponsive since %v suspicion %.2f polling %v",
+			e.info.ID, e.free(), sim.holder.scheduler.eligible(sim.now, e), e.verified, e.unresponsiveSince, e.suspicion.current(sim.now), e.polling)
 		for _, r := range e.taskRuns {
 			out += fmt.Sprintf("\n    %s run %d state %d of a unit %v stopping %v %s acked %v", r.task, r.run, r.state, r.unit != nil, r.stopping, r.stopReason, r.stopAckedAt)
 		}
