Refuse a submission that takes effect after its cancellation

Cause: the cancellation of a job that is not stored left nothing in the store, and a job was stored on the sole condition that its key does not exist. Nothing bounds when a submission takes effect, since its deadline is counted from when the VM reads it. The same happens without a freeze when the store carries the transaction out late. Ruled out: the holder, which starts a stored job that has no cancellation.

Change: such a cancellation writes a tombstone of the caller's account on the condition that the job is still not stored, and a job is stored on the condition that its account has left no tombstone. The store orders the two, so that exactly one takes effect, however late the other comes. A late submission is refused with 410, not run. Holders remove tombstones after ten minutes (decisions/expiry). AcceptCancel carries the account to the VM that a cancellation is relayed to.

Related path, found on the way: a job that was stored between the read and the answer of its cancellation ran, too. The condition of the tombstone fails now, and the cancellation is stored.

--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -150,6 +150,8 @@
 // AcceptCancel asks another VM to store a cancellation; answered by Done.
 type AcceptCancel struct {
 	ID workload.JobID
+	// Account is the client account of the caller.
+	Account workload.Account
 	// Within is the time in which the reply is needed.
 	Within time.Duration
 }
--- a/api/records/records.go
+++ b/api/records/records.go
@@ -2,6 +2,8 @@
 package records
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -17,11 +19,12 @@
 	HolderKey = HolderPrefix + "holder"
 	// TermKey holds the number of the last term and outlives its holder's lease.
 	TermKey = HolderPrefix + "term"
-	// QueuePrefix covers accepted jobs and cancellations.
-	QueuePrefix    = "vf/q/"
-	jobPrefix      = QueuePrefix + "j/"
-	cancelPrefix   = QueuePrefix + "x/"
-	progressPrefix = "vf/p/"
+	// QueuePrefix covers accepted jobs, cancellations and tombstones.
+	QueuePrefix     = "vf/q/"
+	jobPrefix       = QueuePrefix + "j/"
+	cancelPrefix    = QueuePrefix + "x/"
+	tombstonePrefix = QueuePrefix + "t/"
+	progressPrefix  = "vf/p/"
 	// ProgressPrefix covers the progress that holders record of jobs.
 	ProgressPrefix = progressPrefix
 	// SaveKey is written by every transaction of a holder on the condition of its previous revision, so that a
@@ -37,10 +40,21 @@
 // CancelKey returns the key of a cancellation.
 func CancelKey(id workload.JobID) string { return cancelPrefix + string(id) }
 
+// TombstoneKey returns the key of the tombstone of a job that a client account has cancelled before it was stored. A
+// job is stored only on the condition that its account has left no tombstone. The account is part of the key, so that no
+// account can keep the jobs of another from being stored; it is hashed, because the store limits the length of keys.
+func TombstoneKey(id workload.JobID, account workload.Account) string {
+	hash := sha256.Sum256([]byte(account))
+	return tombstonePrefix + string(id) + "/" + hex.EncodeToString(hash[:8])
+}
+
+// IsTombstoneKey reports whether a key of QueuePrefix is that of a tombstone.
+func IsTombstoneKey(key string) bool { return strings.HasPrefix(key, tombstonePrefix) }
+
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id workload.JobID) string { return progressPrefix + string(id) }
 
-// ParseQueueKey parses a key of QueuePrefix: the entry accepts the job id, or cancels it.
+// ParseQueueKey parses a key of QueuePrefix: the entry accepts the job id, or cancels it. ok is false for other keys.
 func ParseQueueKey(key string) (id workload.JobID, cancelled, ok bool) {
 	if s, found := strings.CutPrefix(key, jobPrefix); found {
 		return workload.JobID(s), false, true
@@ -54,6 +68,11 @@
 	return workload.JobID(strings.TrimPrefix(key, progressPrefix))
 }
 
+// Tombstone is the entry of a cancelled job that was not stored.
+type Tombstone struct {
+	Account workload.Account `json:"account"`
+}
+
 // Holder is the entry of HolderKey.
 type Holder struct {
 	VM      string `json:"vm"`
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -21,8 +21,13 @@
 	saveRetryDelay = 250 * time.Millisecond
 	// maxExpiredJobs is the largest number of finished jobs whose three entries are removed in one transaction.
 	maxExpiredJobs = (metastore.MaxTxnEntries - 3) / 3
-	// expiryInterval is the time between two checks for finished jobs whose retention has ended.
+	// expiryInterval is the time between two checks for entries whose retention has ended.
 	expiryInterval = 5 * time.Second
+	// defaultTombstoneRetention is how long the tombstone of a cancelled job is kept. It has to exceed the time by which the
+	// submission of the job may be delayed, such as the longest suspension of a VM.
+	defaultTombstoneRetention = 10 * time.Minute
+	// maxExpiredTombstones is the largest number of tombstones that are removed in one transaction, with a condition each.
+	maxExpiredTombstones = (metastore.MaxTxnEntries - 3) / 2
 )
 
 // saveDone is the result of a save transaction.
@@ -44,7 +49,7 @@
 // carries the changes since then. The condition on the holder's entry fences off a holder that has been replaced. The
 // store may apply a transaction that it did not answer seconds later, if its conditions still hold. Therefore every
 // transaction writes SaveKey, and the next one has its revision as a condition. If nothing has changed, save removes
-// the entries of finished jobs whose retention has ended.
+// entries whose retention has ended.
 func (s *Service) save(c *kernel.Context) {
 	t := s.term
 	now := time.Now()
@@ -69,7 +74,7 @@
 			return
 		}
 		t.nextExpiryAt = now.Add(expiryInterval)
-		txn.Removals = recordKeys(t.fleet.RemoveExpired(now, maxExpiredJobs))
+		s.addExpired(now, &txn)
 		if len(txn.Removals) == 0 {
 			return
 		}
@@ -84,6 +89,23 @@
 	})
 }
 
+// addExpired adds the removal of expired entries to a transaction: those of finished jobs or, if there are none, of
+// tombstones. A tombstone that was written again meanwhile is kept, because its revision is a condition.
+func (s *Service) addExpired(now time.Time, txn *metastore.Txn) {
+	t := s.term
+	txn.Removals = recordKeys(t.fleet.RemoveExpired(now, maxExpiredJobs))
+	if len(txn.Removals) > 0 {
+		return
+	}
+	for _, e := range t.tombstones.Expired(now, s.settings.TombstoneRetention, maxExpiredTombstones) {
+		txn.Conditions = append(txn.Conditions, metastore.Condition{Key: e.Key, Revision: e.Revision})
+		txn.Removals = append(txn.Removals, e.Key)
+	}
+	if len(txn.Removals) == maxExpiredTombstones {
+		t.nextExpiryAt = now
+	}
+}
+
 func recordKeys(ids []workload.JobID) []string {
 	var keys []string
 	for _, id := range ids {
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -3,6 +3,7 @@
 package holder
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -32,6 +33,8 @@
 	// Weight is the VM's share of a processor; VMs with a small share stand for election later.
 	Weight float64
 	Fleet  fleet.Settings
+	// TombstoneRetention is how long tombstones of cancelled jobs are kept; 0 means defaultTombstoneRetention.
+	TombstoneRetention time.Duration
 	// Clock measures the age of the lease; nil means boottime.Now.
 	Clock boottime.Clock
 }
@@ -59,6 +62,7 @@
 	if s.Clock == nil {
 		s.Clock = boottime.Now
 	}
+	s.TombstoneRetention = cmp.Or(s.TombstoneRetention, defaultTombstoneRetention)
 	return &Service{
 		settings: s, store: store, runner: r, advisor: a, metrics: m,
 		election: election{incarnation: uuid.NewString()},
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -9,6 +9,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/expiry"
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
@@ -71,6 +72,8 @@
 	nextExpiryAt  time.Time
 	runLog        runLog
 	loggedEnds    map[workload.ExecutorID]loggedEnds
+	// tombstones holds the tombstones of cancelled jobs that were not stored.
+	tombstones expiry.Set
 	// refusedEntries holds the registry entries that are ignored now and why.
 	refusedEntries map[string]runner.EntryProblem
 	// summaryCounts holds the scheduler's counts since the last summary.
@@ -235,7 +238,7 @@
 	s.requestPlan(c)
 }
 
-// applyQueueUpdate applies new jobs and cancellations from the store.
+// applyQueueUpdate applies new jobs, cancellations and tombstones from the store.
 func (s *Service) applyQueueUpdate(c *kernel.Context, u metastore.Update) {
 	t := s.term
 	if u.Err != nil {
@@ -252,10 +255,19 @@
 		s.applyQueueItem(now, &u.Items[i])
 	}
 	for i := range u.Events {
-		if !u.Events[i].Removed {
+		if u.Events[i].Removed {
+			t.tombstones.Remove(u.Events[i].Key)
+		} else {
 			s.applyQueueItem(now, &u.Events[i].Item)
 		}
 	}
+	if u.Snapshot {
+		listed := make(map[string]bool, len(u.Items))
+		for i := range u.Items {
+			listed[u.Items[i].Key] = true
+		}
+		t.tombstones.Retain(listed)
+	}
 	t.queueListed = t.queueListed || u.Snapshot
 	if u.Snapshot || len(u.Events) > 0 {
 		s.requestPlan(c)
@@ -264,6 +276,10 @@
 
 func (s *Service) applyQueueItem(now time.Time, item *metastore.Item) {
 	t := s.term
+	if records.IsTombstoneKey(item.Key) {
+		t.tombstones.Observe(now, item.Key, item.Revision)
+		return
+	}
 	id, cancelled, ok := records.ParseQueueKey(item.Key)
 	if !ok {
 		return
--- a/services/intake/read.go
+++ b/services/intake/read.go
@@ -29,6 +29,7 @@
 type cancelDone struct {
 	env       kernel.Envelope
 	id        workload.JobID
+	account   workload.Account
 	deadline  time.Time
 	mayRelay  bool
 	startedAt time.Time
@@ -132,36 +133,52 @@
 		s.refuse(e, "cancel", a.subpath, f)
 		return
 	}
-	s.storeCancel(c, id, m.Deadline.Add(-replyMargin), e, true)
+	s.storeCancel(c, cancelDone{env: e, id: id, account: a.account, deadline: m.Deadline.Add(-replyMargin), mayRelay: true})
 }
 
-func (s *Service) storeCancel(c *kernel.Context, id workload.JobID, deadline time.Time, e kernel.Envelope, mayRelay bool) {
-	out := cancelDone{env: e, id: id, deadline: deadline, mayRelay: mayRelay, startedAt: time.Now()}
+// storeCancel stores a cancellation. out holds the call and receives the result.
+func (s *Service) storeCancel(c *kernel.Context, out cancelDone) {
+	out.startedAt = time.Now()
 	if !s.storeAvailable() {
-		if !mayRelay || !s.relayCancel(c, out) {
-			s.refuse(e, "cancel", id, failure.New(failure.StoreUnavailable, "the store does not answer"))
+		if !out.mayRelay || !s.relayCancel(c, out) {
+			s.refuse(out.env, "cancel", out.id, failure.New(failure.StoreUnavailable, "the store does not answer"))
 		}
 		return
 	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		ctx, cancel := context.WithDeadline(ctx, deadline)
+		ctx, cancel := context.WithDeadline(ctx, out.deadline)
 		defer cancel()
-		_, err := s.store.Get(ctx, records.JobKey(id))
-		var missing *metastore.NotFoundError
-		switch {
-		case errors.As(err, &missing):
-			out.failure = failure.New(failure.JobGone, "no such job")
-			return out
-		case err != nil:
-			out.failure = failure.New(failure.StoreUnavailable, "%v", err)
-			return out
-		}
-		txn := metastore.Txn{Writes: []metastore.Write{{Key: records.CancelKey(id), Value: []byte("{}")}}}
-		_, _, out.failure = s.commit(ctx, txn, deadline)
+		out.failure = s.cancelStoredJob(ctx, out.id, out.account, out.deadline)
 		return out
 	})
 }
 
+// cancelStoredJob stores the cancellation of a job. If the job is not stored, a tombstone keeps a submission that is
+// still on its way from being accepted, and the failure is JobGone.
+func (s *Service) cancelStoredJob(ctx context.Context, id workload.JobID, account workload.Account, deadline time.Time) *failure.Error {
+	_, err := s.store.Get(ctx, records.JobKey(id))
+	var missing *metastore.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		_, conflict, f := s.commit(ctx, metastore.Txn{
+			Conditions: []metastore.Condition{{Key: records.JobKey(id)}},
+			Writes:     []metastore.Write{{Key: records.TombstoneKey(id, account), Value: records.Encode(records.Tombstone{Account: account})}},
+		}, deadline)
+		if f != nil {
+			return f
+		}
+		if conflict == nil {
+			s.metrics.CountEvent("tombstones_stored", 1)
+			return failure.New(failure.JobGone, "no such job")
+		}
+		// The job was stored after it was read.
+	case err != nil:
+		return failure.New(failure.StoreUnavailable, "%v", err)
+	}
+	_, _, f := s.commit(ctx, metastore.Txn{Writes: []metastore.Write{{Key: records.CancelKey(id), Value: []byte("{}")}}}, deadline)
+	return f
+}
+
 func (s *Service) handleCancelDone(c *kernel.Context, m cancelDone) {
 	if m.failure != nil {
 		s.recordUndecided(m.failure)
@@ -178,7 +195,9 @@
 
 // relayCancel relays a cancellation to a VM that may reach the store; see relay.
 func (s *Service) relayCancel(c *kernel.Context, m cancelDone) bool {
-	newBody := func(within time.Duration) kernel.Message { return message.AcceptCancel{ID: m.id, Within: within} }
+	newBody := func(within time.Duration) kernel.Message {
+		return message.AcceptCancel{ID: m.id, Account: m.account, Within: within}
+	}
 	return s.relay(c, m.deadline, newBody, func(_ string, r kernel.Message, err error) {
 		if err != nil {
 			s.refuse(m.env, "cancel", m.id, failure.From(err))
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -97,7 +97,7 @@
 		}
 		s.accept(c, m.Job, relayedDeadline(m.Within), e, false)
 	case message.AcceptCancel:
-		s.storeCancel(c, m.ID, relayedDeadline(m.Within), e, false)
+		s.storeCancel(c, cancelDone{env: e, id: m.ID, account: m.Account, deadline: relayedDeadline(m.Within)})
 	case storeDone:
 		s.handleStoreDone(c, m)
 	case cancelDone:
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -82,8 +82,9 @@
 	s.accept(c, job, m.Deadline.Add(-replyMargin), e, true)
 }
 
-// accept stores a job on the condition that no job with its identifier is stored. The key depends on the identifier
-// alone, so that a repeated call at any VM finds the job of the first call.
+// accept stores a job on the condition that no job with its identifier is stored, and that its account has not cancelled
+// it: a submission may be read or applied seconds after its caller gave up and cancelled it through another VM. The job's
+// key depends on the identifier alone, so that a repeated call at any VM finds the job of the first call.
 func (s *Service) accept(c *kernel.Context, job workload.Job, deadline time.Time, e kernel.Envelope, mayRelay bool) {
 	out := storeDone{env: e, job: job, deadline: deadline, mayRelay: mayRelay, startedAt: time.Now()}
 	if !s.storeAvailable() {
@@ -95,11 +96,19 @@
 		return
 	}
 	txn := metastore.Txn{
-		Conditions: []metastore.Condition{{Key: records.JobKey(job.ID)}},
+		Conditions: []metastore.Condition{{Key: records.JobKey(job.ID)}, {Key: records.TombstoneKey(job.ID, job.Account)}},
 		Writes:     []metastore.Write{{Key: records.JobKey(job.ID), Value: records.Encode(job)}},
 	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		out.revision, out.existed, out.failure = s.commit(ctx, txn, deadline)
+		var conflict *metastore.ConflictError
+		out.revision, conflict, out.failure = s.commit(ctx, txn, deadline)
+		if conflict != nil {
+			out.revision = createdRevision(conflict, records.JobKey(job.ID))
+			if out.existed = out.revision > 0; !out.existed {
+				// An earlier attempt without an answer can't be applied either, because its conditions do not hold.
+				out.failure = failure.New(failure.JobGone, "the job was cancelled before it was stored")
+			}
+		}
 		return out
 	})
 }
@@ -116,27 +125,25 @@
 	}
 }
 
-// commit repeats an idempotent transaction until its outcome is known or the deadline passes.
-func (s *Service) commit(ctx context.Context, txn metastore.Txn, deadline time.Time) (revision int64, existed bool, f *failure.Error) {
+// commit repeats an idempotent transaction until its outcome is known or the deadline passes. It returns the conflict if
+// a condition does not hold, which an earlier attempt without an answer may have caused.
+func (s *Service) commit(ctx context.Context, txn metastore.Txn, deadline time.Time) (revision int64, conflict *metastore.ConflictError, f *failure.Error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	start, answerLost := time.Now(), false
 	for {
 		revision, err := s.store.Commit(ctx, txn)
-		var (
-			conflict    *metastore.ConflictError
-			notExecuted *metastore.NotExecutedError
-		)
+		var notExecuted *metastore.NotExecutedError
 		switch {
 		case err == nil:
-			return revision, false, nil
+			return revision, nil, nil
 		case errors.As(err, &conflict):
-			return createdRevision(conflict), true, nil
+			return 0, conflict, nil
 		case errors.As(err, &notExecuted):
 			s.metrics.CountRetry(failure.RetryStoreUnavailable)
 			outOfTime := time.Since(start) > maxRefusalTime || time.Until(deadline) < storeRetryDelay+minCommitTime
 			if !answerLost && outOfTime {
-				return 0, false, failure.New(failure.StoreUnavailable, "%v", err)
+				return 0, nil, failure.New(failure.StoreUnavailable, "%v", err)
 			}
 		default:
 			// The transaction may have been applied or may still be applied later, so that the call must not fail as refused.
@@ -149,16 +156,17 @@
 		}
 		if ctx.Err() != nil {
 			if answerLost {
-				return 0, false, failure.New(failure.AcceptanceUnknown, "%v", err)
+				return 0, nil, failure.New(failure.AcceptanceUnknown, "%v", err)
 			}
-			return 0, false, failure.New(failure.StoreUnavailable, "%v", err)
+			return 0, nil, failure.New(failure.StoreUnavailable, "%v", err)
 		}
 	}
 }
 
-func createdRevision(e *metastore.ConflictError) int64 {
+// createdRevision returns the revision at which an entry of a conflict was created; 0 if there is no such entry.
+func createdRevision(e *metastore.ConflictError, key string) int64 {
 	for i := range e.Items {
-		if e.Items[i].Created > 0 {
+		if e.Items[i].Key == key {
 			return e.Items[i].Created
 		}
 	}
@@ -224,6 +232,7 @@
 		switch {
 		case f.Outcome == failure.NotRun && f.Reason.HTTPStatus() == http.StatusServiceUnavailable:
 			f = failure.New(failure.StoreUnavailable, "%s", f.Error())
+		case f.Outcome == failure.NotRun && f.Reason == failure.JobGone:
 		default:
 			f = failure.New(failure.AcceptanceUnknown, "%s", f.Detail)
 		}
--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -36,6 +36,7 @@
 	// callTimeout is the deadline of the test's clients.
 	callTimeout = 3 * time.Second
 	apiKey      = "key-of-a"
+	otherAPIKey = "key-of-b"
 	hostName    = "jobs.example"
 	prefix      = "/jobs/"
 )
@@ -214,7 +215,7 @@
 		Version:  version,
 		Routes:   []workload.Route{{Name: "jobs", Host: hostName, Prefix: prefix, Pool: "pool", Priority: 1, MaxAttempts: 3, Stretch: 3, Latency: time.Second}},
 		Pools:    []workload.PoolConfig{{Name: "pool"}},
-		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{apiKey}, Guaranteed: 4}},
+		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{apiKey}, Guaranteed: 4}, {Name: "b", Keys: []string{otherAPIKey}}},
 	}).Index()
 }
 
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -59,6 +59,8 @@
 	// refuseRecords makes the store refuse to list the progress of jobs, recordReads counts these calls.
 	refuseRecords atomic.Bool
 	recordReads   atomic.Int64
+	// tombstoneRetention is that of the holder; 0 means its default.
+	tombstoneRetention time.Duration
 }
 
 // observeStore counts the calls that list the progress of jobs, and refuses them while refuseRecords is set.
@@ -105,7 +107,7 @@
 		Version: 1, Routes: []workload.Route{{Name: "q", Pool: "pool", Stretch: 3, Latency: time.Second}}, Pools: []workload.PoolConfig{{Name: "pool"}},
 	}).Index()
 	service := holder.New(holder.Settings{
-		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now,
+		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention,
 		Fleet: fleet.Settings{
 			Lease: 6 * time.Second, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: 50 * time.Millisecond,
 			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: time.Hour,
--- a/tests/holder/records_test.go
+++ b/tests/holder/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,3 +65,45 @@
 	env.refuseRecords.Store(false)
 	env.startLongJob()
 }
+
+// TestTombstonesExpire guards against tombstones of cancelled jobs that fill the store, and against one that is removed
+// before its retention has ended.
+func TestTombstonesExpire(t *testing.T) {
+	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}, tombstoneRetention: 500 * time.Millisecond}
+	env.start()
+	env.startLongJob()
+	keys := map[string]bool{}
+	for i := range 40 {
+		key := records.TombstoneKey(workload.JobID(fmt.Sprintf("%016x", 100+i)), "a")
+		keys[key] = true
+		env.store.Set(key, records.Encode(records.Tombstone{Account: "a"}))
+	}
+	stored, left := time.Now(), len(keys)
+	env.eventually("the tombstones are removed", func() bool {
+		n := 0
+		for _, item := range env.store.Entries(records.QueuePrefix) {
+			if keys[item.Key] {
+				n++
+			}
+		}
+		if n < left && time.Since(stored) < env.tombstoneRetention {
+			t.Errorf("%d of %d tombstones are left after %v", n, len(keys), time.Since(stored))
+		}
+		left = n
+		return n == 0
+	})
+}
+
+// TestYoungTombstonesStay guards against tombstones that are removed with the default retention while their submissions
+// may still arrive.
+func TestYoungTombstonesStay(t *testing.T) {
+	env := newEnvironment(t)
+	key := records.TombstoneKey("0000000000000100", "a")
+	env.store.Set(key, records.Encode(records.Tombstone{Account: "a"}))
+	env.startLongJob()
+	// Longer than the interval between two checks for expired entries.
+	time.Sleep(6 * time.Second)
+	if len(env.store.Entries(key)) == 0 {
+		t.Error("the tombstone was removed within 6 s")
+	}
+}
