--- a/decisions/expiry/expiry.go
+++ b/decisions/expiry/expiry.go
@@ -20,7 +20,7 @@
 
 // Observe adds a version of an entry. The age of a known version is left unchanged.
 func (s *Set) Observe(now time.Time, key string, revision int64) {
-	if e, known := s.entries[key]; known && e.Revision >= revision {
+	if e, known := s.entries[key]; known && e.Revision == revision {
 		return
 	}
 	if s.entries == nil {
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -120,8 +120,6 @@
 	CountJobsFailed           Counter = "jobs_failed"
 	CountReservationCancelled Counter = "reservations_given_up"
 	CountExecutorLost         Counter = "executors_lost"
-	// CountExecutorLostPrefix precedes a LossReason in the counters of lost executors by reason.
-	CountExecutorLostPrefix Counter = "executors_lost_"
 	// CountExecutorRestarted counts restarts of executors under the same identifier.
 	CountExecutorRestarted Counter = "executors_reborn"
 )
--- a/decisions/fleet/loss.go
+++ b/decisions/fleet/loss.go
@@ -37,7 +37,7 @@
 		return
 	}
 	f.count(CountExecutorLost)
-	f.count(CountExecutorLostPrefix + Counter(reason))
+	f.count(CountExecutorLost + "_" + Counter(reason))
 	notice := LossNotice{Executor: e.info.ID, Address: e.address, Reason: reason, Runs: len(e.taskRuns), LeaseRemaining: e.leaseExpiry().Sub(now)}
 	if !e.unresponsiveSince.IsZero() {
 		notice.Unresponsive = now.Sub(e.unresponsiveSince)
--- a/services/intake/read.go
+++ b/services/intake/read.go
@@ -148,14 +148,14 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithDeadline(ctx, out.deadline)
 		defer cancel()
-		out.failure = s.cancelStoredJob(ctx, out.id, out.account, out.deadline)
+		out.failure = s.recordCancel(ctx, out.id, out.account, out.deadline)
 		return out
 	})
 }
 
-// cancelStoredJob stores the cancellation of a job. If the job is not stored, a tombstone keeps a submission that is
-// still on its way from being accepted, and the failure is JobGone.
-func (s *Service) cancelStoredJob(ctx context.Context, id workload.JobID, account workload.Account, deadline time.Time) *failure.Error {
+// recordCancel stores the cancellation of a job. If the job is not stored, it stores a tombstone, which keeps a submission
+// that is still on its way from being accepted, and returns JobGone.
+func (s *Service) recordCancel(ctx context.Context, id workload.JobID, account workload.Account, deadline time.Time) *failure.Error {
 	_, err := s.store.Get(ctx, records.JobKey(id))
 	var missing *metastore.NotFoundError
 	switch {
