--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -513,3 +513,27 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// panicRecorder is a PanicObserver that takes a moment to record a panic.
+type panicRecorder struct{ recorded chan Name }
+
+func (o panicRecorder) MessageRefused(Name, string) {}
+
+func (o panicRecorder) ServiceRecovered(p *PanicError) {
+	time.Sleep(time.Second)
+	o.recorded <- p.Name
+}
+
+// TestPanicObservedBeforeReply guards against a caller that learns of a panic before it is counted.
+func TestPanicObservedBeforeReply(t *testing.T) {
+	inBubble(t, func(t *testing.T, g *gomega.WithT) {
+		o := panicRecorder{make(chan Name, 1)}
+		r := startKernel(t, o, Spec{Name: "s", Service: &recoveringService{
+			fakeService: fakeService{handle: func(*Context, Envelope) { panic("injected") }},
+		}})
+		_, err := r.Call(t.Context(), "s", text("x"))
+		g.Expect(err).To(gomega.HaveOccurred())
+		g.Expect(o.recorded).To(gomega.HaveLen(1))
+		g.Expect(r.stopAndWait()).To(gomega.Succeed())
+	})
+}
