--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -35,6 +35,9 @@
 	CheckpointInterval time.Duration
 	// Retention is how long the state of a finished job is kept.
 	Retention time.Duration
+	// ChooseVictims selects the victims of a preemption by package victims, waits for units that end in time instead of
+	// stopping others, and reserves headroom by the shapes of urgent work.
+	ChooseVictims bool
 }
 
 const (
--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -17,10 +17,18 @@
 // overcommitted, no step starts early, no task exceeds its attempts and no job is lost. Holders are replaced and
 // partitioned, executors crash, restart, drain, stall and become unreachable, silently or with rejected connections,
 // calls take effect late, and the store is down for a while.
-func TestFleet(t *testing.T) {
+func TestFleet(t *testing.T) { checkFleet(t, func(*Settings) {}) }
+
+// TestFleetOptions is TestFleet with the optional decisions switched on.
+func TestFleetOptions(t *testing.T) {
+	checkFleet(t, func(s *Settings) { s.ChooseVictims = true })
+}
+
+func checkFleet(t *testing.T, configure func(*Settings)) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
 		sim.t = failOn{t, rt}
+		configure(&sim.settings)
 		sim.newHolder()
 		sim.advanceRuns()
 		steps := rapid.IntRange(5, 25).Draw(rt, "steps")
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -17,7 +17,7 @@
 	}
 	step := u.spec()
 	if step.Rack == "" && !(step.Gang && step.SameRack && u.size > 1) {
-		return f.applyPreemption(now, u, f.findPreemption(now, c.Class, u, usable))
+		return f.applyPreemption(now, u, f.findPreemption(now, c, u, usable))
 	}
 	// Of the racks that can hold the unit, the one with the least lost work is chosen.
 	racks := map[string][]*executor{}
@@ -33,27 +33,37 @@
 	}
 	var best *preemption
 	for _, r := range names {
-		if p := f.findPreemption(now, c.Class, u, racks[r]); p != nil && (best == nil || p.cost < best.cost) {
+		if p := f.findPreemption(now, c, u, racks[r]); p != nil && (best == nil || p.cost < best.cost) {
 			best = p
 		}
 	}
 	if best == nil {
 		// No rack can hold the unit even after preemption, so that it is placed across racks.
-		best = f.findPreemption(now, c.Class, u, usable)
+		best = f.findPreemption(now, c, u, usable)
 	}
 	return f.applyPreemption(now, u, best)
 }
 
-// preemption is a placement of a unit that stops other units, the victims; cost is their lost work.
+// preemption is a placement of a unit that stops other units, the victims; cost is their lost work. awaited is the
+// number of units that end by themselves and whose room the placement needs, too.
 type preemption struct {
 	placement []*executor
 	victims   []*unit
 	cost      float64
+	awaited   int
 }
 
-// findPreemption places the tasks of a unit one by one, each where the least work is lost. It returns nil if not all
-// fit.
-func (f *Scheduler) findPreemption(now time.Time, class int, u *unit, usable []*executor) *preemption {
+// findPreemption returns a placement of a unit for which others are stopped, or nil if there is none.
+func (f *Scheduler) findPreemption(now time.Time, c *candidate, u *unit, usable []*executor) *preemption {
+	if f.settings.ChooseVictims {
+		return f.choosePreemption(now, c, u, usable)
+	}
+	return f.findPreemptionByTask(now, c.Class, u, usable)
+}
+
+// findPreemptionByTask places the tasks of a unit one by one, each where the least work is lost. It returns nil if not
+// all fit.
+func (f *Scheduler) findPreemptionByTask(now time.Time, class int, u *unit, usable []*executor) *preemption {
 	load := u.spec().CapacityNeed()
 	p := &preemption{}
 	chosen := map[*unit]bool{}
@@ -177,7 +187,11 @@
 // lostWork returns the work that is lost by stopping a unit, in core-seconds weighted by priority.
 func (f *Scheduler) lostWork(now time.Time, u *unit) float64 {
 	lost := now.Sub(u.startedAt)
-	if u.spec().Checkpoint {
+	switch {
+	case u.spec().Checkpoint && f.settings.ChooseVictims:
+		// A stop saves a checkpoint, so that only the restore is lost.
+		lost = min(lost, f.settings.CheckpointRestoreTime)
+	case u.spec().Checkpoint:
 		lost = min(lost, f.settings.CheckpointRestoreTime+f.settings.CheckpointInterval/2)
 	}
 	lost += restartOverhead
@@ -189,6 +203,9 @@
 	if p == nil {
 		return false
 	}
+	if p.awaited > 0 {
+		f.count(CountAwaited)
+	}
 	for _, victim := range p.victims {
 		f.count(CountPreempted)
 		f.interrupt(now, victim, StopPreempted)
--- /dev/null
+++ b/decisions/fleet/victims.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/victims"
+)
+
+// maxAwait bounds the time for which a preemption waits for units that end by themselves. It is within the time for
+// which a reservation is kept.
+const maxAwait = reservationMargin
+
+// awaitTime returns how long a preemption for a candidate may wait for units that end by themselves: as long as a stop
+// may take anyway, or half of the time that the candidate has left.
+func (f *Scheduler) awaitTime(now time.Time, c *candidate) time.Duration {
+	return max(f.settings.MaxStopTime, min(maxAwait, c.LatestStart.Sub(now)/2))
+}
+
+// endsWithin reports whether a unit is expected to end by itself within a time.
+func (f *Scheduler) endsWithin(now time.Time, u *unit, d time.Duration) bool {
+	remaining, known := f.remaining(now, u)
+	return known && remaining <= d
+}
+
+// choosePreemption places the tasks of a unit on executors of which other units are stopped or awaited. It returns nil
+// if not all fit.
+func (f *Scheduler) choosePreemption(now time.Time, c *candidate, u *unit, usable []*executor) *preemption {
+	step := u.spec()
+	load := step.CapacityNeed()
+	pool := f.route(u.job).Pool
+	advice := f.adviceFor(u)
+	await := f.awaitTime(now, c)
+	var (
+		executors []*executor
+		hosts     []victims.Host
+		running   []*unit
+		units     []victims.Unit
+	)
+	index := map[*unit]int{}
+	for _, e := range usable {
+		if !advice.permits(now, e.info.ID) || !e.matches(pool, step) || !load.Fits(e.info.Capacity) {
+			continue
+		}
+		host := victims.Host{Free: e.free(), Slots: capacityFor(step, e.info.Capacity)}
+		if step.MaxPerExecutor > 0 {
+			host.Slots = min(host.Slots, step.MaxPerExecutor-e.stepTaskCount(u))
+		}
+		for _, r := range e.taskRuns {
+			v := r.unit
+			if v == nil || v.state != unitActive || v.reserved() {
+				continue
+			}
+			ends := v.ending || f.endsWithin(now, v, await)
+			if !ends && (f.runningClass(v) <= c.Class || !f.mayInterrupt(v)) {
+				continue
+			}
+			i, known := index[v]
+			if !known {
+				i = len(running)
+				index[v] = i
+				running = append(running, v)
+				units = append(units, victims.Unit{Cost: f.lostWork(now, v), Ends: ends})
+			}
+			host.Occupants = addOccupant(host.Occupants, i, r.load)
+		}
+		executors = append(executors, e)
+		hosts = append(hosts, host)
+	}
+	plan, ok := victims.Choose(load, u.size, hosts, units)
+	if !ok {
+		return nil
+	}
+	p := &preemption{cost: plan.Cost, awaited: len(plan.Awaited)}
+	for _, h := range plan.Hosts {
+		p.placement = append(p.placement, executors[h])
+	}
+	for _, i := range plan.Stopped {
+		p.victims = append(p.victims, running[i])
+	}
+	return p
+}
+
+// addOccupant adds what a unit occupies on a host.
+func addOccupant(occupants []victims.Occupant, u int, load workload.Resources) []victims.Occupant {
+	for i := range occupants {
+		if occupants[i].Unit == u {
+			occupants[i].Load = occupants[i].Load.Add(load)
+			return occupants
+		}
+	}
+	return append(occupants, victims.Occupant{Unit: u, Load: load})
+}
