Add the expected remaining time of a run

A choice of victims or a wait for capacity needs to know which runs will soon end by themselves. The scheduler had only an estimate that ignores the progress of runs that started from a checkpoint or under an earlier holder.

remaining measures the pace of a run from its progress reports, from its start or, for a resumed or adopted run, from the first report. Before that it uses the expected run time. Nothing calls it yet.

--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -46,6 +46,8 @@
 	progress   int
 	progressAt time.Time
 	startedAt  time.Time
+	// progressStart is the progress from which the pace of the latest run is measured; zero before it is known.
+	progressStart progressMark
 	// readyAt is when the unit first became startable, pendingSince when it last did: after its latest run has ended.
 	// notBefore is the earliest time of the next start.
 	readyAt, pendingSince time.Time
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -183,6 +183,9 @@
 // start adds the starts of all tasks of a unit that has reserved free capacity.
 func (f *Scheduler) start(now time.Time, u *unit, reason string) {
 	u.startedAt, u.progressAt, u.progress = now, now, 0
+	if u.checkpoint == "" {
+		u.progressStart = progressMark{at: now}
+	}
 	for _, r := range u.taskRuns {
 		r.state, r.startSentAt = taskStartSent, now
 		r.executor.dispatched = r.executor.dispatched.Add(r.load)
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -132,6 +132,7 @@
 
 // observeProgress applies the reported progress and checkpoint of a task run to its unit.
 func (u *unit) observeProgress(now time.Time, r *taskRun) {
+	u.markProgress(now, r.progress)
 	if r.progress > u.progress {
 		u.progress, u.progressAt = r.progress, now
 	}
@@ -209,6 +210,7 @@
 	u.state, u.run = unitActive, run
 	u.ending = false
 	u.progress, u.progressAt, u.startedAt = 0, now, now
+	u.progressStart = progressMark{}
 }
 
 // applyEnded applies a row of a report about a run that has ended.
