--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -118,8 +118,10 @@
 	CountTicketRefused   Counter = "ticket_refused"
 	CountJobsCompleted   Counter = "jobs_completed"
 	CountJobsFailed      Counter = "jobs_failed"
-	// CountAwaited counts preemptions that wait for units that end by themselves.
+	// CountAwaited counts preemptions that wait for units that end by themselves, CountAwaitFailed those whose wait was in
+	// vain.
 	CountAwaited              Counter = "preemptions_awaiting_ends"
+	CountAwaitFailed          Counter = "preemptions_awaited_in_vain"
 	CountReservationCancelled Counter = "reservations_given_up"
 	CountExecutorLost         Counter = "executors_lost"
 	// CountExecutorRestarted counts restarts of executors under the same identifier.
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -54,6 +54,10 @@
 	notBefore             time.Time
 	// waitsFor is why the unit was not started in the last planning pass.
 	waitsFor WaitReason
+	// awaitUntil is how long the reservation of the unit waits for others that end by themselves; zero if it does not.
+	// awaitFailed is set once such a wait was in vain.
+	awaitUntil  time.Time
+	awaitFailed bool
 	// avoidedExecutor is the executor on which a run last failed, stalled or was refused; the unit does not start there
 	// before avoidUntil.
 	avoidedExecutor workload.ExecutorID
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -229,6 +229,10 @@
 		switch {
 		case f.canStart(now, u):
 			f.start(now, u, "room_vacated")
+		case !u.awaitUntil.IsZero() && now.After(u.awaitUntil):
+			f.count(CountAwaitFailed)
+			u.awaitFailed = true
+			f.cancelReservation(now, u)
 		case now.Sub(u.startedAt) > f.settings.MaxStopTime+reservationMargin || f.isBlocked(now, u):
 			f.count(CountReservationCancelled)
 			u.notBefore = now.Add(startRetryDelay)
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -44,13 +44,13 @@
 	return f.applyPreemption(now, u, best)
 }
 
-// preemption is a placement of a unit that stops other units, the victims; cost is their lost work. awaited is the
-// number of units that end by themselves and whose room the placement needs, too.
+// preemption is a placement of a unit that stops other units, the victims; cost is their lost work.
 type preemption struct {
 	placement []*executor
 	victims   []*unit
 	cost      float64
-	awaited   int
+	// awaitUntil is how long the placement waits for units that end by themselves; zero if it needs none of these.
+	awaitUntil time.Time
 }
 
 // findPreemption returns a placement of a unit for which others are stopped, or nil if there is none.
@@ -203,7 +203,8 @@
 	if p == nil {
 		return false
 	}
-	if p.awaited > 0 {
+	u.awaitUntil = p.awaitUntil
+	if !p.awaitUntil.IsZero() {
 		f.count(CountAwaited)
 	}
 	for _, victim := range p.victims {
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
@@ -11,10 +12,14 @@
 // which a reservation is kept.
 const maxAwait = reservationMargin
 
-// awaitTime returns how long a preemption for a candidate may wait for units that end by themselves: as long as a stop
-// may take anyway, or half of the time that the candidate has left.
-func (f *Scheduler) awaitTime(now time.Time, c *candidate) time.Duration {
-	return max(f.settings.MaxStopTime, min(maxAwait, c.LatestStart.Sub(now)/2))
+// awaitTime returns how long a preemption for a candidate may wait for units that end by themselves: about as long as a
+// stop takes anyway, or half of the time that the candidate has left, so that a stop is still in time afterwards. A unit
+// that has waited in vain does not wait again.
+func (f *Scheduler) awaitTime(now time.Time, c *candidate, u *unit) time.Duration {
+	if u.awaitFailed {
+		return 0
+	}
+	return min(maxAwait, max(f.settings.MaxStopTime/2, c.LatestStart.Sub(now)/2))
 }
 
 // endsWithin reports whether a unit is expected to end by itself within a time.
@@ -30,7 +35,7 @@
 	load := step.CapacityNeed()
 	pool := f.route(u.job).Pool
 	advice := f.adviceFor(u)
-	await := f.awaitTime(now, c)
+	await := f.awaitTime(now, c, u)
 	var (
 		executors []*executor
 		hosts     []victims.Host
@@ -51,7 +56,7 @@
 			if v == nil || v.state != unitActive || v.reserved() {
 				continue
 			}
-			ends := v.ending || f.endsWithin(now, v, await)
+			ends := v.ending || await > 0 && f.endsWithin(now, v, await)
 			if !ends && (f.runningClass(v) <= c.Class || !f.mayInterrupt(v)) {
 				continue
 			}
@@ -71,7 +76,10 @@
 	if !ok {
 		return nil
 	}
-	p := &preemption{cost: plan.Cost, awaited: len(plan.Awaited)}
+	p := &preemption{cost: plan.Cost}
+	if slices.ContainsFunc(plan.Awaited, func(i int) bool { return !running[i].ending }) {
+		p.awaitUntil = now.Add(await)
+	}
 	for _, h := range plan.Hosts {
 		p.placement = append(p.placement, executors[h])
 	}
--- a/decisions/fleet/victims_test.go
+++ b/decisions/fleet/victims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -18,47 +19,58 @@
 }
 
 // replayFullFleet simulates urgent gangs of several shapes on a fleet that is full of small tasks, of which some save
-// checkpoints, and of wide gangs.
+// checkpoints, and of wide gangs. Declared run times are off by up to a half.
 func replayFullFleet(t *testing.T, seed uint64, configure func(*Settings)) fullFleet {
 	t.Helper()
-	sim := newSimulation(t, seed, 2, 8)
+	sim := newSimulation(t, seed, 3, 8)
 	configure(&sim.settings)
 	sim.newHolder()
 	sim.advanceRuns()
 	sim.advance(100 * time.Millisecond)
+	// Traffic has its own source of random numbers, so that it does not depend on the choices.
+	traffic := rand.New(rand.NewPCG(seed, 1))
 	var out fullFleet
-	submittedAt := map[workload.JobID]time.Time{}
-	const urgentWork = 2 * time.Second
-	for i := range 80 {
-		if i%6 == 0 {
-			sim.submit(oneStep(fmt.Sprintf("batch%02d", i), "batch", workload.Step{Count: 60, Need: workload.Resources{CPU: 2800, GPU: 1}, Checkpoint: i%12 == 0, Estimate: 8 * time.Second}),
-				behavior{runTime: 8 * time.Second})
+	type urgentJob struct {
+		at      time.Time
+		runTime time.Duration
+		tasks   int
+	}
+	urgent := map[workload.JobID]urgentJob{}
+	submit := func(i int, queue workload.Queue, s workload.Step, mean time.Duration) {
+		runTime := time.Duration((0.6 + 0.8*traffic.Float64()) * float64(mean))
+		s.Estimate = time.Duration((0.5 + traffic.Float64()) * float64(runTime))
+		id := fmt.Sprintf("%s%03d", queue, i)
+		sim.submit(oneStep(id, queue, s), behavior{runTime: runTime})
+		if queue == "urgent" {
+			urgent[workload.JobID(id)] = urgentJob{sim.now, runTime, s.Count}
+		}
+	}
+	for i := range 150 {
+		if traffic.IntN(5) == 0 {
+			submit(i, "batch", workload.Step{Count: 20 + traffic.IntN(40), Need: workload.Resources{CPU: 2800, GPU: 1}, Checkpoint: traffic.IntN(2) == 0}, 8*time.Second)
 		}
-		if i%8 == 3 {
-			sim.submit(oneStep(fmt.Sprintf("wide%02d", i), "normal", workload.Step{Count: 5, Gang: true, Need: workload.Resources{CPU: 13000, GPU: 4}, Estimate: 7 * time.Second}),
-				behavior{runTime: 7 * time.Second})
+		if traffic.IntN(6) == 0 {
+			submit(i, "normal", workload.Step{Count: 3 + traffic.IntN(6), Gang: true, Need: workload.Resources{CPU: 13000, GPU: 1 << traffic.IntN(4)}}, 7*time.Second)
 		}
-		gpus := []int{1, 2, 4, 8, 8}[i%5]
-		id := fmt.Sprintf("urgent%02d", i)
-		sim.submit(oneStep(id, "urgent", workload.Step{Count: 3, Gang: true, SameRack: i%4 != 0, Need: workload.Resources{CPU: 3700, GPU: gpus}, Estimate: urgentWork}), behavior{runTime: urgentWork})
-		submittedAt[workload.JobID(id)] = sim.now
-		sim.advance(350 * time.Millisecond)
+		submit(i, "urgent", workload.Step{
+			Count: 1 + traffic.IntN(5), Gang: true, SameRack: traffic.IntN(4) != 0, Need: workload.Resources{CPU: 3700, GPU: []int{1, 2, 4, 8, 8}[traffic.IntN(5)]},
+		}, 2*time.Second)
+		sim.advance(time.Duration(100+traffic.IntN(400)) * time.Millisecond)
 	}
 	sim.advance(20 * time.Second)
 	for _, v := range sim.violations {
 		t.Error(v)
 	}
 	route := sim.config.Route("urgent")
-	objective := time.Duration(route.Stretch*float64(urgentWork)) + route.Latency
-	for id, at := range submittedAt {
+	for id, j := range urgent {
 		first := workload.TaskRef{Job: id}
-		if done, ok := sim.doneAt[first]; ok && done.Sub(at) <= objective {
+		objective := time.Duration(route.Stretch*float64(j.runTime)) + route.Latency
+		if done, ok := sim.doneAt[first]; ok && done.Sub(j.at) <= objective {
 			out.inTime++
 		}
-		out.started += 3 * len(sim.starts[first])
+		out.started += j.tasks * len(sim.starts[first])
 	}
-	counts := sim.holder.scheduler.TakeCounters()
-	out.stopped, out.lost = int(counts[CountStopped]), sim.lostWork
+	out.stopped, out.lost = int(sim.holder.scheduler.TakeCounters()[CountStopped]), sim.lostWork
 	return out
 }
 
