--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -74,6 +74,7 @@
 			Fleet: fleet.Settings{
 				Lease: s.Lease, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: pollWait, MaxStopTime: s.MaxStopTime, RemoteSlowdown: s.RemoteSlowdown,
 				CheckpointRestoreTime: s.CheckpointRestoreTime, CheckpointInterval: s.CheckpointInterval, Retention: s.Retention,
+				ChooseVictims: s.ChooseVictims,
 			},
 		}, store, runner.NewClient(s.ExecutorConns), advisorClient, m).Spec(),
 		intake.New(intake.Settings{VM: string(s.VM), Peers: withoutAddress(s.Peers, s.Relay)}, store, m).Spec(),
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -44,6 +44,8 @@
 	// CheckpointRestoreTime is the time that a start from a checkpoint takes, CheckpointInterval the run time between
 	// two checkpoints.
 	CheckpointRestoreTime, CheckpointInterval time.Duration
+	// ChooseVictims selects the victims of preemptions by the least lost work, and waits for units that end in time.
+	ChooseVictims bool
 	// Retention is the time for which the state of an ended job is kept.
 	Retention time.Duration
 	// GracePeriod is the time between the platform's order to stop and the kill of the process. LameDuck is the first
@@ -71,13 +73,14 @@
 )
 
 var platformSchema = map[string][]string{
-	"vm":       {"id", "domain", "region"},
-	"listen":   {"front", "ready", "relay", "admin"},
-	"platform": {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
-	"limits":   {"processor_share", "memory", "executor_connections"},
-	"executor": {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
-	"timing":   {"retention", "grace", "lame_duck"},
-	"log":      {"verbosity"},
+	"vm":         {"id", "domain", "region"},
+	"listen":     {"front", "ready", "relay", "admin"},
+	"platform":   {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
+	"limits":     {"processor_share", "memory", "executor_connections"},
+	"executor":   {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
+	"scheduling": {"choose_victims"},
+	"timing":     {"retention", "grace", "lame_duck"},
+	"log":        {"verbosity"},
 }
 
 // LoadPlatform reads the settings from a file name or byte slice. It returns an *Error that lists all problems.
@@ -108,6 +111,7 @@
 		RemoteSlowdown:        r.float("executor", "slow_factor", 1, 1, 1000),
 		CheckpointRestoreTime: r.duration("executor", "restore_time", 0, 0, maxTimeout),
 		CheckpointInterval:    r.duration("executor", "save_interval", time.Second, 0, maxTimeout),
+		ChooseVictims:         r.boolean("scheduling", "choose_victims", false),
 		Retention:             r.duration("timing", "retention", 2*time.Minute, time.Second, 24*time.Hour),
 		GracePeriod:           r.duration("timing", "grace", 6*time.Second, time.Second, maxTimeout),
 		LameDuck:              r.duration("timing", "lame_duck", DefaultLameDuck, 0, maxTimeout),
--- a/node/settings/reader.go
+++ b/node/settings/reader.go
@@ -137,6 +137,18 @@
 	return n
 }
 
+func (r *reader) boolean(section, key string, def bool) bool {
+	if !r.hasKey(section, key) {
+		return def
+	}
+	v := r.value(section, key)
+	if v != "true" && v != "false" {
+		r.addProblem(section, key, "true or false")
+		return def
+	}
+	return v == "true"
+}
+
 func (r *reader) hasKey(section, key string) bool {
 	s, err := r.file.GetSection(section)
 	return err == nil && s.HasKey(key)
