--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -8,18 +8,14 @@
 	"github.com/verbenaflow/verbenaflow/decisions/victims"
 )
 
-// maxAwait bounds the time for which a preemption waits for units that end by themselves. It is within the time for
-// which a reservation is kept.
-const maxAwait = reservationMargin
-
-// awaitTime returns how long a preemption for a candidate may wait for units that end by themselves: about as long as a
-// stop takes anyway, or half of the time that the candidate has left, so that a stop is still in time afterwards. A unit
-// that has waited in vain does not wait again.
-func (f *Scheduler) awaitTime(now time.Time, c *candidate, u *unit) time.Duration {
+// awaitTime returns how long a preemption for a unit may wait for others that end by themselves: the time that a stop
+// takes on average, so that the urgent unit starts no later than after a stop. A unit that has waited in vain does not
+// wait again.
+func (f *Scheduler) awaitTime(u *unit) time.Duration {
 	if u.awaitFailed {
 		return 0
 	}
-	return min(maxAwait, max(f.settings.MaxStopTime/2, c.LatestStart.Sub(now)/2))
+	return f.settings.MaxStopTime / 2
 }
 
 // endsWithin reports whether a unit is expected to end by itself within a time.
@@ -35,7 +31,7 @@
 	load := step.CapacityNeed()
 	pool := f.route(u.job).Pool
 	advice := f.adviceFor(u)
-	await := f.awaitTime(now, c, u)
+	await := f.awaitTime(u)
 	var (
 		executors []*executor
 		hosts     []victims.Host
--- a/decisions/fleet/victims_test.go
+++ b/decisions/fleet/victims_test.go
@@ -23,6 +23,7 @@
 func replayFullFleet(t *testing.T, seed uint64, configure func(*Settings)) fullFleet {
 	t.Helper()
 	sim := newSimulation(t, seed, 3, 8)
+	sim.settings.MaxStopTime = 900 * time.Millisecond
 	configure(&sim.settings)
 	sim.newHolder()
 	sim.advanceRuns()
@@ -78,7 +79,7 @@
 // that end for one of their tasks, and work that would end by itself in time.
 func TestFewerVictims(t *testing.T) {
 	var before, after fullFleet
-	for seed := range uint64(4) {
+	for seed := range uint64(8) {
 		b := replayFullFleet(t, seed+1, func(*Settings) {})
 		a := replayFullFleet(t, seed+1, func(s *Settings) { s.ChooseVictims = true })
 		t.Logf("seed %d: %+v without, %+v with", seed+1, b, a)
