--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -40,6 +42,8 @@
 	// lowCapacity is set if the free share was below lowCapacityShare within the last lowCapacityHold, so that capacity is
 	// reserved for waiting gangs.
 	lowCapacity bool
+	// kept holds the executors whose free capacity is the reserve; nil if the reserve may be anywhere.
+	kept map[*executor]bool
 }
 
 // headroom returns the capacity of the usable executors that work below priority 0 may use.
@@ -54,7 +58,48 @@
 	if float64(free) < lowCapacityShare*float64(capacity) {
 		f.lowCapacityAt = now
 	}
-	return headroom{remaining: float64(free) - reserved, lowCapacity: now.Sub(f.lowCapacityAt) < lowCapacityHold}
+	h := headroom{remaining: float64(free) - reserved, lowCapacity: now.Sub(f.lowCapacityAt) < lowCapacityHold}
+	if f.settings.ChooseVictims && reserved > 0 {
+		h.kept = keepTogether(usable, reserved)
+	}
+	return h
+}
+
+// keepTogether returns the executors whose free capacity makes up the reserve: the emptiest ones of the racks with most
+// free capacity, so that gangs of large tasks find room on a rack there. Reserved capacity that is scattered over all
+// executors would hold small tasks only.
+func keepTogether(usable []*executor, reserved float64) map[*executor]bool {
+	rackFree := map[string]int{}
+	for _, e := range usable {
+		rackFree[e.rack] += max(0, weightedMillicores(e.free()))
+	}
+	order := slices.Clone(usable)
+	slices.SortStableFunc(order, func(a, b *executor) int {
+		return cmp.Or(
+			cmp.Compare(rackFree[b.rack], rackFree[a.rack]), cmp.Compare(a.rack, b.rack),
+			cmp.Compare(weightedMillicores(b.free()), weightedMillicores(a.free())),
+		)
+	})
+	kept := map[*executor]bool{}
+	for _, e := range order {
+		if reserved <= 0 {
+			break
+		}
+		if free := weightedMillicores(e.free()); free > 0 {
+			kept[e] = true
+			reserved -= float64(free)
+		}
+	}
+	return kept
+}
+
+// open returns the executors that a unit of a class may use: all, or those beside the reserve. Work that needs a certain
+// rack may use the reserve, because it has no choice.
+func (h *headroom) open(class int, u *unit, usable []*executor) []*executor {
+	if h.kept == nil || class <= classUrgent || u.spec().LongRunning || u.spec().Rack != "" {
+		return usable
+	}
+	return slices.DeleteFunc(slices.Clone(usable), func(e *executor) bool { return h.kept[e] })
 }
 
 // allows reports whether a unit may start. Urgent work and long-running tasks may use any free capacity; the absence of
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -63,7 +63,7 @@
 	if !budget.allows(c.Class, u) {
 		return WaitHeadroom
 	}
-	if !f.placeUnit(now, c, u, usable) {
+	if !f.placeUnit(now, c, u, budget.open(c.Class, u, usable)) {
 		return WaitCapacity
 	}
 	if u.job.mayRunPending() {
