--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -42,8 +42,8 @@
 	// lowCapacity is set if the free share was below lowCapacityShare within the last lowCapacityHold, so that capacity is
 	// reserved for waiting gangs.
 	lowCapacity bool
-	// kept holds the executors whose free capacity is the reserve; nil if the reserve may be anywhere.
-	kept map[*executor]bool
+	// usable lists all executors that may be used, unreserved those beside the reserve.
+	usable, unreserved []*executor
 }
 
 // headroom returns the capacity of the usable executors that work below priority 0 may use.
@@ -58,17 +58,20 @@
 	if float64(free) < lowCapacityShare*float64(capacity) {
 		f.lowCapacityAt = now
 	}
-	h := headroom{remaining: float64(free) - reserved, lowCapacity: now.Sub(f.lowCapacityAt) < lowCapacityHold}
+	h := headroom{
+		remaining: float64(free) - reserved, lowCapacity: now.Sub(f.lowCapacityAt) < lowCapacityHold,
+		usable: usable, unreserved: usable,
+	}
 	if f.settings.ChooseVictims && reserved > 0 {
-		h.kept = keepTogether(usable, reserved)
+		h.unreserved = beside(usable, reserved)
 	}
 	return h
 }
 
-// keepTogether returns the executors whose free capacity makes up the reserve: the emptiest ones of the racks with most
-// free capacity, so that gangs of large tasks find room on a rack there. Reserved capacity that is scattered over all
-// executors would hold small tasks only.
-func keepTogether(usable []*executor, reserved float64) map[*executor]bool {
+// beside returns the executors beside a reserve, which consists of the emptiest executors of the racks with most free
+// capacity: gangs of large tasks find room on a rack there, while a reserve that is scattered over all executors would
+// hold small tasks only.
+func beside(usable []*executor, reserve float64) []*executor {
 	rackFree := map[string]int{}
 	for _, e := range usable {
 		rackFree[e.rack] += max(0, weightedMillicores(e.free()))
@@ -80,26 +83,26 @@
 			cmp.Compare(weightedMillicores(b.free()), weightedMillicores(a.free())),
 		)
 	})
-	kept := map[*executor]bool{}
-	for _, e := range order {
-		if reserved <= 0 {
+	n := 0
+	for n < len(order) {
+		free := float64(max(0, weightedMillicores(order[n].free())))
+		if reserve < free/2 {
+			// Less than half of the executor is needed, so that a small reserve closes none.
 			break
 		}
-		if free := weightedMillicores(e.free()); free > 0 {
-			kept[e] = true
-			reserved -= float64(free)
-		}
+		reserve -= free
+		n++
 	}
-	return kept
+	return order[n:]
 }
 
-// open returns the executors that a unit of a class may use: all, or those beside the reserve. Work that needs a certain
-// rack may use the reserve, because it has no choice.
-func (h *headroom) open(class int, u *unit, usable []*executor) []*executor {
-	if h.kept == nil || class <= classUrgent || u.spec().LongRunning || u.spec().Rack != "" {
-		return usable
+// executorsFor returns the executors that a unit of a class may use. A unit that is bound to a rack has little choice, so
+// that it may use the reserve.
+func (h *headroom) executorsFor(class int, u *unit) []*executor {
+	if class <= classUrgent || u.spec().LongRunning || u.needsRack() {
+		return h.usable
 	}
-	return slices.DeleteFunc(slices.Clone(usable), func(e *executor) bool { return h.kept[e] })
+	return h.unreserved
 }
 
 // allows reports whether a unit may start. Urgent work and long-running tasks may use any free capacity; the absence of
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -47,7 +47,7 @@
 		}
 		// Each placement uses some of the account's guarantee, so that the class of the next unit may differ.
 		c.Class = f.classOf(u)
-		if reason := f.tryPlace(now, c, u, usable, budget); reason != "" {
+		if reason := f.tryPlace(now, c, u, budget); reason != "" {
 			setWaiting(c.units[i:], reason)
 			if budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
@@ -59,12 +59,19 @@
 }
 
 // tryPlace places a unit if the headroom allows it. It returns why the next unit of the step is not worth trying, or "".
-func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, usable []*executor, budget *headroom) WaitReason {
+func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, budget *headroom) WaitReason {
 	if !budget.allows(c.Class, u) {
 		return WaitHeadroom
 	}
-	if !f.placeUnit(now, c, u, budget.open(c.Class, u, usable)) {
-		return WaitCapacity
+	executors := budget.executorsFor(c.Class, u)
+	if !f.placeUnit(now, c, u, executors) {
+		if len(executors) == len(budget.usable) || f.couldFit(u, executors, false) {
+			return WaitCapacity
+		}
+		// The executors beside the reserve can't hold the unit even when they are empty.
+		if !f.placeUnit(now, c, u, budget.usable) {
+			return WaitCapacity
+		}
 	}
 	if u.job.mayRunPending() {
 		u.waitsFor = WaitRecord
@@ -115,7 +122,6 @@
 // findPlacement returns an executor for each task of a unit and the reason of the choice, or nil if the unit does not
 // fit.
 func (f *Scheduler) findPlacement(now time.Time, u *unit, usable []*executor) ([]*executor, string) {
-	step := u.spec()
 	fit := f.fittingExecutors(now, u, usable)
 	if a := f.adviceFor(u); a != nil {
 		f.queryAdvice(now, u, fit)
@@ -124,7 +130,7 @@
 	if len(fit) == 0 {
 		return nil, ""
 	}
-	if step.Rack == "" && !(step.Gang && step.SameRack && u.size > 1) {
+	if !u.needsRack() {
 		return pack(u, fit), "fits"
 	}
 	if placement := f.findInRack(u, fit); placement != nil {
@@ -136,6 +142,12 @@
 	return pack(u, fit), "fits_far"
 }
 
+// needsRack reports whether a unit runs longer away from a certain rack or on more than one.
+func (u *unit) needsRack() bool {
+	s := u.spec()
+	return s.Rack != "" || s.Gang && s.SameRack && u.size > 1
+}
+
 // mayLeaveRack reports whether a unit may start outside its rack, although it runs longer and occupies its executors
 // longer there: no rack could hold it, or it has waited for longer than the extra run time.
 func (f *Scheduler) mayLeaveRack(now time.Time, u *unit, usable []*executor) bool {
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -16,7 +16,7 @@
 		return false
 	}
 	step := u.spec()
-	if step.Rack == "" && !(step.Gang && step.SameRack && u.size > 1) {
+	if !u.needsRack() {
 		return f.applyPreemption(now, u, f.findPreemption(now, c, u, usable))
 	}
 	// Of the racks that can hold the unit, the one with the least lost work is chosen.
