--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -40,6 +42,8 @@
 	// lowCapacity is set if the free share was below lowCapacityShare within the last lowCapacityHold, so that capacity is
 	// reserved for waiting gangs.
 	lowCapacity bool
+	// usable lists all executors that may be used, unreserved those beside the reserve.
+	usable, unreserved []*executor
 }
 
 // headroom returns the capacity of the usable executors that work below priority 0 may use.
@@ -54,7 +58,51 @@
 	if float64(free) < lowCapacityShare*float64(capacity) {
 		f.lowCapacityAt = now
 	}
-	return headroom{remaining: float64(free) - reserved, lowCapacity: now.Sub(f.lowCapacityAt) < lowCapacityHold}
+	h := headroom{
+		remaining: float64(free) - reserved, lowCapacity: now.Sub(f.lowCapacityAt) < lowCapacityHold,
+		usable: usable, unreserved: usable,
+	}
+	if f.settings.ChooseVictims && reserved > 0 {
+		h.unreserved = beside(usable, reserved)
+	}
+	return h
+}
+
+// beside returns the executors beside a reserve, which consists of the emptiest executors of the racks with most free
+// capacity: gangs of large tasks find room on a rack there, while a reserve that is scattered over all executors would
+// hold small tasks only.
+func beside(usable []*executor, reserve float64) []*executor {
+	rackFree := map[string]int{}
+	for _, e := range usable {
+		rackFree[e.rack] += max(0, weightedMillicores(e.free()))
+	}
+	order := slices.Clone(usable)
+	slices.SortStableFunc(order, func(a, b *executor) int {
+		return cmp.Or(
+			cmp.Compare(rackFree[b.rack], rackFree[a.rack]), cmp.Compare(a.rack, b.rack),
+			cmp.Compare(weightedMillicores(b.free()), weightedMillicores(a.free())),
+		)
+	})
+	n := 0
+	for n < len(order) {
+		free := float64(max(0, weightedMillicores(order[n].free())))
+		if reserve < free/2 {
+			// Less than half of the executor is needed, so that a small reserve closes none.
+			break
+		}
+		reserve -= free
+		n++
+	}
+	return order[n:]
+}
+
+// executorsFor returns the executors that a unit of a class may use. A unit that is bound to a rack has little choice, so
+// that it may use the reserve.
+func (h *headroom) executorsFor(class int, u *unit) []*executor {
+	if class <= classUrgent || u.spec().LongRunning || u.needsRack() {
+		return h.usable
+	}
+	return h.unreserved
 }
 
 // allows reports whether a unit may start. Urgent work and long-running tasks may use any free capacity; the absence of
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -46,12 +46,18 @@
 	progress   int
 	progressAt time.Time
 	startedAt  time.Time
+	// progressStart is the progress from which the pace of the latest run is measured; zero before it is known.
+	progressStart progressMark
 	// readyAt is when the unit first became startable, pendingSince when it last did: after its latest run has ended.
 	// notBefore is the earliest time of the next start.
 	readyAt, pendingSince time.Time
 	notBefore             time.Time
 	// waitsFor is why the unit was not started in the last planning pass.
 	waitsFor WaitReason
+	// awaitUntil is how long the reservation of the unit waits for others that end by themselves; zero if it does not.
+	// awaitFailed is set once such a wait was in vain.
+	awaitUntil  time.Time
+	awaitFailed bool
 	// avoidedExecutor is the executor on which a run last failed, stalled or was refused; the unit does not start there
 	// before avoidUntil.
 	avoidedExecutor workload.ExecutorID
