Add a model of run times and of the pace of executors

The scheduler corrected declared run times by one average ratio for each queue.

Nothing uses it yet.

--- /dev/null
+++ b/decisions/runtimes/snapshot_test.go
@@ -0,0 +1,156 @@
+package runtimes
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// TestSnapshot guards against a successor that expects something else than its predecessor.
+func TestSnapshot(t *testing.T) {
+	l, m := &unevenLoad{load: newLoad(0.5, 0.3)}, newModel()
+	for range 600 {
+		m.Observe(start, l.run(l.executor()))
+	}
+	s := m.Snapshot()
+	if err := s.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	next := Restore(s)
+	for i := range 40 {
+		id := workload.ExecutorID(fmt.Sprint("e", i))
+		next.SetExecutor(id, fmt.Sprint("10.0.0.", i), "a")
+		if math.Abs(math.Log(next.Pace(id)/m.Pace(id))) > 0.01 {
+			t.Errorf("executor %s has pace %.3f, was %.3f", id, next.Pace(id), m.Pace(id))
+		}
+	}
+	for range 100 {
+		q := l.draw().Query
+		if a, b := m.Expect(q), next.Expect(q); logError(a.Typical, b.Typical) > 0.01 || logError(a.High, b.High) > 0.02 {
+			t.Errorf("expectation %+v, was %+v", b, a)
+		}
+	}
+}
+
+// TestSnapshotBound guards against a state that grows with its use: 1,173 machines, 60 accounts and ten queues whose
+// tasks have more shapes than are kept, while executors are replaced all the time. The limit is a third of what the
+// store holds in a value.
+func TestSnapshotBound(t *testing.T) {
+	const limit = 350_000
+	l, m := newLoad(0.5, 0.3), New()
+	for i := range 20_000 {
+		o := l.draw()
+		o.Queue = workload.Queue(fmt.Sprint("queue-of-usual-length-", i%10))
+		o.Account = workload.Account(fmt.Sprint("account-of-usual-length-", i/7%60))
+		o.Need = workload.Resources{CPU: 1 << (i % 13), Memory: 1 << (i % 17), GPU: i % 9}
+		id := workload.ExecutorID(fmt.Sprintf("%016x", i/3))
+		m.SetExecutor(id, fmt.Sprintf("10.0.%d.%d:54321", i%1173/250, i%250), fmt.Sprint("kind-", i/7000))
+		if i > 5000 {
+			m.RemoveExecutor(workload.ExecutorID(fmt.Sprintf("%016x", (i-5000)/3)))
+		}
+		o.Executors = []workload.ExecutorID{id}
+		m.Observe(start.Add(time.Duration(i)*time.Millisecond), o)
+	}
+	s := m.Snapshot()
+	if err := s.Validate(); err != nil {
+		t.Error(err)
+	}
+	encoded, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d cells, %d hosts, %d bytes", m.Cells(), m.Hosts(), len(encoded))
+	if m.Cells() > maxCells || m.Hosts() > maxHosts || len(encoded) > limit {
+		t.Errorf("%d cells, %d hosts, %d bytes; want at most %d, %d and %d", m.Cells(), m.Hosts(), len(encoded), maxCells, maxHosts, limit)
+	}
+}
+
+// TestUnusableSnapshot guards against a damaged or foreign snapshot that is used.
+func TestUnusableSnapshot(t *testing.T) {
+	l := newLoad(0.5, 0.3)
+	for name, damage := range map[string]func(*Snapshot){
+		"version":           func(s *Snapshot) { s.Version = 2 },
+		"empty":             func(s *Snapshot) { *s = Snapshot{} },
+		"not a number":      func(s *Snapshot) { s.Groups[0].Cells[0].Sums[2] = math.NaN() },
+		"infinite pace":     func(s *Snapshot) { s.Hosts[0].LogPace = math.Inf(1) },
+		"negative weight":   func(s *Snapshot) { s.Groups[0].Cells[0].Sums[0] = -1 },
+		"large weight":      func(s *Snapshot) { s.Groups[0].Cells[0].Sums[0] = 1e6 },
+		"large sum":         func(s *Snapshot) { s.Groups[0].Cells[0].Sums[1] = 1e6 },
+		"short histogram":   func(s *Snapshot) { s.Groups[0].Deviations = s.Groups[0].Deviations[1:] },
+		"negative share":    func(s *Snapshot) { s.Groups[0].Deviations[3] = -0.1 },
+		"queue twice":       func(s *Snapshot) { s.Groups = append(s.Groups, s.Groups[0]) },
+		"cell twice":        func(s *Snapshot) { s.Groups[0].Cells = append(s.Groups[0].Cells, s.Groups[0].Cells[0]) },
+		"host twice":        func(s *Snapshot) { s.Hosts = append(s.Hosts, s.Hosts[0]) },
+		"too many hosts":    func(s *Snapshot) { s.Hosts = slices.Repeat(s.Hosts, 100) },
+		"too many accounts": func(s *Snapshot) { s.Groups[0].Cells = make([]CellState, maxCells+1) },
+	} {
+		m := newModel()
+		l.teach(m, 100)
+		s := m.Snapshot()
+		damage(&s)
+		if s.Validate() == nil {
+			t.Errorf("%s: the snapshot is taken for valid", name)
+		}
+	}
+}
+
+// TestModelIsFinite guards against expectations and paces that are not finite or out of range after any sequence of
+// observations, and against a snapshot that the same program refuses.
+func TestModelIsFinite(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		now := start
+		for range rapid.IntRange(1, 120).Draw(t, "runs") {
+			q := Query{
+				Queue:    workload.Queue(rapid.SampledFrom([]string{"p", "q"}).Draw(t, "queue")),
+				Account:  workload.Account(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "account")),
+				Need:     workload.Resources{CPU: rapid.IntRange(-1, 1<<20).Draw(t, "cpu"), GPU: rapid.IntRange(0, 8).Draw(t, "gpu")},
+				Declared: time.Duration(rapid.Int64Range(-1, math.MaxInt64).Draw(t, "declared")),
+			}
+			o := Observation{Query: q, Job: workload.JobID(rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(t, "job"))}
+			for range rapid.IntRange(0, 3).Draw(t, "executors") {
+				n := rapid.IntRange(0, 5).Draw(t, "executor")
+				id := workload.ExecutorID(fmt.Sprint(n))
+				if n > 0 {
+					m.SetExecutor(id, fmt.Sprint(n%4), fmt.Sprint(n%2))
+				}
+				o.Executors = append(o.Executors, id)
+			}
+			o.Elapsed = time.Duration(rapid.Int64Range(0, math.MaxInt64).Draw(t, "elapsed"))
+			o.Completed, o.PaceObserved = rapid.Bool().Draw(t, "completed"), rapid.Bool().Draw(t, "pace observed")
+			now = now.Add(time.Duration(rapid.IntRange(-1000, 100_000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "running") {
+				m.ObservePace(now, o)
+			} else {
+				m.Observe(now, o)
+			}
+			e := m.Expect(q)
+			if e.Low < minRunTime || e.Low > e.Typical || e.Typical > e.High || e.High > 2*maxRunTime {
+				t.Fatalf("expectation %+v", e)
+			}
+			for id := range m.paces.executors {
+				if p := m.Pace(id); !(p >= 0.1 && p <= 10) {
+					t.Fatalf("pace %v", p)
+				}
+			}
+			if left, ok := m.Remaining(q, 1, o.Elapsed); ok && left < 0 {
+				t.Fatalf("remaining %v", left)
+			}
+		}
+		s := m.Snapshot()
+		if err := s.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		again := Restore(s).Snapshot()
+		if a, b := fmt.Sprint(s.Groups), fmt.Sprint(again.Groups); a != b {
+			t.Fatalf("snapshot of the restored model\n%s\nwant\n%s", b, a)
+		}
+	})
+}
