Use learned run times and paces in the fleet scheduler

On uneven executors urgent gangs missed their objective although faster executors were free or ran work without haste, and a gang that mixed paces went at the pace of its slowest member.

With Settings.LearnRunTimes the scheduler takes the latest start, backfill, the wait for a rack, the bound of stalled runs and the remaining time from decisions/runtimes. Gangs prefer executors of one pace, work of priority 0 fast ones and work of the lowest priority slow ones, among those that fit now. Without it nothing changes.

The fuzz test runs with learning, too.

--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -91,8 +91,10 @@
 	inheritedEntry *workload.RosterEntry
 	closedInRoster bool
 
-	// reportedAt is when the last report was applied.
-	reportedAt time.Time
+	// reportedAt is when the last report was applied, previousReportAt the one before.
+	reportedAt, previousReportAt time.Time
+	// pace is the learned pace, where 1 is the typical one; 0 if none is learned.
+	pace       float64
 	polling    bool
 	nextPollAt time.Time
 	// unresponsiveSince is when calls to the executor began to fail; zero if it answers.
@@ -183,6 +185,7 @@
 		e.verified = false
 	}
 	e.register(info)
+	f.declareExecutor(e)
 	e.nextPollAt = earliest(e.nextPollAt, now)
 }
 
@@ -214,6 +217,9 @@
 	}
 	f.rosterVersion++
 	delete(f.executors, e.info.ID)
+	if f.learned != nil {
+		f.learned.RemoveExecutor(e.info.ID)
+	}
 	if i := slices.Index(f.sortedExecutors, e); i >= 0 {
 		f.sortedExecutors = slices.Delete(f.sortedExecutors, i, i+1)
 	}
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/joborder"
+	"github.com/verbenaflow/verbenaflow/decisions/runtimes"
 )
 
 // Settings are the parameters of the scheduler.
@@ -35,6 +36,8 @@
 	CheckpointInterval time.Duration
 	// Retention is how long the state of a finished job is kept.
 	Retention time.Duration
+	// LearnRunTimes is set if run times and the pace of executors are learned from finished runs.
+	LearnRunTimes bool
 }
 
 const (
@@ -81,6 +84,10 @@
 	sortedExecutors []*executor
 	usage           usage
 	runTimes        runTimeModel
+	// learned is the model of run times if Settings.LearnRunTimes is set, otherwise nil. pacesAt is when the paces of
+	// executors were last taken from it.
+	learned *runtimes.Model
+	pacesAt time.Time
 	// urgentArrivals is the weighted sum of recently arrived urgent work, in thousandths of a core.
 	urgentArrivals decayingSum
 	jobOrder       joborder.Order
@@ -126,6 +133,9 @@
 
 		leaseConfirmedAt: now,
 	}
+	if s.LearnRunTimes {
+		f.learned = runtimes.New()
+	}
 	if hasPredecessor {
 		lease := time.Duration(float64(s.Lease) / (1 - maxClockDrift))
 		f.reconcileBy = now.Add(lease + max(0, s.RenewalGrace-s.HolderLease) + fencingDelay)
--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -18,31 +18,44 @@
 // partitioned, executors crash, restart, drain, stall and become unreachable, silently or with rejected connections,
 // calls take effect late, and the store is down for a while.
 func TestFleet(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
-		sim.t = failOn{t, rt}
-		sim.newHolder()
-		sim.advanceRuns()
-		steps := rapid.IntRange(5, 25).Draw(rt, "steps")
-		for i := range steps {
-			sim.advance(time.Duration(rapid.IntRange(5, 1500).Draw(rt, "pause")) * time.Millisecond)
-			sim.fuzzStep(rt, i)
-		}
-		sim.lossRate, sim.storeDown = 0, false
-		clear(sim.unregistered)
-		sim.advance(20 * time.Second)
+	rapid.Check(t, func(rt *rapid.T) { fuzzFleet(t, rt, false) })
+}
+
+// TestFleetLearning checks the same guarantees while run times and paces are learned, on executors of uneven pace.
+func TestFleetLearning(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { fuzzFleet(t, rt, true) })
+}
+
+func fuzzFleet(t *testing.T, rt *rapid.T, learn bool) {
+	sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
+	sim.t = failOn{t, rt}
+	if learn {
+		sim.settings.LearnRunTimes = true
 		for _, id := range sim.executorIDs {
-			e := sim.executors[id]
-			e.unreachable, e.rejecting, e.stalled, e.info.Draining = false, false, false, false
-			if !e.up {
-				sim.restart(id)
-			} else {
-				sim.holder.scheduler.UpsertExecutor(sim.now, e.info)
-			}
+			sim.executors[id].pace = rapid.SampledFrom([]float64{0.55, 1, 1.2}).Draw(rt, "pace")
 		}
-		sim.advance(90 * time.Second)
-		sim.expectDone()
-	})
+	}
+	sim.newHolder()
+	sim.advanceRuns()
+	steps := rapid.IntRange(5, 25).Draw(rt, "steps")
+	for i := range steps {
+		sim.advance(time.Duration(rapid.IntRange(5, 1500).Draw(rt, "pause")) * time.Millisecond)
+		sim.fuzzStep(rt, i)
+	}
+	sim.lossRate, sim.storeDown = 0, false
+	clear(sim.unregistered)
+	sim.advance(20 * time.Second)
+	for _, id := range sim.executorIDs {
+		e := sim.executors[id]
+		e.unreachable, e.rejecting, e.stalled, e.info.Draining = false, false, false, false
+		if !e.up {
+			sim.restart(id)
+		} else {
+			sim.holder.scheduler.UpsertExecutor(sim.now, e.info)
+		}
+	}
+	sim.advance(90 * time.Second)
+	sim.expectDone()
 }
 
 // failOn reports failures to rapid, so that it shrinks the failing case.
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -48,10 +48,14 @@
 	startedAt  time.Time
 	// progressStart is the progress from which the pace of the latest run is measured; zero before it is known.
 	progressStart progressMark
+	// learned is the latest run if run times are learned from it, otherwise nil.
+	learned *learnedRun
 	// readyAt is when the unit first became startable, pendingSince when it last did: after its latest run has ended.
 	// notBefore is the earliest time of the next start.
 	readyAt, pendingSince time.Time
 	notBefore             time.Time
+	// latestStart is the latest start with which the job can meet its objective, as of the latest attempt to place the unit.
+	latestStart time.Time
 	// waitsFor is why the unit was not started in the last planning pass.
 	waitsFor WaitReason
 	// avoidedExecutor is the executor on which a run last failed, stalled or was refused; the unit does not start there
@@ -93,6 +97,8 @@
 	// criticalPaths is the estimated time from the start of each step to the end of the job, longestPath that of the job.
 	criticalPaths []time.Duration
 	longestPath   time.Duration
+	// expectedPaths holds the learned counterparts of criticalPaths and longestPath.
+	expectedPaths expectedPaths
 	// openUnitsByStep counts the units that are not done, at the index of occurrence * steps + step.
 	openUnitsByStep []int
 	// openUnits counts the units that are not done.
@@ -104,7 +110,7 @@
 }
 
 func newJob(now time.Time, rec *workload.Job, createdRevision int64) *job {
-	j := &job{rec: rec, arrivedAt: now, createdRevision: createdRevision, state: workload.StateQueued, criticalPaths: criticalPaths(rec.Steps)}
+	j := &job{rec: rec, arrivedAt: now, createdRevision: createdRevision, state: workload.StateQueued, criticalPaths: criticalPaths(rec.Steps, func(s int) time.Duration { return rec.Steps[s].Estimate })}
 	for _, d := range j.criticalPaths {
 		j.longestPath = max(j.longestPath, d)
 	}
@@ -204,11 +210,11 @@
 }
 
 // criticalPaths returns the estimated time from the start of each step to the end of the job, along the longest chain
-// of dependent steps.
-func criticalPaths(steps []workload.Step) []time.Duration {
+// of dependent steps, for given run times of the steps.
+func criticalPaths(steps []workload.Step, runTime func(step int) time.Duration) []time.Duration {
 	longest := make([]time.Duration, len(steps))
 	for s := len(steps) - 1; s >= 0; s-- {
-		longest[s] += steps[s].Estimate
+		longest[s] += runTime(s)
 		for _, a := range steps[s].After {
 			longest[a] = max(longest[a], longest[s])
 		}
--- /dev/null
+++ b/decisions/fleet/learn_test.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// served counts the jobs of a queue, those that met their objective, and those that ended later but before their credit
+// expired.
+type served struct{ jobs, inTime, late int }
+
+func (s *served) shareInTime() float64 { return float64(s.inTime) / float64(s.jobs) }
+
+func (s *served) shareLate() float64 { return float64(s.late) / float64(s.jobs) }
+
+// replayUneven simulates a load of urgent gangs, gangs and batch tasks whose declared run times are off by 0.9, 0.2 and
+// 0.5, on executors of which a quarter works at 0.55 and the others at 1.2.
+func replayUneven(t testing.TB, seed uint64, learn bool, load float64) (map[workload.Queue]*served, *simulation) {
+	t.Helper()
+	sim := newSimulation(t, seed, 3, 8)
+	sim.settings.LearnRunTimes = learn
+	for i, id := range sim.executorIDs {
+		sim.executors[id].pace = 1.2
+		if i%4 == 0 {
+			sim.executors[id].pace = 0.55
+		}
+	}
+	sim.newHolder()
+	sim.advanceRuns()
+	sim.advance(100 * time.Millisecond)
+	random := rand.New(rand.NewPCG(seed, 9))
+	arrivals := map[workload.JobID]time.Time{}
+	next := map[workload.Queue]time.Time{}
+	kinds := []struct {
+		queue     workload.Queue
+		perSecond float64
+		mean      time.Duration
+		off       float64
+		step      workload.Step
+		maxCount  int
+	}{
+		{"urgent", 1.1, 2100 * time.Millisecond, 0.9, workload.Step{Gang: true, Need: workload.Resources{CPU: 3700, Memory: 1000, GPU: 2}}, 8},
+		{"normal", 0.25, 6 * time.Second, 0.2, workload.Step{Gang: true, SameRack: true, Need: workload.Resources{CPU: 13000, Memory: 1000, GPU: 2}}, 12},
+		{"batch", 0.3, 5 * time.Second, 0.5, workload.Step{Need: workload.Resources{CPU: 2800, Memory: 1000, GPU: 1}}, 40},
+	}
+	const length = 90 * time.Second
+	end := sim.now.Add(length)
+	for n := 0; sim.now.Before(end); n++ {
+		for _, k := range kinds {
+			for ; !next[k.queue].After(sim.now); next[k.queue] = next[k.queue].Add(time.Duration(random.ExpFloat64() / (k.perSecond * load) * float64(time.Second))) {
+				if next[k.queue].IsZero() {
+					next[k.queue] = sim.now
+				}
+				s := k.step
+				s.Count = 1 + random.IntN(k.maxCount)
+				runTime := time.Duration(float64(k.mean) * (0.6 + 0.8*random.Float64()))
+				s.Estimate = time.Duration(float64(runTime) * (1 + k.off*(2*random.Float64()-1)))
+				j := oneStep(fmt.Sprint(k.queue, len(arrivals)), k.queue, s)
+				j.Account = workload.Account([]string{"a", "b"}[random.IntN(2)])
+				arrivals[j.ID] = sim.now
+				sim.submit(j, behavior{runTime: runTime})
+			}
+		}
+		sim.advance(tick)
+	}
+	sim.advance(25 * time.Second)
+	for _, v := range sim.violations {
+		t.Error(v)
+	}
+	out := map[workload.Queue]*served{}
+	for _, id := range sim.jobIDs {
+		j := sim.jobs[id]
+		s := out[j.Queue]
+		if s == nil {
+			s = &served{}
+			out[j.Queue] = s
+		}
+		s.jobs++
+		if state, _ := sim.holder.scheduler.Status(id); state != workload.StateCompleted {
+			continue
+		}
+		last := arrivals[id]
+		for i := range j.Steps[0].Count {
+			if at := sim.doneAt[workload.TaskRef{Job: id, Index: i}]; at.After(last) {
+				last = at
+			}
+		}
+		r := sim.config.Route(j.Queue)
+		objective := time.Duration(r.Stretch*float64(sim.behavior[id].runTime)) + r.Latency
+		switch took := last.Sub(arrivals[id]); {
+		case took <= objective:
+			s.inTime++
+		case took <= expiryFactor*objective:
+			s.late++
+		}
+	}
+	return out, sim
+}
+
+// TestUnevenExecutors guards against urgent gangs that miss their objective on slow executors, although faster ones are
+// free or run work without haste. The load leaves the scheduler a choice: all other jobs meet their objective.
+func TestUnevenExecutors(t *testing.T) {
+	inTime := map[bool]float64{}
+	others := map[bool]float64{}
+	const seeds = 3
+	for seed := uint64(1); seed <= seeds; seed++ {
+		for _, learn := range []bool{false, true} {
+			s, _ := replayUneven(t, seed, learn, 1)
+			inTime[learn] += s["urgent"].shareInTime() / seeds
+			others[learn] += (s["normal"].shareInTime() + s["batch"].shareInTime()) / 2 / seeds
+			t.Logf("seed %d, learned %v: urgent %+v, normal %+v, batch %+v", seed, learn, *s["urgent"], *s["normal"], *s["batch"])
+		}
+	}
+	t.Logf("urgent jobs in time: %.3f without learning, %.3f with it; others %.3f and %.3f", inTime[false], inTime[true], others[false], others[true])
+	if missed, before := 1-inTime[true], 1-inTime[false]; missed > 0.6*before {
+		t.Errorf("%.3f of the urgent jobs miss their objective, %.3f without learning; want at most 0.6 of that", missed, before)
+	}
+	if others[true] < others[false]-0.02 {
+		t.Errorf("%.3f of the other jobs meet their objective, %.3f without learning", others[true], others[false])
+	}
+}
+
+// BenchmarkUneven prints who is served on uneven executors by load, for the table in docs/design/run-times.md.
+func BenchmarkUneven(b *testing.B) {
+	for range b.N {
+		for _, load := range []float64{0.8, 1, 1.3, 2} {
+			for _, learn := range []bool{false, true} {
+				sum := map[workload.Queue]float64{}
+				const seeds = 5
+				for seed := uint64(1); seed <= seeds; seed++ {
+					s, _ := replayUneven(b, seed, learn, load)
+					for q := range s {
+						sum[q] += s[q].shareInTime() / seeds
+						sum[q+" late"] += s[q].shareLate() / seeds
+					}
+				}
+				fmt.Printf("| %.1f | %v | %.3f, %.3f | %.3f, %.3f | %.3f, %.3f |\n", load, learn,
+					sum["urgent"], sum["urgent late"], sum["normal"], sum["normal late"], sum["batch"], sum["batch late"])
+			}
+		}
+	}
+}
+
+// TestLearnedPaceOutlivesHolder guards against a holder that starts with even paces although the snapshot of its
+// predecessor holds them.
+func TestLearnedPaceOutlivesHolder(t *testing.T) {
+	_, sim := replayUneven(t, 1, true, 1)
+	s := sim.holder.scheduler.RunTimes().Snapshot()
+	if err := s.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	sim.newHolder()
+	sim.holder.scheduler.RestoreRunTimes(s)
+	wrong := 0
+	for _, id := range sim.executorIDs {
+		slow := cmp.Or(sim.executors[id].pace, 1) < slowPace
+		if (sim.holder.scheduler.RunTimes().Pace(id) < slowPace) != slow {
+			wrong++
+		}
+	}
+	if wrong > 2 {
+		t.Errorf("%d of %d executors are taken for slow or fast wrongly", wrong, len(sim.executorIDs))
+	}
+}
+
+// TestRunsThatTeachNothing guards against run times that are learned from a run which does not show them: one that
+// failed, that ran away from its data, that resumed from a checkpoint, or whose start another holder has sent.
+func TestRunsThatTeachNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		step    workload.Step
+		fails   bool
+		disturb func(*simulation)
+		cells   int
+	}{
+		"whole":  {cells: 1},
+		"failed": {fails: true},
+		"remote": {step: workload.Step{Rack: "elsewhere"}},
+		"resumed": {step: workload.Step{Checkpoint: true}, disturb: func(sim *simulation) {
+			f := sim.holder.scheduler
+			f.interrupt(sim.now, f.jobs["j"].units[0], StopMoved)
+		}},
+		"adopted": {disturb: func(sim *simulation) { sim.newHolder() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 1, 2)
+			sim.settings.LearnRunTimes = true
+			sim.newHolder()
+			sim.advanceRuns()
+			sim.advance(100 * time.Millisecond)
+			c.step.Count, c.step.Need, c.step.Estimate = 1, smallTask, 4*time.Second
+			sim.submit(oneStep("j", "batch", c.step), behavior{runTime: 4 * time.Second, fails: c.fails})
+			sim.advance(400 * time.Millisecond)
+			if c.disturb != nil {
+				c.disturb(sim)
+			}
+			sim.advance(20 * time.Second)
+			sim.expectDone()
+			if n := sim.holder.scheduler.RunTimes().Cells(); n != c.cells {
+				t.Errorf("%d cells, want %d", n, c.cells)
+			}
+		})
+	}
+}
+
+// TestStoppedRunShowsItsRunTime guards against expectations that only the shortest runs shape, because the long ones are
+// stopped: a run that is stopped halfway shows its whole run time by its progress.
+func TestStoppedRunShowsItsRunTime(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 2)
+	sim.settings.LearnRunTimes = true
+	sim.newHolder()
+	sim.advanceRuns()
+	sim.advance(100 * time.Millisecond)
+	for i := range 8 {
+		id := workload.JobID(fmt.Sprint("j", i))
+		sim.submit(oneStep(string(id), "batch", workload.Step{Count: 1, Need: smallTask, Estimate: 2 * time.Second}), behavior{runTime: 8 * time.Second})
+		sim.advance(4 * time.Second)
+		sim.cancel(id)
+		sim.advance(time.Second)
+	}
+	f := sim.holder.scheduler
+	sim.submit(oneStep("next", "batch", workload.Step{Count: 1, Need: smallTask, Estimate: 2 * time.Second}), behavior{runTime: 8 * time.Second})
+	if got := f.expectedRunTime(f.jobs["next"].units[0]); got < 5*time.Second {
+		t.Errorf("expected run time %v after eight runs that were stopped halfway through 8 s, want at least 5 s", got)
+	}
+}
--- a/decisions/fleet/move.go
+++ b/decisions/fleet/move.go
@@ -37,11 +37,16 @@
 // remainingRunTime returns the expected remaining time of a run: from its progress if it has reported any, otherwise
 // from its estimate.
 func (f *Scheduler) remainingRunTime(now time.Time, u *unit) time.Duration {
+	if f.learned != nil {
+		if left, known := f.remaining(now, u); known {
+			return left
+		}
+	}
 	elapsed := now.Sub(u.startedAt)
 	if u.progress > 0 && u.checkpoint == "" {
 		return time.Duration(float64(elapsed) * float64(100-u.progress) / float64(u.progress))
 	}
-	return max(0, f.runTimes.expected(u.job.rec.Queue, u.spec().Estimate)-elapsed)
+	return max(0, f.expectedRunTime(u)-elapsed)
 }
 
 // restartStalled stops runs that make no progress, so that they restart on another executor.
@@ -53,7 +58,7 @@
 		if u.taskRuns[0].state != taskRunning || !u.taskRuns[0].executor.unresponsiveSince.IsZero() {
 			continue
 		}
-		est := f.runTimes.expected(u.job.rec.Queue, u.spec().Estimate)
+		est := f.longestRunTime(u)
 		bound := max(minStallTime, time.Duration(stallFactor*stallProgressShare*f.settings.RemoteSlowdown*float64(est)))
 		// Only a report shows that there was no progress. Time without reports, such as a pause of this process, does not.
 		if u.taskRuns[0].executor.reportedAt.Sub(u.progressAt) < bound+f.settings.PollWait {
--- /dev/null
+++ b/decisions/fleet/pace.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"time"
+)
+
+// slowPace is the pace below which an executor counts as slow. Paces are known to about 0.15, so that executors of the
+// typical pace seldom fall below it.
+const slowPace = 0.8
+
+// Ranks of executors for a unit. Lower ones come first.
+const (
+	rankPreferred = iota
+	rankOther
+	// rankWarmingUp is the rank of an executor that is still slow after its start.
+	rankWarmingUp
+)
+
+// updatePaces updates which executors are slow.
+func (f *Scheduler) updatePaces(now time.Time) {
+	if f.learned == nil || now.Sub(f.pacesAt) < expectationAge {
+		return
+	}
+	f.pacesAt = now
+	for _, e := range f.sortedExecutors {
+		e.pace = f.learned.Pace(e.info.ID)
+	}
+}
+
+// pacePreference is which executors a unit is placed on first.
+type pacePreference uint8
+
+const (
+	anyPace pacePreference = iota
+	fastFirst
+	slowFirst
+)
+
+// pacePreference returns the preference of a unit: work of the lowest priority goes to slow executors, so that fast ones
+// stay free for work of priority 0, unless only a fast one lets it meet its objective. A gang goes at the pace of its
+// slowest executor, so that it prefers executors of one pace.
+func (f *Scheduler) pacePreference(now time.Time, u *unit) pacePreference {
+	if f.learned == nil {
+		return anyPace
+	}
+	priority := f.route(u.job).Priority
+	switch {
+	case priority >= lowestPriority && !f.needsFast(now, u):
+		return slowFirst
+	case priority == 0 || priority >= lowestPriority || u.size > 1:
+		return fastFirst
+	default:
+		return anyPace
+	}
+}
+
+// needsFast reports whether a unit meets its objective on executors of the typical pace, but not on slow ones.
+func (f *Scheduler) needsFast(now time.Time, u *unit) bool {
+	slack := u.latestStart.Sub(now)
+	return slack >= 0 && slack.Seconds() < f.expectedRunTime(u).Seconds()*(1/slowPace-1)
+}
+
+// rank returns the rank of an executor under a preference.
+func (p pacePreference) rank(e *executor) int {
+	switch {
+	case p == anyPace:
+		return rankPreferred
+	case e.info.WarmUpRemaining > 0:
+		return rankWarmingUp
+	case (e.pace < slowPace) == (p == slowFirst):
+		return rankPreferred
+	default:
+		return rankOther
+	}
+}
+
+// byPace returns the sets of options to try in turn for a unit of several tasks: the preferred executors, those of the
+// other pace, and all. A unit never waits for a set: it starts if it fits on all. fit is in the order of ranks.
+func byPace(u *unit, fit []fitOption) [][]fitOption {
+	if u.size == 1 || len(fit) == 0 || fit[0].rank == fit[len(fit)-1].rank {
+		return [][]fitOption{fit}
+	}
+	var out [][]fitOption
+	for i := 0; i < len(fit); {
+		n, tasks := i, 0
+		for n < len(fit) && fit[n].rank == fit[i].rank {
+			tasks += fit[n].tasks
+			n++
+		}
+		if tasks >= u.size {
+			out = append(out, fit[i:n])
+		}
+		i = n
+	}
+	return append(out, fit)
+}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -19,12 +19,13 @@
 	if len(waiting) == 0 {
 		return
 	}
+	f.updatePaces(now)
 	usable := slices.DeleteFunc(slices.Clone(f.sortedExecutors), func(e *executor) bool { return !f.eligible(now, e) })
 	budget := f.headroom(now, usable)
 	var filter backfill
 	for _, c := range waiting {
 		first := c.units[0]
-		expected := f.runTimes.expected(first.job.rec.Queue, first.spec().Estimate)
+		expected := f.expectedRunTime(first)
 		if c.Class <= classUrgent || first.spec().LongRunning || filter.permits(now, expected) {
 			f.placeStep(now, c, usable, &budget, &filter)
 		} else {
@@ -99,6 +100,7 @@
 // placeUnit starts a unit, or preempts others and reserves their capacity for it. It reports whether the next unit of
 // the step is worth trying.
 func (f *Scheduler) placeUnit(now time.Time, c *candidate, u *unit, usable []*executor) bool {
+	u.latestStart = c.LatestStart
 	placement, reason := f.findPlacement(now, u, usable)
 	// A job starts only after the record that it may run is durable.
 	mayRunRecorded := u.job.requestMayRun()
@@ -124,22 +126,32 @@
 	if len(fit) == 0 {
 		return nil, ""
 	}
-	if step.Rack == "" && !(step.Gang && step.SameRack && u.size > 1) {
-		return pack(u, fit), "fits"
-	}
-	if placement := f.findInRack(u, fit); placement != nil {
-		return placement, "fits_rack"
+	inRack := step.Rack != "" || step.Gang && step.SameRack && u.size > 1
+	sets := byPace(u, fit)
+	for _, options := range sets {
+		if !inRack {
+			if placement := pack(u, options); placement != nil {
+				return placement, "fits"
+			}
+		} else if placement := f.findInRack(u, options); placement != nil {
+			return placement, "fits_rack"
+		}
 	}
-	if !f.mayLeaveRack(now, u, usable) {
+	if !inRack || !f.mayLeaveRack(now, u, usable) {
 		return nil, ""
 	}
-	return pack(u, fit), "fits_far"
+	for _, options := range sets {
+		if placement := pack(u, options); placement != nil {
+			return placement, "fits_far"
+		}
+	}
+	return nil, ""
 }
 
 // mayLeaveRack reports whether a unit may start outside its rack, although it runs longer and occupies its executors
 // longer there: no rack could hold it, or it has waited for longer than the extra run time.
 func (f *Scheduler) mayLeaveRack(now time.Time, u *unit, usable []*executor) bool {
-	expected := f.runTimes.expected(u.job.rec.Queue, u.spec().Estimate)
+	expected := f.expectedRunTime(u)
 	extraTime := time.Duration((f.settings.RemoteSlowdown - 1) * float64(expected))
 	return now.Sub(u.readyAt) > extraTime || !f.couldFit(u, usable, true)
 }
@@ -185,12 +197,16 @@
 type fitOption struct {
 	executor *executor
 	tasks    int
+	// rank is the rank of the executor for the unit, see the type pacePreference; less is better.
+	rank int
 	// waste is the share of the executor that stays unused after one more task, see the function waste; less is better.
 	waste float64
 }
 
-// byWaste orders options by their waste.
-func byWaste(a, b fitOption) int { return cmp.Compare(a.waste, b.waste) }
+// byWaste orders options by their rank and then by their waste.
+func byWaste(a, b fitOption) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.waste, b.waste))
+}
 
 // matches reports whether an executor belongs to a pool and has the label that a step requires.
 func (e *executor) matches(pool workload.Pool, s *workload.Step) bool {
@@ -198,11 +214,12 @@
 }
 
 // fittingExecutors returns the executors on which at least one task of a unit fits, for a unit of several tasks in
-// order of increasing waste. The result is valid until the next call.
+// order of increasing rank and waste. The result is valid until the next call.
 func (f *Scheduler) fittingExecutors(now time.Time, u *unit, usable []*executor) []fitOption {
 	step := u.spec()
 	load := step.CapacityNeed()
 	pool := f.route(u.job).Pool
+	preference := f.pacePreference(now, u)
 	out := f.fitScratch[:0]
 	for _, e := range usable {
 		free := e.free()
@@ -221,7 +238,7 @@
 			tasks = min(tasks, 1)
 		}
 		if tasks > 0 {
-			out = append(out, fitOption{e, tasks, waste(e, load)})
+			out = append(out, fitOption{e, tasks, preference.rank(e), waste(e, load)})
 		}
 	}
 	f.fitScratch = out
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -186,6 +186,7 @@
 	if u.checkpoint == "" {
 		u.progressStart = progressMark{at: now}
 	}
+	f.beginLearning(u)
 	for _, r := range u.taskRuns {
 		r.state, r.startSentAt = taskStartSent, now
 		r.executor.dispatched = r.executor.dispatched.Add(r.load)
@@ -296,8 +297,8 @@
 	if j.rec.Occurrences > 0 {
 		arrival = j.dueAt(u.occurrence)
 	}
-	objective := time.Duration(r.Stretch*float64(f.runTimes.expected(j.rec.Queue, j.longestPath))) + r.Latency
-	remaining := f.runTimes.expected(j.rec.Queue, j.criticalPaths[u.step])
+	remaining, longest := f.expectedPath(now, j, u.step)
+	objective := time.Duration(r.Stretch*float64(longest)) + r.Latency
 	return &candidate{units: units, Candidate: joborder.Candidate{
 		Class: f.classOf(u), Arrived: arrival,
 		LatestStart: arrival.Add(objective - remaining), Expiry: arrival.Add(expiryFactor*objective - remaining),
--- a/decisions/fleet/remaining.go
+++ b/decisions/fleet/remaining.go
@@ -31,7 +31,13 @@
 		left := time.Duration(float64(fullProgress-u.progress) / pace * float64(time.Second))
 		return max(0, left-now.Sub(u.progressAt)), true
 	}
-	left := f.runTimes.expected(u.job.rec.Queue, u.spec().Estimate) - now.Sub(u.startedAt)
+	if f.learned != nil {
+		if u.learned == nil {
+			return 0, false
+		}
+		return f.learned.Remaining(u.job.query(u.step), f.slowestPace(u), now.Sub(u.startedAt))
+	}
+	left := f.expectedRunTime(u) - now.Sub(u.startedAt)
 	return max(0, left), left > 0 && u.freshRun()
 }
 
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -58,7 +58,7 @@
 		e.incarnation = r.StartedAtMS
 	}
 	f.setClock(now, e, r.Clock)
-	e.reportedAt = now
+	e.previousReportAt, e.reportedAt = e.reportedAt, now
 	firstReport := !e.verified
 	e.verified = true
 	e.ackedEnd = max(e.ackedEnd, poll.AckedThrough)
@@ -127,6 +127,7 @@
 	if u := r.unit; u != nil {
 		f.markBegun(u.job)
 		u.observeProgress(now, r)
+		f.learnPace(now, u)
 	}
 }
 
@@ -210,7 +211,7 @@
 	u.state, u.run = unitActive, run
 	u.ending = false
 	u.progress, u.progressAt, u.startedAt = 0, now, now
-	u.progressStart = progressMark{}
+	u.progressStart, u.learned = progressMark{}, nil
 }
 
 // applyEnded applies a row of a report about a run that has ended.
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -41,6 +41,7 @@
 		f.usage.add(u, -r.load.GPU)
 	}
 	r.unit = nil
+	f.learnFromEnd(now, u, r, outcome)
 	if checkpoint != "" && u.state == unitActive {
 		u.checkpoint = checkpoint
 		u.job.markDirty()
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -99,6 +100,8 @@
 	// rejecting is set if calls to the unreachable executor fail with a refused connection instead of a timeout.
 	rejecting bool
 	stalled   bool
+	// pace is the factor by which runs go faster; 0 means 1.
+	pace      float64
 	fence     workload.FencingToken
 	deadline  time.Time
 	runs      []*fakeRun
@@ -625,7 +628,7 @@
 				continue
 			}
 			if !e.stalled {
-				r.remaining -= sim.now.Sub(r.advancedAt)
+				r.remaining -= time.Duration(sim.pace(r) * float64(sim.now.Sub(r.advancedAt)))
 			}
 			r.advancedAt = sim.now
 			if r.remaining <= 0 {
@@ -640,6 +643,19 @@
 	sim.schedule(tick, sim.advanceRuns)
 }
 
+// pace returns the pace of a run: that of its executor or, in a gang, that of the slowest one.
+func (sim *simulation) pace(r *fakeRun) float64 {
+	pace := cmp.Or(r.executor.pace, 1)
+	if s := &r.job.Steps[r.task.Step]; s.Gang {
+		for i := range s.Count {
+			t := r.task
+			t.Index = i
+			pace = min(pace, cmp.Or(sim.activeRuns[t].executor.pace, 1))
+		}
+	}
+	return pace
+}
+
 // gangComplete reports whether all tasks of the gang of a run are running.
 func (sim *simulation) gangComplete(r *fakeRun) bool {
 	for i := range r.job.Steps[r.task.Step].Count {
