Keep learned run times in the store and switch learning by the settings

A new holder forgot what its predecessor had learned, and nothing turned learning on.

Gauges show the errors of declared and learned run times of each queue.

--- a/api/records/records.go
+++ b/api/records/records.go
@@ -32,6 +32,8 @@
 	SaveKey = "vf/save"
 	// RosterKey holds the executors on which tasks may be running.
 	RosterKey = "vf/roster"
+	// RunTimesKey holds what holders have learned about run times.
+	RunTimesKey = "vf/runtimes"
 )
 
 // JobKey returns the key of an accepted job.
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	o.info("starting", "domain", s.Domain, "region", s.Region, "front", s.Front, "admin", s.Admin, "store", s.Store, "lease_ms", s.Lease.Milliseconds())
+	o.info("starting", "domain", s.Domain, "region", s.Region, "front", s.Front, "admin", s.Admin, "store", s.Store, "lease_ms", s.Lease.Milliseconds(), "learn_run_times", s.LearnRunTimes)
 	began := time.Now()
 	if err := k.Run(ctx); err != nil {
 		return err
@@ -74,6 +74,7 @@
 			Fleet: fleet.Settings{
 				Lease: s.Lease, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: pollWait, MaxStopTime: s.MaxStopTime, RemoteSlowdown: s.RemoteSlowdown,
 				CheckpointRestoreTime: s.CheckpointRestoreTime, CheckpointInterval: s.CheckpointInterval, Retention: s.Retention,
+				LearnRunTimes: s.LearnRunTimes,
 			},
 		}, store, runner.NewClient(s.ExecutorConns), advisorClient, m).Spec(),
 		intake.New(intake.Settings{VM: string(s.VM), Peers: withoutAddress(s.Peers, s.Relay)}, store, m).Spec(),
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -46,6 +46,8 @@
 	CheckpointRestoreTime, CheckpointInterval time.Duration
 	// Retention is the time for which the state of an ended job is kept.
 	Retention time.Duration
+	// LearnRunTimes is set if the holder learns run times and the pace of executors from finished runs.
+	LearnRunTimes bool
 	// GracePeriod is the time between the platform's order to stop and the kill of the process. LameDuck is the first
 	// part of it, in which the VM is not ready but still accepts connections.
 	GracePeriod, LameDuck time.Duration
@@ -71,13 +73,14 @@
 )
 
 var platformSchema = map[string][]string{
-	"vm":       {"id", "domain", "region"},
-	"listen":   {"front", "ready", "relay", "admin"},
-	"platform": {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
-	"limits":   {"processor_share", "memory", "executor_connections"},
-	"executor": {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
-	"timing":   {"retention", "grace", "lame_duck"},
-	"log":      {"verbosity"},
+	"vm":         {"id", "domain", "region"},
+	"listen":     {"front", "ready", "relay", "admin"},
+	"platform":   {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
+	"limits":     {"processor_share", "memory", "executor_connections"},
+	"executor":   {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
+	"scheduling": {"learn_run_times"},
+	"timing":     {"retention", "grace", "lame_duck"},
+	"log":        {"verbosity"},
 }
 
 // LoadPlatform reads the settings from a file name or byte slice. It returns an *Error that lists all problems.
@@ -109,6 +112,7 @@
 		CheckpointRestoreTime: r.duration("executor", "restore_time", 0, 0, maxTimeout),
 		CheckpointInterval:    r.duration("executor", "save_interval", time.Second, 0, maxTimeout),
 		Retention:             r.duration("timing", "retention", 2*time.Minute, time.Second, 24*time.Hour),
+		LearnRunTimes:         r.boolean("scheduling", "learn_run_times"),
 		GracePeriod:           r.duration("timing", "grace", 6*time.Second, time.Second, maxTimeout),
 		LameDuck:              r.duration("timing", "lame_duck", DefaultLameDuck, 0, maxTimeout),
 		Verbosity:             r.integer("log", "verbosity", 0, 0, maxVerbosity),
@@ -161,6 +165,18 @@
 	return out
 }
 
+// boolean reads a switch that is off by default.
+func (r *reader) boolean(section, key string) bool {
+	if !r.hasKey(section, key) {
+		return false
+	}
+	v := r.value(section, key)
+	if v != "true" && v != "false" {
+		r.addProblem(section, key, "true or false")
+	}
+	return v == "true"
+}
+
 func (r *reader) float(section, key string, def, low, high float64) float64 {
 	if !r.hasKey(section, key) {
 		return def
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -138,6 +138,7 @@
 		}
 	}
 	s.save(c)
+	s.saveRunTimes(c, now)
 	s.flushRunLog(now, false)
 	s.updateMetrics(now)
 	s.schedulePlan(c, next)
@@ -161,6 +162,7 @@
 	} {
 		s.metrics.SetGauge(name, int64(v))
 	}
+	s.updateRunTimeGauges()
 	s.log("fleet summary", "term", t.number, "jobs_open", g.OpenJobs, "units_waiting", g.WaitingUnits, "units_active", g.ActiveUnits,
 		"executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.UnverifiedExecutors(), "counts", t.summaryCounts)
 	t.summaryCounts = map[fleet.Counter]int64{}
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -35,6 +35,8 @@
 	Fleet  fleet.Settings
 	// TombstoneRetention is how long tombstones of cancelled jobs are kept; 0 means defaultTombstoneRetention.
 	TombstoneRetention time.Duration
+	// RunTimesInterval is the shortest time between two saves of learned run times; 0 means defaultRunTimesInterval.
+	RunTimesInterval time.Duration
 	// Clock measures the age of the lease; nil means boottime.Now.
 	Clock boottime.Clock
 }
@@ -62,6 +64,7 @@
 	if s.Clock == nil {
 		s.Clock = boottime.Now
 	}
+	s.RunTimesInterval = cmp.Or(s.RunTimesInterval, defaultRunTimesInterval)
 	s.TombstoneRetention = cmp.Or(s.TombstoneRetention, defaultTombstoneRetention)
 	return &Service{
 		settings: s, store: store, runner: r, advisor: a, metrics: m,
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -61,6 +61,7 @@
 	saveRevision int64
 	saveInFlight bool
 	nextSaveAt   time.Time
+	runTimes     runTimes
 	// savedRosterVersion is the version of the roster that was last saved.
 	savedRosterVersion int64
 
@@ -140,6 +141,7 @@
 	s.term = t
 	s.metrics.CountEvent("terms_begun", 1)
 	s.loadRecords(c, t)
+	s.loadRunTimes(c, t)
 	post := c.TaskSender()
 	s.watch(c, t, records.QueuePrefix, queueWatchPause, func(u metastore.Update) bool { return post(queueUpdate{termScoped{number}, u}) })
 	s.watch(c, t, runner.RegistryPrefix, registryWatchPause, func(u metastore.Update) bool { return post(registryUpdate{termScoped{number}, u}) })
@@ -201,6 +203,12 @@
 		s.loadRecords(c, s.term)
 	case recordsLoaded:
 		s.handleRecordsLoaded(c, m)
+	case runTimesDue:
+		s.loadRunTimes(c, s.term)
+	case runTimesRead:
+		s.handleRunTimesRead(c, m)
+	case runTimesSaved:
+		s.handleRunTimesSaved(m)
 	case queueUpdate:
 		s.applyQueueUpdate(c, m.Update)
 	case registryUpdate:
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -61,6 +61,12 @@
 	recordReads   atomic.Int64
 	// tombstoneRetention is that of the holder; 0 means its default.
 	tombstoneRetention time.Duration
+	// runTimesInterval is that of the holder, which learns run times if it is set.
+	runTimesInterval time.Duration
+	// prepare is called, if set, once the store runs and before the holder starts.
+	prepare func()
+	// refuseRunTimes makes the store refuse to read learned run times.
+	refuseRunTimes atomic.Bool
 }
 
 // observeStore counts the calls that list the progress of jobs, and refuses them while refuseRecords is set.
@@ -73,6 +79,10 @@
 				return
 			}
 		}
+		if env.refuseRunTimes.Load() && r.URL.Query().Get("prefix") == records.RunTimesKey {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 }
@@ -91,6 +101,9 @@
 	var wg conc.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	wg.Go(func() { env.store.Run(ctx) })
+	if env.prepare != nil {
+		env.prepare()
+	}
 	storeServer := serve(t, env.observeStore(metastore.NewHandler(env.store)))
 
 	info := workload.Executor{
@@ -107,10 +120,11 @@
 		Version: 1, Routes: []workload.Route{{Name: "q", Pool: "pool", Stretch: 3, Latency: time.Second}}, Pools: []workload.PoolConfig{{Name: "pool"}},
 	}).Index()
 	service := holder.New(holder.Settings{
-		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention,
+		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
 		Fleet: fleet.Settings{
 			Lease: 6 * time.Second, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: 50 * time.Millisecond,
 			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: time.Hour,
+			LearnRunTimes: env.runTimesInterval > 0,
 		},
 	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), time.Second), runner.NewClient(2), nil, metrics.New())
 	k, err := kernel.New(nil, kernel.Spec{Name: names.Relay, Service: stub{}}, service.Spec(),
