--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/joborder"
+	"github.com/verbenaflow/verbenaflow/decisions/runtimes"
 )
 
 // Settings are the parameters of the scheduler.
@@ -38,6 +39,8 @@
 	// ChooseVictims selects the victims of a preemption by package victims, waits for units that end in time instead of
 	// stopping others, and reserves headroom by the shapes of urgent work.
 	ChooseVictims bool
+	// LearnRunTimes is set if run times and the pace of executors are learned from finished runs.
+	LearnRunTimes bool
 }
 
 const (
@@ -84,6 +87,10 @@
 	sortedExecutors []*executor
 	usage           usage
 	runTimes        runTimeModel
+	// learned is the model of run times if Settings.LearnRunTimes is set, otherwise nil. pacesAt is when the paces of
+	// executors were last taken from it.
+	learned *runtimes.Model
+	pacesAt time.Time
 	// urgentArrivals is the weighted sum of recently arrived urgent work, in thousandths of a core.
 	urgentArrivals decayingSum
 	jobOrder       joborder.Order
@@ -129,6 +136,9 @@
 
 		leaseConfirmedAt: now,
 	}
+	if s.LearnRunTimes {
+		f.learned = runtimes.New()
+	}
 	if hasPredecessor {
 		lease := time.Duration(float64(s.Lease) / (1 - maxClockDrift))
 		f.reconcileBy = now.Add(lease + max(0, s.RenewalGrace-s.HolderLease) + fencingDelay)
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -44,10 +44,12 @@
 	// CheckpointRestoreTime is the time that a start from a checkpoint takes, CheckpointInterval the run time between
 	// two checkpoints.
 	CheckpointRestoreTime, CheckpointInterval time.Duration
-	// ChooseVictims selects the victims of preemptions by the least lost work, and waits for units that end in time.
-	ChooseVictims bool
 	// Retention is the time for which the state of an ended job is kept.
 	Retention time.Duration
+	// ChooseVictims selects the victims of preemptions by the least lost work, and waits for units that end in time.
+	ChooseVictims bool
+	// LearnRunTimes is set if the holder learns run times and the pace of executors from finished runs.
+	LearnRunTimes bool
 	// GracePeriod is the time between the platform's order to stop and the kill of the process. LameDuck is the first
 	// part of it, in which the VM is not ready but still accepts connections.
 	GracePeriod, LameDuck time.Duration
@@ -78,7 +80,7 @@
 	"platform":   {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
 	"limits":     {"processor_share", "memory", "executor_connections"},
 	"executor":   {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
-	"scheduling": {"choose_victims"},
+	"scheduling": {"choose_victims", "learn_run_times"},
 	"timing":     {"retention", "grace", "lame_duck"},
 	"log":        {"verbosity"},
 }
@@ -113,6 +115,7 @@
 		CheckpointInterval:    r.duration("executor", "save_interval", time.Second, 0, maxTimeout),
 		ChooseVictims:         r.boolean("scheduling", "choose_victims", false),
 		Retention:             r.duration("timing", "retention", 2*time.Minute, time.Second, 24*time.Hour),
+		LearnRunTimes:         r.boolean("scheduling", "learn_run_times", false),
 		GracePeriod:           r.duration("timing", "grace", 6*time.Second, time.Second, maxTimeout),
 		LameDuck:              r.duration("timing", "lame_duck", DefaultLameDuck, 0, maxTimeout),
 		Verbosity:             r.integer("log", "verbosity", 0, 0, maxVerbosity),
