--- a/api/workload/config.go
+++ b/api/workload/config.go
@@ -44,6 +44,11 @@
 	Keys []string
 	// Guaranteed is the number of accelerators that are guaranteed to the account's jobs of priority 0.
 	Guaranteed int
+	// Weight is the account's share when all capacity is used, and the jobs a second that it may submit; 0 means that it
+	// has none.
+	Weight float64
+	// Limit bounds the resources of all running tasks of the account; a zero field means no limit.
+	Limit Resources
 }
 
 // Limits bound the calls of clients.
