Start no work of a client account beyond its limit

Each task run now counts against its account, with its step's need in full, from its reservation until its end is proven; runs without a unit count too. A unit starts, or reserves room, only if all of that and a bound of what earlier holders may have running stays below the limit, and a reservation is checked again when its starts are sent, as is a start that is repeated. Guaranteed work whose account is at its limit stops lower work of the same account; all else waits as account_limit. Jobs beyond an account's rate come after all other work and preempt nothing.

joborder_test has one more candidate, simulation_test checks limits at each start; nothing in them was eased.

--- a/decisions/accountlimit/ledger.go
+++ b/decisions/accountlimit/ledger.go
@@ -50,15 +50,17 @@
 	return room
 }
 
-// Excess returns by how much an amount exceeds a limit, field by field.
-func Excess(limit, amount workload.Resources) workload.Resources {
-	over := func(limit, amount int) int {
-		if limit == 0 {
+// Missing returns what has to end before need fits below a limit.
+func Missing(limit, occupied, need workload.Resources) workload.Resources {
+	missing := func(limit, occupied, need int) int {
+		if limit == 0 || need == 0 {
 			return 0
 		}
-		return max(0, amount-limit)
+		return max(0, occupied+need-limit)
+	}
+	return workload.Resources{
+		CPU: missing(limit.CPU, occupied.CPU, need.CPU), Memory: missing(limit.Memory, occupied.Memory, need.Memory), GPU: missing(limit.GPU, occupied.GPU, need.GPU),
 	}
-	return workload.Resources{CPU: over(limit.CPU, amount.CPU), Memory: over(limit.Memory, amount.Memory), GPU: over(limit.GPU, amount.GPU)}
 }
 
 // NeverFits returns the index of the first step that can never run under a limit, and false if there is none: the tasks
--- a/decisions/accountlimit/ledger_test.go
+++ b/decisions/accountlimit/ledger_test.go
@@ -100,19 +100,14 @@
 		}
 		limit, need := drawResources(rt, "limit", 40), drawResources(rt, "task", 9)
 		occupied := ledger.Occupied("a")
-		n := Room(limit, occupied, need)
-		if n == math.MaxInt {
-			n = 1000
-			if over := Excess(limit, times(need, n).Add(occupied)); over != (workload.Resources{}) && Excess(limit, occupied) == (workload.Resources{}) {
-				rt.Fatalf("unlimited room, yet %d tasks of %v beside %v exceed %v by %v", n, need, occupied, limit, over)
+		fits := func(n int) bool { return Missing(limit, occupied, times(need, n)) == workload.Resources{} }
+		switch n := Room(limit, occupied, need); {
+		case n == math.MaxInt:
+			if !fits(1000) {
+				rt.Fatalf("unlimited room, yet 1000 tasks of %v beside %v exceed %v", need, occupied, limit)
 			}
-			return
-		}
-		if over := Excess(limit, occupied.Add(times(need, n))); n > 0 && exceedsBy(over, need) {
-			rt.Fatalf("%d tasks of %v beside %v exceed %v by %v", n, need, occupied, limit, over)
-		}
-		if over := Excess(limit, occupied.Add(times(need, n+1))); !exceedsBy(over, need) {
-			rt.Fatalf("%d tasks of %v beside %v would fit below %v", n+1, need, occupied, limit)
+		case n > 0 && !fits(n) || fits(n+1):
+			rt.Fatalf("room for %d tasks of %v beside %v below %v", n, need, occupied, limit)
 		}
 	})
 }
@@ -121,11 +116,6 @@
 	return workload.Resources{CPU: r.CPU * n, Memory: r.Memory * n, GPU: r.GPU * n}
 }
 
-// exceedsBy reports whether a limit is exceeded in a resource that tasks need.
-func exceedsBy(over, need workload.Resources) bool {
-	return over.CPU > 0 && need.CPU > 0 || over.Memory > 0 && need.Memory > 0 || over.GPU > 0 && need.GPU > 0
-}
-
 // TestUnreported guards against a bound below what the executors that have not reported may run.
 func TestUnreported(t *testing.T) {
 	tasks, capacity := workload.Resources{CPU: 9000, Memory: 10, GPU: 9}, workload.Resources{CPU: 4000, Memory: 100, GPU: 8}
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -91,6 +91,8 @@
 	StopOrphan StopReason = "orphan"
 	// StopMoved ends a run on an executor that leaves or is evacuated, so that it restarts on another.
 	StopMoved StopReason = "moved"
+	// StopAccountLimit frees room below the limit of the account for its guaranteed work.
+	StopAccountLimit StopReason = "account_limit"
 	// StopStalled ends a run that makes no progress.
 	StopStalled StopReason = "stalled"
 )
@@ -120,6 +122,12 @@
 	CountJobsFailed           Counter = "jobs_failed"
 	CountReservationCancelled Counter = "reservations_given_up"
 	CountExecutorLost         Counter = "executors_lost"
+	// CountWait counts jobs that have waited for long, by reason.
+	CountWait Counter = "jobs_waited"
+	// CountLimitVacated counts units that were stopped to bring their account below its limit.
+	CountLimitVacated Counter = "limit_vacated_units"
+	// CountExcess counts jobs beyond the rate of their account.
+	CountExcess Counter = "jobs_excess"
 	// CountExecutorRestarted counts restarts of executors under the same identifier.
 	CountExecutorRestarted Counter = "executors_reborn"
 )
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -39,6 +39,7 @@
 	run      workload.RunNumber
 	executor *executor
 	load     workload.Resources
+	charge   charge
 	state    taskRunState
 	// startAttempts is the number of times that the start was sent.
 	startAttempts int
@@ -70,6 +71,8 @@
 	// used is the capacity that all task runs occupy, dispatched the part of those whose start was sent.
 	used, dispatched workload.Resources
 	taskRuns         []*taskRun
+	// use is the scheduler's count of what accounts occupy, to which the task runs add.
+	use *accountUse
 
 	// verified is set once the executor has seen the fencing token of this term and has reported its runs.
 	verified bool
@@ -127,11 +130,18 @@
 func (e *executor) add(r *taskRun) {
 	e.taskRuns = append(e.taskRuns, r)
 	e.used = e.used.Add(r.load)
+	e.use.add(r.charge)
 	if r.state != taskReserved {
-		e.dispatched = e.dispatched.Add(r.load)
+		e.dispatch(r)
 	}
 }
 
+// dispatch counts a task run of which a start is sent or was reported.
+func (e *executor) dispatch(r *taskRun) {
+	e.dispatched = e.dispatched.Add(r.load)
+	e.use.dispatched.Add(r.charge.account, r.charge.need)
+}
+
 func (e *executor) remove(r *taskRun) {
 	i := slices.Index(e.taskRuns, r)
 	if i < 0 {
@@ -139,8 +149,10 @@
 	}
 	e.taskRuns = slices.Delete(e.taskRuns, i, i+1)
 	e.used = e.used.Sub(r.load)
+	e.use.remove(r.charge)
 	if r.state != taskReserved {
 		e.dispatched = e.dispatched.Sub(r.load)
+		e.use.dispatched.Remove(r.charge.account, r.charge.need)
 	}
 }
 
@@ -171,7 +183,7 @@
 	f.rosterVersion++
 	e, known := f.executors[info.ID]
 	if !known {
-		e = &executor{nextPollAt: now, clockAt: now}
+		e = &executor{nextPollAt: now, clockAt: now, use: &f.use}
 		f.executors[info.ID] = e
 		i, _ := slices.BinarySearchFunc(f.sortedExecutors, info.ID, func(o *executor, id workload.ExecutorID) int {
 			return strings.Compare(string(o.info.ID), string(id))
@@ -288,3 +300,10 @@
 	}
 	return b
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/accountlimit"
 	"github.com/verbenaflow/verbenaflow/decisions/joborder"
 )
 
@@ -80,7 +81,14 @@
 	// sortedExecutors lists the executors by identifier, so that decisions do not depend on the iteration order of a map.
 	sortedExecutors []*executor
 	usage           usage
-	runTimes        runTimeModel
+	// use counts what the runs of client accounts occupy.
+	use        accountUse
+	limitPass  limitPass
+	unreported unreported
+	rates      accountlimit.Rates
+	// unmarkedJobs holds the jobs that were added since the last planning pass.
+	unmarkedJobs []*job
+	runTimes     runTimeModel
 	// urgentArrivals is the weighted sum of recently arrived urgent work, in thousandths of a core.
 	urgentArrivals decayingSum
 	jobOrder       joborder.Order
@@ -156,6 +164,7 @@
 		return
 	}
 	f.config = c
+	f.unreported = unreported{}
 }
 
 // SetExcludedDomains replaces the failure domains that operators have taken out of service.
@@ -177,12 +186,12 @@
 	if progress != nil {
 		j.restore(progress)
 	}
+	f.unmarkedJobs = append(f.unmarkedJobs, j)
 	if j.state.Final() {
 		j.endedAt = now
 		return
 	}
 	f.openJobs = append(f.openJobs, j)
-	f.observeArrival(now, j)
 	f.completeIfDone(now, j)
 }
 
@@ -283,21 +292,34 @@
 // Gauges are the sizes of the scheduler's present state.
 type Gauges struct {
 	Jobs, OpenJobs, WaitingUnits, ActiveUnits, Executors, Eligible int
+	// UnitsAtLimit is the number of waiting units that the limits of their accounts, AccountsAtLimit, keep from starting.
+	// ExcessJobs is the number of open jobs beyond the rates of their accounts.
+	UnitsAtLimit, ExcessJobs int
+	AccountsAtLimit          []workload.Account
 }
 
 // Gauges returns the sizes of the scheduler's present state.
 func (f *Scheduler) Gauges(now time.Time) Gauges {
 	g := Gauges{Jobs: len(f.jobs), OpenJobs: len(f.openJobs), Executors: len(f.executors)}
+	atLimit := map[workload.Account]bool{}
 	for _, j := range f.openJobs {
+		if j.excess && !j.state.Final() {
+			g.ExcessJobs++
+		}
 		for _, u := range j.units {
 			switch u.state {
 			case unitPending:
 				g.WaitingUnits++
+				if u.waitsFor == WaitAccountLimit {
+					g.UnitsAtLimit++
+					atLimit[j.rec.Account] = true
+				}
 			case unitActive:
 				g.ActiveUnits++
 			}
 		}
 	}
+	g.AccountsAtLimit = slices.Sorted(maps.Keys(atLimit))
 	for _, e := range f.sortedExecutors {
 		if f.eligible(now, e) {
 			g.Eligible++
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -83,6 +83,10 @@
 	// anywhere. mayRunVersion is the version that records it.
 	mayRun        bool
 	mayRunVersion int64
+	// inherited is set if an earlier holder may have started tasks of the job.
+	inherited bool
+	// excess is set if the job exceeds the rate of its account.
+	excess bool
 	// begun is set once a task has started.
 	begun bool
 	// waitReported is set once a WaitNotice was given.
@@ -237,7 +241,7 @@
 
 // restore applies the progress that an earlier holder recorded.
 func (j *job) restore(p *workload.Progress) {
-	j.mayRun, j.begun = p.MayRun, p.Begun
+	j.mayRun, j.begun, j.inherited = p.MayRun, p.Begun, p.MayRun
 	if p.State.Final() {
 		j.state = p.State
 		for _, u := range j.units {
--- a/decisions/fleet/orders_test.go
+++ b/decisions/fleet/orders_test.go
@@ -192,13 +192,6 @@
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // TestOrderOverload guards against an order of jobs that earns no more credit than first come, first served in an
 // overload with bursts, because work that is late already delays work that can still be in time.
 func TestOrderOverload(t *testing.T) {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -24,8 +24,8 @@
 	var filter backfill
 	for _, c := range waiting {
 		first := c.units[0]
-		expected := f.runTimes.expected(first.job.rec.Queue, first.spec().Estimate)
-		if c.Class <= classUrgent || first.spec().LongRunning || filter.permits(now, expected) {
+		c.expected = f.runTimes.expected(first.job.rec.Queue, first.spec().Estimate)
+		if c.Class <= classUrgent || first.spec().LongRunning || filter.permits(now, c.expected) {
 			f.placeStep(now, c, usable, &budget, &filter)
 		} else {
 			setWaiting(c.units, WaitGang)
@@ -43,13 +43,14 @@
 		if u.job.mayRunPending() {
 			// No unit of the job starts before the record is durable, so that no placement is needed yet.
 			setWaiting(c.units[i:], WaitRecord)
+			f.holdRoom(u)
 			return
 		}
 		// Each placement uses some of the account's guarantee, so that the class of the next unit may differ.
 		c.Class = f.classOf(u)
 		if reason := f.tryPlace(now, c, u, usable, budget); reason != "" {
 			setWaiting(c.units[i:], reason)
-			if budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
+			if reason != WaitAccountLimit && budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
 			}
 			return
@@ -60,6 +61,9 @@
 
 // tryPlace places a unit if the headroom allows it. It returns why the next unit of the step is not worth trying, or "".
 func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, usable []*executor, budget *headroom) WaitReason {
+	if !f.belowLimit(now, c, u) {
+		return WaitAccountLimit
+	}
 	if !budget.allows(c.Class, u) {
 		return WaitHeadroom
 	}
@@ -68,6 +72,7 @@
 	}
 	if u.job.mayRunPending() {
 		u.waitsFor = WaitRecord
+		f.holdRoom(u)
 	}
 	return ""
 }
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -19,6 +19,8 @@
 // occurs earlier.
 func (f *Scheduler) Plan(now time.Time) ([]Action, time.Duration) {
 	f.expireLeases(now)
+	f.markExcess()
+	f.limitPass = limitPass{}
 	f.collectUnits(now)
 	f.stopIncompleteRuns(now)
 	f.evacuateDraining(now)
@@ -185,7 +187,7 @@
 	u.startedAt, u.progressAt, u.progress = now, now, 0
 	for _, r := range u.taskRuns {
 		r.state, r.startSentAt = taskStartSent, now
-		r.executor.dispatched = r.executor.dispatched.Add(r.load)
+		r.executor.dispatch(r)
 		f.count(CountStart)
 		f.sendStart(now, r, reason)
 	}
@@ -208,8 +210,12 @@
 func (f *Scheduler) reserve(now time.Time, u *unit, executors []*executor) {
 	u.starts++
 	u.activate(now, workload.RunNumber(f.term*runNumbersPerTerm+u.starts))
+	charge := f.chargeOf(u.job, u.spec())
 	for i, e := range executors {
-		r := &taskRun{unit: u, task: u.task(u.firstTask + i), run: u.run, executor: e, load: u.spec().CapacityNeed(), state: taskReserved, speedPercent: fullSpeedPercent}
+		r := &taskRun{
+			unit: u, task: u.task(u.firstTask + i), run: u.run, executor: e, load: u.spec().CapacityNeed(), charge: charge,
+			state: taskReserved, speedPercent: fullSpeedPercent,
+		}
 		u.taskRuns = append(u.taskRuns, r)
 		e.add(r)
 		f.usage.add(u, r.load.GPU)
@@ -224,9 +230,9 @@
 			continue
 		}
 		switch {
-		case f.canStart(now, u):
+		case f.canStart(now, u) && f.mayDispatch(now, u):
 			f.start(now, u, "room_vacated")
-		case now.Sub(u.startedAt) > f.settings.MaxStopTime+reservationMargin || f.isBlocked(now, u):
+		case now.Sub(u.startedAt) > f.settings.MaxStopTime+reservationMargin || f.isBlocked(now, u) || !f.mayDispatch(now, u):
 			f.count(CountReservationCancelled)
 			u.notBefore = now.Add(startRetryDelay)
 			f.cancelReservation(now, u)
@@ -258,6 +264,8 @@
 type candidate struct {
 	joborder.Candidate
 	units []*unit
+	// expected is the expected run time of a task.
+	expected time.Duration
 }
 
 const (
@@ -271,13 +279,13 @@
 func (f *Scheduler) classOf(u *unit) int {
 	r := f.route(u.job)
 	if r.Priority > 0 {
-		return classUrgent + r.Priority
+		return f.demoted(u.job, classUrgent+r.Priority, workload.Resources{})
 	}
 	t := f.config.Account(u.job.rec.Account)
 	if t != nil && f.usage[u.job.rec.Account]+u.size*u.spec().Need.GPU <= t.Guaranteed {
 		return classGuaranteed
 	}
-	return classUrgent
+	return f.demoted(u.job, classUrgent, f.use.urgent.Occupied(u.job.rec.Account).Add(u.totalNeed()))
 }
 
 // expiryFactor is the multiple of its objective after which the completion of a job earns no credit.
@@ -295,8 +303,9 @@
 	}
 	objective := time.Duration(r.Stretch*float64(f.runTimes.expected(j.rec.Queue, j.longestPath))) + r.Latency
 	remaining := f.runTimes.expected(j.rec.Queue, j.criticalPaths[u.step])
+	class := f.classOf(u)
 	return &candidate{units: units, Candidate: joborder.Candidate{
-		Class: f.classOf(u), Arrived: arrival,
+		Class: class, Excess: class >= classExcess, Arrived: arrival,
 		LatestStart: arrival.Add(objective - remaining), Expiry: arrival.Add(expiryFactor*objective - remaining),
 		Work: float64(u.size) * float64(weightedMillicores(u.spec().Need)) / 1000 * remaining.Seconds(),
 	}}
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -146,12 +146,12 @@
 func (f *Scheduler) runningClass(u *unit) int {
 	r := f.route(u.job)
 	if r.Priority > 0 {
-		return classUrgent + r.Priority
+		return f.demoted(u.job, classUrgent+r.Priority, workload.Resources{})
 	}
 	if t := f.config.Account(u.job.rec.Account); t != nil && f.usage[u.job.rec.Account] <= t.Guaranteed {
 		return classGuaranteed
 	}
-	return classUrgent
+	return f.demoted(u.job, classUrgent, f.use.urgent.Occupied(u.job.rec.Account))
 }
 
 const (
@@ -168,6 +168,9 @@
 // preempted first.
 func (f *Scheduler) priorityCost(u *unit) float64 {
 	w := 1.0
+	if u.job.excess {
+		return w / priorityCostFactor
+	}
 	for p := f.route(u.job).Priority; p < lowestPriority; p++ {
 		w *= priorityCostFactor
 	}
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -156,6 +156,7 @@
 	}
 	if u != nil {
 		r.load = u.spec().CapacityNeed()
+		r.charge = f.chargeOf(u.job, u.spec())
 	}
 	if u == nil || !f.attachRun(now, u, r) {
 		f.count(CountOrphan)
@@ -352,7 +353,7 @@
 	if u == nil || u.state != unitActive || u.ending {
 		return false
 	}
-	if e := r.executor; e.closed() || f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID] {
+	if e := r.executor; e.closed() || f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID] || !f.mayRepeat(now, r) {
 		return false
 	}
 	f.count(CountStartRepeated)
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -20,8 +20,10 @@
 	queue events
 	seq   int
 
-	settings    Settings
-	config      *workload.Config
+	settings Settings
+	config   *workload.Config
+	// configs lists all configurations with the times from which on they were in force.
+	configs     []configChange
 	executors   map[workload.ExecutorID]*fakeExecutor
 	executorIDs []workload.ExecutorID
 	jobs        map[workload.JobID]*workload.Job
@@ -66,6 +68,12 @@
 	unregistered map[workload.ExecutorID]bool
 }
 
+// configChange is a configuration that came into force at a time.
+type configChange struct {
+	at     time.Time
+	config *workload.Config
+}
+
 // endKey identifies the end of a run by its executor and number.
 type endKey struct {
 	executor workload.ExecutorID
@@ -90,6 +98,8 @@
 	// the store.
 	reachable   map[workload.ExecutorID]bool
 	partitioned bool
+	// configuredAt is when the latest configuration reached the holder.
+	configuredAt time.Time
 }
 
 type fakeExecutor struct {
@@ -166,6 +176,7 @@
 		Pools:    []workload.PoolConfig{{Name: "pool"}},
 		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{"ka"}, Guaranteed: 16}, {Name: "b", Keys: []string{"kb"}, Guaranteed: 8}},
 	}).Index()
+	sim.configs = []configChange{{sim.now, sim.config}}
 	for r := range racks {
 		for i := range perRack {
 			sim.addExecutor(fmt.Sprintf("e%d-%d", r, i), fmt.Sprintf("r%d", r), "zone")
@@ -251,7 +262,7 @@
 // d.
 func (sim *simulation) partition(oldReachable map[workload.ExecutorID]bool, d time.Duration) {
 	old := sim.holder
-	old.partitioned, old.reachable = true, oldReachable
+	old.partitioned, old.reachable, old.configuredAt = true, oldReachable, sim.now
 	sim.holder = nil
 	sim.schedule(HolderLease, func() {
 		if sim.holder != nil {
@@ -369,7 +380,60 @@
 	}
 }
 
+// configure puts a configuration into force.
+func (sim *simulation) configure(c *workload.Config) {
+	sim.config = c
+	sim.configs = append(sim.configs, configChange{sim.now, c})
+	if sim.holder != nil {
+		sim.holder.scheduler.SetConfig(c)
+		sim.plan(sim.holder)
+	}
+}
+
+// limitSince returns the highest limit of an account in the configurations that were in force since a time.
+func (sim *simulation) limitSince(a workload.Account, since time.Time) workload.Resources {
+	const unlimited = 1 << 40
+	most := workload.Resources{}
+	higher := func(x, y int) int {
+		if y == 0 {
+			return unlimited
+		}
+		return max(x, y)
+	}
+	for i, c := range sim.configs {
+		if i+1 < len(sim.configs) && sim.configs[i+1].at.Before(since) {
+			continue
+		}
+		var limit workload.Resources
+		if t := c.config.Account(a); t != nil {
+			limit = t.Limit
+		}
+		most = workload.Resources{CPU: higher(most.CPU, limit.CPU), Memory: higher(most.Memory, limit.Memory), GPU: higher(most.GPU, limit.GPU)}
+	}
+	return most
+}
+
+// checkLimit checks that a start that was sent at a time keeps its account below its limit, counted over all executors.
+// A start that takes effect late was permitted by a configuration that was in force since it was sent.
+func (sim *simulation) checkLimit(j *workload.Job, a Start, sentAt time.Time) {
+	sum := j.Steps[a.Task.Step].Need
+	for _, e := range sim.executors {
+		for _, r := range e.runs {
+			if e.up && r.job.Account == j.Account {
+				sum = sum.Add(r.job.Steps[r.task.Step].Need)
+			}
+		}
+	}
+	if limit := sim.limitSince(j.Account, sentAt); !sum.Fits(limit) {
+		sim.recordViolation("account limit: %s run %d brings account %s to %v, its limit is %v", a.Task, a.Run, j.Account, sum, limit)
+	}
+}
+
 func (sim *simulation) start(h *holder, a Start) {
+	sentAt := sim.now
+	if h.partitioned && h.configuredAt.Before(sentAt) {
+		sentAt = h.configuredAt
+	}
 	answer := func(result CallFailure, ok bool, clock time.Duration) {
 		sim.schedule(callLatency, func() {
 			if h.replaced {
@@ -385,7 +449,7 @@
 	}
 	answered := false
 	sim.call(h, a.Executor, a.Address, func(e *fakeExecutor) {
-		result, ok := sim.handleStart(e, h.fence, a)
+		result, ok := sim.handleStart(e, h.fence, a, sentAt)
 		if !answered {
 			answered = true
 			answer(result, ok, sim.clock(e))
@@ -407,7 +471,7 @@
 }
 
 // handleStart handles a start as an executor does.
-func (sim *simulation) handleStart(e *fakeExecutor, fence workload.FencingToken, a Start) (CallFailure, bool) {
+func (sim *simulation) handleStart(e *fakeExecutor, fence workload.FencingToken, a Start, sentAt time.Time) (CallFailure, bool) {
 	if fence < e.fence {
 		return CallNotExecuted, false
 	}
@@ -428,6 +492,7 @@
 	j := sim.jobs[a.Task.Job]
 	sim.trace("%s run %d begins on %s", a.Task, a.Run, e.info.ID)
 	sim.checkStart(e, j, a)
+	sim.checkLimit(j, a, sentAt)
 	b := sim.behavior[a.Task.Job]
 	r := &fakeRun{task: a.Task, run: a.Run, executor: e, job: j, remaining: b.runTime, advancedAt: sim.now, startedAt: sim.now}
 	if a.Checkpoint != "" {
--- a/decisions/fleet/waiting.go
+++ b/decisions/fleet/waiting.go
@@ -23,6 +23,9 @@
 	WaitHeadroom WaitReason = "headroom"
 	// WaitGang means that the free capacity is kept for a gang that waits for more.
 	WaitGang WaitReason = "waiting_gang"
+	// WaitAccountLimit means that the account's runs occupy its limit, or that the room below the limit is kept for other
+	// work of the account.
+	WaitAccountLimit WaitReason = "account_limit"
 	// WaitCapacity means that the unit does not fit on the executors that may run it.
 	WaitCapacity WaitReason = "capacity"
 )
@@ -36,6 +39,8 @@
 	Occurrence, Step int
 	Waited           time.Duration
 	Reason           WaitReason
+	// Excess is set if the job exceeds the rate of its account, so that other work comes first.
+	Excess bool
 }
 
 func (WaitNotice) action() {}
@@ -54,6 +59,9 @@
 			continue
 		}
 		u.job.waitReported = true
-		f.actions = append(f.actions, WaitNotice{Job: u.job.rec.ID, Occurrence: u.occurrence, Step: u.step, Waited: now.Sub(u.pendingSince), Reason: u.waitsFor})
+		f.count(CountWait + "_" + Counter(u.waitsFor))
+		f.actions = append(f.actions, WaitNotice{
+			Job: u.job.rec.ID, Occurrence: u.occurrence, Step: u.step, Waited: now.Sub(u.pendingSince), Reason: u.waitsFor, Excess: u.job.excess,
+		})
 	}
 }
--- a/decisions/joborder/joborder.go
+++ b/decisions/joborder/joborder.go
@@ -11,6 +11,8 @@
 type Candidate struct {
 	// Class is the urgency: lower classes are served first and may preempt higher ones.
 	Class int
+	// Excess is set for work beyond the rate of its account.
+	Excess bool
 	// Arrived is when the job was accepted.
 	Arrived time.Time
 	// LatestStart is the latest start with which the job can meet its objective, Expiry the latest start with which its
@@ -29,9 +31,9 @@
 
 // InTimeFirst orders candidates by class. Within a class, those that can still meet their objective come first, by
 // latest start; then late ones, by work, so that a backlog delays as few jobs as possible. Candidates that can no
-// longer earn credit come after all classes, except for those of the guaranteed class.
+// longer earn credit come after all classes, and excess work after these, except for candidates of the guaranteed class.
 func InTimeFirst(now time.Time, a, b *Candidate) int {
-	if c := cmp.Compare(a.creditRank(now), b.creditRank(now)); c != 0 {
+	if c := cmp.Compare(a.rank(now), b.rank(now)); c != 0 {
 		return c
 	}
 	if c := cmp.Compare(a.Class, b.Class); c != 0 {
@@ -47,10 +49,15 @@
 	return cmp.Compare(a.Work, b.Work)
 }
 
-// creditRank returns 1 for a candidate that comes after all classes, because it can no longer earn credit, and
-// otherwise 0.
-func (c *Candidate) creditRank(now time.Time) int {
-	if c.Class != Guaranteed && c.stage(now) == expired {
+// rank returns 0 for a candidate whose turn is determined by its class, 1 for one that comes after all classes because
+// it can no longer earn credit, and 2 for excess work.
+func (c *Candidate) rank(now time.Time) int {
+	switch {
+	case c.Class == Guaranteed:
+		return 0
+	case c.Excess:
+		return 2
+	case c.stage(now) == expired:
 		return 1
 	}
 	return 0
--- a/decisions/joborder/joborder_test.go
+++ b/decisions/joborder/joborder_test.go
@@ -18,14 +18,15 @@
 	"large late":    {Class: 1, Arrived: at(-4000), LatestStart: at(-900), Expiry: at(2000), Work: 500},
 	"small expired": {Class: 1, Arrived: at(-9000), LatestStart: at(-6000), Expiry: at(-1), Work: 1},
 	"lower class":   {Class: 2, Arrived: at(-9999), LatestStart: at(1), Expiry: at(9000), Work: 0.5},
+	"excess":        {Class: 1, Excess: true, Arrived: at(-100), LatestStart: at(100), Expiry: at(9000), Work: 0.1},
 	"guaranteed":    {Class: Guaranteed, Arrived: at(-9999), LatestStart: at(-6000), Expiry: at(-2), Work: 700},
 }
 
 // TestInTimeFirst guards against an order that puts late work before work that can still be in time, large late work
-// before small, a lower priority before a higher one, or work without credit before other work. Guaranteed work always
-// comes first.
+// before small, a lower priority before a higher one, work without credit before other work, or work beyond the rate of
+// its account before that of others. Guaranteed work always comes first.
 func TestInTimeFirst(t *testing.T) {
-	want := []string{"guaranteed", "large in time", "small in time", "small late", "large late", "lower class", "small expired"}
+	want := []string{"guaranteed", "large in time", "small in time", "small late", "large late", "lower class", "small expired", "excess"}
 	got := make([]string, 0, len(candidates))
 	for n := range candidates {
 		got = append(got, n)
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -158,11 +158,13 @@
 	for name, v := range map[string]int{
 		"jobs_open": g.OpenJobs, "units_waiting": g.WaitingUnits, "units_active": g.ActiveUnits,
 		"executors": g.Executors, "executors_eligible": g.Eligible,
+		"units_at_account_limit": g.UnitsAtLimit, "accounts_at_limit": len(g.AccountsAtLimit), "jobs_excess_open": g.ExcessJobs,
 	} {
 		s.metrics.SetGauge(name, int64(v))
 	}
 	s.log("fleet summary", "term", t.number, "jobs_open", g.OpenJobs, "units_waiting", g.WaitingUnits, "units_active", g.ActiveUnits,
-		"executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.UnverifiedExecutors(), "counts", t.summaryCounts)
+		"executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.UnverifiedExecutors(),
+		"accounts_at_limit", g.AccountsAtLimit, "jobs_excess", g.ExcessJobs, "counts", t.summaryCounts)
 	t.summaryCounts = map[fleet.Counter]int64{}
 }
 
