Refuse a job at once that can never run below its account's limit

A gang wider than the limit of its account, or a single task larger than it, would wait for ever. The intake refuses it as account_limit (429, not run), after a read of the store: a submission that is repeated finds the job that an earlier configuration admitted. The limit at the acceptance stays in the job's record for accounts that are removed.

--- a/services/intake/deadline_test.go
+++ b/services/intake/deadline_test.go
@@ -89,12 +89,15 @@
 func (publisher) Handle(*kernel.Context, kernel.Envelope) {}
 func (publisher) Drain(c *kernel.Context)                 { c.CompleteDrain() }
 
+// testLimit is the number of cores that the account of the tests may have running.
+const testLimit = 8
+
 // startVM starts the intake of a VM that relays calls to another one.
 func startVM(t *testing.T, store Store, relay kernel.Service) *kernel.Kernel {
 	t.Helper()
 	config := (&workload.Config{
 		Version: 1, Routes: []workload.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "pool"}},
-		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{"k"}}},
+		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{"k"}, Limit: workload.Resources{CPU: testLimit * 1000}}},
 	}).Index()
 	k, err := kernel.New(nil, New(Settings{VM: "vm"}, store, metrics.New()).Spec(),
 		kernel.Spec{Name: names.Catalog, Service: publisher{}}, kernel.Spec{Name: names.Holder, Service: publisher{}},
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -12,6 +12,7 @@
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/accountlimit"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 )
@@ -79,7 +80,15 @@
 	}
 	job := m.Job
 	job.ID, job.Queue, job.Account, job.Route, job.Accepted = id, a.route.Name, a.account, *a.route, time.Now()
-	s.accept(c, job, m.Deadline.Add(-replyMargin), e, true)
+	deadline := m.Deadline.Add(-replyMargin)
+	if t := s.config.Account(a.account); t != nil {
+		job.AccountLimit = t.Limit
+	}
+	if step, never := accountlimit.NeverFits(job.AccountLimit, job.Steps); never {
+		s.refuseBeyondLimit(c, job, step, deadline, e)
+		return
+	}
+	s.accept(c, job, deadline, e, true)
 }
 
 // accept stores a job on the condition that no job with its identifier is stored, and that its account has not cancelled
