--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -28,7 +28,9 @@
 
 // TestFleetOptions checks the same guarantees with all optional decisions switched on.
 func TestFleetOptions(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { fuzzFleet(t, rt, func(s *Settings) { s.LearnRunTimes, s.ChooseVictims = true, true }) })
+	rapid.Check(t, func(rt *rapid.T) {
+		fuzzFleet(t, rt, func(s *Settings) { s.LearnRunTimes, s.ChooseVictims = true, true })
+	})
 }
 
 func fuzzFleet(t *testing.T, rt *rapid.T, configure func(*Settings)) {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -25,8 +25,8 @@
 	var filter backfill
 	for _, c := range waiting {
 		first := c.units[0]
-		expected := f.expectedRunTime(first)
-		if c.Class <= classUrgent || first.spec().LongRunning || filter.permits(now, expected) {
+		c.expected = f.expectedRunTime(first)
+		if c.Class <= classUrgent || first.spec().LongRunning || filter.permits(now, c.expected) {
 			f.placeStep(now, c, usable, &budget, &filter)
 		} else {
 			setWaiting(c.units, WaitGang)
@@ -44,13 +44,14 @@
 		if u.job.mayRunPending() {
 			// No unit of the job starts before the record is durable, so that no placement is needed yet.
 			setWaiting(c.units[i:], WaitRecord)
+			f.holdRoom(u)
 			return
 		}
 		// Each placement uses some of the account's guarantee, so that the class of the next unit may differ.
 		c.Class = f.classOf(u)
 		if reason := f.tryPlace(now, c, u, budget); reason != "" {
 			setWaiting(c.units[i:], reason)
-			if budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
+			if reason != WaitAccountLimit && budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
 			}
 			return
@@ -61,6 +62,9 @@
 
 // tryPlace places a unit if the headroom allows it. It returns why the next unit of the step is not worth trying, or "".
 func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, budget *headroom) WaitReason {
+	if !f.belowLimit(now, c, u) {
+		return WaitAccountLimit
+	}
 	if !budget.allows(c.Class, u) {
 		return WaitHeadroom
 	}
@@ -76,6 +80,7 @@
 	}
 	if u.job.mayRunPending() {
 		u.waitsFor = WaitRecord
+		f.holdRoom(u)
 	}
 	return ""
 }
