Stop work for urgent gangs on fast executors first, and reserve these

Change: preemption tries the executors of the preferred pace first; slow ones enter the reserve last.

--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -69,15 +69,23 @@
 }
 
 // beside returns the executors beside a reserve, which consists of the emptiest executors of the racks with most free
-// capacity: gangs of large tasks find room on a rack there, while a reserve that is scattered over all executors would
-// hold small tasks only.
+// capacity, slow ones last: gangs of large tasks find room on a rack there, while a reserve that is scattered over all
+// executors would hold small tasks only.
 func beside(usable []*executor, reserve float64) []*executor {
 	rackFree := map[string]int{}
 	for _, e := range usable {
-		rackFree[e.rack] += max(0, weightedMillicores(e.free()))
+		if !e.slow() {
+			rackFree[e.rack] += max(0, weightedMillicores(e.free()))
+		}
 	}
 	order := slices.Clone(usable)
 	slices.SortStableFunc(order, func(a, b *executor) int {
+		if a.slow() != b.slow() {
+			if a.slow() {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Or(
 			cmp.Compare(rackFree[b.rack], rackFree[a.rack]), cmp.Compare(a.rack, b.rack),
 			cmp.Compare(weightedMillicores(b.free()), weightedMillicores(a.free())),
--- a/decisions/fleet/pace.go
+++ b/decisions/fleet/pace.go
@@ -8,6 +8,9 @@
 // typical pace seldom fall below it.
 const slowPace = 0.8
 
+// slow reports whether the learned pace of an executor is below slowPace.
+func (e *executor) slow() bool { return e.pace > 0 && e.pace < slowPace }
+
 // Ranks of executors for a unit. Lower ones come first.
 const (
 	rankPreferred = iota
@@ -67,7 +70,7 @@
 		return rankPreferred
 	case e.info.WarmUpRemaining > 0:
 		return rankWarmingUp
-	case (e.pace < slowPace) == (p == slowFirst):
+	case e.slow() == (p == slowFirst):
 		return rankPreferred
 	default:
 		return rankOther
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -24,9 +24,20 @@
 	return known && remaining <= d
 }
 
-// choosePreemption places the tasks of a unit on executors of which other units are stopped or awaited. It returns nil
-// if not all fit.
+// choosePreemption places the tasks of a unit on executors of which other units are stopped or awaited: on those of the
+// preferred pace if the unit fits there, otherwise on all. It returns nil if not all tasks fit.
 func (f *Scheduler) choosePreemption(now time.Time, c *candidate, u *unit, usable []*executor) *preemption {
+	pace := f.pacePreference(now, u)
+	preferred := slices.DeleteFunc(slices.Clone(usable), func(e *executor) bool { return pace.rank(e) != rankPreferred })
+	if len(preferred) < len(usable) {
+		if p := f.choosePreemptionOn(now, c, u, preferred); p != nil {
+			return p
+		}
+	}
+	return f.choosePreemptionOn(now, c, u, usable)
+}
+
+func (f *Scheduler) choosePreemptionOn(now time.Time, c *candidate, u *unit, usable []*executor) *preemption {
 	step := u.spec()
 	load := step.CapacityNeed()
 	pool := f.route(u.job).Pool
