--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -174,7 +174,8 @@
 	return newFleetWith(t, vms, executors, "")
 }
 
-// newFleetWith is newFleet with additional lines of the section platform in the settings of the VMs.
+// newFleetWith is newFleet with additional lines of the section platform, or further sections, in the settings of the
+// VMs.
 func newFleetWith(t *testing.T, vms, executors int, platformSettings string) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/tests/fleet/soak_test.go
+++ b/tests/fleet/soak_test.go
@@ -38,7 +38,7 @@
 
 // TestSoak checks the guarantees of the fleet under random overlapping faults: processes are killed, paused, stopped
 // and restarted, the store fails, executors crash, leave and return, network paths are cut, reset and delayed. Clients
-// submit jobs all the time.
+// submit jobs all the time. Every second seed learns run times.
 func TestSoak(t *testing.T) {
 	first, n := uint64(1), defaultSeeds
 	if v, err := strconv.ParseUint(os.Getenv(testseed.EnvSeed), 10, 64); err == nil {
@@ -61,8 +61,16 @@
 	accepted, refused []workload.JobID
 }
 
+// soakSettings returns the settings of the VMs for a seed: every second one learns run times.
+func soakSettings(seed uint64) string {
+	if seed%2 == 0 {
+		return "[scheduling]\nlearn_run_times = true\n"
+	}
+	return ""
+}
+
 func soak(t *testing.T, seed uint64) {
-	f := newFleet(t, 3, 5)
+	f := newFleetWith(t, 3, 5, soakSettings(seed))
 	f.awaitReady()
 	r := rand.New(rand.NewPCG(seed, 1))
 	ctx, cancel := context.WithCancel(context.Background())
