Let no process wait for the reader of its output

When the reader ended, the next line ended the daemon with SIGPIPE.

Loggers now hand their lines over to one task that owns the file. Messages before the log is set up, such as invalid settings, are bounded in the same way.

--- a/api/metrics/metrics.go
+++ b/api/metrics/metrics.go
@@ -39,6 +39,9 @@
 	return s
 }
 
+// Publish adds a variable with the given name that its owner maintains.
+func (s *Set) Publish(name string, v expvar.Var) { s.root.Set(name, v) }
+
 // Var returns the counters as one expvar.Var.
 func (s *Set) Var() expvar.Var { return &s.root }
 
--- a/cmd/verbenaflowd/main.go
+++ b/cmd/verbenaflowd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -36,56 +35,62 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	ignoreBrokenPipes()
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	// The parser's own output is not used, since it waits for a reader.
+	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
 		if flags.WroteHelp(err) {
+			printBounded(os.Stdout, err.Error()+"\n")
 			return 0
 		}
+		printBounded(os.Stderr, err.Error()+"\n")
 		return exitUsage
 	}
 	if o.Platform {
 		return runPlatform(o)
 	}
 	s, err := settings.Load(o.Config)
-	if code, exit := o.prepare(err, os.Stderr, s.VM, s.Verbosity); exit {
+	if code, exit := o.checkSettings(err); exit {
 		return code
 	}
-	return serve(func(ctx context.Context) error { return daemon.Run(ctx, s) })
+	return serve(os.Stderr, s.VM, s.Verbosity, func(ctx context.Context, output *logging.Output) error {
+		return daemon.Run(ctx, s, output.Var())
+	})
 }
 
-// prepare reports invalid settings, handles --check and sets up logging. If exit is true, the process must exit with
-// the returned code.
-func (o options) prepare(invalid error, log io.Writer, vm model.VMID, verbosity int) (code int, exit bool) {
-	if invalid != nil {
-		fmt.Fprintln(os.Stderr, invalid)
+// checkSettings reports invalid settings and handles --check. If exit is true, the process must exit with the returned
+// code.
+func (o options) checkSettings(invalid error) (code int, exit bool) {
+	switch {
+	case invalid != nil:
+		printBounded(os.Stderr, invalid.Error()+"\n")
 		return exitUsage, true
-	}
-	if o.Check {
-		fmt.Println("settings are valid")
+	case o.Check:
+		printBounded(os.Stdout, "settings are valid\n")
 		return 0, true
 	}
-	if err := logging.Setup(log, string(vm), "daemon", verbosity); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailure, true
-	}
 	return 0, false
 }
 
-// serve runs the daemon until SIGTERM or SIGINT and returns the exit code.
-func serve(run func(ctx context.Context) error) int {
+// serve runs the daemon with its log in a file until SIGTERM or SIGINT and returns the exit code.
+func serve(log io.Writer, vm model.VMID, verbosity int, run func(ctx context.Context, output *logging.Output) error) int {
+	output := logging.NewOutput(log, string(vm), "daemon")
+	defer output.Close(outputTimeout)
+	if err := logging.SetupOutput(output, string(vm), "daemon", verbosity); err != nil {
+		output.Print(err.Error() + "\n")
+		return exitFailure
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// The first signal restores the default action, so that a second one terminates the process without a drain.
 	defer context.AfterFunc(ctx, stop)()
-	if err := run(ctx); err != nil {
+	if err := run(ctx, output); err != nil {
 		var p *kernel.PanicError
 		if errors.As(err, &p) {
 			klog.ErrorS(err, "service panicked", "panicked", p.Name, "stack", p.Stack)
 		}
 		klog.ErrorS(err, "daemon failed")
-		klog.Flush()
 		return exitFailure
 	}
-	klog.Flush()
 	return 0
 }
--- a/cmd/verbenaflowd/platform.go
+++ b/cmd/verbenaflowd/platform.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/verbenaflow/verbenaflow/node/daemon"
+	"github.com/verbenaflow/verbenaflow/node/logging"
 	"github.com/verbenaflow/verbenaflow/node/settings"
 )
 
@@ -23,12 +24,14 @@
 // runPlatform runs the daemon on the users' platform, with logs on standard output.
 func runPlatform(o options) int {
 	s, err := settings.LoadPlatform(o.Config)
-	if code, exit := o.prepare(err, os.Stdout, s.VM, s.Verbosity); exit {
+	if code, exit := o.checkSettings(err); exit {
 		return code
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	return serve(func(ctx context.Context) error { return daemon.RunPlatform(ctx, o.Config, s, hup) })
+	return serve(os.Stdout, s.VM, s.Verbosity, func(ctx context.Context, output *logging.Output) error {
+		return daemon.RunPlatform(ctx, o.Config, s, hup, output.Var())
+	})
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -29,20 +30,30 @@
 	"github.com/verbenaflow/verbenaflow/services/workers"
 )
 
-// Run listens on the addresses of the settings, serves until ctx is canceled and then shuts down gracefully.
-func Run(ctx context.Context, s settings.Settings) error {
+// logLinesVar is the name of the counters of written and lost log lines.
+const logLinesVar = "log_lines"
+
+// Run listens on the addresses of the settings, serves until ctx is canceled and then shuts down gracefully. logLines
+// holds the counters of log lines.
+func Run(ctx context.Context, s settings.Settings, logLines expvar.Var) error {
 	l, err := Listen(s)
 	if err != nil {
 		return err
 	}
-	return Serve(ctx, s, l)
+	m := metrics.New()
+	m.Publish(logLinesVar, logLines)
+	return serveWith(ctx, s, l, m)
 }
 
 // Serve serves on open listeners until ctx is canceled, and closes them. It shuts down gracefully, or without a drain
 // if the cause of ctx is a *kernel.AbortError.
 func Serve(ctx context.Context, s settings.Settings, l Listeners) error {
+	return serveWith(ctx, s, l, metrics.New())
+}
+
+func serveWith(ctx context.Context, s settings.Settings, l Listeners, m *metrics.Set) error {
 	defer l.Close()
-	o := &observer{vm: s.VM, metrics: metrics.New()}
+	o := &observer{vm: s.VM, metrics: m}
 	k, err := assemble(s, l, o)
 	if err != nil {
 		return err
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"expvar"
 	"os"
 	"reflect"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
@@ -35,14 +34,15 @@
 )
 
 // RunPlatform serves on the users' platform until ctx is canceled and then shuts down gracefully. path is the settings
-// file, which is reloaded when it changes and when hup receives a signal.
-func RunPlatform(ctx context.Context, path string, s settings.Platform, hup <-chan os.Signal) error {
+// file, which is reloaded when it changes and when hup receives a signal. logLines holds the counters of log lines.
+func RunPlatform(ctx context.Context, path string, s settings.Platform, hup <-chan os.Signal, logLines expvar.Var) error {
 	l, err := listenPlatform(s)
 	if err != nil {
 		return err
 	}
 	defer l.close()
 	o := &observer{vm: s.VM, metrics: metrics.New()}
+	o.metrics.Publish(logLinesVar, logLines)
 	k, err := kernel.New(o, platformServices(s, l, reload.New(string(s.VM), path, settingsLoader(path, s), hup, o.metrics), o.metrics)...)
 	if err != nil {
 		return err
@@ -53,7 +53,6 @@
 		return err
 	}
 	o.info("stopped", "uptime_ms", time.Since(began).Milliseconds())
-	klog.Flush()
 	return nil
 }
 
--- a/node/logging/logging.go
+++ b/node/logging/logging.go
@@ -22,14 +22,24 @@
 )
 
 // Setup directs klog messages up to a verbosity and the lines of the standard logger to w, as one JSON object per line.
-// vm and service are the default values of the keys. Setup must be called once, before any goroutine logs.
+// vm and service are the default values of the keys. Setup must be called once, before any goroutine logs. Goroutines
+// that log wait for w; see SetupOutput.
 func Setup(w io.Writer, vm, service string, verbosity int) error {
+	return setup(func(slog.Level) io.Writer { return w }, vm, service, verbosity)
+}
+
+// SetupOutput is Setup with an output that no goroutine waits for.
+func SetupOutput(o *Output, vm, service string, verbosity int) error {
+	return setup(func(l slog.Level) io.Writer { return severityWriter{o, severityOf(l)} }, vm, service, verbosity)
+}
+
+func setup(writerOf func(slog.Level) io.Writer, vm, service string, verbosity int) error {
 	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(fs)
 	if err := fs.Set("v", strconv.Itoa(verbosity)); err != nil {
 		return err
 	}
-	h := newHandler(w, vm, service, verbosity)
+	h := newHandler(writerOf, vm, service, verbosity)
 	klog.SetSlogLogger(slog.New(h))
 	// Libraries such as net/rpc and net/http write to the standard logger.
 	log.SetFlags(0)
@@ -39,34 +49,54 @@
 
 // handler adds default attributes to records that do not have them.
 type handler struct {
-	slog.Handler
-	defaults []slog.Attr
+	// bySeverity holds a handler for each severity, since a handler does not tell its writer the level of a line.
+	bySeverity [severityCount]slog.Handler
+	defaults   []slog.Attr
 }
 
-func newHandler(w io.Writer, vm, service string, verbosity int) *handler {
-	return &handler{
-		Handler:  slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.Level(-verbosity)}),
-		defaults: []slog.Attr{slog.String(KeyVM, vm), slog.String(KeyService, service)},
+func newHandler(writerOf func(slog.Level) io.Writer, vm, service string, verbosity int) *handler {
+	h := &handler{defaults: []slog.Attr{slog.String(KeyVM, vm), slog.String(KeyService, service)}}
+	options := &slog.HandlerOptions{Level: slog.Level(-verbosity)}
+	for i, l := range []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn, slog.LevelError} {
+		h.bySeverity[i] = slog.NewJSONHandler(writerOf(l), options)
 	}
+	return h
+}
+
+// Enabled implements slog.Handler.
+func (h *handler) Enabled(ctx context.Context, l slog.Level) bool {
+	return h.bySeverity[severityOf(l)].Enabled(ctx, l)
 }
 
 // Handle implements slog.Handler.
 func (h *handler) Handle(ctx context.Context, r slog.Record) error {
 	r = r.Clone()
 	r.AddAttrs(missingAttrs(h.defaults, func(yield func(slog.Attr) bool) { r.Attrs(yield) })...)
-	return h.Handler.Handle(ctx, r)
+	return h.bySeverity[severityOf(r.Level)].Handle(ctx, r)
 }
 
 // WithAttrs implements slog.Handler.
 func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
-	rest := missingAttrs(h.defaults, func(yield func(slog.Attr) bool) {
+	out := &handler{defaults: missingAttrs(h.defaults, func(yield func(slog.Attr) bool) {
 		for _, a := range attrs {
 			if !yield(a) {
 				return
 			}
 		}
-	})
-	return &handler{Handler: h.Handler.WithAttrs(attrs), defaults: rest}
+	})}
+	for i, inner := range h.bySeverity {
+		out.bySeverity[i] = inner.WithAttrs(attrs)
+	}
+	return out
+}
+
+// WithGroup implements slog.Handler.
+func (h *handler) WithGroup(name string) slog.Handler {
+	out := &handler{defaults: h.defaults}
+	for i, inner := range h.bySeverity {
+		out.bySeverity[i] = inner.WithGroup(name)
+	}
+	return out
 }
 
 // missingAttrs returns the defaults whose keys do not occur in the present attributes.
--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -64,8 +64,11 @@
 	name         string
 	frontAddress string
 	relayAddress string
+	adminAddress string
 	settingsFile string
 	logFile      string
+	// output is the standard output and standard error of the next daemon; nil means the log file.
+	output *os.File
 	// current holds the running process. Its capacity is 1: stop receives the process and start sends the next one, so
 	// that it acts as a lock on the process.
 	current chan daemon
@@ -227,7 +230,7 @@
 		addresses = append(addresses, freeAddress(f.t))
 	}
 	dir := f.t.TempDir()
-	v := &vm{name: name, frontAddress: addresses[0], relayAddress: addresses[2], settingsFile: filepath.Join(dir, "settings.ini"), logFile: filepath.Join(dir, "log"), current: make(chan daemon, 1)}
+	v := &vm{name: name, frontAddress: addresses[0], relayAddress: addresses[2], adminAddress: addresses[3], settingsFile: filepath.Join(dir, "settings.ini"), logFile: filepath.Join(dir, "log"), current: make(chan daemon, 1)}
 	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n[platform]\nstore = %s\npeers =\n%s"+
 		"[executor]\nlongest_lease = 3s\nstop_bound = 100ms\n[timing]\ngrace = 4s\nlame_duck = 300ms\n",
 		name, addresses[0], addresses[1], addresses[2], addresses[3], storeAddress, f.platformSettings)
@@ -257,6 +260,9 @@
 	defer out.Close()
 	c := daemon{cmd: exec.Command(binary, "--platform", "--config", v.settingsFile), done: make(chan error, 1)}
 	c.cmd.Stdout, c.cmd.Stderr = out, out
+	if v.output != nil {
+		c.cmd.Stdout, c.cmd.Stderr = v.output, v.output
+	}
 	if err := c.cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
