Let a process end after a fatal error though its output is full

The Go runtime writes the message of a panic or another fatal error to descriptor 2 itself, after all goroutines were stopped. With a full pipe that write waits for ever, and the process neither ends nor works.

The daemon opens a pipe on standard error anew, without waiting, in place of descriptor 2. The opening is its own, so that processes that share the pipe keep theirs; logs on standard error go to the former descriptor through the task that owns it. What does not fit of the message is lost; a message that is read is complete up to the free room of the pipe.

--- a/cmd/verbenaflowd/main.go
+++ b/cmd/verbenaflowd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -73,13 +72,20 @@
 }
 
 // serve runs the daemon with its log in a file until SIGTERM or SIGINT and returns the exit code.
-func serve(log io.Writer, vm model.VMID, verbosity int, run func(ctx context.Context, output *logging.Output) error) int {
+func serve(log *os.File, vm model.VMID, verbosity int, run func(ctx context.Context, output *logging.Output) error) int {
+	stderr, detachErr := logging.DetachStderr()
+	if log == os.Stderr {
+		log = stderr
+	}
 	output := logging.NewOutput(log, string(vm), "daemon")
 	defer output.Close(outputTimeout)
 	if err := logging.SetupOutput(output, string(vm), "daemon", verbosity); err != nil {
 		output.Print(err.Error() + "\n")
 		return exitFailure
 	}
+	if detachErr != nil {
+		klog.ErrorS(detachErr, "the message of a fatal error may wait for the reader of standard error")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// The first signal restores the default action, so that a second one terminates the process without a drain.
