Complete a wave only by proof that each upkeep has begun and ended

A machine that was up with its old executor after upkeep_time and 3 s counted too, and so did one that a single list missed.

The package comment of decisions/upkeep now says what proves the begin and the end of an upkeep by PROTOCOL.md. An order without a successful answer is repeated, and the machine stays in evacuation meanwhile, so that it gets no new work while an order is unanswered. No order is sent to a machine with an unanswered order of another wave, or while the order of an earlier holder keeps as many machines down as the wave allows. The stand-in of the machine service now remembers all waves of a machine, not only the last.

TestWavesAgainstOracle plays lost, late and doubled orders, late lists, restarts, crashes, shared machines and changes of the holder: 10,000 cases pass. With the former rules put back one by one it fails: another executor as proof (case 1), no answer as proof (4), one list as proof that a machine is gone (4), lists from before the order as proof of the end (3,975). It does not find a missing check of machines that an earlier holder has taken down; TestLateOrderOfEarlierHolder does.

--- /dev/null
+++ b/decisions/upkeep/oracle_test.go
@@ -0,0 +1,293 @@
+package upkeep
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+const (
+	tick = 100 * time.Millisecond
+	// answerTimeout is the number of ticks after which an order without an answer fails.
+	answerTimeout = 20
+	// faultTicks is the number of ticks with faults, maxTicks that of a day, within which every wave has to be completed.
+	faultTicks, maxTicks = 400, 4000
+)
+
+// oracleMachine is the truth about a machine of the platform.
+type oracleMachine struct {
+	id       workload.MachineID
+	executor int
+	up       bool
+	inUpkeep bool
+	upAt     int
+	gone     bool
+	// busyUntil is when the tasks of the present executor end.
+	busyUntil int
+	// begun holds the waves of which the upkeep of the machine has begun.
+	begun map[int64]bool
+	// wave and term are those of the present upkeep, since its begin.
+	wave  int64
+	term  int
+	since int
+}
+
+func (m *oracleMachine) executorID() workload.ExecutorID {
+	return workload.ExecutorID(fmt.Sprintf("%s-%d", m.id, m.executor))
+}
+
+// oracle is a platform that knows what has happened, and the holders that give it orders.
+type oracle struct {
+	t        *rapid.T
+	now      int
+	machines []*oracleMachine
+	waves    []workload.Wave
+	planner  *Planner
+	term     int
+	// events holds what happens at later ticks.
+	events map[int][]func()
+	// listing is set while a list is requested; listedAt is when the latest applied list was requested.
+	listing   bool
+	listedAt  int
+	completed map[int64]bool
+}
+
+func (o *oracle) time() time.Time { return time.Unix(0, 0).Add(time.Duration(o.now) * tick) }
+
+func (o *oracle) after(ticks int, f func()) {
+	o.events[o.now+ticks] = append(o.events[o.now+ticks], f)
+}
+
+// chance draws whether something happens. Nothing does after the ticks with faults.
+func (o *oracle) chance(percent int, what string) bool {
+	return o.now < faultTicks && rapid.IntRange(0, 99).Draw(o.t, what) >= 100-percent
+}
+
+func (o *oracle) newHolder() {
+	o.planner = New(upkeepTime)
+	o.planner.SetWaves(o.time(), o.waves)
+	o.term++
+	o.listing = false
+}
+
+// startUpkeep executes an order of a term and returns its answer, as the protocol says.
+func (o *oracle) startUpkeep(order Order, term int) (begun, needed bool) {
+	i := slices.IndexFunc(o.machines, func(m *oracleMachine) bool { return m.id == order.Machine && !m.gone })
+	if i < 0 {
+		return false, false
+	}
+	m := o.machines[i]
+	switch {
+	case m.begun[order.Wave]:
+		return true, true
+	case !m.up:
+		return false, true
+	}
+	o.checkLimit(m, order, term)
+	m.begun[order.Wave] = true
+	m.up, m.inUpkeep, m.wave, m.term, m.since = false, true, order.Wave, term, o.now
+	m.upAt = o.now + int(upkeepTime/tick)
+	return true, true
+}
+
+// checkLimit checks that an upkeep may begin. What a former holder ordered counts once a list has shown it, and an order of
+// a former holder that is carried out late can't be prevented.
+func (o *oracle) checkLimit(m *oracleMachine, order Order, term int) {
+	if term != o.term {
+		return
+	}
+	down := 0
+	for _, other := range o.machines {
+		if other != m && !other.gone && other.inUpkeep && other.wave == order.Wave && (other.term == o.term || other.since < o.listedAt) {
+			down++
+		}
+	}
+	if i := slices.IndexFunc(o.waves, func(w workload.Wave) bool { return w.Number == order.Wave }); down >= o.waves[i].MaxDown {
+		o.t.Fatalf("tick %d: upkeep of %s for wave %d begins while %d machines of it are down", o.now, m.id, order.Wave, down)
+	}
+}
+
+// send gives an order to the platform, which may answer it late or never, and carry it out late, twice or never.
+func (o *oracle) send(order Order) {
+	planner, term := o.planner, o.term
+	planner.MarkOrdered(order)
+	execute := func() { o.startUpkeep(order, term) }
+	unanswered := func() { planner.MarkUnproven(order) }
+	fault := 0
+	if o.chance(40, "order fails") {
+		fault = rapid.IntRange(1, 5).Draw(o.t, "fault of the order")
+	}
+	late := func() int { return rapid.IntRange(1, 120).Draw(o.t, "ticks until the order is carried out") }
+	switch fault {
+	case 1:
+		o.after(answerTimeout, unanswered)
+	case 2:
+		execute()
+		o.after(answerTimeout, unanswered)
+	case 3:
+		o.after(late(), execute)
+		o.after(answerTimeout, unanswered)
+	case 4:
+		o.after(late(), execute)
+		o.answer(planner, order, term, 0)
+	case 5:
+		o.answer(planner, order, term, rapid.IntRange(1, answerTimeout/2).Draw(o.t, "ticks until the order is carried out in time"))
+	default:
+		o.answer(planner, order, term, 0)
+	}
+}
+
+// answer carries an order out after a number of ticks and answers it, both before answerTimeout.
+func (o *oracle) answer(planner *Planner, order Order, term, ticks int) {
+	answerTicks := 1
+	if o.chance(30, "answer is late") {
+		answerTicks = rapid.IntRange(1, answerTimeout/2-1).Draw(o.t, "ticks until the answer")
+	}
+	execute := func() {
+		begun, needed := o.startUpkeep(order, term)
+		o.after(answerTicks, func() {
+			switch {
+			case begun:
+				planner.MarkBegun(o.time(), order)
+			case !needed:
+				planner.MarkNotNeeded(order)
+			default:
+				planner.MarkUnproven(order)
+			}
+		})
+	}
+	if ticks == 0 {
+		execute()
+	} else {
+		o.after(ticks, execute)
+	}
+}
+
+// request requests a list, which is made at once or later and arrives at once or later.
+func (o *oracle) request() {
+	o.listing = true
+	planner, requestedAt := o.planner, o.now
+	wait := func(what string) int {
+		if o.chance(20, what) {
+			return rapid.IntRange(1, 8).Draw(o.t, what+" by ticks")
+		}
+		return 0
+	}
+	madeAfter := 1 + wait("list is made late")
+	arrivesAfter := wait("list arrives late")
+	o.after(madeAfter, func() {
+		var machines []workload.Machine
+		for _, m := range o.machines {
+			if !m.gone && !o.chance(2, "machine is missing in the list") {
+				machines = append(machines, workload.Machine{ID: m.id, Up: m.up, InUpkeep: m.inUpkeep, Executor: m.executorID()})
+			}
+		}
+		apply := func() {
+			if planner == o.planner {
+				o.listing = false
+				o.step(List{time.Unix(0, 0).Add(time.Duration(requestedAt) * tick), machines}, requestedAt)
+			}
+		}
+		if arrivesAfter == 0 {
+			apply()
+			return
+		}
+		o.after(arrivesAfter, apply)
+	})
+}
+
+func (o *oracle) step(list List, requestedAt int) {
+	o.listedAt = requestedAt
+	var occupied []workload.ExecutorID
+	for _, m := range o.machines {
+		if o.now < m.busyUntil {
+			occupied = append(occupied, m.executorID())
+		}
+	}
+	p := o.planner.Step(o.time(), list, occupied)
+	for _, order := range p.Orders {
+		o.send(order)
+	}
+	for _, n := range p.CompletedWaves {
+		for _, m := range o.machines {
+			i := slices.IndexFunc(o.waves, func(w workload.Wave) bool { return w.Number == n })
+			if slices.Contains(o.waves[i].Machines, m.id) && !m.gone && !m.begun[n] {
+				o.t.Fatalf("tick %d: wave %d is completed, and the upkeep of %s has not begun", o.now, n, m.id)
+			}
+		}
+		o.completed[n] = true
+		o.planner.MarkCompletionRecorded(n)
+	}
+}
+
+func (o *oracle) startExecutor(m *oracleMachine) {
+	m.executor++
+	if o.chance(50, "executor is occupied") {
+		m.busyUntil = o.now + rapid.IntRange(1, 80).Draw(o.t, "ticks of its tasks")
+	}
+}
+
+// advance ends upkeeps and disturbs machines and holders.
+func (o *oracle) advance() {
+	for _, m := range o.machines {
+		if !m.up && o.now >= m.upAt {
+			m.up, m.inUpkeep = true, false
+			o.startExecutor(m)
+		}
+		if m.up && o.chance(2, "executor restarts") {
+			o.startExecutor(m)
+		}
+		if m.up && o.chance(1, "machine crashes") {
+			m.up, m.upAt = false, o.now+rapid.IntRange(1, 50).Draw(o.t, "ticks of the crash")
+		}
+	}
+	if o.chance(1, "machine leaves") {
+		o.machines[rapid.IntRange(0, len(o.machines)-1).Draw(o.t, "machine that leaves")].gone = true
+	}
+	if o.chance(2, "holder changes") {
+		o.newHolder()
+	}
+}
+
+// TestWavesAgainstOracle guards against a wave that is reported as completed although the upkeep of one of its machines
+// has not begun, against too many machines in upkeep at once, and against a wave that is never completed. Orders are
+// lost, late or carried out twice, answers and lists are late, executors restart and machines crash by themselves,
+// waves share machines, and the holder changes at any step.
+func TestWavesAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{t: t, events: map[int][]func(){}, completed: map[int64]bool{}}
+		machines := rapid.IntRange(1, 5).Draw(t, "machines")
+		for i := range machines {
+			o.machines = append(o.machines, &oracleMachine{id: workload.MachineID(fmt.Sprintf("m%d", i)), up: true, begun: map[int64]bool{}})
+			o.startExecutor(o.machines[i])
+		}
+		for n := range rapid.IntRange(1, 3).Draw(t, "waves") {
+			w := workload.Wave{Number: int64(n + 1), Within: 30 * time.Second, MaxDown: rapid.IntRange(1, 2).Draw(t, "machines down at once")}
+			for _, m := range o.machines {
+				if rapid.Bool().Draw(t, "machine is in the wave") {
+					w.Machines = append(w.Machines, m.id)
+				}
+			}
+			o.waves = append(o.waves, w)
+		}
+		o.newHolder()
+		for ; len(o.completed) < len(o.waves); o.now++ {
+			if o.now > maxTicks {
+				t.Fatalf("%d of %d waves are completed after %d ticks", len(o.completed), len(o.waves), o.now)
+			}
+			o.advance()
+			for _, f := range o.events[o.now] {
+				f()
+			}
+			delete(o.events, o.now)
+			if !o.listing && o.now%4 == 0 {
+				o.request()
+			}
+		}
+	})
+}
--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -4,6 +4,20 @@
 // The machines of a wave are processed one after the other, or as many at once as the operators allow. Each is
 // evacuated first: tasks with checkpoints are moved, others may end, until the machine's share of the wave's time is
 // over.
+//
+// What proves the state of a machine's upkeep in a wave, by the platform's protocol (PROTOCOL.md, Machines):
+//
+//   - It has begun once an order of this wave for this machine was answered with success. The platform answers so also
+//     if it is already done. Nothing else is proof: an order without an answer may be carried out late, twice or never;
+//     the list of machines does not name the wave of an upkeep; and an executor is replaced also by a crash or by the
+//     upkeep of another wave. Until then the order is repeated, which has no effect once the upkeep has begun.
+//   - It has ended once a list of machines that was requested after that answer shows the machine as up. A list that
+//     was requested before may show it as it was before the upkeep.
+//   - It is not needed if the platform refuses the order because the machine does not exist or is not part of the wave,
+//     or if the machine is missing in several lists in a row. The pages of a list are no snapshot, so that one list may
+//     miss a machine.
+//
+// A wave is completed once each upkeep has ended or is not needed.
 package upkeep
 
 import (
@@ -18,9 +32,8 @@
 	plannedTimeShare = 0.8
 	// defaultWaveTime is the time for a wave that specifies none.
 	defaultWaveTime = time.Minute
-	// completionMargin is the time after the expected end of an upkeep after which a machine that is up with its old
-	// executor counts as finished.
-	completionMargin = 3 * time.Second
+	// maxMissingLists is the number of lists in a row without a machine after which the machine counts as gone.
+	maxMissingLists = 5
 )
 
 // phase is the state of a machine of a wave.
@@ -29,8 +42,11 @@
 const (
 	phaseWaiting phase = iota
 	phaseEvacuating
-	// phaseOrdered means that the upkeep was ordered, perhaps without an answer, and is not known to be finished.
+	// phaseOrdered means that an order is unanswered. Without an answer the machine returns to phaseEvacuating.
 	phaseOrdered
+	// phaseBegun means that the upkeep has begun and is not known to have ended.
+	phaseBegun
+	// phaseFinished means that the upkeep has ended or is not needed.
 	phaseFinished
 )
 
@@ -54,8 +70,12 @@
 	id         workload.MachineID
 	phase      phase
 	phaseSince time.Time
-	// oldExecutor is the executor that runs on the machine before the upkeep and ends with it.
-	oldExecutor workload.ExecutorID
+	// attempted is set once an order was sent, so that the upkeep may begin at any time.
+	attempted bool
+	// begunAt is when the answer that proves the begin of the upkeep arrived.
+	begunAt time.Time
+	// missingLists is the number of latest lists that do not contain the machine.
+	missingLists int
 }
 
 // New returns a planner without waves; upkeepTime is the duration of an upkeep.
@@ -118,49 +138,85 @@
 	CompletedWaves []int64
 }
 
+// List is the platform's list of machines.
+type List struct {
+	// RequestedAt is the time before the request for the list was sent.
+	RequestedAt time.Time
+	Machines    []workload.Machine
+}
+
 // Step applies the platform's list of machines and the list of executors that run tasks, and returns the actions to
 // carry out.
-func (s *Planner) Step(now time.Time, list []workload.Machine, occupied []workload.ExecutorID) Plan {
-	byID := make(map[workload.MachineID]workload.Machine, len(list))
-	for _, m := range list {
+func (s *Planner) Step(now time.Time, list List, occupied []workload.ExecutorID) Plan {
+	byID := make(map[workload.MachineID]workload.Machine, len(list.Machines))
+	for _, m := range list.Machines {
 		byID[m.ID] = m
 	}
 	var p Plan
 	numbers := make([]int64, 0, len(s.waves))
-	for n := range s.waves {
+	// ordered holds the machines with an unanswered order. Another wave's order for them would be refused.
+	ordered := map[workload.MachineID]bool{}
+	for n, w := range s.waves {
 		numbers = append(numbers, n)
+		for _, m := range w.machines {
+			ordered[m.id] = ordered[m.id] || m.phase == phaseOrdered
+		}
 	}
 	slices.Sort(numbers)
 	for _, n := range numbers {
-		s.stepWave(now, s.waves[n], byID, occupied, &p)
+		w := s.waves[n]
+		for _, m := range w.machines {
+			m.update(list.RequestedAt, byID)
+		}
+		s.stepWave(now, w, byID, occupied, ordered, &p)
 	}
+	slices.Sort(p.Evacuate)
+	p.Evacuate = slices.Compact(p.Evacuate)
 	return p
 }
 
-func (s *Planner) stepWave(now time.Time, w *wave, machines map[workload.MachineID]workload.Machine, occupied []workload.ExecutorID, p *Plan) {
+func (s *Planner) stepWave(now time.Time, w *wave, machines map[workload.MachineID]workload.Machine, occupied []workload.ExecutorID, ordered map[workload.MachineID]bool, p *Plan) {
 	if !w.startReported {
 		w.startReported = true
 		p.StartedWaves = append(p.StartedWaves, w.spec.Number)
 	}
-	inProgress := 0
+	// down counts the machines that are in upkeep or may be, inProgress also those that are only evacuated. A machine may be
+	// in upkeep by the order of an earlier holder, also if the list misses it.
+	inProgress, down := 0, 0
 	for _, m := range w.machines {
-		m.update(now, machines, s.upkeepTime)
-		// A machine may be in upkeep by the order of an earlier holder.
-		if m.phase == phaseEvacuating || m.phase == phaseOrdered || m.phase == phaseWaiting && machines[m.id].InUpkeep {
+		switch {
+		case m.phase == phaseFinished:
+		case m.attempted || m.phase == phaseBegun || m.missingLists > 0 || machines[m.id].InUpkeep:
+			inProgress++
+			down++
+		case m.phase == phaseEvacuating:
 			inProgress++
 		}
 	}
 	for _, m := range w.machines {
-		if m.phase == phaseWaiting && inProgress < max(1, w.spec.MaxDown) && machines[m.id].Up {
-			m.phase, m.phaseSince, m.oldExecutor = phaseEvacuating, now, machines[m.id].Executor
-			inProgress++
-		}
-		if m.phase != phaseEvacuating {
+		status := machines[m.id]
+		if !status.Up {
 			continue
 		}
-		p.Evacuate = append(p.Evacuate, m.oldExecutor)
-		if !slices.Contains(occupied, m.oldExecutor) || now.Sub(m.phaseSince) >= s.evacuationTime(w) {
-			p.Orders = append(p.Orders, Order{w.spec.Number, m.id})
+		if m.phase == phaseWaiting && inProgress < max(1, w.spec.MaxDown) {
+			m.phase, m.phaseSince = phaseEvacuating, now
+			inProgress++
+		}
+		switch m.phase {
+		case phaseOrdered:
+			p.Evacuate = append(p.Evacuate, status.Executor)
+		case phaseEvacuating:
+			p.Evacuate = append(p.Evacuate, status.Executor)
+			if !m.attempted && down >= max(1, w.spec.MaxDown) || ordered[m.id] {
+				continue
+			}
+			if !slices.Contains(occupied, status.Executor) || now.Sub(m.phaseSince) >= s.evacuationTime(w) {
+				if !m.attempted {
+					down++
+				}
+				ordered[m.id] = true
+				p.Orders = append(p.Orders, Order{w.spec.Number, m.id})
+			}
 		}
 	}
 	if w.done() && !w.completionReported {
@@ -168,19 +224,20 @@
 	}
 }
 
-// update applies the platform's status of a machine.
-func (m *machine) update(now time.Time, machines map[workload.MachineID]workload.Machine, upkeepTime time.Duration) {
+// update applies the status of a machine in a list that was requested at a time.
+func (m *machine) update(requestedAt time.Time, machines map[workload.MachineID]workload.Machine) {
 	status, listed := machines[m.id]
 	switch {
 	case m.phase == phaseFinished:
 	case !listed:
-		// A machine that has left the platform needs no upkeep.
-		m.phase = phaseFinished
-	case m.phase == phaseOrdered && status.Up && status.Executor != m.oldExecutor:
-		m.phase = phaseFinished
-	case m.phase == phaseOrdered && status.Up && now.Sub(m.phaseSince) > upkeepTime+completionMargin:
-		// The upkeep was finished before this holder knew of the wave. The platform then accepts the order without effect.
-		m.phase = phaseFinished
+		if m.missingLists++; m.missingLists >= maxMissingLists {
+			m.phase = phaseFinished
+		}
+	default:
+		m.missingLists = 0
+		if m.phase == phaseBegun && status.Up && requestedAt.After(m.begunAt) {
+			m.phase = phaseFinished
+		}
 	}
 }
 
@@ -195,26 +252,34 @@
 	return max(0, time.Duration(plannedTimeShare*float64(waveTime))/time.Duration(max(1, rounds))-s.upkeepTime)
 }
 
-// MarkOrdered records that an upkeep was ordered. It applies also if the outcome of the order is unknown.
-func (s *Planner) MarkOrdered(now time.Time, o Order) {
+// MarkOrdered records that an order is sent.
+func (s *Planner) MarkOrdered(o Order) {
 	if m := s.find(o); m != nil && m.phase == phaseEvacuating {
-		m.phase, m.phaseSince = phaseOrdered, now
+		m.phase, m.attempted = phaseOrdered, true
 	}
 }
 
-// MarkRefused records that an upkeep may not have begun, so that it is ordered again. A repeated order has no
-// effect if the upkeep has begun. notInWave is set if the machine is no longer part of the wave.
-func (s *Planner) MarkRefused(o Order, notInWave bool) {
-	m := s.find(o)
-	switch {
-	case m == nil || m.phase != phaseOrdered:
-	case notInWave:
-		m.phase = phaseFinished
-	default:
+// MarkBegun records at the arrival of the answer that an upkeep has begun, perhaps long ago.
+func (s *Planner) MarkBegun(now time.Time, o Order) {
+	if m := s.find(o); m != nil && m.phase != phaseFinished && m.phase != phaseBegun {
+		m.phase, m.begunAt = phaseBegun, now
+	}
+}
+
+// MarkUnproven records that an order was refused, was not sent or got no answer, so that it is repeated.
+func (s *Planner) MarkUnproven(o Order) {
+	if m := s.find(o); m != nil && m.phase == phaseOrdered {
 		m.phase = phaseEvacuating
 	}
 }
 
+// MarkNotNeeded records that a machine does not exist or is not part of the wave.
+func (s *Planner) MarkNotNeeded(o Order) {
+	if m := s.find(o); m != nil {
+		m.phase = phaseFinished
+	}
+}
+
 // MarkCompletionRecorded records that the completion of a wave is durable.
 func (s *Planner) MarkCompletionRecorded(number int64) {
 	if w := s.waves[number]; w != nil {
--- a/decisions/upkeep/upkeep_test.go
+++ b/decisions/upkeep/upkeep_test.go
@@ -74,25 +74,26 @@
 			c.machines = c.machines[:5]
 		}
 		c.advance(now)
-		p := s.Step(now, c.machines, []workload.ExecutorID{"e1"})
+		p := s.Step(now, List{now, c.machines}, []workload.ExecutorID{"e1"})
 		startReports += len(p.StartedWaves)
 		for _, o := range p.Orders {
 			c.startUpkeep(now, o.Machine)
-			s.MarkOrdered(now, o)
+			s.MarkOrdered(o)
+			s.MarkBegun(now, o)
 		}
 		if s.Active() && len(p.CompletedWaves) > 0 {
 			t.Fatal("the wave is reported as completed before its end")
 		}
 		now = now.Add(100 * time.Millisecond)
 	}
-	if p := s.Step(now, c.machines, nil); len(p.CompletedWaves) != 1 || p.CompletedWaves[0] != 3 {
+	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) != 1 || p.CompletedWaves[0] != 3 {
 		t.Errorf("completed %v, want wave 3", p.CompletedWaves)
 	}
 	if startReports != 1 {
 		t.Errorf("the start of the wave was reported %d times", startReports)
 	}
 	s.MarkCompletionRecorded(3)
-	if p := s.Step(now, c.machines, nil); len(p.CompletedWaves) != 0 {
+	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) != 0 {
 		t.Errorf("completion reported again: %v", p.CompletedWaves)
 	}
 	if c.maxDown > spec.MaxDown {
@@ -126,9 +127,10 @@
 			s.SetWaves(now, []workload.Wave{spec})
 		}
 		c.advance(now)
-		for _, o := range s.Step(now, c.machines, nil).Orders {
+		for _, o := range s.Step(now, List{now, c.machines}, nil).Orders {
 			c.startUpkeep(now, o.Machine)
-			s.MarkOrdered(now, o)
+			s.MarkOrdered(o)
+			s.MarkBegun(now, o)
 		}
 		if n := c.inUpkeep(); n > spec.MaxDown {
 			t.Fatalf("%d machines in upkeep after %v, want at most %d", n, now.Sub(time.Unix(0, 0)), spec.MaxDown)
@@ -152,3 +154,59 @@
 	}
 	return n
 }
+
+// TestUnansweredOrder guards against a machine that counts as maintained because its executor was replaced, although its
+// order was lost: by a crash, or by the upkeep of another wave (review/5).
+func TestUnansweredOrder(t *testing.T) {
+	now := time.Unix(0, 0)
+	c, spec := newWave(1, 1)
+	s := New(upkeepTime)
+	s.SetWaves(now, []workload.Wave{spec})
+	orders := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		p := s.Step(now, List{now, c.machines}, nil)
+		if len(p.CompletedWaves) > 0 {
+			t.Fatalf("completed after %d orders, none of which was answered", orders)
+		}
+		for _, o := range p.Orders {
+			orders++
+			s.MarkOrdered(o)
+			s.MarkUnproven(o)
+			c.machines[0].Executor = workload.ExecutorID(fmt.Sprintf("after%d", orders))
+		}
+	}
+	if orders < 50 {
+		t.Errorf("%d orders in 100 steps", orders)
+	}
+	s.MarkBegun(now, Order{spec.Number, "m0"})
+	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) > 0 {
+		t.Error("completed by a list that was requested before the begin")
+	}
+	now = now.Add(100 * time.Millisecond)
+	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) != 1 {
+		t.Error("not completed")
+	}
+}
+
+// TestLateOrderOfEarlierHolder guards against too many machines in upkeep because an order of the earlier holder is
+// carried out while the next one waits for a machine to be empty.
+func TestLateOrderOfEarlierHolder(t *testing.T) {
+	now := time.Unix(0, 0)
+	c, spec := newWave(2, 1)
+	s := New(upkeepTime)
+	s.SetWaves(now, []workload.Wave{spec})
+	if p := s.Step(now, List{now, c.machines}, []workload.ExecutorID{"e0"}); len(p.Orders) > 0 {
+		t.Fatalf("orders %v for an occupied machine", p.Orders)
+	}
+	c.startUpkeep(now, "m1")
+	now = now.Add(tick)
+	if p := s.Step(now, List{now, c.machines}, nil); len(p.Orders) > 0 {
+		t.Fatalf("orders %v while a machine is in upkeep", p.Orders)
+	}
+	now = now.Add(2 * upkeepTime)
+	c.advance(now)
+	if p := s.Step(now, List{now, c.machines}, nil); len(p.Orders) != 1 {
+		t.Fatalf("orders %v after the upkeep of the other machine, want one", p.Orders)
+	}
+}
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -38,7 +38,7 @@
 	stepDue        struct{ fencingToken workload.FencingToken }
 	machinesListed struct {
 		fencingToken workload.FencingToken
-		machines     []workload.Machine
+		list         upkeep.List
 		err          error
 	}
 	orderSent struct {
@@ -177,12 +177,12 @@
 }
 
 func (s *Service) listMachines(c *kernel.Context) {
-	fencingToken := s.fencingToken
+	fencingToken, requestedAt := s.fencingToken, time.Now()
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		machines, err := s.cloud.ListMachines(ctx)
-		return machinesListed{fencingToken, machines, err}
+		return machinesListed{fencingToken, upkeep.List{RequestedAt: requestedAt, Machines: machines}, err}
 	})
 }
 
@@ -192,7 +192,7 @@
 		c.SendAfter(stepInterval, stepDue{s.fencingToken})
 		return
 	}
-	p := s.planner.Step(time.Now(), m.machines, s.occupied)
+	p := s.planner.Step(time.Now(), m.list, s.occupied)
 	for _, o := range p.Orders {
 		s.sendOrder(c, o)
 	}
@@ -217,7 +217,7 @@
 
 func (s *Service) sendOrder(c *kernel.Context, o upkeep.Order) {
 	klog.InfoS("upkeep ordered", "vm", s.vm, "service", names.Upkeep, "wave", o.Wave, "machine", o.Machine, "fence", s.fencingToken)
-	s.planner.MarkOrdered(time.Now(), o)
+	s.planner.MarkOrdered(o)
 	fencingToken := s.fencingToken
 	c.Request(names.Holder, message.PermitQuery{FencingToken: fencingToken}, func(r kernel.Message, err error) {
 		permit, ok := r.(message.OrderPermit)
@@ -246,13 +246,22 @@
 }
 
 func (s *Service) handleOrderSent(m orderSent) {
-	if m.err == nil || s.planner == nil || m.fencingToken != s.fencingToken {
+	if s.planner == nil || m.fencingToken != s.fencingToken {
+		return
+	}
+	if m.err == nil {
+		klog.InfoS("upkeep begun", "vm", s.vm, "service", names.Upkeep, "wave", m.order.Wave, "machine", m.order.Machine)
+		s.planner.MarkBegun(time.Now(), m.order)
 		return
 	}
-	var unknown *cloud.UnknownMachineError
 	s.metrics.CountEvent("upkeep_failed", 1)
 	klog.InfoS("upkeep order failed", "vm", s.vm, "service", names.Upkeep, "wave", m.order.Wave, "machine", m.order.Machine, "error", m.err.Error())
-	s.planner.MarkRefused(m.order, errors.As(m.err, &unknown))
+	var unknown *cloud.UnknownMachineError
+	if errors.As(m.err, &unknown) {
+		s.planner.MarkNotNeeded(m.order)
+	} else {
+		s.planner.MarkUnproven(m.order)
+	}
 }
 
 // recordWaveStatus writes to the store that a wave has started or is completed.
--- a/standins/cloud/cloud.go
+++ b/standins/cloud/cloud.go
@@ -51,8 +51,8 @@
 	// fence is the highest fencing token of an order for the machine, fenceHolder the holder that used it.
 	fence       workload.FencingToken
 	fenceHolder string
-	// lastWave is the wave of the machine's last upkeep.
-	lastWave int64
+	// waves holds the waves of which the machine has had its upkeep.
+	waves map[int64]bool
 }
 
 type state struct {
@@ -69,7 +69,7 @@
 func (c *Cloud) Run(ctx context.Context, machines []Machine) {
 	st := &state{}
 	for _, m := range machines {
-		st.machines = append(st.machines, &machine{Machine: m})
+		st.machines = append(st.machines, &machine{Machine: m, waves: map[int64]bool{}})
 	}
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
@@ -128,12 +128,12 @@
 	}
 	m.fence, m.fenceHolder = o.Fence, o.Holder
 	switch {
-	case m.lastWave == o.Wave:
+	case m.waves[o.Wave]:
 		return nil
 	case !m.upkeepEnd.IsZero():
 		return &cloud.BusyError{}
 	}
-	m.lastWave, m.upkeepEnd = o.Wave, upkeepEnd
+	m.waves[o.Wave], m.upkeepEnd = true, upkeepEnd
 	st.history.Orders = append(st.history.Orders, o)
 	st.history.MaxInUpkeep = max(st.history.MaxInUpkeep, st.countInUpkeep())
 	m.OnExecutorStop(m.Executors[m.current])
