Order no machine down before the holder knows that it is empty

At the first step of a wave the planner knew of no occupied executors, since the holder had not been asked, and ordered the first machine down at once; work there was thrown away. A new holder that had not heard of an executor yet counted it as empty too.

The holder now answers with the evacuated executors that certainly run nothing: those that have reported to it and have no runs. Other executors may run tasks; they are ordered down when the time for their evacuation is over.

--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -171,7 +171,7 @@
 func (RelayCall) Kind() string { return "relay_call" }
 
 // EvacuateExecutors replaces the set of executors from which the scheduler moves all tasks away; answered by
-// OccupiedExecutors.
+// VacatedExecutors.
 type EvacuateExecutors struct{ Executors []workload.ExecutorID }
 
 // Kind implements kernel.Message.
@@ -200,8 +200,8 @@
 // Kind implements kernel.Message.
 func (OrderPermit) Kind() string { return "order_permit" }
 
-// OccupiedExecutors lists the executors on which tasks may be running.
-type OccupiedExecutors struct{ Executors []workload.ExecutorID }
+// VacatedExecutors lists the executors of an evacuation that certainly run nothing and get no new work.
+type VacatedExecutors struct{ Executors []workload.ExecutorID }
 
 // Kind implements kernel.Message.
-func (OccupiedExecutors) Kind() string { return "occupied" }
+func (VacatedExecutors) Kind() string { return "vacated" }
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -269,11 +269,12 @@
 	}
 }
 
-// OccupiedExecutors returns the executors that may run tasks.
-func (f *Scheduler) OccupiedExecutors() []workload.ExecutorID {
+// VacatedExecutors returns the evacuated executors that certainly run nothing: those that have reported to this holder
+// and have no runs.
+func (f *Scheduler) VacatedExecutors() []workload.ExecutorID {
 	var out []workload.ExecutorID
 	for _, e := range f.sortedExecutors {
-		if len(e.taskRuns) > 0 {
+		if f.evacuating[e.info.ID] && e.verified && len(e.taskRuns) == 0 {
 			out = append(out, e.info.ID)
 		}
 	}
--- a/decisions/upkeep/oracle_test.go
+++ b/decisions/upkeep/oracle_test.go
@@ -54,6 +54,7 @@
 	// listing is set while a list is requested; listedAt is when the latest applied list was requested.
 	listing   bool
 	listedAt  int
+	vacated   []workload.ExecutorID
 	completed map[int64]bool
 }
 
@@ -72,7 +73,7 @@
 	o.planner = New(upkeepTime)
 	o.planner.SetWaves(o.time(), o.waves)
 	o.term++
-	o.listing = false
+	o.listing, o.vacated = false, nil
 }
 
 // startUpkeep executes an order of a term and returns its answer, as the protocol says.
@@ -203,13 +204,13 @@
 
 func (o *oracle) step(list List, requestedAt int) {
 	o.listedAt = requestedAt
-	var occupied []workload.ExecutorID
+	p := o.planner.Step(o.time(), list, o.vacated)
+	o.vacated = nil
 	for _, m := range o.machines {
-		if o.now < m.busyUntil {
-			occupied = append(occupied, m.executorID())
+		if o.now >= m.busyUntil && slices.Contains(p.Evacuate, m.executorID()) {
+			o.vacated = append(o.vacated, m.executorID())
 		}
 	}
-	p := o.planner.Step(o.time(), list, occupied)
 	for _, order := range p.Orders {
 		o.send(order)
 	}
--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -145,9 +145,9 @@
 	Machines    []workload.Machine
 }
 
-// Step applies the platform's list of machines and the list of executors that run tasks, and returns the actions to
-// carry out.
-func (s *Planner) Step(now time.Time, list List, occupied []workload.ExecutorID) Plan {
+// Step applies the platform's list of machines and the list of evacuated executors that certainly run nothing, and
+// returns the actions to carry out. An executor that is not in vacated may run tasks.
+func (s *Planner) Step(now time.Time, list List, vacated []workload.ExecutorID) Plan {
 	byID := make(map[workload.MachineID]workload.Machine, len(list.Machines))
 	for _, m := range list.Machines {
 		byID[m.ID] = m
@@ -168,14 +168,14 @@
 		for _, m := range w.machines {
 			m.update(list.RequestedAt, byID)
 		}
-		s.stepWave(now, w, byID, occupied, ordered, &p)
+		s.stepWave(now, w, byID, vacated, ordered, &p)
 	}
 	slices.Sort(p.Evacuate)
 	p.Evacuate = slices.Compact(p.Evacuate)
 	return p
 }
 
-func (s *Planner) stepWave(now time.Time, w *wave, machines map[workload.MachineID]workload.Machine, occupied []workload.ExecutorID, ordered map[workload.MachineID]bool, p *Plan) {
+func (s *Planner) stepWave(now time.Time, w *wave, machines map[workload.MachineID]workload.Machine, vacated []workload.ExecutorID, ordered map[workload.MachineID]bool, p *Plan) {
 	if !w.startReported {
 		w.startReported = true
 		p.StartedWaves = append(p.StartedWaves, w.spec.Number)
@@ -210,7 +210,7 @@
 			if !m.attempted && down >= max(1, w.spec.MaxDown) || ordered[m.id] {
 				continue
 			}
-			if !slices.Contains(occupied, status.Executor) || now.Sub(m.phaseSince) >= s.evacuationTime(w) {
+			if slices.Contains(vacated, status.Executor) || now.Sub(m.phaseSince) >= s.evacuationTime(w) {
 				if !m.attempted {
 					down++
 				}
--- a/decisions/upkeep/upkeep_test.go
+++ b/decisions/upkeep/upkeep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,6 +42,17 @@
 	}
 }
 
+// vacated returns the executors that run nothing, without the occupied ones.
+func (c *fakeCloud) vacated(occupied ...workload.ExecutorID) []workload.ExecutorID {
+	var out []workload.ExecutorID
+	for _, m := range c.machines {
+		if !slices.Contains(occupied, m.Executor) {
+			out = append(out, m.Executor)
+		}
+	}
+	return out
+}
+
 func (c *fakeCloud) advance(now time.Time) {
 	down := 0
 	for i := range c.machines {
@@ -74,7 +86,7 @@
 			c.machines = c.machines[:5]
 		}
 		c.advance(now)
-		p := s.Step(now, List{now, c.machines}, []workload.ExecutorID{"e1"})
+		p := s.Step(now, List{now, c.machines}, c.vacated("e1"))
 		startReports += len(p.StartedWaves)
 		for _, o := range p.Orders {
 			c.startUpkeep(now, o.Machine)
@@ -86,14 +98,14 @@
 		}
 		now = now.Add(100 * time.Millisecond)
 	}
-	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) != 1 || p.CompletedWaves[0] != 3 {
+	if p := s.Step(now, List{now, c.machines}, c.vacated()); len(p.CompletedWaves) != 1 || p.CompletedWaves[0] != 3 {
 		t.Errorf("completed %v, want wave 3", p.CompletedWaves)
 	}
 	if startReports != 1 {
 		t.Errorf("the start of the wave was reported %d times", startReports)
 	}
 	s.MarkCompletionRecorded(3)
-	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) != 0 {
+	if p := s.Step(now, List{now, c.machines}, c.vacated()); len(p.CompletedWaves) != 0 {
 		t.Errorf("completion reported again: %v", p.CompletedWaves)
 	}
 	if c.maxDown > spec.MaxDown {
@@ -127,7 +139,7 @@
 			s.SetWaves(now, []workload.Wave{spec})
 		}
 		c.advance(now)
-		for _, o := range s.Step(now, List{now, c.machines}, nil).Orders {
+		for _, o := range s.Step(now, List{now, c.machines}, c.vacated()).Orders {
 			c.startUpkeep(now, o.Machine)
 			s.MarkOrdered(o)
 			s.MarkBegun(now, o)
@@ -165,7 +177,7 @@
 	orders := 0
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
-		p := s.Step(now, List{now, c.machines}, nil)
+		p := s.Step(now, List{now, c.machines}, c.vacated())
 		if len(p.CompletedWaves) > 0 {
 			t.Fatalf("completed after %d orders, none of which was answered", orders)
 		}
@@ -180,11 +192,11 @@
 		t.Errorf("%d orders in 100 steps", orders)
 	}
 	s.MarkBegun(now, Order{spec.Number, "m0"})
-	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) > 0 {
+	if p := s.Step(now, List{now, c.machines}, c.vacated()); len(p.CompletedWaves) > 0 {
 		t.Error("completed by a list that was requested before the begin")
 	}
 	now = now.Add(100 * time.Millisecond)
-	if p := s.Step(now, List{now, c.machines}, nil); len(p.CompletedWaves) != 1 {
+	if p := s.Step(now, List{now, c.machines}, c.vacated()); len(p.CompletedWaves) != 1 {
 		t.Error("not completed")
 	}
 }
@@ -196,17 +208,42 @@
 	c, spec := newWave(2, 1)
 	s := New(upkeepTime)
 	s.SetWaves(now, []workload.Wave{spec})
-	if p := s.Step(now, List{now, c.machines}, []workload.ExecutorID{"e0"}); len(p.Orders) > 0 {
+	if p := s.Step(now, List{now, c.machines}, c.vacated("e0")); len(p.Orders) > 0 {
 		t.Fatalf("orders %v for an occupied machine", p.Orders)
 	}
 	c.startUpkeep(now, "m1")
 	now = now.Add(tick)
-	if p := s.Step(now, List{now, c.machines}, nil); len(p.Orders) > 0 {
+	if p := s.Step(now, List{now, c.machines}, c.vacated()); len(p.Orders) > 0 {
 		t.Fatalf("orders %v while a machine is in upkeep", p.Orders)
 	}
 	now = now.Add(2 * upkeepTime)
 	c.advance(now)
-	if p := s.Step(now, List{now, c.machines}, nil); len(p.Orders) != 1 {
+	if p := s.Step(now, List{now, c.machines}, c.vacated()); len(p.Orders) != 1 {
 		t.Fatalf("orders %v after the upkeep of the other machine, want one", p.Orders)
 	}
 }
+
+// TestOccupancyUnknown guards against a machine that is taken down before it is known whether tasks run there, and against
+// a wave that waits for this knowledge for ever.
+func TestOccupancyUnknown(t *testing.T) {
+	now := time.Unix(0, 0)
+	c, spec := newWave(2, 1)
+	s := New(upkeepTime)
+	s.SetWaves(now, []workload.Wave{spec})
+	evacuationTime := s.evacuationTime(s.waves[spec.Number])
+	if evacuationTime <= 0 {
+		t.Fatalf("evacuation time %v", evacuationTime)
+	}
+	for ; now.Before(time.Unix(0, 0).Add(evacuationTime)); now = now.Add(tick) {
+		p := s.Step(now, List{now, c.machines}, nil)
+		if len(p.Orders) > 0 {
+			t.Fatalf("orders %v after %v, although tasks may be running", p.Orders, now.Sub(time.Unix(0, 0)))
+		}
+		if !slices.Equal(p.Evacuate, []workload.ExecutorID{"e0"}) {
+			t.Fatalf("evacuated: %v", p.Evacuate)
+		}
+	}
+	if p := s.Step(now, List{now, c.machines}, nil); len(p.Orders) != 1 {
+		t.Errorf("orders %v after the time for the evacuation, want one", p.Orders)
+	}
+}
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -186,7 +186,7 @@
 		e.Reply(message.StateReply{State: state})
 	case message.EvacuateExecutors:
 		t.fleet.SetEvacuating(m.Executors)
-		e.Reply(message.OccupiedExecutors{Executors: t.fleet.OccupiedExecutors()})
+		e.Reply(message.VacatedExecutors{Executors: t.fleet.VacatedExecutors()})
 		s.requestPlan(c)
 	case message.PermitQuery:
 		s.handlePermitQuery(m, e)
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -80,10 +80,10 @@
 	// fencingToken is the fencing token of the holder; 0 while this VM is not the holder.
 	fencingToken workload.FencingToken
 	planner      *upkeep.Planner
-	// evacuating lists the executors of the last evacuation request to the holder. occupied lists the executors on
-	// which tasks may be running, from the latest reply.
-	occupied   []workload.ExecutorID
+	// evacuating lists the executors of the last evacuation request to the holder. vacated lists those that certainly run
+	// nothing, from its reply; none before the reply.
 	evacuating []workload.ExecutorID
+	vacated    []workload.ExecutorID
 	// now is the clock of permits.
 	now boottime.Clock
 }
@@ -140,7 +140,7 @@
 		s.updatePlanner(c)
 	case message.HolderChanged:
 		if s.fencingToken != m.FencingToken {
-			s.fencingToken, s.planner = m.FencingToken, nil
+			s.fencingToken, s.planner, s.vacated = m.FencingToken, nil, nil
 			s.updatePlanner(c)
 		}
 	case replanDue:
@@ -192,7 +192,7 @@
 		c.SendAfter(stepInterval, stepDue{s.fencingToken})
 		return
 	}
-	p := s.planner.Step(time.Now(), m.list, s.occupied)
+	p := s.planner.Step(time.Now(), m.list, s.vacated)
 	for _, o := range p.Orders {
 		s.sendOrder(c, o)
 	}
@@ -203,10 +203,11 @@
 		s.recordWaveStatus(c, w, true)
 	}
 	if len(p.Evacuate) > 0 || !slices.Equal(p.Evacuate, s.evacuating) {
-		s.evacuating = p.Evacuate
+		s.evacuating, s.vacated = p.Evacuate, nil
+		fencingToken := s.fencingToken
 		c.Request(names.Holder, message.EvacuateExecutors{Executors: p.Evacuate}, func(r kernel.Message, err error) {
-			if o, ok := r.(message.OccupiedExecutors); err == nil && ok {
-				s.occupied = o.Executors
+			if v, ok := r.(message.VacatedExecutors); err == nil && ok && fencingToken == s.fencingToken {
+				s.vacated = v.Executors
 			}
 		})
 	}
--- a/tests/fleet/upkeep_test.go
+++ b/tests/fleet/upkeep_test.go
@@ -19,15 +19,16 @@
 	cloudstandin "github.com/verbenaflow/verbenaflow/standins/cloud"
 )
 
-// TestWaveAcrossHolders guards against a maintenance wave that takes two machines down at a time, skips one, takes one
-// down twice or is reported as completed too early, because the holder is killed during the wave. It also guards
-// against orders of two holders with the same fencing token.
-func TestWaveAcrossHolders(t *testing.T) {
-	const machines = 3
-	upkeepTime := 500 * time.Millisecond
+// upkeepTime is the duration of the upkeeps of newFleetWithMachines.
+const upkeepTime = 500 * time.Millisecond
+
+// newFleetWithMachines starts a fleet whose executors run on machines. An upkeep replaces the executor of a machine by the
+// next one.
+func newFleetWithMachines(t *testing.T, vms, machines int) (*fleet, *cloudstandin.Cloud, []workload.MachineID) {
+	t.Helper()
 	platform := cloudstandin.New(upkeepTime)
 	l := listen(t)
-	f := newFleetWith(t, 3, 2*machines, fmt.Sprintf("cloud = %s\nupkeep_time = %s\n", l.Addr(), upkeepTime))
+	f := newFleetWith(t, vms, 2*machines, fmt.Sprintf("cloud = %s\nupkeep_time = %s\n", l.Addr(), upkeepTime))
 	ctx, cancel := context.WithCancel(context.Background())
 	wg := &conc.WaitGroup{}
 	t.Cleanup(func() { cancel(); wg.Wait() })
@@ -51,6 +52,14 @@
 	}
 	wg.Go(func() { platform.Run(ctx, list) })
 	serve(t, wg, l, cloud.NewHandler(platform))
+	return f, platform, ids
+}
+
+// TestWaveAcrossHolders guards against a maintenance wave that takes two machines down at a time, skips one, takes one
+// down twice or is reported as completed too early, because the holder is killed during the wave. It also guards
+// against orders of two holders with the same fencing token.
+func TestWaveAcrossHolders(t *testing.T) {
+	f, platform, ids := newFleetWithMachines(t, 3, 3)
 	f.awaitReady()
 	var jobs []workload.JobID
 	for range 3 {
@@ -84,3 +93,39 @@
 	}
 	f.checkExecutors()
 }
+
+// TestFirstMachineOfWave guards against work that is thrown away because the first machine of a wave is taken down before
+// the holder has said what runs there.
+func TestFirstMachineOfWave(t *testing.T) {
+	f, platform, ids := newFleetWithMachines(t, 1, 3)
+	f.awaitReady()
+	var jobs []workload.JobID
+	for range 6 {
+		jobs = append(jobs, f.mustSubmit(2, 1500*time.Millisecond, false))
+	}
+	for _, id := range jobs {
+		f.awaitState(id, workload.StateRunning)
+	}
+	for n := range int64(2) {
+		key, value := operator.EncodeWave(workload.Wave{Number: n + 1, Machines: ids[n : n+1], Within: 30 * time.Second, MaxDown: 1})
+		f.store.Set(key, value)
+	}
+	began := time.Now()
+	f.eventually("two upkeeps", func() bool { return len(platform.History().Orders) == 2 })
+	// The time for the evacuation is 23.5 s: 0.8 of the wave's time without the upkeep.
+	if took := time.Since(began); took > 15*time.Second {
+		t.Errorf("the machines are empty after 1.5 s, and their upkeep was ordered after %v", took)
+	}
+	for _, id := range jobs {
+		f.awaitState(id, workload.StateCompleted)
+	}
+	if n := f.checkExecutors(); len(n) != len(jobs)+1 {
+		t.Errorf("runs of %d jobs, want %d", len(n), len(jobs)+1)
+	} else {
+		for _, id := range jobs {
+			if n[id] != 2 {
+				t.Errorf("job %s: %d runs of 2 tasks, although there was time to let them end", id, n[id])
+			}
+		}
+	}
+}
