Bound the writes to a VM that does not read

net/rpc holds a lock while it writes, so that a VM that sent calls and read no answers, as a stopped process does, held up all answers of its connection until the connection ended, which TCP may take a quarter of an hour for. A write of a call could wait in the same way, before the timer of the call began.

A write that takes longer than 2 s now fails and ends the connection.

TestPeerReadsNoAnswers failed before: "the connection is open after 20s".

--- a/services/relay/service.go
+++ b/services/relay/service.go
@@ -26,6 +26,8 @@
 	rpcMethod = rpcName + ".Deliver"
 	// dialTimeout bounds a TCP connect. The longest one-way delay between regions is about 30 ms.
 	dialTimeout = 400 * time.Millisecond
+	// writeTimeout bounds a write to another VM that does not read. It is longer than a full link delays it.
+	writeTimeout = 2 * time.Second
 	// serveTimeout bounds the handling of a message from another VM.
 	serveTimeout = 3 * time.Second
 )
@@ -101,7 +103,7 @@
 			conns.Go(func() {
 				stop := context.AfterFunc(ctx, func() { conn.Close() })
 				defer stop()
-				s.serve(server, conn)
+				s.serve(server, boundedConn{conn})
 			})
 		}
 	})
@@ -127,6 +129,22 @@
 // Unwrap returns the cause.
 func (e *ConnectionError) Unwrap() error { return e.Cause }
 
+// boundedConn is a connection whose writes fail if the peer does not read. net/rpc holds a lock while it writes, so that a
+// write that waits would hold up all calls, or all responses, of the connection. A failed write ends the connection.
+type boundedConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.Close()
+	}
+	return n, err
+}
+
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
@@ -174,7 +192,7 @@
 		if err != nil {
 			return dialDone{call: m, err: err}
 		}
-		return dialDone{call: m, client: rpc.NewClient(conn)}
+		return dialDone{call: m, client: rpc.NewClient(boundedConn{conn})}
 	})
 }
 
--- a/services/relay/service_test.go
+++ b/services/relay/service_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"os"
 	"testing"
 	"time"
 
@@ -28,6 +30,28 @@
 }
 func (fakeHolder) Drain(c *kernel.Context) { c.CompleteDrain() }
 
+// pipeListener accepts one end of each pipe that it is sent. A pipe has no buffer.
+type pipeListener struct {
+	conns chan net.Conn
+	ended chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l pipeListener) Close() error { close(l.ended); return nil }
+
+// Addr implements net.Listener.
+func (l pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+
 // startVM starts a VM with a relay and a holder whose mailbox has space for one message.
 func startVM(t *testing.T, block chan struct{}) (address string) {
 	t.Helper()
@@ -35,6 +59,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	startVMOn(t, l, block)
+	return l.Addr().String()
+}
+
+func startVMOn(t *testing.T, l net.Listener, block chan struct{}) {
+	t.Helper()
 	k, err := kernel.New(nil, New(l, metrics.New()).Spec(), kernel.Spec{Name: names.Holder, Service: fakeHolder{block}, MailboxSize: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -48,7 +78,6 @@
 			t.Errorf("the kernel ended with %v", err)
 		}
 	})
-	return l.Addr().String()
 }
 
 func call(t *testing.T, address string, p Parcel) Receipt {
@@ -65,6 +94,27 @@
 	return r
 }
 
+// TestPeerReadsNoAnswers guards against calls that pile up in a VM because another one sends calls and reads no answer,
+// as a stopped process does.
+func TestPeerReadsNoAnswers(t *testing.T) {
+	l := pipeListener{make(chan net.Conn), make(chan struct{})}
+	startVMOn(t, l, closedChannel())
+	conn, remote := net.Pipe()
+	defer conn.Close()
+	l.conns <- remote
+	// The limit only ends a test that hangs.
+	_ = conn.SetDeadline(time.Now().Add(10 * writeTimeout))
+	for e := gob.NewEncoder(conn); ; time.Sleep(10 * time.Millisecond) {
+		err := errors.Join(e.Encode(rpc.Request{ServiceMethod: rpcMethod, Seq: 1}), e.Encode(query))
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("the connection is open after %v", 10*writeTimeout)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 func closedChannel() chan struct{} {
 	c := make(chan struct{})
 	close(c)
