Bound the time in which a client takes the metrics

A client that read nothing kept its connection for ever, and the list of counters locked while the response was written. Responses are now complete before they are written, and a connection ends when a response is not taken within 5 s, or after 90 s without a request.

TestClientReadsNoMetrics failed before: "the connection is still open".

--- a/services/admin/service.go
+++ b/services/admin/service.go
@@ -2,6 +2,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"expvar"
 	"fmt"
@@ -20,6 +21,12 @@
 const (
 	// headerTimeout bounds the time for reading the header of a request.
 	headerTimeout = 5 * time.Second
+	// writeTimeout bounds the time in which a client takes a response, from the end of the request's header. The metrics
+	// are some tens of kilobytes.
+	writeTimeout = 5 * time.Second
+	// idleTimeout is the time after which a connection without requests is closed. Metrics are usually read every 10 to
+	// 60 s.
+	idleTimeout = 90 * time.Second
 	// readinessTimeout bounds a readiness check.
 	readinessTimeout = time.Second
 )
@@ -56,7 +63,7 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	server := &http.Server{Handler: s.routes(c.Caller()), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: s.routes(c.Caller()), ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout}
 	listener := s.listener
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { server.Close() })
@@ -122,15 +129,18 @@
 // showVars writes the metrics of this daemon and the expvar variables of the process (cmdline, memstats) as one JSON
 // object.
 func (s *Service) showVars(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	w.Header().Set("Content-Type", "application/json")
+	// The variables are locked while they are listed, so that a client that does not read must not delay it.
+	var text bytes.Buffer
 	separator := "{\n"
 	writeVar := func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "%s%q: %s", separator, kv.Key, kv.Value)
+		fmt.Fprintf(&text, "%s%q: %s", separator, kv.Key, kv.Value)
 		separator = ",\n"
 	}
 	if counters, ok := s.metrics.Var().(*expvar.Map); ok {
 		counters.Do(writeVar)
 	}
 	expvar.Do(writeVar)
-	fmt.Fprint(w, "\n}\n")
+	text.WriteString("\n}\n")
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text.Bytes())
 }
