--- a/kernel/recover.go
+++ b/kernel/recover.go
@@ -27,10 +27,11 @@
 
 // recoverFrom lets a Recoverer restore its state. It panics, which stops the kernel, if the service cannot.
 func (r *runner) recoverFrom(c *Context, e Envelope, p *PanicError) {
-	e.Fail(p)
+	// The caller may look at the counters as soon as it has the failure.
 	if o, ok := r.kernel.observer.(PanicObserver); ok {
 		o.ServiceRecovered(p)
 	}
+	e.Fail(p)
 	if !r.spec.Service.(Recoverer).Recover(c, p) {
 		panic(p.Value)
 	}
