Bound what clients take from a VM

Cause: a body was read whole into memory without a time and without a bound on how many are read at once, and connections were bounded by the descriptors alone. 200 bodies that stop a byte short took 125 MB.

The new service admission applies decisions/budget to each listener. platform/listener asks it for a place for each connection and for memory for each piece of a body before it is read and for what it decodes to; both front ends, readiness and metrics use it. Bodies whose announced length is over the limit are refused before a byte is read. Headers, bodies, answers and idle connections have a time each ([clients]). The receive buffers of connections that wait to be accepted are small, because unread bytes count toward the VM's memory. The Go runtime has a soft memory limit.

Trials on the way: a new connection found no place while all others had a request in progress (TestAnswersNotRead, which passed before), so that it now waits for the end of one of them; a small request was evicted by active bodies (TestBodiesInPieces), so that a body evicts only those that hold memory for a body; 700 connections that waited to be accepted held 28 MB unread (TestChangeOfHolder), hence their small buffers.

--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -43,6 +43,7 @@
 	Unauthorized
 	JobGone
 	AcceptanceUnknown
+	RequestTimeout
 	reasonCount
 )
 
@@ -89,6 +90,7 @@
 	Unauthorized:       {"unauthorized", http.StatusUnauthorized, NotRun},
 	JobGone:            {"job_gone", http.StatusGone, NotRun},
 	AcceptanceUnknown:  {"acceptance_unknown", http.StatusGatewayTimeout, Unknown},
+	RequestTimeout:     {"request_timeout", http.StatusRequestTimeout, NotRun},
 }
 
 // Reasons returns all reasons of refusals.
--- a/api/names/names.go
+++ b/api/names/names.go
@@ -10,6 +10,10 @@
 	Gateway = "gateway"
 	Upkeep  = "upkeep"
 	Reload  = "reload"
+	// Admission is a service of both modes.
+	Admission = "admission"
+	// ReadyListener is the name of the gateway's listener for readiness checks.
+	ReadyListener = "ready"
 )
 
 // Names of the services of an entry VM's daemon.
--- a/decisions/budget/budget.go
+++ b/decisions/budget/budget.go
@@ -45,13 +45,25 @@
 	Granted []ID
 }
 
-// Progress is what a connection does. Idle connections wait for a request. Busy ones wait for this VM and are never
-// evicted. Since is when the connection last made progress.
+// Progress is what a connection does. Idle connections wait for a request. Busy ones wait for this VM: they are evicted only for
+// a new connection, when all others are busy too, and end with their answer. Since is when the connection last made progress.
 type Progress struct {
 	Idle, Busy bool
 	Since      time.Time
 }
 
+// rank orders connections by what they do; those with a lower rank are evicted first.
+func (p Progress) rank() int {
+	switch {
+	case p.Idle:
+		return 0
+	case p.Busy:
+		return 2
+	default:
+		return 1
+	}
+}
+
 // Budget is the memory of the connections of one listener. Room that evicted connections give back goes to those that wait
 // for it, in their order, but small requests and new connections take what is free without a wait. It is not safe for concurrent use.
 type Budget struct {
@@ -104,7 +116,8 @@
 	return b.decide(request{id: id, bytes: b.settings.ConnectionBytes, open: true}, nil)
 }
 
-// Take asks for n more bytes for a connection. It evicts only connections that made their last progress before this one.
+// Take asks for n more bytes for a connection. It evicts only connections that hold more than their place and made their last
+// progress before this one.
 func (b *Budget) Take(id ID, n int64) Outcome {
 	h := b.holders[id]
 	if h == nil || h.evicted {
@@ -159,7 +172,7 @@
 }
 
 // victims returns the connections whose eviction makes room for a request and for those that wait already: idle ones
-// first, then those without progress for the longest time. ok is false if there are not enough of them.
+// first, then those without progress for the longest time, at last busy ones. ok is false if there are not enough of them.
 func (b *Budget) victims(r request, taker *holder) (out []ID, ok bool) {
 	limit := b.limit(r)
 	missingBytes, missingPlaces := b.used+r.bytes, 0
@@ -180,19 +193,13 @@
 		case h.evicted:
 			missingBytes -= h.bytes
 			missingPlaces--
-		case id != r.id && !h.progress.Busy && (taker == nil || h.progress.Idle || h.progress.Since.Before(taker.progress.Since)):
+		case r.open || id != r.id && h.bytes > b.settings.ConnectionBytes && !h.progress.Busy && h.progress.Since.Before(taker.progress.Since):
 			candidates = append(candidates, id)
 		}
 	}
 	slices.SortFunc(candidates, func(x, y ID) int {
 		p, q := b.holders[x].progress, b.holders[y].progress
-		if p.Idle != q.Idle {
-			if p.Idle {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(p.Since.Compare(q.Since), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(p.rank(), q.rank()), p.Since.Compare(q.Since), cmp.Compare(x, y))
 	})
 	for _, id := range candidates {
 		if missingBytes <= 0 && missingPlaces <= 0 {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -9,13 +9,16 @@
 
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/node/settings"
 	"github.com/verbenaflow/verbenaflow/platform/executor"
 	"github.com/verbenaflow/verbenaflow/platform/kv"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 	"github.com/verbenaflow/verbenaflow/platform/vmlist"
 	"github.com/verbenaflow/verbenaflow/platform/worker"
 	"github.com/verbenaflow/verbenaflow/services/admin"
+	"github.com/verbenaflow/verbenaflow/services/admission"
 	"github.com/verbenaflow/verbenaflow/services/authority"
 	"github.com/verbenaflow/verbenaflow/services/config"
 	"github.com/verbenaflow/verbenaflow/services/dispatch"
@@ -29,6 +32,10 @@
 	"github.com/verbenaflow/verbenaflow/services/workers"
 )
 
+// standaloneClientMemory is the memory in bytes that clients of a daemon outside the users' platform may take. The target size
+// gives a node 256 MB for control.
+const standaloneClientMemory = 40 << 20
+
 // Run listens on the addresses of the settings, serves until ctx is canceled and then shuts down gracefully.
 func Run(ctx context.Context, s settings.Settings) error {
 	l, err := Listen(s)
@@ -69,7 +76,9 @@
 	dialWorker := func(a string) worker.Client { return worker.NewHTTPClient(a) }
 	dialExecutor := func(a string) executor.Client { return executor.NewHTTPClient(a, s.ExecutorConns) }
 	httpOptions := httpapi.Options{MaxBodyBytes: s.MaxBodyBytes, HeaderTimeout: s.HeaderTimeout, DrainTimeout: s.DrainTimeout, TLS: s.TLS}
+	clientMemory := max(standaloneClientMemory, 2*listener.RequestBytes(s.MaxBodyBytes))
 	return kernel.New(o,
+		admission.New(admission.Settings{VM: string(s.VM), Budgets: clientBudgets(names.HTTP, clientMemory, descriptorLimit(0))}, m).Spec(),
 		// The admin service starts first and drains last, so that health checks and metrics are available throughout.
 		admin.New(l.Admin, m).Spec(),
 		store.New(kv.NewHTTPClient(s.Store, source), m).Spec(),
--- a/node/daemon/listeners.go
+++ b/node/daemon/listeners.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"context"
 	"net"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -39,10 +41,44 @@
 	listener     *net.Listener
 }
 
+const (
+	// queuedBufferBytes is the size of the receive buffer of a connection that waits to be accepted. What clients have sent and
+	// the process has not read counts toward the VM's memory, and nothing else bounds these connections but acceptQueue. The
+	// listener enlarges the buffer of those that it accepts.
+	queuedBufferBytes = 4 << 10
+	// sendBufferBytes is the size of the send buffer of a connection. Answers to clients have some 100 bytes.
+	sendBufferBytes = 32 << 10
+	// acceptQueue is the number of connections that wait to be accepted. A VM that is suspended for seconds gets that many.
+	acceptQueue = 1024
+)
+
+// listenTCP opens an endpoint. The socket buffers of other VMs' connections are those of the system.
+func listenTCP(e endpoint) (net.Listener, error) {
+	if e.key == "relay" || e.key == "peers" {
+		return net.Listen("tcp", e.address)
+	}
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Without the options the connections have the usual buffers.
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, queuedBufferBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes)
+		})
+	}}
+	l, err := c.Listen(context.Background(), "tcp", e.address)
+	if err != nil {
+		return nil, err
+	}
+	if raw, err := l.(*net.TCPListener).SyscallConn(); err == nil {
+		// A second call changes the length of the queue, which is otherwise the largest that the system permits.
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), acceptQueue) })
+	}
+	return l, nil
+}
+
 // listen opens all endpoints. If one fails, it closes those already open and returns the error.
 func listen(endpoints []endpoint) error {
 	for i, e := range endpoints {
-		l, err := net.Listen("tcp", e.address)
+		l, err := listenTCP(e)
 		if err != nil {
 			for _, open := range endpoints[:i] {
 				closeAll(*open.listener)
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -10,6 +10,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
+	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/node/settings"
@@ -18,6 +19,7 @@
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 	"github.com/verbenaflow/verbenaflow/services/admin"
+	"github.com/verbenaflow/verbenaflow/services/admission"
 	"github.com/verbenaflow/verbenaflow/services/catalog"
 	"github.com/verbenaflow/verbenaflow/services/gateway"
 	"github.com/verbenaflow/verbenaflow/services/holder"
@@ -37,6 +39,7 @@
 // RunPlatform serves on the users' platform until ctx is canceled and then shuts down gracefully. path is the settings
 // file, which is reloaded when it changes and when hup receives a signal.
 func RunPlatform(ctx context.Context, path string, s settings.Platform, hup <-chan os.Signal) error {
+	limitRuntimeMemory(s.Memory)
 	l, err := listenPlatform(s)
 	if err != nil {
 		return err
@@ -65,6 +68,9 @@
 		advisorClient = advisor.NewClient(s.Advisor)
 	}
 	specs := []kernel.Spec{
+		admission.New(admission.Settings{
+			VM: string(s.VM), Budgets: clientBudgets(names.Gateway, s.ClientMemory, descriptorLimit(s.Descriptors)),
+		}, m).Spec(),
 		admin.New(l.admin, m).Spec(),
 		r.Spec(),
 		catalog.New(string(s.VM), store, m).Spec(),
@@ -78,7 +84,7 @@
 		}, store, runner.NewClient(s.ExecutorConns), advisorClient, m).Spec(),
 		intake.New(intake.Settings{VM: string(s.VM), Peers: withoutAddress(s.Peers, s.Relay)}, store, m).Spec(),
 		gateway.New(gateway.Settings{
-			VM: string(s.VM), LameDuck: s.LameDuck, DrainTimeout: s.GracePeriod - s.LameDuck - exitMargin,
+			VM: string(s.VM), LameDuck: s.LameDuck, DrainTimeout: s.GracePeriod - s.LameDuck - exitMargin, Limits: s.Limits,
 		}, l.front, l.ready, m).Spec(),
 	}
 	if s.Cloud != "" {
--- a/node/daemon/recover_test.go
+++ b/node/daemon/recover_test.go
@@ -16,6 +16,7 @@
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/node/settings"
 	"github.com/verbenaflow/verbenaflow/platform/front"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 	"github.com/verbenaflow/verbenaflow/platform/operator"
 	"github.com/verbenaflow/verbenaflow/platform/runner"
@@ -88,6 +89,7 @@
 		VM: "vm", Store: serve(t, metastore.NewHandler(store)), Cloud: "127.0.0.1:1", Relay: l.relay.Addr().String(), StoreTimeout: time.Second, ExecutorConns: 2,
 		ProcessorShare: 1, Lease: 6 * time.Second, MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: time.Hour,
 		GracePeriod: 3 * time.Second, LameDuck: 50 * time.Millisecond, UpkeepTime: time.Second,
+		ClientMemory: 16 << 20, Limits: listener.DefaultLimits(),
 	}
 	load := func() (message.SettingsChanged, bool, error) { return message.SettingsChanged{}, false, nil }
 	o := &observer{vm: s.VM, metrics: metrics.New()}
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 )
 
 // Platform holds the validated settings of a daemon that runs on the users' platform.
@@ -34,6 +35,12 @@
 	ProcessorShare float64
 	// Memory is the VM's memory in bytes.
 	Memory int64
+	// Descriptors is the number of file descriptors of the VM's process; 0 means the limit that the process finds.
+	Descriptors int
+	// ClientMemory is the memory in bytes that the connections and requests of clients take together.
+	ClientMemory int64
+	// Limits are the times that clients have.
+	Limits listener.Limits
 	// Lease is the time for which an executor keeps its runs after the last renewal of its lease.
 	Lease time.Duration
 	// MaxStopTime is the longest time that an executor takes to stop a run.
@@ -66,6 +73,14 @@
 	// DefaultLameDuck exceeds the time of the two failed readiness checks, one per second, after which the platform
 	// sends no more connections.
 	DefaultLameDuck = 2300 * time.Millisecond
+	// ClientMemoryPart is the part of the VM's memory that clients may take by default. The holder of 297 VMs takes 149 MB on a
+	// VM of 184 MB (docs/CAPACITY.md).
+	ClientMemoryPart = 6
+	// minClientMemory leaves the largest request (3.7 MB) its room beside all connections and the part kept for small ones.
+	minClientMemory = 10 << 20
+	// minDescriptors leaves a quarter for clients and the rest for the store, executors and other VMs.
+	minDescriptors = 64
+	maxDescriptors = 1 << 20
 	// leaseMargin is the minimum difference between the executor lease and the longest lease that executors grant.
 	leaseMargin = 200 * time.Millisecond
 )
@@ -74,7 +89,8 @@
 	"vm":       {"id", "domain", "region"},
 	"listen":   {"front", "ready", "relay", "admin"},
 	"platform": {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
-	"limits":   {"processor_share", "memory", "executor_connections"},
+	"limits":   {"processor_share", "memory", "descriptors", "client_memory", "executor_connections"},
+	"clients":  {"header_time", "body_time", "body_rate", "answer_time", "idle_time"},
 	"executor": {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
 	"timing":   {"retention", "grace", "lame_duck"},
 	"log":      {"verbosity"},
@@ -113,6 +129,12 @@
 		LameDuck:              r.duration("timing", "lame_duck", DefaultLameDuck, 0, maxTimeout),
 		Verbosity:             r.integer("log", "verbosity", 0, 0, maxVerbosity),
 	}
+	s.Descriptors = r.integer("limits", "descriptors", 0, minDescriptors, maxDescriptors)
+	s.ClientMemory = r.size("limits", "client_memory", max(minClientMemory, s.Memory/ClientMemoryPart), minClientMemory, 1<<40)
+	s.Limits = r.clientLimits()
+	if s.ClientMemory > s.Memory/2 {
+		r.addProblem("limits", "client_memory", "at most half of memory (%d MiB)", s.Memory>>20)
+	}
 	longest := r.duration("executor", "longest_lease", s.Lease+leaseMargin, time.Second, maxTimeout)
 	s.Lease = min(s.Lease, longest-leaseMargin)
 	if s.LameDuck >= s.GracePeriod {
@@ -125,6 +147,18 @@
 	return s, nil
 }
 
+// clientLimits reads the times that clients have.
+func (r *reader) clientLimits() listener.Limits {
+	d := listener.DefaultLimits()
+	return listener.Limits{
+		HeaderTime: r.duration("clients", "header_time", d.HeaderTime, minTimeout, maxTimeout),
+		BodyTime:   r.duration("clients", "body_time", d.BodyTime, minTimeout, maxTimeout),
+		BodyRate:   r.size("clients", "body_rate", d.BodyRate, 1, 1<<30),
+		AnswerTime: r.duration("clients", "answer_time", d.AnswerTime, minTimeout, maxTimeout),
+		IdleTime:   r.duration("clients", "idle_time", d.IdleTime, minTimeout, maxTimeout),
+	}
+}
+
 // checkPlatformAddresses reports listen addresses that are used twice.
 func (r *reader) checkPlatformAddresses(s Platform) {
 	usedBy := make(map[string]string)
--- a/services/admin/service.go
+++ b/services/admin/service.go
@@ -15,14 +15,11 @@
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 )
 
-const (
-	// headerTimeout bounds the time for reading the header of a request.
-	headerTimeout = 5 * time.Second
-	// readinessTimeout bounds a readiness check.
-	readinessTimeout = time.Second
-)
+// readinessTimeout bounds a readiness check.
+const readinessTimeout = time.Second
 
 type (
 	readinessQuery struct{}
@@ -49,19 +46,23 @@
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{
-		Name: names.Admin, Service: s,
+		Name: names.Admin, Service: s, DependsOn: []kernel.Name{names.Admission},
 		Subscriptions: []string{message.KindConfigChanged, message.KindDrainStarted},
 	}
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	server := &http.Server{Handler: s.routes(c.Caller()), ReadHeaderTimeout: headerTimeout}
-	listener := s.listener
+	caller := c.Caller()
+	server := listener.NewServer(s.routes(caller), listener.DefaultLimits())
+	guarded := listener.New(s.listener, names.Admin, func(ctx context.Context, m listener.Message) error {
+		_, err := caller.Call(ctx, names.Admission, m)
+		return err
+	})
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { server.Close() })
 		defer stop()
-		_ = server.Serve(listener)
+		_ = server.Serve(guarded)
 		return nil
 	})
 	return nil
--- a/services/gateway/service.go
+++ b/services/gateway/service.go
@@ -14,6 +14,7 @@
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/front"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 )
 
 // Settings configures the service.
@@ -24,16 +25,10 @@
 	LameDuck time.Duration
 	// DrainTimeout bounds the calls that are still in progress after LameDuck.
 	DrainTimeout time.Duration
+	// Limits are the times that clients have.
+	Limits listener.Limits
 }
 
-const (
-	// headerTimeout bounds reading a request's header, idleTimeout the time between two requests on a connection.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes is the largest accepted header in bytes.
-	maxHeaderBytes = 32 << 10
-)
-
 type (
 	readyQuery    struct{}
 	readyAnswer   struct{ ready bool }
@@ -72,7 +67,7 @@
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{
-		Name: names.Gateway, Service: s, DependsOn: []kernel.Name{names.Intake},
+		Name: names.Gateway, Service: s, DependsOn: []kernel.Name{names.Intake, names.Admission},
 		Subscriptions: []string{message.KindCatalogChanged, message.KindStoreReachability},
 		DrainTimeout:  s.settings.LameDuck + s.settings.DrainTimeout + time.Second,
 	}
@@ -80,12 +75,17 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	h := &handler{caller: c.Caller(), metrics: s.metrics}
-	s.server = &http.Server{Handler: h.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	s.serve(c, s.server, s.frontListener)
+	caller := c.Caller()
+	admission := func(ctx context.Context, m listener.Message) error {
+		_, err := caller.Call(ctx, names.Admission, m)
+		return err
+	}
+	h := &handler{caller: caller, metrics: s.metrics, limits: s.settings.Limits}
+	s.server = listener.NewServer(h.routes(), s.settings.Limits)
+	s.serve(c, s.server, listener.New(s.frontListener, names.Gateway, admission))
 	readyRouter := httprouter.New()
 	readyRouter.GET(front.ReadyPath, h.ready)
-	s.serve(c, &http.Server{Handler: readyRouter, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, s.readyListener)
+	s.serve(c, listener.NewServer(readyRouter, s.settings.Limits), listener.New(s.readyListener, names.ReadyListener, admission))
 	return nil
 }
 
--- a/services/httpapi/handlers.go
+++ b/services/httpapi/handlers.go
@@ -2,17 +2,15 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/verbenaflow/verbenaflow/api/failure"
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 )
 
 // defaultTimeout bounds a call for which the client sets no timeout.
@@ -26,6 +24,7 @@
 	gate    *gate
 	// maxBodyBytes is the size limit of a request body.
 	maxBodyBytes int64
+	limits       listener.Limits
 }
 
 // ErrorResponse is the response body of every failed call.
@@ -73,15 +72,12 @@
 // decodeBody decodes the request body into out. If the body is malformed or too large, it writes the error response and
 // returns false.
 func (a *api) decodeBody(w http.ResponseWriter, r *http.Request, out any) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		a.refuse(w, failure.TooLarge, "the body exceeds %d bytes", a.maxBodyBytes)
+	body, f := a.limits.Body(w, r, a.maxBodyBytes)
+	if f != nil {
+		a.writeFailure(w, a.metrics.CountRefusal(f))
 		return false
 	}
-	if err == nil {
-		err = decodeStrict(body, out)
-	}
+	err := decodeStrict(body, out)
 	if err != nil {
 		a.refuse(w, failure.Malformed, "%v", err)
 		return false
--- a/services/httpapi/service.go
+++ b/services/httpapi/service.go
@@ -16,6 +16,7 @@
 	"github.com/verbenaflow/verbenaflow/api/model"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 )
 
 const (
@@ -78,9 +79,6 @@
 	if o.DrainTimeout == 0 {
 		o.DrainTimeout = defaultDrainTimeout
 	}
-	if o.TLS != nil {
-		l = tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{*o.TLS}, MinVersion: tls.VersionTLS12})
-	}
 	return &Service{self: self, listener: l, metrics: m, options: o, gate: newGate()}
 }
 
@@ -89,7 +87,7 @@
 	return kernel.Spec{
 		Name: names.HTTP, Service: s, DrainTimeout: s.options.DrainTimeout + stopMargin,
 		DependsOn: []kernel.Name{
-			names.Admin, names.Peers, names.Routing, names.Scheduler, names.Dispatch, names.Config, names.Membership, names.Authority,
+			names.Admission, names.Admin, names.Peers, names.Routing, names.Scheduler, names.Dispatch, names.Config, names.Membership, names.Authority,
 		},
 		Subscriptions: []string{message.KindMembersChanged, message.KindAuthorityChanged, message.KindConfigChanged},
 	}
@@ -97,13 +95,23 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	a := &api{caller: c.Caller(), domain: s.self.Domain, metrics: s.metrics, gate: s.gate, maxBodyBytes: s.options.MaxBodyBytes}
-	s.server = &http.Server{Handler: s.gate.wrap(a), ReadHeaderTimeout: s.options.HeaderTimeout}
-	server, listener := s.server, s.listener
+	limits := listener.DefaultLimits()
+	limits.HeaderTime = s.options.HeaderTimeout
+	caller := c.Caller()
+	a := &api{caller: caller, domain: s.self.Domain, metrics: s.metrics, gate: s.gate, maxBodyBytes: s.options.MaxBodyBytes, limits: limits}
+	s.server = listener.NewServer(s.gate.wrap(a), limits)
+	var guarded net.Listener = listener.New(s.listener, names.HTTP, func(ctx context.Context, m listener.Message) error {
+		_, err := caller.Call(ctx, names.Admission, m)
+		return err
+	})
+	if t := s.options.TLS; t != nil {
+		guarded = tls.NewListener(guarded, &tls.Config{Certificates: []tls.Certificate{*t}, MinVersion: tls.VersionTLS12})
+	}
+	server := s.server
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { server.Close() })
 		defer stop()
-		_ = server.Serve(listener)
+		_ = server.Serve(guarded)
 		return nil
 	})
 	return nil
