Bound what a client account adds to the store

Cause: a cancellation of an unknown job leaves a tombstone for ten minutes and each submission a record, and each new holder reads both; nothing bounded them. decisions/recordlimit bounds what one account adds through a VM, in units of 4 KiB: 50 a second after a burst of 400, 5,000 in ten minutes, 1,000 tombstones ([accounts]). The rest gets 429 before anything is written. A cancellation asks for the permission for a tombstone only after the store has no such job.

--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -82,7 +82,7 @@
 				CheckpointRestoreTime: s.CheckpointRestoreTime, CheckpointInterval: s.CheckpointInterval, Retention: s.Retention,
 			},
 		}, store, runner.NewClient(s.ExecutorConns), advisorClient, m).Spec(),
-		intake.New(intake.Settings{VM: string(s.VM), Peers: withoutAddress(s.Peers, s.Relay)}, store, m).Spec(),
+		intake.New(intake.Settings{VM: string(s.VM), Peers: withoutAddress(s.Peers, s.Relay), Records: s.Records}, store, m).Spec(),
 		gateway.New(gateway.Settings{
 			VM: string(s.VM), LameDuck: s.LameDuck, DrainTimeout: s.GracePeriod - s.LameDuck - exitMargin, Limits: s.Limits,
 		}, l.front, l.ready, m).Spec(),
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/decisions/recordlimit"
 	"github.com/verbenaflow/verbenaflow/platform/listener"
 )
 
@@ -41,6 +42,8 @@
 	ClientMemory int64
 	// Limits are the times that clients have.
 	Limits listener.Limits
+	// Records are the limits of what a client account adds to the store through this VM.
+	Records recordlimit.Settings
 	// Lease is the time for which an executor keeps its runs after the last renewal of its lease.
 	Lease time.Duration
 	// MaxStopTime is the longest time that an executor takes to stop a run.
@@ -78,6 +81,8 @@
 	ClientMemoryPart = 6
 	// minClientMemory leaves the largest request (3.7 MB) its room beside all connections and the part kept for small ones.
 	minClientMemory = 10 << 20
+	// maxRecordBytes is the largest record, a value of the store.
+	maxRecordBytes = 1 << 20
 	// minDescriptors leaves a quarter for clients and the rest for the store, executors and other VMs.
 	minDescriptors = 64
 	maxDescriptors = 1 << 20
@@ -91,6 +96,7 @@
 	"platform": {"store", "peers", "store_timeout", "advisor", "cloud", "upkeep_time"},
 	"limits":   {"processor_share", "memory", "descriptors", "client_memory", "executor_connections"},
 	"clients":  {"header_time", "body_time", "body_rate", "answer_time", "idle_time"},
+	"accounts": {"records_per_second", "records_burst", "records", "tombstones"},
 	"executor": {"lease", "longest_lease", "stop_bound", "slow_factor", "restore_time", "save_interval"},
 	"timing":   {"retention", "grace", "lame_duck"},
 	"log":      {"verbosity"},
@@ -132,6 +138,7 @@
 	s.Descriptors = r.integer("limits", "descriptors", 0, minDescriptors, maxDescriptors)
 	s.ClientMemory = r.size("limits", "client_memory", max(minClientMemory, s.Memory/ClientMemoryPart), minClientMemory, 1<<40)
 	s.Limits = r.clientLimits()
+	s.Records = r.recordLimits()
 	if s.ClientMemory > s.Memory/2 {
 		r.addProblem("limits", "client_memory", "at most half of memory (%d MiB)", s.Memory>>20)
 	}
@@ -159,6 +166,18 @@
 	}
 }
 
+// recordLimits reads the limits of what a client account adds to the store.
+func (r *reader) recordLimits() recordlimit.Settings {
+	d := recordlimit.DefaultSettings()
+	return recordlimit.Settings{
+		Rate:       r.float("accounts", "records_per_second", d.Rate, 1, 1e6),
+		Burst:      r.integer("accounts", "records_burst", d.Burst, recordlimit.Units(maxRecordBytes), 1e6),
+		Window:     d.Window,
+		Records:    r.integer("accounts", "records", d.Records, recordlimit.Units(maxRecordBytes), 1e9),
+		Tombstones: r.integer("accounts", "tombstones", d.Tombstones, 1, 1e9),
+	}
+}
+
 // checkPlatformAddresses reports listen addresses that are used twice.
 func (r *reader) checkPlatformAddresses(s Platform) {
 	usedBy := make(map[string]string)
--- a/services/intake/deadline_test.go
+++ b/services/intake/deadline_test.go
@@ -94,7 +94,7 @@
 	t.Helper()
 	config := (&workload.Config{
 		Version: 1, Routes: []workload.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "pool"}},
-		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{"k"}}},
+		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"k2"}}},
 	}).Index()
 	k, err := kernel.New(nil, New(Settings{VM: "vm"}, store, metrics.New()).Spec(),
 		kernel.Spec{Name: names.Catalog, Service: publisher{}}, kernel.Spec{Name: names.Holder, Service: publisher{}},
--- a/services/intake/read.go
+++ b/services/intake/read.go
@@ -10,6 +10,7 @@
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/recordlimit"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 )
@@ -33,7 +34,9 @@
 	deadline  time.Time
 	mayRelay  bool
 	startedAt time.Time
-	failure   *failure.Error
+	// unknown is set if the job is not stored, mayMark if a tombstone may be stored for it.
+	unknown, mayMark bool
+	failure          *failure.Error
 }
 
 // Kind implements kernel.Message.
@@ -133,6 +136,10 @@
 		s.refuse(e, "cancel", a.subpath, f)
 		return
 	}
+	if f := s.limitRecords(a.account, recordlimit.Cancel, 1); f != nil {
+		s.refuse(e, "cancel", id, f)
+		return
+	}
 	s.storeCancel(c, cancelDone{env: e, id: id, account: a.account, deadline: m.Deadline.Add(-replyMargin), mayRelay: true})
 }
 
@@ -148,38 +155,52 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithDeadline(ctx, out.deadline)
 		defer cancel()
-		out.failure = s.recordCancel(ctx, out.id, out.account, out.deadline)
+		out.unknown, out.failure = s.recordCancel(ctx, out)
 		return out
 	})
 }
 
 // recordCancel stores the cancellation of a job. If the job is not stored, it stores a tombstone, which keeps a submission
-// that is still on its way from being accepted, and returns JobGone.
-func (s *Service) recordCancel(ctx context.Context, id workload.JobID, account workload.Account, deadline time.Time) *failure.Error {
-	_, err := s.store.Get(ctx, records.JobKey(id))
+// that is still on its way from being accepted, and returns JobGone; without the permission for a tombstone, it stores nothing and
+// reports the job as unknown.
+func (s *Service) recordCancel(ctx context.Context, call cancelDone) (unknown bool, f *failure.Error) {
+	_, err := s.store.Get(ctx, records.JobKey(call.id))
 	var missing *metastore.NotFoundError
 	switch {
+	case errors.As(err, &missing) && !call.mayMark:
+		return true, nil
 	case errors.As(err, &missing):
 		_, conflict, f := s.commit(ctx, metastore.Txn{
-			Conditions: []metastore.Condition{{Key: records.JobKey(id)}},
-			Writes:     []metastore.Write{{Key: records.TombstoneKey(id, account), Value: records.Encode(records.Tombstone{Account: account})}},
-		}, deadline)
+			Conditions: []metastore.Condition{{Key: records.JobKey(call.id)}},
+			Writes: []metastore.Write{{
+				Key: records.TombstoneKey(call.id, call.account), Value: records.Encode(records.Tombstone{Account: call.account}),
+			}},
+		}, call.deadline)
 		if f != nil {
-			return f
+			return false, f
 		}
 		if conflict == nil {
 			s.metrics.CountEvent("tombstones_stored", 1)
-			return failure.New(failure.JobGone, "no such job")
+			return false, failure.New(failure.JobGone, "no such job")
 		}
 		// The job was stored after it was read.
 	case err != nil:
-		return failure.New(failure.StoreUnavailable, "%v", err)
+		return false, failure.New(failure.StoreUnavailable, "%v", err)
 	}
-	_, _, f := s.commit(ctx, metastore.Txn{Writes: []metastore.Write{{Key: records.CancelKey(id), Value: []byte("{}")}}}, deadline)
-	return f
+	_, _, f = s.commit(ctx, metastore.Txn{Writes: []metastore.Write{{Key: records.CancelKey(call.id), Value: []byte("{}")}}}, call.deadline)
+	return false, f
 }
 
 func (s *Service) handleCancelDone(c *kernel.Context, m cancelDone) {
+	if m.unknown {
+		if f := s.limitRecords(m.account, recordlimit.Tombstone, 1); f != nil {
+			s.refuse(m.env, "cancel", m.id, f)
+			return
+		}
+		m.unknown, m.mayMark = false, true
+		s.storeCancel(c, m)
+		return
+	}
 	if m.failure != nil {
 		s.recordUndecided(m.failure)
 		if m.mayRelay && m.failure.Reason == failure.StoreUnavailable && s.relayCancel(c, m) {
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -14,6 +14,7 @@
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/recordlimit"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/front"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
@@ -24,6 +25,8 @@
 	VM string
 	// Peers lists addresses of other VMs, some of which may be stale.
 	Peers []string
+	// Records are the limits of each account; the zero value means the default.
+	Records recordlimit.Settings
 }
 
 // Service handles client calls. It keeps the last published configuration and holder, and opens no connections except
@@ -38,6 +41,8 @@
 	storeReachable bool
 	// undecidedAt is when a transaction last ended without a known outcome.
 	undecidedAt time.Time
+	// records bounds what each account adds to the store.
+	records *recordlimit.Limiter
 }
 
 // Store is the part of the store's client that the service uses.
@@ -48,7 +53,10 @@
 
 // New returns the service.
 func New(s Settings, store Store, m *metrics.Set) *Service {
-	return &Service{settings: s, store: store, metrics: m, storeReachable: true}
+	if s.Records == (recordlimit.Settings{}) {
+		s.Records = recordlimit.DefaultSettings()
+	}
+	return &Service{settings: s, store: store, metrics: m, storeReachable: true, records: recordlimit.New(s.Records)}
 }
 
 // Spec returns the registration of the service.
@@ -74,6 +82,7 @@
 	switch m := e.Body.(type) {
 	case message.CatalogChanged:
 		s.config = m.Config
+		s.forgetAccounts()
 	case message.HolderChanged:
 		s.holder = m
 	case message.StoreReachability:
@@ -107,6 +116,27 @@
 	}
 }
 
+// forgetAccounts drops the counts of accounts that the configuration does not name any more.
+func (s *Service) forgetAccounts() {
+	if s.config == nil {
+		return
+	}
+	known := map[workload.Account]bool{}
+	for _, a := range s.config.Accounts {
+		known[a.Name] = true
+	}
+	// Calls without a key, of public routes, count as those of an account without a name.
+	s.records.Retain(func(a workload.Account) bool { return a == "" || known[a] })
+}
+
+// limitRecords counts what a call adds to the store. It returns a failure if that exceeds the limits of the account.
+func (s *Service) limitRecords(account workload.Account, k recordlimit.Kind, units int) *failure.Error {
+	if s.records.Allow(time.Now(), account, k, units) {
+		return nil
+	}
+	return failure.New(failure.RateLimited, "the account exceeds its records a second, or in ten minutes")
+}
+
 // admitted is a client call that the configuration permits.
 type admitted struct {
 	route   *workload.Route
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -12,6 +12,7 @@
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/recordlimit"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 )
@@ -99,6 +100,14 @@
 		Conditions: []metastore.Condition{{Key: records.JobKey(job.ID)}, {Key: records.TombstoneKey(job.ID, job.Account)}},
 		Writes:     []metastore.Write{{Key: records.JobKey(job.ID), Value: records.Encode(job)}},
 	}
+	// A repeated submission writes no record, but it is a write call of the store, too. The VM that took a relayed call has
+	// counted it.
+	if mayRelay {
+		if f := s.limitRecords(job.Account, recordlimit.Job, recordlimit.Units(len(txn.Writes[0].Value))); f != nil {
+			s.refuse(e, "submit", job.ID, f)
+			return
+		}
+	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		var conflict *metastore.ConflictError
 		out.revision, conflict, out.failure = s.commit(ctx, txn, deadline)
