Bound the messages and connections of other VMs, and test the listener

gob reserves up to 10 MB for the length that a message announces. The relay follows the lengths of the messages and ends a connection whose message exceeds 2 MiB, whose message does not arrive in 10 s or whose answer is not taken; it accepts 1,536 connections.

--- a/services/relay/service.go
+++ b/services/relay/service.go
@@ -93,15 +93,26 @@
 		defer stop()
 		var conns conc.WaitGroup
 		defer conns.Wait()
+		// places bounds the connections.
+		places := make(chan struct{}, maxConnections)
 		for {
 			conn, err := s.listener.Accept()
 			if err != nil {
 				return nil
 			}
+			select {
+			case places <- struct{}{}:
+			default:
+				s.metrics.CountEvent("relay_connections_refused", 1)
+				conn.Close()
+				continue
+			}
 			conns.Go(func() {
+				defer func() { <-places }()
 				stop := context.AfterFunc(ctx, func() { conn.Close() })
 				defer stop()
-				s.serve(server, conn)
+				_ = conn.SetReadDeadline(time.Now().Add(messageTime))
+				s.serve(server, &limitedConn{Conn: conn})
 			})
 		}
 	})
--- a/services/relay/service_test.go
+++ b/services/relay/service_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -167,3 +168,39 @@
 		t.Errorf("%+v after the malformed bytes", r.Failure)
 	}
 }
+
+// pipeConn is a connection whose bytes a test writes.
+type pipeConn struct {
+	net.Conn
+	in *bytes.Reader
+}
+
+func (c *pipeConn) Read(p []byte) (int, error)    { return c.in.Read(p[:min(len(p), 7)]) }
+func (*pipeConn) SetReadDeadline(time.Time) error { return nil }
+
+// TestMessageSize guards against a message whose announced length makes gob reserve memory for it, and against sound messages
+// that are refused because they arrive in pieces.
+func TestMessageSize(t *testing.T) {
+	var sound bytes.Buffer
+	e := gob.NewEncoder(&sound)
+	text := string(bytes.Repeat([]byte("x"), 300000))
+	for _, v := range []string{"", "a", text, text} {
+		if err := e.Encode(v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d := gob.NewDecoder(&limitedConn{Conn: &pipeConn{in: bytes.NewReader(sound.Bytes())}})
+	for _, want := range []string{"", "a", text, text} {
+		var got string
+		if err := d.Decode(&got); err != nil || got != want {
+			t.Fatalf("%d bytes, %v, want %d", len(got), err, len(want))
+		}
+	}
+	for _, length := range [][]byte{{0xfc, 0x00, 0x98, 0x96, 0x80}, {0xf8, 1, 0, 0, 0, 0, 0, 0, 0}, {0x80}} {
+		var size *MessageSizeError
+		err := (&limitedConn{}).follow(length)
+		if !errors.As(err, &size) {
+			t.Errorf("% x: %v, want a *MessageSizeError", length, err)
+		}
+	}
+}
