--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -44,6 +44,7 @@
 	JobGone
 	AcceptanceUnknown
 	AccountLimit
+	RequestTimeout
 	reasonCount
 )
 
@@ -91,6 +92,7 @@
 	JobGone:            {"job_gone", http.StatusGone, NotRun},
 	AcceptanceUnknown:  {"acceptance_unknown", http.StatusGatewayTimeout, Unknown},
 	AccountLimit:       {"account_limit", http.StatusTooManyRequests, NotRun},
+	RequestTimeout:     {"request_timeout", http.StatusRequestTimeout, NotRun},
 }
 
 // Reasons returns all reasons of refusals.
--- a/services/admin/service.go
+++ b/services/admin/service.go
@@ -16,17 +16,14 @@
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/listener"
 )
 
 const (
-	// headerTimeout bounds the time for reading the header of a request.
-	headerTimeout = 5 * time.Second
-	// writeTimeout bounds the time in which a client takes a response, from the end of the request's header. The metrics
-	// are some tens of kilobytes.
-	writeTimeout = 5 * time.Second
-	// idleTimeout is the time after which a connection without requests is closed. Metrics are usually read every 10 to
-	// 60 s.
-	idleTimeout = 90 * time.Second
+	// answerTime bounds the time in which a client takes the metrics, which are some tens of kilobytes.
+	answerTime = 5 * time.Second
+	// idleTime is the time after which a connection without requests is closed. Metrics are usually read every 10 to 60 s.
+	idleTime = 90 * time.Second
 	// readinessTimeout bounds a readiness check.
 	readinessTimeout = time.Second
 )
@@ -56,19 +53,25 @@
 // Spec returns the registration of the service.
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{
-		Name: names.Admin, Service: s,
+		Name: names.Admin, Service: s, DependsOn: []kernel.Name{names.Admission},
 		Subscriptions: []string{message.KindConfigChanged, message.KindDrainStarted},
 	}
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(c *kernel.Context) error {
-	server := &http.Server{Handler: s.routes(c.Caller()), ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout}
-	listener := s.listener
+	caller := c.Caller()
+	limits := listener.DefaultLimits()
+	limits.AnswerTime, limits.IdleTime = answerTime, idleTime
+	server := listener.NewServer(s.routes(caller), limits)
+	guarded := listener.New(s.listener, names.Admin, func(ctx context.Context, m listener.Message) error {
+		_, err := caller.Call(ctx, names.Admission, m)
+		return err
+	})
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		stop := context.AfterFunc(ctx, func() { server.Close() })
 		defer stop()
-		_ = server.Serve(listener)
+		_ = server.Serve(guarded)
 		return nil
 	})
 	return nil
--- a/services/admin/service_test.go
+++ b/services/admin/service_test.go
@@ -50,7 +50,7 @@
 	if _, err := conn.Write([]byte(strings.Repeat("GET /debug/vars HTTP/1.1\r\nHost: vm\r\n\r\n", requests))); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(writeTimeout + time.Second)
+	time.Sleep(answerTime + time.Second)
 	read := 0
 	_ = conn.SetReadDeadline(time.Now().Add(30 * time.Second))
 	for buf := make([]byte, 64<<10); ; {
