Let the stand-in store refuse what the platform's store refuses

The stand-in took values of any size, so that no test showed a record over the limit. It now refuses values over 1,048,576 bytes, keys over 200 bytes, more than 32 entries and reserved keys with 400 or 403. The client reports such a refusal as a RejectedError, which wraps the NotExecutedError of before. The stand-in of the executors reports checkpoints of a given size and can fail one run.

--- a/standins/metastore/metastore.go
+++ b/standins/metastore/metastore.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +28,8 @@
 	// LateTxnShare is the share of transactions that are not answered, and are applied after lateDelay if their conditions
 	// still hold.
 	LateTxnShare float64
+	// Reject, if not nil, reports whether the store refuses a transaction for good.
+	Reject func(metastore.Txn) bool
 }
 
 // lateDelay is the time after which a late transaction is applied.
@@ -236,8 +240,44 @@
 	return err
 }
 
+// reservedPrefixes are the prefixes of the keys that only operators and executors write.
+var reservedPrefixes = []string{"op/", "servers/"}
+
+// checkLimits returns a *metastore.RejectedError for a transaction that exceeds the limits of the platform's store or
+// writes reserved keys.
+func checkLimits(t metastore.Txn) error {
+	reject := func(status int, format string, args ...any) error {
+		return &metastore.RejectedError{Status: status, Cause: &metastore.NotExecutedError{Cause: fmt.Errorf(format, args...)}}
+	}
+	if n := len(t.Conditions) + len(t.Writes) + len(t.Removals); n > metastore.MaxTxnEntries {
+		return reject(http.StatusBadRequest, "%d entries", n)
+	}
+	keys := slices.Clone(t.Removals)
+	for _, w := range t.Writes {
+		if len(w.Value) > metastore.MaxValueBytes {
+			return reject(http.StatusBadRequest, "value of %q with %d bytes", w.Key, len(w.Value))
+		}
+		keys = append(keys, w.Key)
+	}
+	for _, key := range keys {
+		if len(key) > metastore.MaxKeyBytes {
+			return reject(http.StatusBadRequest, "key with %d bytes", len(key))
+		}
+		if slices.ContainsFunc(reservedPrefixes, func(p string) bool { return strings.HasPrefix(key, p) }) {
+			return reject(http.StatusForbidden, "key %q", key)
+		}
+	}
+	return nil
+}
+
 // commit applies a transaction at a new revision if all its conditions hold and all its leases exist.
 func (st *state) commit(t metastore.Txn) (int64, error) {
+	if err := checkLimits(t); err != nil {
+		return 0, err
+	}
+	if st.faults.Reject != nil && st.faults.Reject(t) {
+		return 0, &metastore.RejectedError{Status: http.StatusForbidden, Cause: &metastore.NotExecutedError{Cause: context.Canceled}}
+	}
 	conflict := &metastore.ConflictError{}
 	ok := true
 	for _, c := range t.Conditions {
--- a/standins/metastore/metastore_test.go
+++ b/standins/metastore/metastore_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +16,12 @@
 
 // startStore starts a store with an HTTP server and returns the store and a client of it.
 func startStore(t *testing.T) (*Store, *metastore.Client) {
+	t.Helper()
+	return startStoreWithin(t, time.Second)
+}
+
+// startStoreWithin is startStore for a client whose calls are bounded by timeout.
+func startStoreWithin(t *testing.T, timeout time.Duration) (*Store, *metastore.Client) {
 	t.Helper()
 	s := New()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -26,7 +34,7 @@
 		cancel()
 		wg.Wait()
 	})
-	return s, metastore.NewClient(server.Listener.Addr().String(), time.Second)
+	return s, metastore.NewClient(server.Listener.Addr().String(), timeout)
 }
 
 // TestTransactions guards against a transaction that is applied although a condition does not hold, and against a
@@ -136,3 +144,35 @@
 	s.SetFaults(Faults{})
 	waitFor("p/c")
 }
+
+// TestLimits guards against a stand-in that takes what the platform's store refuses for good, and against a refusal that
+// the client takes for a passing one.
+func TestLimits(t *testing.T) {
+	// The race detector makes the encoding of the largest value slow.
+	_, c := startStoreWithin(t, 30*time.Second)
+	ctx := context.Background()
+	var entries []metastore.Write
+	for i := range metastore.MaxTxnEntries + 1 {
+		entries = append(entries, metastore.Write{Key: fmt.Sprint("k", i)})
+	}
+	for name, writes := range map[string][]metastore.Write{
+		"value":   {{Key: "a", Value: make([]byte, metastore.MaxValueBytes+1)}},
+		"key":     {{Key: strings.Repeat("a", metastore.MaxKeyBytes+1)}},
+		"entries": entries,
+		"orders":  {{Key: "op/config"}},
+		"servers": {{Key: "servers/a"}},
+	} {
+		_, err := c.Commit(ctx, metastore.Txn{Writes: writes})
+		var (
+			rejected    *metastore.RejectedError
+			notExecuted *metastore.NotExecutedError
+		)
+		if !errors.As(err, &rejected) || !errors.As(err, &notExecuted) {
+			t.Errorf("%s: %v, want a *RejectedError that wraps a *NotExecutedError", name, err)
+		}
+	}
+	largest := []metastore.Write{{Key: strings.Repeat("a", metastore.MaxKeyBytes), Value: make([]byte, metastore.MaxValueBytes)}}
+	if _, err := c.Commit(ctx, metastore.Txn{Writes: largest}); err != nil {
+		t.Errorf("the largest value: %v", err)
+	}
+}
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
@@ -70,6 +72,8 @@
 	number workload.RunNumber
 	endsAt time.Time
 	record *RunRecord
+	// checkpoint is the checkpoint that each report of the run shows.
+	checkpoint string
 }
 
 // percent returns the progress of a run.
@@ -82,7 +86,8 @@
 }
 
 // New returns an executor. A task runs for the duration in its specification, such as "300ms"; it fails at once if the
-// specification is not a duration.
+// specification is not a duration. A number of bytes after the duration, such as "300ms 4000", is the size of its
+// checkpoints.
 func New(info workload.Executor) *Executor {
 	return &Executor{info: info, calls: make(chan func(*state))}
 }
@@ -139,6 +144,19 @@
 	}
 }
 
+// Fail ends the run of a task as failed. It reports whether the task was running.
+func (e *Executor) Fail(task workload.TaskRef) bool {
+	out := make(chan bool, 1)
+	e.calls <- func(st *state) {
+		i := slices.IndexFunc(st.runs, func(r *run) bool { return r.task == task })
+		if i >= 0 {
+			st.endRun(st.runs[i], workload.Failed)
+		}
+		out <- i >= 0
+	}
+	return <-out
+}
+
 type result struct {
 	clock   time.Duration
 	report  workload.Report
@@ -202,7 +220,7 @@
 		st.acknowledge(o.SeenUpTo)
 		rep := workload.Report{Clock: st.clock(), StartedAtMS: st.info.StartedAtMS, Ended: slices.Clone(st.ended)}
 		for _, run := range st.runs {
-			rep.Running = append(rep.Running, workload.RunningTask{Task: run.task, Run: run.number, Percent: run.percent(time.Now())})
+			rep.Running = append(rep.Running, workload.RunningTask{Task: run.task, Run: run.number, Checkpoint: run.checkpoint, Percent: run.percent(time.Now())})
 		}
 		return result{report: rep, nextEnd: st.nextEnd}
 	})
@@ -251,7 +269,13 @@
 		st.overCapacity++
 	}
 	r := st.runs[len(st.runs)-1]
-	duration, err := time.ParseDuration(o.Spec)
+	text, saveBytes, saves := strings.Cut(o.Spec, " ")
+	duration, err := time.ParseDuration(text)
+	if saves && err == nil {
+		var n int
+		n, err = strconv.Atoi(saveBytes)
+		r.checkpoint = strings.Repeat("c", n)
+	}
 	if err != nil {
 		st.endRun(r, workload.Failed)
 		return nil
