--- a/api/workload/progress.go
+++ b/api/workload/progress.go
@@ -12,21 +12,24 @@
 
 // StepProgress is the progress of one step of one occurrence.
 type StepProgress struct {
-	Occurrence, Step int
+	Occurrence int `json:",omitempty"`
+	Step       int `json:",omitempty"`
 	// Done is a bit set. A unit is done if the bit at the index of its first task is set.
-	Done []byte
+	Done []byte `json:",omitempty"`
 	// Units lists the units that are not done and have a failed run or a checkpoint.
-	Units []UnitProgress
+	Units []UnitProgress `json:",omitempty"`
 }
 
 // UnitProgress is the progress of a unit that is not done. A unit is a gang or a single task.
 type UnitProgress struct {
 	// First is the index of the unit's first task.
-	First int
-	// Failed lists the runs that failed.
-	Failed []RunNumber
-	// Saved is the latest checkpoint, or empty.
-	Saved string
+	First int `json:",omitempty"`
+	// Failed lists the latest runs that failed, at most Job.ListedFailures of them.
+	Failed []RunNumber `json:",omitempty"`
+	// Earlier is the number of runs that failed and are not listed.
+	Earlier int `json:",omitempty"`
+	// Saved is the latest checkpoint, or empty. It is also empty if the record had no space for it.
+	Saved string `json:",omitempty"`
 }
 
 // Step returns the entry of a step and adds it if it is missing. Callers must add steps in ascending order.
--- a/api/workload/workload.go
+++ b/api/workload/workload.go
@@ -83,6 +83,14 @@
 	MayMiss int
 }
 
+// Units returns the number of units of the step: a gang starts and ends as one.
+func (s *Step) Units() int {
+	if s.Gang {
+		return 1
+	}
+	return s.Count
+}
+
 // CapacityNeed returns the amount of an executor's capacity that a task of the step occupies.
 func (s *Step) CapacityNeed() Resources {
 	n := s.Need
@@ -111,6 +119,24 @@
 	Route Route
 }
 
+// Limits of the failed runs that the record of a unit lists. Further ones are only counted.
+const (
+	// defaultListedFailures applies to queues without a limit of attempts.
+	defaultListedFailures = 2
+	maxListedFailures     = 8
+	// MaxEarlierFailures is the largest number of failed runs that are counted and not listed.
+	MaxEarlierFailures = 999_999
+)
+
+// ListedFailures returns how many failed runs of a unit the record of the job lists. It depends on the attempts that the
+// queue allowed when the job was accepted, so that the size of the record is bounded then.
+func (j *Job) ListedFailures() int {
+	if j.Route.MaxAttempts <= 0 {
+		return defaultListedFailures
+	}
+	return min(max(1, j.Route.MaxAttempts-1), maxListedFailures)
+}
+
 // OccurrenceCount returns the number of times that the steps run.
 func (j *Job) OccurrenceCount() int { return max(1, j.Occurrences) }
 
@@ -196,6 +222,9 @@
 // RunNumber numbers the starts of a task. Later starts have higher numbers, also after a change of holders.
 type RunNumber int64
 
+// MaxRunNumber is the largest run number. A larger one would make later runs seem to be old.
+const MaxRunNumber = 1 << 53
+
 // FencingToken is the fencing token of a holder.
 type FencingToken int64
 
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -102,7 +102,9 @@
 
 	actions       []Action
 	rosterVersion int64
-	counters      map[Counter]int64
+	// recordings counts the calls of MarkRecorded.
+	recordings int64
+	counters   map[Counter]int64
 }
 
 // New returns the state of a holder at the beginning of a term. termRevision is the store's revision at which the term
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -38,8 +38,9 @@
 	ending      bool
 	endingSince time.Time
 	endReason   StopReason
-	// failedRuns lists the runs that have failed.
-	failedRuns []workload.RunNumber
+	// failedRuns lists the latest runs that have failed, earlierFailures counts those before them.
+	failedRuns      []workload.RunNumber
+	earlierFailures int
 	// checkpoint is the latest checkpoint.
 	checkpoint string
 	// progress is the progress of the latest run in percent, progressAt when it last changed.
@@ -99,6 +100,8 @@
 	version, recordedVersion int64
 	// finalVersion is the version at which the job ended; zero before.
 	finalVersion int64
+	// recordedAt is the number of the latest call of MarkRecorded that has recorded a version of the job; zero before.
+	recordedAt int64
 }
 
 func newJob(now time.Time, rec *workload.Job, createdRevision int64) *job {
@@ -111,9 +114,9 @@
 	for occ := range rec.OccurrenceCount() {
 		for s := range rec.Steps {
 			step := &rec.Steps[s]
-			count, size := step.Count, 1
+			count, size := step.Units(), 1
 			if step.Gang {
-				count, size = 1, step.Count
+				size = step.Count
 			}
 			for i := range count {
 				j.units = append(j.units, &unit{job: j, occurrence: occ, step: s, firstTask: i, size: size})
@@ -229,7 +232,7 @@
 		if done {
 			sp.SetDone(u.firstTask)
 		} else {
-			sp.Units = append(sp.Units, workload.UnitProgress{First: u.firstTask, Failed: slices.Clone(u.failedRuns), Saved: u.checkpoint})
+			sp.Units = append(sp.Units, workload.UnitProgress{First: u.firstTask, Failed: slices.Clone(u.failedRuns), Earlier: u.earlierFailures, Saved: u.checkpoint})
 		}
 	}
 	return p
@@ -263,7 +266,8 @@
 	}
 	for _, up := range sp.Units {
 		if up.First == u.firstTask {
-			u.failedRuns, u.checkpoint = slices.Clone(up.Failed), up.Saved
+			u.failedRuns, u.earlierFailures, u.checkpoint = slices.Clone(up.Failed), up.Earlier, up.Saved
+			u.trimFailures()
 		}
 	}
 }
--- /dev/null
+++ b/decisions/fleet/records_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// TestRecordOrder guards against jobs whose progress changes all the time and that keep the progress of others from being
+// recorded, because a transaction has space for only some of it.
+func TestRecordOrder(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f := New(Settings{}, 1, 1, false, now)
+	for _, id := range []string{"j1", "j2", "j3"} {
+		f.AddJob(now, oneStep(id, "normal", workload.Step{Count: 1}), 1, nil)
+	}
+	recorded := map[workload.JobID]int{}
+	for range 9 {
+		for _, j := range f.jobs {
+			j.markDirty()
+		}
+		records := f.UnrecordedProgress(1)
+		f.MarkRecorded(records)
+		recorded[records[0].Job]++
+	}
+	for id := range f.jobs {
+		if recorded[id] != 3 {
+			t.Errorf("the progress of %s was recorded %d times of 9, want 3: %v", id, recorded[id], recorded)
+		}
+	}
+}
+
+// TestListedFailures guards against a record that grows with each failed run beyond the size for which its job was accepted,
+// and against attempts that are forgotten: the limit of a later configuration counts all of them, also after a change of
+// holders.
+func TestListedFailures(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	rec := oneStep("j", "q", workload.Step{Count: 1})
+	rec.Route = workload.Route{Name: "q", MaxAttempts: 3}
+	e := &executor{}
+	begin := func(p *workload.Progress) (*Scheduler, *unit) {
+		f := New(Settings{}, 1, 1, false, now)
+		f.SetConfig((&workload.Config{Version: 2, Routes: []workload.Route{{Name: "q", MaxAttempts: 6}}}).Index())
+		f.AddJob(now, rec, 1, p)
+		return f, f.jobs["j"].units[0]
+	}
+	f, u := begin(nil)
+	for run := workload.RunNumber(1); run <= 5; run++ {
+		// A run that is reported again counts once.
+		f.recordFailure(now, u, run, e)
+		f.recordFailure(now, u, run, e)
+		f.recordFailure(now, u, 1, e)
+		p := u.job.progress()
+		if n := len(p.Steps[0].Units[0].Failed); n > rec.ListedFailures() {
+			t.Errorf("%d failed runs are listed after %d, want at most %d", n, run, rec.ListedFailures())
+		}
+		f, u = begin(&p)
+		if n := u.failures(); n != int(run) {
+			t.Errorf("%d of %d failed runs are counted after a change of holders", n, run)
+		}
+	}
+	if s, _ := f.Status("j"); s.Final() {
+		t.Errorf("the job is %s after 5 of 6 attempts", s)
+	}
+	f.recordFailure(now, u, 6, e)
+	if u.job.state != workload.StateFailed {
+		t.Errorf("the job is %s after 6 attempts", u.job.state)
+	}
+}
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -97,21 +98,35 @@
 // recordFailure records a failed run of a unit, and ends the job if the unit has no attempts left. The tasks of a gang
 // fail together and count once.
 func (f *Scheduler) recordFailure(now time.Time, u *unit, run workload.RunNumber, e *executor) {
-	if slices.Contains(u.failedRuns, run) {
+	if slices.Contains(u.failedRuns, run) || u.earlierFailures > 0 && run < slices.Min(u.failedRuns) {
 		return
 	}
 	u.failedRuns = append(u.failedRuns, run)
+	u.trimFailures()
 	u.avoid(now, e.info.ID)
 	u.job.markDirty()
-	if len(u.failedRuns) == 1 {
+	if u.failures() == 1 {
 		e.suspicion.add(now, failureWeight)
 	}
-	if limit := f.route(u.job).MaxAttempts; limit > 0 && len(u.failedRuns) >= limit && !u.job.state.Final() {
+	if limit := f.route(u.job).MaxAttempts; limit > 0 && u.failures() >= limit && !u.job.state.Final() {
 		f.count(CountJobsFailed)
 		f.finish(now, u.job, workload.StateFailed)
 	}
 }
 
+// failures returns the number of failed runs of a unit.
+func (u *unit) failures() int { return len(u.failedRuns) + u.earlierFailures }
+
+// trimFailures limits the listed failed runs to those that the record of the job lists. A later configuration may allow
+// more attempts than the one at the acceptance.
+func (u *unit) trimFailures() {
+	for len(u.failedRuns) > u.job.rec.ListedFailures() {
+		first := slices.Min(u.failedRuns)
+		u.failedRuns = slices.DeleteFunc(u.failedRuns, func(r workload.RunNumber) bool { return r == first })
+		u.earlierFailures = min(u.earlierFailures+1, workload.MaxEarlierFailures)
+	}
+}
+
 // markEnding marks the run of a unit as ending. The unit can start again when none of its task runs is left.
 func (f *Scheduler) markEnding(now time.Time, u *unit, reason StopReason) {
 	if u.state == unitActive && !u.ending {
@@ -181,21 +196,36 @@
 	return &j.rec.Route
 }
 
-// UnrecordedProgress returns the progress of up to limit jobs that is not durable yet. A job is returned again until
-// MarkRecorded has been called with its version.
+// UnrecordedProgress returns the progress of up to limit jobs that is not durable yet, first that of the jobs that were
+// not recorded for longest. A job is returned again until MarkRecorded has been called with its version.
 func (f *Scheduler) UnrecordedProgress(limit int) []Record {
-	var out []Record
-	add := func(j *job) {
-		if j.version > j.recordedVersion && len(out) < limit {
-			out = append(out, Record{Job: j.rec.ID, Version: j.version, Progress: j.progress()})
+	var jobs []*job
+	for _, j := range f.openJobs {
+		if j.version > j.recordedVersion {
+			jobs = append(jobs, j)
 		}
 	}
-	for _, j := range f.openJobs {
-		add(j)
+	// Without this order, jobs whose progress changes all the time could keep others from being recorded.
+	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(a.recordedAt, b.recordedAt) })
+	var out []Record
+	for _, j := range jobs[:min(limit, len(jobs))] {
+		out = append(out, Record{Job: j.rec.ID, Version: j.version, Progress: j.progress()})
 	}
 	return out
 }
 
+// FailUnrecordable ends a job as failed because the store does not take its progress. It reports whether the job had not
+// ended.
+func (f *Scheduler) FailUnrecordable(now time.Time, id workload.JobID) bool {
+	j, ok := f.jobs[id]
+	if !ok || j.state.Final() {
+		return false
+	}
+	f.count(CountJobsUnrecordable)
+	f.finish(now, j, workload.StateFailed)
+	return true
+}
+
 // Record is a version of the progress of a job that is to be made durable.
 type Record struct {
 	Job      workload.JobID
@@ -205,9 +235,10 @@
 
 // MarkRecorded marks records as durable.
 func (f *Scheduler) MarkRecorded(records []Record) {
+	f.recordings++
 	for _, r := range records {
 		if j := f.jobs[r.Job]; j != nil {
-			j.recordedVersion = max(j.recordedVersion, r.Version)
+			j.recordedVersion, j.recordedAt = max(j.recordedVersion, r.Version), f.recordings
 		}
 	}
 	for _, e := range f.sortedExecutors {
--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -135,7 +135,12 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(maxRetryAfterSeconds)))
 	}
-	write(w, status, front.EncodeError(f.Reason.Code()))
+	detail := ""
+	if f.Reason == failure.Malformed || f.Reason == failure.TooLarge {
+		// The client can change the call if it knows the limit.
+		detail = f.Detail
+	}
+	write(w, status, front.EncodeError(f.Reason.Code(), detail))
 }
 
 func write(w http.ResponseWriter, status int, body []byte) {
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -15,7 +15,8 @@
 
 const (
 	// maxSaveRecords is the number of progress records that fit into one transaction next to its two conditions, the entry
-	// of SaveKey and the roster.
+	// of SaveKey and the roster. Their size is limited to metastore.MaxTxnValueBytes, which holds the largest roster and the
+	// largest record.
 	maxSaveRecords = metastore.MaxTxnEntries - 4
 	// saveRetryDelay is the delay before a failed save is repeated.
 	saveRetryDelay = 250 * time.Millisecond
@@ -34,6 +35,10 @@
 type saveDone struct {
 	termScoped
 	records []fleet.Record
+	// bytes holds the sizes of the entries that were written, by key.
+	bytes map[string]int
+	// probe is set if the transaction only shows whether the store takes transactions without the suspected entry.
+	probe bool
 	// roster is nil if the transaction did not contain it; rosterVersion is its version.
 	roster        workload.Roster
 	rosterVersion int64
@@ -56,20 +61,17 @@
 	if t.saveInFlight || now.Before(t.nextSaveAt) {
 		return
 	}
-	out := saveDone{termScoped: termScoped{t.number}, records: t.fleet.UnrecordedProgress(maxSaveRecords)}
+	out := saveDone{termScoped: termScoped{t.number}}
 	txn := metastore.Txn{Conditions: []metastore.Condition{
 		{Key: records.HolderKey, Revision: t.fence},
 		{Key: records.SaveKey, Revision: t.saveRevision},
 	}}
-	for i := range out.records {
-		r := &out.records[i]
-		txn.Writes = append(txn.Writes, metastore.Write{Key: records.ProgressKey(r.Job), Value: records.Encode(r.Progress)})
+	out.probe = t.rejections.suspect != ""
+	if !out.probe {
+		s.addRoster(now, &out, &txn)
+		s.addProgress(c, now, &out, &txn)
 	}
-	if out.rosterVersion = t.fleet.RosterVersion(); out.rosterVersion != t.savedRosterVersion {
-		out.roster = t.fleet.Roster()
-		txn.Writes = append(txn.Writes, metastore.Write{Key: records.RosterKey, Value: records.Encode(out.roster)})
-	}
-	if len(txn.Writes) == 0 {
+	if len(txn.Writes) == 0 && !out.probe {
 		if now.Before(t.nextExpiryAt) {
 			return
 		}
@@ -89,6 +91,66 @@
 	})
 }
 
+// addRoster adds the roster to a transaction if it has changed.
+func (s *Service) addRoster(now time.Time, out *saveDone, txn *metastore.Txn) {
+	t := s.term
+	version := t.fleet.RosterVersion()
+	if version == t.savedRosterVersion || t.rejections.waits(now, records.RosterKey) {
+		return
+	}
+	value, roster, err := records.EncodeRoster(t.fleet.Roster(), metastore.MaxValueBytes)
+	if err != nil {
+		s.metrics.CountEvent("roster_too_large", 1)
+		s.log("roster not recorded", "error", err.Error())
+		t.rejections.postpone(now, records.RosterKey)
+		return
+	}
+	out.roster, out.rosterVersion = roster, version
+	out.add(txn, records.RosterKey, value)
+}
+
+// addProgress adds the progress of as many jobs to a transaction as its limits allow. It ends a job whose progress exceeds
+// the limit of the store.
+func (s *Service) addProgress(c *kernel.Context, now time.Time, out *saveDone, txn *metastore.Txn) {
+	t := s.term
+	bytes := 0
+	for _, n := range out.bytes {
+		bytes += n
+	}
+	for _, r := range t.fleet.UnrecordedProgress(maxSaveRecords + len(t.rejections.entries)) {
+		key := records.ProgressKey(r.Job)
+		if t.rejections.waits(now, key) {
+			continue
+		}
+		if len(out.records) == maxSaveRecords || len(txn.Writes) >= t.rejections.maxEntries() {
+			return
+		}
+		value, dropped, err := records.EncodeProgress(r.Progress, metastore.MaxValueBytes)
+		if err != nil {
+			s.metrics.CountEvent("records_too_large", 1)
+			s.failUnrecordable(c, now, r.Job, err)
+			continue
+		}
+		if bytes += len(value); bytes > metastore.MaxTxnValueBytes {
+			return
+		}
+		if dropped > 0 {
+			s.metrics.CountEvent("checkpoints_not_recorded", int64(dropped))
+		}
+		out.records = append(out.records, r)
+		out.add(txn, key, value)
+	}
+}
+
+// add adds an entry to a transaction.
+func (d *saveDone) add(txn *metastore.Txn, key string, value []byte) {
+	if d.bytes == nil {
+		d.bytes = map[string]int{}
+	}
+	d.bytes[key] = len(value)
+	txn.Writes = append(txn.Writes, metastore.Write{Key: key, Value: value})
+}
+
 // addExpired adds the removal of expired entries to a transaction: those of finished jobs or, if there are none, of
 // tombstones. A tombstone that was written again meanwhile is kept, because its revision is a condition.
 func (s *Service) addExpired(now time.Time, txn *metastore.Txn) {
@@ -117,7 +179,10 @@
 func (s *Service) handleSaveDone(c *kernel.Context, m saveDone) {
 	t := s.term
 	t.saveInFlight = false
-	var conflict *metastore.ConflictError
+	var (
+		conflict *metastore.ConflictError
+		rejected *metastore.RejectedError
+	)
 	switch {
 	case m.err == nil:
 		t.saveRevision = m.revision
@@ -131,8 +196,12 @@
 			}
 		}
 		t.fleet.MarkRecorded(m.records)
+		s.handleAccepted(c, m)
 		s.requestPlan(c)
 		return
+	case errors.As(m.err, &rejected):
+		s.handleRejected(c, m, rejected)
+		return
 	case errors.As(m.err, &conflict):
 		if t.adoptSaveRevision(conflict) {
 			// An earlier unanswered transaction was applied after all.
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -61,6 +61,8 @@
 	saveRevision int64
 	saveInFlight bool
 	nextSaveAt   time.Time
+	// rejections finds the entries that the store refuses for good.
+	rejections rejections
 	// savedRosterVersion is the version of the roster that was last saved.
 	savedRosterVersion int64
 
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -86,6 +86,11 @@
 // it: a submission may be read or applied seconds after its caller gave up and cancelled it through another VM. The job's
 // key depends on the identifier alone, so that a repeated call at any VM finds the job of the first call.
 func (s *Service) accept(c *kernel.Context, job workload.Job, deadline time.Time, e kernel.Envelope, mayRelay bool) {
+	value, err := records.EncodeJob(&job, metastore.MaxValueBytes)
+	if err != nil {
+		s.refuse(e, "submit", job.ID, failure.New(failure.TooLarge, "%v", err))
+		return
+	}
 	out := storeDone{env: e, job: job, deadline: deadline, mayRelay: mayRelay, startedAt: time.Now()}
 	if !s.storeAvailable() {
 		// As nothing is sent to the store, the job certainly does not run, so that the client may retry. After an attempt
@@ -97,7 +102,7 @@
 	}
 	txn := metastore.Txn{
 		Conditions: []metastore.Condition{{Key: records.JobKey(job.ID)}, {Key: records.TombstoneKey(job.ID, job.Account)}},
-		Writes:     []metastore.Write{{Key: records.JobKey(job.ID), Value: records.Encode(job)}},
+		Writes:     []metastore.Write{{Key: records.JobKey(job.ID), Value: value}},
 	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		var conflict *metastore.ConflictError
@@ -133,12 +138,21 @@
 	start, answerLost := time.Now(), false
 	for {
 		revision, err := s.store.Commit(ctx, txn)
-		var notExecuted *metastore.NotExecutedError
+		var (
+			notExecuted *metastore.NotExecutedError
+			rejected    *metastore.RejectedError
+		)
 		switch {
 		case err == nil:
 			return revision, nil, nil
 		case errors.As(err, &conflict):
 			return 0, conflict, nil
+		case errors.As(err, &rejected):
+			s.log("the store refuses a transaction", "status", rejected.Status, "bytes", metastore.EncodedTxnBytes(txn), "error", err.Error())
+			if answerLost {
+				return 0, nil, failure.New(failure.AcceptanceUnknown, "%v", err)
+			}
+			return 0, nil, failure.New(failure.TooLarge, "the store refuses the record of the call: %v", err)
 		case errors.As(err, &notExecuted):
 			s.metrics.CountRetry(failure.RetryStoreUnavailable)
 			outOfTime := time.Since(start) > maxRefusalTime || time.Until(deadline) < storeRetryDelay+minCommitTime
@@ -232,7 +246,7 @@
 		switch {
 		case f.Outcome == failure.NotRun && f.Reason.HTTPStatus() == http.StatusServiceUnavailable:
 			f = failure.New(failure.StoreUnavailable, "%s", f.Error())
-		case f.Outcome == failure.NotRun && f.Reason == failure.JobGone:
+		case f.Outcome == failure.NotRun && (f.Reason == failure.JobGone || f.Reason == failure.TooLarge):
 		default:
 			f = failure.New(failure.AcceptanceUnknown, "%s", f.Detail)
 		}
