Use an executor whose start time has decreased

A report with a start time below that of the last process was taken for a late answer of an earlier process, for good: the jobs of the executor stayed "running" without a run. An executor has one poll at a time, so that an answer to a poll that was sent after the report of a process comes from that process or a later one, whatever its start time. A clock that runs backwards between two such answers shows a restart with an equal start time. A registry entry with another start time, and not only with a later one, makes the executor report before ends are acknowledged to it.

--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -73,8 +73,10 @@
 
 	// verified is set once the executor has seen the fencing token of this term and has reported its runs.
 	verified bool
-	// incarnation identifies the executor's process; it increases with each restart.
-	incarnation int64
+	// incarnation identifies the executor's process by its start time, and incarnationSeenAt is when a report first named it.
+	// A later process may have an earlier start time.
+	incarnation       int64
+	incarnationSeenAt time.Time
 	// clock is the executor's clock at local time clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -91,10 +93,11 @@
 	inheritedEntry *workload.RosterEntry
 	closedInRoster bool
 
-	// reportedAt is when the last report was applied.
-	reportedAt time.Time
-	polling    bool
-	nextPollAt time.Time
+	// reportedAt is when the last report was applied, reportedClock the executor's clock in it.
+	reportedAt    time.Time
+	reportedClock time.Duration
+	polling       bool
+	nextPollAt    time.Time
 	// unresponsiveSince is when calls to the executor began to fail; zero if it answers.
 	unresponsiveSince time.Time
 	suspicion         suspicion
@@ -178,7 +181,7 @@
 		})
 		f.sortedExecutors = slices.Insert(f.sortedExecutors, i, e)
 	}
-	if known && e.incarnation != 0 && info.StartedAtMS > e.incarnation {
+	if known && e.incarnation != 0 && info.StartedAtMS != e.incarnation && info.StartedAtMS != e.info.StartedAtMS {
 		// Only a report of the executor itself shows that it has restarted.
 		e.verified = false
 	}
--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -59,7 +59,7 @@
 		return sim.executorIDs[rapid.IntRange(0, len(sim.executorIDs)-1).Draw(rt, "executor")]
 	}
 	switch rapid.SampledFrom([]string{
-		"submit", "submit", "submit", "submit", "cancel", "holder", "crash", "restart", "cut", "heal", "stall", "store", "loss", "drain", "unregister", "partition",
+		"submit", "submit", "submit", "submit", "cancel", "holder", "crash", "restart", "cut", "heal", "stall", "store", "loss", "drain", "unregister", "partition", "clock",
 	}).Draw(rt, "action") {
 	case "submit":
 		sim.submit(drawJob(rt, i), behavior{
@@ -100,6 +100,8 @@
 		sim.storeDown = !sim.storeDown
 	case "loss":
 		sim.lossRate = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(rt, "loss rate")
+	case "clock":
+		sim.executors[pick()].clockOffset = rapid.SampledFrom([]time.Duration{-time.Hour, -2 * time.Second, 0, time.Minute}).Draw(rt, "offset")
 	case "unregister":
 		id := pick()
 		if sim.unregistered[id] = !sim.unregistered[id]; sim.unregistered[id] {
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -46,19 +46,11 @@
 		e.proveAddress()
 	}
 	e.markResponsive()
-	if r.StartedAtMS != 0 && e.incarnation != 0 && r.StartedAtMS < e.incarnation {
-		// An answer of an earlier process that arrived late.
+	if !f.applyIncarnation(now, sentAt, e, &r) {
 		e.nextPollAt = now.Add(pollRetryDelay)
 		return
 	}
-	if r.StartedAtMS != 0 && e.incarnation != r.StartedAtMS {
-		if e.incarnation != 0 {
-			f.handleRestart(now, e, r.StartedAtMS)
-		}
-		e.incarnation = r.StartedAtMS
-	}
 	f.setClock(now, e, r.Clock)
-	e.reportedAt = now
 	firstReport := !e.verified
 	e.verified = true
 	e.ackedEnd = max(e.ackedEnd, poll.AckedThrough)
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -106,6 +106,8 @@
 	lastEnd   int64
 	seen      int64
 	startedAt time.Time
+	// clockOffset is the error of the machine's clock from which the next start time is taken.
+	clockOffset time.Duration
 	// leaseExpiredAt is the latest time at which the lease was found expired.
 	leaseExpiredAt time.Time
 	stopped        map[workload.TaskRef]workload.RunNumber
@@ -717,7 +719,7 @@
 	sim.trace("%s starts again", id)
 	e := sim.executors[id]
 	e.up, e.unreachable, e.rejecting, e.fence, e.lastEnd, e.seen, e.startedAt = true, false, false, 0, 0, 0, sim.now
-	e.info.StartedAtMS = sim.now.UnixMilli()
+	e.info.StartedAtMS = sim.now.Add(e.clockOffset).UnixMilli()
 	e.stopped = map[workload.TaskRef]workload.RunNumber{}
 	e.deadline = time.Time{}
 	e.runs, e.ends = nil, nil
