Keep runs whose report row cannot be used

A row with a checkpoint over 64 KiB or of another type was dropped, and the report then counted as if nothing ran: the task started a second time, and a finished one again. A row whose task or run cannot be decoded makes the report incomplete: a run that it does not show is stopped and ends only when the time for the stop has passed.

--- a/api/workload/workload.go
+++ b/api/workload/workload.go
@@ -277,4 +277,6 @@
 	StartedAtMS int64
 	Running     []RunningTask
 	Ended       []EndedRun
+	// Incomplete is set if tasks may be running that are not in Running.
+	Incomplete bool
 }
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -89,6 +89,8 @@
 	StopStartUnanswered StopReason = "start_unanswered"
 	// StopOrphan ends a run that no unit of a job expects.
 	StopOrphan StopReason = "orphan"
+	// StopUnlisted ends a run that an incomplete report does not show.
+	StopUnlisted StopReason = "unlisted"
 	// StopMoved ends a run on an executor that leaves or is evacuated, so that it restarts on another.
 	StopMoved StopReason = "moved"
 	// StopStalled ends a run that makes no progress.
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -65,7 +65,7 @@
 		}
 	}
 	if len(r.Ended) < maxReportedEnds {
-		f.endMissingRuns(now, e, sentAt, r.Running)
+		f.endMissingRuns(now, e, sentAt, &r)
 	}
 	f.adjustSpeeds(now, e, r.Running)
 	e.advanceDurableEnd()
@@ -237,8 +237,9 @@
 var noJob = &job{}
 
 // endMissingRuns ends the runs that the executor has lost: those whose start or stop was answered before the poll was
-// sent and that its report shows neither as running nor as ended.
-func (f *Scheduler) endMissingRuns(now time.Time, e *executor, sentAt time.Time, rows []workload.RunningTask) {
+// sent and that its report shows neither as running nor as ended. A run that is missing in an incomplete report may be in
+// progress: it is stopped first, and has ended once the time for that has passed.
+func (f *Scheduler) endMissingRuns(now time.Time, e *executor, sentAt time.Time, report *workload.Report) {
 	if len(e.taskRuns) == 0 {
 		return
 	}
@@ -246,14 +247,18 @@
 		t workload.TaskRef
 		r workload.RunNumber
 	}
-	reported := make(map[key]bool, len(rows))
-	for _, row := range rows {
+	reported := make(map[key]bool, len(report.Running))
+	for _, row := range report.Running {
 		reported[key{row.Task, row.Run}] = true
 	}
 	for _, r := range slices.Clone(e.taskRuns) {
 		expected := r.state == taskRunning && r.confirmedAt.Before(sentAt) || !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(sentAt)
-		if expected && r.state != taskReserved && !reported[key{r.task, r.run}] {
+		switch {
+		case !expected || r.state == taskReserved || reported[key{r.task, r.run}]:
+		case !report.Incomplete || !r.stopAckedAt.IsZero() && sentAt.Sub(r.stopAckedAt) > f.settings.MaxStopTime:
 			f.endRun(now, r, workload.LeaseExpired, "")
+		case !r.stopping:
+			r.stopping, r.stopReason = true, StopUnlisted
 		}
 	}
 }
