--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -89,6 +89,8 @@
 	StopStartUnanswered StopReason = "start_unanswered"
 	// StopOrphan ends a run that no unit of a job expects.
 	StopOrphan StopReason = "orphan"
+	// StopUnlisted ends a run that an incomplete report does not show.
+	StopUnlisted StopReason = "unlisted"
 	// StopMoved ends a run on an executor that leaves or is evacuated, so that it restarts on another.
 	StopMoved StopReason = "moved"
 	// StopAccountLimit frees room below the limit of the account for its guaranteed work.
@@ -122,8 +124,10 @@
 	CountJobsFailed      Counter = "jobs_failed"
 	// CountAwaited counts preemptions that wait for units that end by themselves, CountAwaitFailed those whose wait was in
 	// vain.
-	CountAwaited              Counter = "preemptions_awaiting_ends"
-	CountAwaitFailed          Counter = "preemptions_awaited_in_vain"
+	CountAwaited     Counter = "preemptions_awaiting_ends"
+	CountAwaitFailed Counter = "preemptions_awaited_in_vain"
+	// CountJobsUnrecordable counts the jobs that have ended because the store does not take their progress.
+	CountJobsUnrecordable     Counter = "jobs_unrecordable"
 	CountReservationCancelled Counter = "reservations_given_up"
 	CountExecutorLost         Counter = "executors_lost"
 	// CountWait counts jobs that have waited for long, by reason.
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -76,8 +76,10 @@
 
 	// verified is set once the executor has seen the fencing token of this term and has reported its runs.
 	verified bool
-	// incarnation identifies the executor's process; it increases with each restart.
-	incarnation int64
+	// incarnation identifies the executor's process by its start time, and incarnationSeenAt is when a report first named it.
+	// A later process may have an earlier start time.
+	incarnation       int64
+	incarnationSeenAt time.Time
 	// clock is the executor's clock at local time clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -94,8 +96,10 @@
 	inheritedEntry *workload.RosterEntry
 	closedInRoster bool
 
-	// reportedAt is when the last report was applied, previousReportAt the one before.
+	// reportedAt is when the last report was applied, reportedClock the executor's clock in it. previousReportAt is when the
+	// report before was applied.
 	reportedAt, previousReportAt time.Time
+	reportedClock                time.Duration
 	// pace is the learned pace, where 1 is the typical one; 0 if none is learned.
 	pace       float64
 	polling    bool
@@ -192,7 +196,7 @@
 		})
 		f.sortedExecutors = slices.Insert(f.sortedExecutors, i, e)
 	}
-	if known && e.incarnation != 0 && info.StartedAtMS > e.incarnation {
+	if known && e.incarnation != 0 && info.StartedAtMS != e.incarnation && info.StartedAtMS != e.info.StartedAtMS {
 		// Only a report of the executor itself shows that it has restarted.
 		e.verified = false
 	}
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -62,6 +62,8 @@
 	saveInFlight bool
 	nextSaveAt   time.Time
 	runTimes     runTimes
+	// rejections finds the entries that the store refuses for good.
+	rejections rejections
 	// savedRosterVersion is the version of the roster that was last saved.
 	savedRosterVersion int64
 
