Keep the flood of one account from other accounts' capacity

Marking jobs beyond an account's rate and placing them last did not isolate the others: excess work still took what a waiting gang needs. While capacity is short and other work waits for it, excess work does not start (account_rate).

--- a/decisions/fleet/orders_test.go
+++ b/decisions/fleet/orders_test.go
@@ -140,26 +140,6 @@
 		s := &a.job.Steps[0]
 		return float64(s.Count*weightedMillicores(s.Need)) * a.runTime.Seconds()
 	}
-	credit := func(a arrival) sum {
-		k := &jobKinds[a.kind]
-		route := sim.config.Route(a.job.Queue)
-		objective := time.Duration(route.Stretch*float64(a.runTime)) + route.Latency
-		var end time.Time
-		for i := range a.job.Steps[0].Count {
-			at, ok := sim.doneAt[workload.TaskRef{Job: a.job.ID, Index: i}]
-			if !ok {
-				return sum{0, k.credit}
-			}
-			end = latest(end, at)
-		}
-		switch took := end.Sub(a.job.Accepted); {
-		case took <= objective:
-			return sum{k.credit, k.credit}
-		case took <= expiryFactor*objective:
-			return sum{k.lateCredit, k.credit}
-		}
-		return sum{0, k.credit}
-	}
 	add := func(to *sum, s sum) { to.earned, to.owed = to.earned+s.earned, to.owed+s.owed }
 	for i := range jobKinds {
 		var ofKind []arrival
@@ -171,7 +151,7 @@
 		slices.SortFunc(ofKind, func(a, b arrival) int { return cmp.Compare(size(b), size(a)) })
 		byKind[i] = &sum{}
 		for n, a := range ofKind {
-			s := credit(a)
+			s := sum{sim.creditOf(&a), jobKinds[a.kind].credit}
 			if byAccount[a.job.Account] == nil {
 				byAccount[a.job.Account] = &sum{}
 			}
@@ -192,6 +172,28 @@
 	}
 }
 
+// creditOf returns the credit that a job has earned.
+func (sim *simulation) creditOf(a *arrival) float64 {
+	k := &jobKinds[a.kind]
+	route := sim.config.Route(a.job.Queue)
+	objective := time.Duration(route.Stretch*float64(a.runTime)) + route.Latency
+	var end time.Time
+	for i := range a.job.Steps[0].Count {
+		at, ok := sim.doneAt[workload.TaskRef{Job: a.job.ID, Index: i}]
+		if !ok {
+			return 0
+		}
+		end = latest(end, at)
+	}
+	switch took := end.Sub(a.job.Accepted); {
+	case took <= objective:
+		return k.credit
+	case took <= expiryFactor*objective:
+		return k.lateCredit
+	}
+	return 0
+}
+
 // TestOrderOverload guards against an order of jobs that earns no more credit than first come, first served in an
 // overload with bursts, because work that is late already delays work that can still be in time.
 func TestOrderOverload(t *testing.T) {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -22,7 +22,12 @@
 	usable := slices.DeleteFunc(slices.Clone(f.sortedExecutors), func(e *executor) bool { return !f.eligible(now, e) })
 	budget := f.headroom(now, usable)
 	var filter backfill
+	roomNeeded := false
 	for _, c := range waiting {
+		if c.Excess && roomNeeded && budget.lowCapacity {
+			setWaiting(c.units, WaitAccountRate)
+			continue
+		}
 		first := c.units[0]
 		c.expected = f.runTimes.expected(first.job.rec.Queue, first.spec().Estimate)
 		if c.Class <= classUrgent || first.spec().LongRunning || filter.permits(now, c.expected) {
@@ -30,6 +35,7 @@
 		} else {
 			setWaiting(c.units, WaitGang)
 		}
+		roomNeeded = roomNeeded || !c.Excess && c.needsRoom()
 	}
 }
 
--- a/decisions/fleet/rate.go
+++ b/decisions/fleet/rate.go
@@ -40,6 +40,14 @@
 	f.unmarkedJobs = f.unmarkedJobs[:0]
 }
 
+// needsRoom reports whether a unit of a candidate waits because capacity is short. Excess work does not take what becomes
+// free then: it would keep larger units waiting.
+func (c *candidate) needsRoom() bool {
+	return slices.ContainsFunc(c.units, func(u *unit) bool {
+		return u.state == unitPending && (u.waitsFor == WaitCapacity || u.waitsFor == WaitHeadroom || u.waitsFor == WaitGang)
+	})
+}
+
 // submittedAt returns when a job was accepted. The clock of the accepting VM may be ahead.
 func (j *job) submittedAt() time.Time {
 	if j.rec.Accepted.IsZero() || j.rec.Accepted.After(j.arrivedAt) {
--- a/decisions/fleet/waiting.go
+++ b/decisions/fleet/waiting.go
@@ -26,6 +26,8 @@
 	// WaitAccountLimit means that the account's runs occupy its limit, or that the room below the limit is kept for other
 	// work of the account.
 	WaitAccountLimit WaitReason = "account_limit"
+	// WaitAccountRate means that the job exceeds the rate of its account and that other work waits for capacity.
+	WaitAccountRate WaitReason = "account_rate"
 	// WaitCapacity means that the unit does not fit on the executors that may run it.
 	WaitCapacity WaitReason = "capacity"
 )
