Leave more memory outside the limit of the Go runtime

With seven eighths of 64 MiB the resident peak reached 59,504 KiB of 65,536 in one of five runs of tests/crowd at a load average of 20 (TestChangeOfHolder), since the pages of the program are outside of the limit.

Third of the five runs: TestWholeBodies failed before its crowd, because two listeners of the daemon had got the same random port, and TestChangeOfHolder was not run (time limit of the command). The harness takes all ports of a VM at once now.

--- a/node/daemon/clients.go
+++ b/node/daemon/clients.go
@@ -52,6 +52,11 @@
 	return int(l.Cur)
 }
 
-// limitRuntimeMemory makes the garbage collector run more often before the VM's memory is used up. An eighth is left for the
-// program's code and for what the kernel holds for its sockets.
-func limitRuntimeMemory(memory int64) { debug.SetMemoryLimit(memory / 8 * 7) }
+// minOutsideRuntime is the least memory left outside the limit of the Go runtime: the pages of the program, about 10 MB, and
+// what the kernel holds for its sockets.
+const minOutsideRuntime = 16 << 20
+
+// limitRuntimeMemory makes the garbage collector run more often before the VM's memory is used up.
+func limitRuntimeMemory(memory int64) {
+	debug.SetMemoryLimit(memory - max(memory/8, minOutsideRuntime))
+}
--- a/tests/crowd/harness_test.go
+++ b/tests/crowd/harness_test.go
@@ -96,18 +96,25 @@
 	return l
 }
 
-// freeAddress returns a loopback address on which nothing listens. Its port is below those of outgoing connections.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns n different loopback addresses on which nothing listens. Their ports are below those of outgoing
+// connections.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	for range 100 {
+	var out []string
+	for range 100 * n {
 		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		// The port stays taken until all are chosen.
+		defer l.Close()
+		if out = append(out, address); len(out) == n {
+			return out
 		}
 	}
 	t.Fatal("no free port")
-	return ""
+	return nil
 }
 
 // newFleet starts a store, an executor and entry VMs, and waits until each VM has served an ordinary request.
@@ -154,11 +161,12 @@
 func (f *fleet) addVM(name, storeAddress string) {
 	f.t.Helper()
 	dir := f.t.TempDir()
-	v := &vm{name: name, front: freeAddress(f.t), log: filepath.Join(dir, "log"), ended: make(chan struct{})}
+	free := freeAddresses(f.t, 4)
+	v := &vm{name: name, front: free[0], log: filepath.Join(dir, "log"), ended: make(chan struct{})}
 	settings := filepath.Join(dir, "settings.ini")
 	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n"+
 		"[platform]\nstore = %s\npeers =\n[limits]\nmemory = %dMiB\n[executor]\nlongest_lease = 3s\nstop_bound = 100ms\n[timing]\ngrace = 4s\nlame_duck = 300ms\n",
-		name, v.front, freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), storeAddress, memoryMiB)
+		name, free[0], free[1], free[2], free[3], storeAddress, memoryMiB)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
