--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -29,6 +29,9 @@
 	Records recordlimit.Settings
 }
 
+// limitedLogInterval is the time between two log lines about accounts that exceed their records.
+const limitedLogInterval = 10 * time.Second
+
 // Service handles client calls. It keeps the last published configuration and holder, and opens no connections except
 // those of the store client.
 type Service struct {
@@ -43,6 +46,9 @@
 	undecidedAt time.Time
 	// records bounds what each account adds to the store.
 	records *recordlimit.Limiter
+	// limited counts the calls refused by records since limitedLogged, the time of the last log line about them.
+	limited       int
+	limitedLogged time.Time
 }
 
 // Store is the part of the store's client that the service uses.
@@ -131,9 +137,14 @@
 
 // limitRecords counts what a call adds to the store. It returns a failure if that exceeds the limits of the account.
 func (s *Service) limitRecords(account workload.Account, k recordlimit.Kind, units int) *failure.Error {
-	if s.records.Allow(time.Now(), account, k, units) {
+	now := time.Now()
+	if s.records.Allow(now, account, k, units) {
 		return nil
 	}
+	if s.limited++; now.Sub(s.limitedLogged) >= limitedLogInterval {
+		s.log("calls refused because an account exceeds its records", "account", account, "calls", s.limited)
+		s.limited, s.limitedLogged = 0, now
+	}
 	return failure.New(failure.RateLimited, "the account exceeds its records a second, or in ten minutes")
 }
 
@@ -173,6 +184,11 @@
 // refuse fails a call, counts the reason and logs it.
 func (s *Service) refuse(e kernel.Envelope, call string, id any, f *failure.Error) {
 	s.metrics.CountRefusal(f)
+	if f.Reason == failure.RateLimited {
+		// limitRecords logs bursts of these.
+		e.Fail(f)
+		return
+	}
 	version := int64(0)
 	if s.config != nil {
 		version = s.config.Version
