Keep the jobs of an account from the keys of others

Any known key read and cancelled the jobs of all accounts, on any route, and a submission with the identifier of another account's job was answered as accepted. GET and DELETE now answer 410 and POST 409 there. The holder names the owner in its answers, and the store is read for the job before its progress.

--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -98,7 +98,11 @@
 func (CancelCall) Kind() string { return "cancel_call" }
 
 // StateReply is the state of a job.
-type StateReply struct{ State workload.State }
+type StateReply struct {
+	State workload.State
+	// Owner is the owner of the job in replies of the holder; empty in those of earlier builds.
+	Owner workload.Owner
+}
 
 // Kind implements kernel.Message.
 func (StateReply) Kind() string { return "state_reply" }
@@ -154,6 +158,9 @@
 	Account workload.Account
 	// Within is the time in which the reply is needed.
 	Within time.Duration
+	// KeyHash and PublicQueue complete the caller; they are empty in messages of earlier builds.
+	KeyHash     string
+	PublicQueue workload.Queue
 }
 
 // Kind implements kernel.Message.
--- a/api/workload/workload.go
+++ b/api/workload/workload.go
@@ -105,6 +105,8 @@
 	ID      JobID
 	Queue   Queue
 	Account Account
+	// KeyHash is the HashKey of the API key with which the job was submitted, or empty.
+	KeyHash string `json:",omitempty"`
 	// Spec is passed to every task as it was received.
 	Spec  string
 	Steps []Step
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -232,6 +232,14 @@
 	}
 }
 
+// JobOwner returns the owner of a job, or the zero value if the job is not known.
+func (f *Scheduler) JobOwner(id workload.JobID) workload.Owner {
+	if j, ok := f.jobs[id]; ok {
+		return j.rec.Owner()
+	}
+	return workload.Owner{}
+}
+
 // WaitingJobs returns the number of unfinished jobs of a queue of which no task has started.
 func (f *Scheduler) WaitingJobs(q workload.Queue) int {
 	n := 0
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -183,7 +183,7 @@
 		s.requestPlan(c)
 	case message.StateQuery:
 		state, _ := t.fleet.Status(m.ID)
-		e.Reply(message.StateReply{State: state})
+		e.Reply(message.StateReply{State: state, Owner: t.fleet.JobOwner(m.ID)})
 	case message.EvacuateExecutors:
 		t.fleet.SetEvacuating(m.Executors)
 		e.Reply(message.OccupiedExecutors{Executors: t.fleet.OccupiedExecutors()})
--- a/services/intake/deadline_test.go
+++ b/services/intake/deadline_test.go
@@ -92,10 +92,16 @@
 // startVM starts the intake of a VM that relays calls to another one.
 func startVM(t *testing.T, store Store, relay kernel.Service) *kernel.Kernel {
 	t.Helper()
-	config := (&workload.Config{
+	return startVMWith(t, store, relay, &workload.Config{
 		Version: 1, Routes: []workload.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "pool"}},
 		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{"k"}}},
-	}).Index()
+	})
+}
+
+// startVMWith is startVM with a configuration.
+func startVMWith(t *testing.T, store Store, relay kernel.Service, config *workload.Config) *kernel.Kernel {
+	t.Helper()
+	config.Index()
 	k, err := kernel.New(nil, New(Settings{VM: "vm"}, store, metrics.New()).Spec(),
 		kernel.Spec{Name: names.Catalog, Service: publisher{}}, kernel.Spec{Name: names.Holder, Service: publisher{}},
 		kernel.Spec{Name: names.Relay, Service: relay},
--- a/services/intake/read.go
+++ b/services/intake/read.go
@@ -29,7 +29,7 @@
 type cancelDone struct {
 	env       kernel.Envelope
 	id        workload.JobID
-	account   workload.Account
+	caller    workload.Caller
 	deadline  time.Time
 	mayRelay  bool
 	startedAt time.Time
@@ -58,10 +58,14 @@
 		s.refuse(e, "read", a.subpath, f)
 		return
 	}
-	deadline := m.Deadline.Add(-replyMargin)
+	deadline, config, caller := m.Deadline.Add(-replyMargin), s.config, a.caller
 	s.askHolder(c, message.StateQuery{ID: id}, queryTimeout, func(r kernel.Message, err error) {
 		if state, ok := r.(message.StateReply); err == nil && ok && state.State != "" {
-			e.Reply(state)
+			if !mayAccess(config, caller, state.Owner) {
+				s.refuse(e, "read", id, foreignJob())
+				return
+			}
+			e.Reply(message.StateReply{State: state.State})
 			return
 		}
 		// The holder does not know the job or does not answer: the state comes from the store.
@@ -69,7 +73,7 @@
 		c.Spawn(func(ctx context.Context) kernel.Message {
 			ctx, cancel := context.WithDeadline(ctx, deadline)
 			defer cancel()
-			state, f := s.readStoredState(ctx, id)
+			state, f := s.readStoredState(ctx, id, config, caller)
 			return lookupDone{env: e, id: id, state: state, failure: f}
 		})
 	})
@@ -85,32 +89,42 @@
 	})
 }
 
+// foreignJob is the failure of a call about a job of another account. The caller gets the answer for a job that does not
+// exist; only the log shows the difference.
+func foreignJob() *failure.Error {
+	return failure.New(failure.JobGone, "the job belongs to another account")
+}
+
+func noJob() *failure.Error { return failure.New(failure.JobGone, "no such job") }
+
 // readStoredState reads the state of a job from the store. A job with recorded progress but no recorded end is running.
-func (s *Service) readStoredState(ctx context.Context, id workload.JobID) (workload.State, *failure.Error) {
+func (s *Service) readStoredState(ctx context.Context, id workload.JobID, config *workload.Config, caller workload.Caller) (workload.State, *failure.Error) {
 	var missing *metastore.NotFoundError
-	item, err := s.store.Get(ctx, records.ProgressKey(id))
+	item, err := s.store.Get(ctx, records.JobKey(id))
 	switch {
-	case err == nil:
-		p, err := records.Decode[workload.Progress](item.Key, item.Value)
-		if err != nil {
-			return "", failure.New(failure.Internal, "%v", err)
-		}
-		if p.State.Final() {
-			return p.State, nil
-		}
-		return workload.StateRunning, nil
-	case !errors.As(err, &missing):
+	case errors.As(err, &missing):
+		return "", noJob()
+	case err == nil && !mayAccess(config, caller, decodeOwner(&item)):
+		return "", foreignJob()
+	case err != nil:
 		return "", failure.New(failure.StoreUnavailable, "%v", err)
 	}
-	_, err = s.store.Get(ctx, records.JobKey(id))
+	item, err = s.store.Get(ctx, records.ProgressKey(id))
 	switch {
-	case err == nil:
-		return workload.StateQueued, nil
 	case errors.As(err, &missing):
-		return "", failure.New(failure.JobGone, "no such job")
-	default:
+		return workload.StateQueued, nil
+	case err != nil:
 		return "", failure.New(failure.StoreUnavailable, "%v", err)
 	}
+	p, err := records.Decode[workload.Progress](item.Key, item.Value)
+	switch {
+	case err != nil:
+		return "", failure.New(failure.Internal, "%v", err)
+	case p.State.Final():
+		return p.State, nil
+	default:
+		return workload.StateRunning, nil
+	}
 }
 
 func (s *Service) handleLookupDone(_ *kernel.Context, m lookupDone) {
@@ -133,12 +147,13 @@
 		s.refuse(e, "cancel", a.subpath, f)
 		return
 	}
-	s.storeCancel(c, cancelDone{env: e, id: id, account: a.account, deadline: m.Deadline.Add(-replyMargin), mayRelay: true})
+	s.storeCancel(c, cancelDone{env: e, id: id, caller: a.caller, deadline: m.Deadline.Add(-replyMargin), mayRelay: true})
 }
 
 // storeCancel stores a cancellation. out holds the call and receives the result.
 func (s *Service) storeCancel(c *kernel.Context, out cancelDone) {
 	out.startedAt = time.Now()
+	config := s.config
 	if !s.storeAvailable() {
 		if !out.mayRelay || !s.relayCancel(c, out) {
 			s.refuse(out.env, "cancel", out.id, failure.New(failure.StoreUnavailable, "the store does not answer"))
@@ -148,33 +163,44 @@
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithDeadline(ctx, out.deadline)
 		defer cancel()
-		out.failure = s.recordCancel(ctx, out.id, out.account, out.deadline)
+		out.failure = s.recordCancel(ctx, out.id, config, out.caller, out.deadline)
 		return out
 	})
 }
 
 // recordCancel stores the cancellation of a job. If the job is not stored, it stores a tombstone, which keeps a submission
-// that is still on its way from being accepted, and returns JobGone.
-func (s *Service) recordCancel(ctx context.Context, id workload.JobID, account workload.Account, deadline time.Time) *failure.Error {
-	_, err := s.store.Get(ctx, records.JobKey(id))
-	var missing *metastore.NotFoundError
+// that is still on its way from being accepted, and returns JobGone. A job of another account is left unchanged.
+func (s *Service) recordCancel(ctx context.Context, id workload.JobID, config *workload.Config, caller workload.Caller, deadline time.Time) *failure.Error {
+	var (
+		missing *metastore.NotFoundError
+		owner   workload.Owner
+	)
+	item, err := s.store.Get(ctx, records.JobKey(id))
 	switch {
+	case err == nil:
+		owner = decodeOwner(&item)
 	case errors.As(err, &missing):
 		_, conflict, f := s.commit(ctx, metastore.Txn{
 			Conditions: []metastore.Condition{{Key: records.JobKey(id)}},
-			Writes:     []metastore.Write{{Key: records.TombstoneKey(id, account), Value: records.Encode(records.Tombstone{Account: account})}},
+			Writes: []metastore.Write{{
+				Key: records.TombstoneKey(id, caller.Account), Value: records.Encode(records.Tombstone{Account: caller.Account}),
+			}},
 		}, deadline)
 		if f != nil {
 			return f
 		}
 		if conflict == nil {
 			s.metrics.CountEvent("tombstones_stored", 1)
-			return failure.New(failure.JobGone, "no such job")
+			return noJob()
 		}
 		// The job was stored after it was read.
-	case err != nil:
+		owner = storedOwner(conflict, records.JobKey(id))
+	default:
 		return failure.New(failure.StoreUnavailable, "%v", err)
 	}
+	if !mayAccess(config, caller, owner) {
+		return foreignJob()
+	}
 	_, _, f := s.commit(ctx, metastore.Txn{Writes: []metastore.Write{{Key: records.CancelKey(id), Value: []byte("{}")}}}, deadline)
 	return f
 }
@@ -196,7 +222,7 @@
 // relayCancel relays a cancellation to a VM that may reach the store; see relay.
 func (s *Service) relayCancel(c *kernel.Context, m cancelDone) bool {
 	newBody := func(within time.Duration) kernel.Message {
-		return message.AcceptCancel{ID: m.id, Account: m.account, Within: within}
+		return message.AcceptCancel{ID: m.id, Account: m.caller.Account, Within: within, KeyHash: m.caller.KeyHash, PublicQueue: m.caller.PublicQueue}
 	}
 	return s.relay(c, m.deadline, newBody, func(_ string, r kernel.Message, err error) {
 		if err != nil {
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -97,7 +97,9 @@
 		}
 		s.accept(c, m.Job, relayedDeadline(m.Within), e, false)
 	case message.AcceptCancel:
-		s.storeCancel(c, cancelDone{env: e, id: m.ID, account: m.Account, deadline: relayedDeadline(m.Within)})
+		s.storeCancel(c, cancelDone{
+			env: e, id: m.ID, caller: workload.Caller{Account: m.Account, KeyHash: m.KeyHash, PublicQueue: m.PublicQueue}, deadline: relayedDeadline(m.Within),
+		})
 	case storeDone:
 		s.handleStoreDone(c, m)
 	case cancelDone:
@@ -109,8 +111,8 @@
 
 // admitted is a client call that the configuration permits.
 type admitted struct {
-	route   *workload.Route
-	account workload.Account
+	route  *workload.Route
+	caller workload.Caller
 	// subpath is the part of the path after the route's prefix.
 	subpath string
 }
@@ -128,7 +130,11 @@
 	if !ok && !r.Public {
 		return admitted{}, failure.New(failure.Unauthorized, "unknown key")
 	}
-	return admitted{route: r, account: account, subpath: strings.TrimPrefix(m.Path, r.Prefix)}, nil
+	caller := workload.Caller{Account: account, KeyHash: workload.HashKey(m.Key)}
+	if r.Public {
+		caller.PublicQueue = r.Name
+	}
+	return admitted{route: r, caller: caller, subpath: strings.TrimPrefix(m.Path, r.Prefix)}, nil
 }
 
 // jobID parses the job's identifier from the path.
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -78,7 +78,8 @@
 		return
 	}
 	job := m.Job
-	job.ID, job.Queue, job.Account, job.Route, job.Accepted = id, a.route.Name, a.account, *a.route, time.Now()
+	job.ID, job.Queue, job.Account, job.Route, job.Accepted = id, a.route.Name, a.caller.Account, *a.route, time.Now()
+	job.KeyHash = a.caller.KeyHash
 	s.accept(c, job, m.Deadline.Add(-replyMargin), e, true)
 }
 
@@ -104,6 +105,10 @@
 		Conditions: []metastore.Condition{{Key: records.JobKey(job.ID)}, {Key: records.TombstoneKey(job.ID, job.Account)}},
 		Writes:     []metastore.Write{{Key: records.JobKey(job.ID), Value: value}},
 	}
+	config, caller := s.config, workload.Caller{Account: job.Account, KeyHash: job.KeyHash}
+	if job.Route.Public {
+		caller.PublicQueue = job.Queue
+	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		var conflict *metastore.ConflictError
 		out.revision, conflict, out.failure = s.commit(ctx, txn, deadline)
@@ -112,6 +117,8 @@
 			if out.existed = out.revision > 0; !out.existed {
 				// An earlier attempt without an answer can't be applied either, because its conditions do not hold.
 				out.failure = failure.New(failure.JobGone, "the job was cancelled before it was stored")
+			} else if !mayAccess(config, caller, storedOwner(conflict, records.JobKey(job.ID))) {
+				out.failure = failure.New(failure.KeyReused, "a job of another account has this identifier")
 			}
 		}
 		return out
@@ -187,6 +194,30 @@
 	return 0
 }
 
+// storedOwner returns the owner of the job that a conflict shows under a key, or the zero value if it cannot be decoded.
+func storedOwner(e *metastore.ConflictError, key string) workload.Owner {
+	for i := range e.Items {
+		if e.Items[i].Key == key {
+			return decodeOwner(&e.Items[i])
+		}
+	}
+	return workload.Owner{}
+}
+
+// decodeOwner returns the owner of a stored job, or the zero value if it cannot be decoded.
+func decodeOwner(item *metastore.Item) workload.Owner {
+	job, err := records.Decode[workload.Job](item.Key, item.Value)
+	if err != nil {
+		return workload.Owner{}
+	}
+	return job.Owner()
+}
+
+// mayAccess is Config.MayAccess for a configuration that may not be known yet, as for a call that another VM has relayed.
+func mayAccess(c *workload.Config, caller workload.Caller, o workload.Owner) bool {
+	return c == nil || c.MayAccess(caller, o)
+}
+
 // handleStoreDone replies to a submission.
 func (s *Service) handleStoreDone(c *kernel.Context, m storeDone) {
 	if m.failure != nil {
@@ -246,7 +277,7 @@
 		switch {
 		case f.Outcome == failure.NotRun && f.Reason.HTTPStatus() == http.StatusServiceUnavailable:
 			f = failure.New(failure.StoreUnavailable, "%s", f.Error())
-		case f.Outcome == failure.NotRun && (f.Reason == failure.JobGone || f.Reason == failure.TooLarge):
+		case f.Outcome == failure.NotRun && (f.Reason == failure.JobGone || f.Reason == failure.TooLarge || f.Reason == failure.KeyReused):
 		default:
 			f = failure.New(failure.AcceptanceUnknown, "%s", f.Detail)
 		}
