Keep late ends of a lasting task from its job and its present run

A new holder learns of ends that the one before did not acknowledge. Failed ends of earlier runs counted as attempts of a long-running task, so that its job ended as failed after max_attempts of them, and a done end stopped the present run. Tasks that last have no limit of attempts.

Before: TestLateFailuresOfLastingTask: "the job is failed with 3 failed runs". After: decisions/fleet passes.

--- /dev/null
+++ b/decisions/fleet/lasting_test.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaflow/verbenaflow/api/workload"
+)
+
+// TestLateFailuresOfLastingTask guards against a long-running job that ends as failed, or whose run is stopped, because ends of
+// earlier runs of its task are reported after the task has started again, such as after a change of holders.
+func TestLateFailuresOfLastingTask(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f := New(Settings{Lease: 6 * time.Second, HolderLease: HolderLease, RenewalGrace: RenewalGrace}, 1, 1, false, now)
+	f.SetConfig((&workload.Config{Version: 1, Routes: []workload.Route{{Name: "batch", Pool: "pool", MaxAttempts: 3, Stretch: 3}}}).Index())
+	f.UpsertExecutor(now, workload.Executor{ID: "e", Pool: "pool", Address: "e", Capacity: workload.Resources{CPU: 32000, Memory: 64000, GPU: 8}, StartedAtMS: 1})
+	actions, _ := f.Plan(now)
+	f.Report(now, "e", now, find[Poll](t, actions), workload.Report{Clock: time.Second, StartedAtMS: 1})
+	f.AddJob(now, oneStep("j", "batch", workload.Step{Count: 1, LongRunning: true, Need: smallTask}), 2, nil)
+	f.Plan(now)
+	f.MarkRecorded(f.UnrecordedProgress(10))
+	f.Plan(now)
+	task := workload.TaskRef{Job: "j"}
+	run := f.jobs["j"].units[0].run
+	now = now.Add(time.Second)
+	report := workload.Report{Clock: 2 * time.Second, StartedAtMS: 1, Running: []workload.RunningTask{{Task: task, Run: run}}}
+	for i := range 4 {
+		report.Ended = append(report.Ended, workload.EndedRun{Number: int64(i + 1), Task: task, Run: workload.RunNumber(i + 1), Outcome: workload.Failed})
+	}
+	report.Ended = append(report.Ended, workload.EndedRun{Number: 5, Task: task, Run: 5, Outcome: workload.Done})
+	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, report)
+	if j := f.jobs["j"]; j.state.Final() || j.units[0].failures() > 0 || j.units[0].ending {
+		t.Errorf("the job is %q with %d failed runs, ending %v, want it to go on without a count", j.state, j.units[0].failures(), j.units[0].ending)
+	}
+}
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -212,10 +212,10 @@
 	}
 	r := e.find(row.Task, row.Run)
 	if r == nil && u != nil {
-		// The run ended before this holder learned of it.
+		// The run ended before this holder learned of it. A late end of a task that lasts has no meaning for its present run.
 		if row.Outcome == workload.Failed && u.state == unitActive && u.run != row.Run {
 			f.recordFailure(now, u, row.Run, e)
-		} else if row.Outcome == workload.Done || u.state != unitActive || u.run == row.Run {
+		} else if row.Outcome == workload.Done && !u.spec().LongRunning || u.state != unitActive || u.run == row.Run {
 			r = &taskRun{unit: u, task: row.Task, run: row.Run, executor: e, state: taskRunning}
 		}
 	}
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -98,6 +98,10 @@
 // recordFailure records a failed run of a unit, and ends the job if the unit has no attempts left. The tasks of a gang
 // fail together and count once.
 func (f *Scheduler) recordFailure(now time.Time, u *unit, run workload.RunNumber, e *executor) {
+	if u.spec().LongRunning {
+		// Tasks that last have no limit of attempts.
+		return
+	}
 	if slices.Contains(u.failedRuns, run) || u.earlierFailures > 0 && run < slices.Min(u.failedRuns) {
 		return
 	}
