--- a/api/workload/workload.go
+++ b/api/workload/workload.go
@@ -110,7 +110,7 @@
 	// Route is the queue's configuration at the acceptance. It applies until a newer one is known.
 	Route Route
 	// AccountLimit is the limit of the account at the acceptance. It applies if the account is removed.
-	AccountLimit Resources
+	AccountLimit Resources `json:",omitzero"`
 }
 
 // OccurrenceCount returns the number of times that the steps run.
