Check that a VM serves the largest body once the crowd has left

Memory of clients that is not given back would end with refusals of ordinary callers, which the small request of the other check may not notice.

--- a/tests/crowd/crowd_test.go
+++ b/tests/crowd/crowd_test.go
@@ -115,8 +115,10 @@
 	f := newFleet(t, 1)
 	v := f.vms[0]
 	check := f.watch(v)
-	f.crowd(v, n, say)
+	leave := f.crowd(v, n, say)
 	f.checkServed(v)
+	leave()
+	f.checkRoomReturned(v)
 	check()
 }
 
--- a/tests/crowd/harness_test.go
+++ b/tests/crowd/harness_test.go
@@ -329,8 +329,8 @@
 type member func(w *bufio.Writer)
 
 // crowd opens n connections to a VM, lets each say what it has to say, all at once, and returns when all have stopped or
-// their connections were closed. No member reads.
-func (f *fleet) crowd(v *vm, n int, say member) {
+// their connections were closed. No member reads. leave closes the connections.
+func (f *fleet) crowd(v *vm, n int, say member) (leave func()) {
 	f.t.Helper()
 	var wg conc.WaitGroup
 	conns := make([]net.Conn, n)
@@ -349,12 +349,38 @@
 		})
 	}
 	wg.Wait()
-	f.t.Cleanup(func() {
+	leave = func() {
 		for _, c := range conns {
 			if c != nil {
 				c.Close()
 			}
 		}
+	}
+	f.t.Cleanup(leave)
+	return leave
+}
+
+// checkRoomReturned checks that a VM serves a submission of the largest legal size once the crowd has left.
+func (f *fleet) checkRoomReturned(v *vm) {
+	f.t.Helper()
+	const job = `{"spec":"10ms","steps":[{"count":1,"cpu":1000}]}`
+	text := job + strings.Repeat(" ", front.MaxBodyBytes-len(job))
+	f.eventually(fmt.Sprintf("a submission of %d bytes", len(text)), func() bool {
+		ctx, cancel := context.WithTimeout(f.t.Context(), waitLimit)
+		defer cancel()
+		f.lastID++
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%s%016x", v.front, prefix, 1<<20+f.lastID), strings.NewReader(text))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		req.Host = hostName
+		req.Header.Set("Authorization", "Bearer "+apiKey)
+		resp, err := f.http.Do(req)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
 	})
 }
 
