Count a panic before its caller learns of it

A service that recovered from a panic failed the call first and was counted and logged afterwards, so that whoever got the failure could look at the counters too early.

--- a/kernel/recover.go
+++ b/kernel/recover.go
@@ -27,10 +27,11 @@
 
 // recoverFrom lets a Recoverer restore its state. It panics, which stops the kernel, if the service cannot.
 func (r *runner) recoverFrom(c *Context, e Envelope, p *PanicError) {
-	e.Fail(p)
+	// The panic is counted and logged before the caller learns of it.
 	if o, ok := r.kernel.observer.(PanicObserver); ok {
 		o.ServiceRecovered(p)
 	}
+	e.Fail(p)
 	if !r.spec.Service.(Recoverer).Recover(c, p) {
 		panic(p.Value)
 	}
