Let the stand-in of executors end an incomplete gang as executors do

TestHolderFrozen/3s failed once with "5 runs of 6 tasks": the holder was frozen while it started the sixth member of a gang, and the stand-in let the five others work to their end, so that one end counted for all. Real executors start the work of a gang when all members of the run are present, end an incomplete one as alone after gang_ms, end it as broken with the first member that ends otherwise, and let all be done together (PROTOCOL.md). The stand-in now does so for all gangs of tests/fleet.

The test's bound stays: six runs that work. A gang of which the frozen holder had started a part is stopped and started as a whole, so runs that waited for their gang and never worked are counted apart; at most the five of one incomplete start are allowed. TestIncompleteGangAtHandover brings about such a start on purpose.

--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -31,6 +31,8 @@
 	EndAcknowledged bool
 	// SpeedPercent is the share of its full speed at which the run was last ordered to work.
 	SpeedPercent int
+	// Worked is set once the run has worked: from its start, or from when all members of its gang were present.
+	Worked bool
 }
 
 // Executor is the stand-in for one executor. Run owns its state; all other methods send calls to Run and are safe for
@@ -38,6 +40,7 @@
 // it.
 type Executor struct {
 	info  workload.Executor
+	gangs *Gangs
 	calls chan func(*state)
 }
 
@@ -45,6 +48,8 @@
 
 type state struct {
 	info workload.Executor
+	// gangs is nil if the tasks of gangs run independently.
+	gangs *Gangs
 	// boot is the start time of the incarnation, fence the highest fencing token seen and deadline the end of the lease.
 	boot     time.Time
 	fence    workload.FencingToken
@@ -69,7 +74,10 @@
 	task   workload.TaskRef
 	number workload.RunNumber
 	endsAt time.Time
-	record *RunRecord
+	// duration is the run time and members the size of the gang, 0 for a task that runs independently.
+	duration time.Duration
+	members  int
+	record   *RunRecord
 }
 
 // percent returns the progress of a run.
@@ -81,15 +89,19 @@
 	return int(100 * min(total, now.Sub(r.record.Started)) / total)
 }
 
-// New returns an executor. A task runs for the duration in its specification, such as "300ms"; it fails at once if the
-// specification is not a duration.
-func New(info workload.Executor) *Executor {
-	return &Executor{info: info, calls: make(chan func(*state))}
+// New returns an executor on which the tasks of gangs run independently. A task runs for the duration in its
+// specification, such as "300ms"; it fails at once if the specification is not a duration.
+func New(info workload.Executor) *Executor { return NewWithGangs(info, nil) }
+
+// NewWithGangs returns an executor on which tasks with a GangSpec work and end as their gang does. All executors of a
+// platform share gangs.
+func NewWithGangs(info workload.Executor, gangs *Gangs) *Executor {
+	return &Executor{info: info, gangs: gangs, calls: make(chan func(*state))}
 }
 
 // Run serves until ctx ends.
 func (e *Executor) Run(ctx context.Context) {
-	st := &state{info: e.info, boot: time.Now(), highestRun: map[workload.TaskRef]workload.RunNumber{}, unacknowledged: map[int64]*RunRecord{}, nextEnd: make(chan struct{})}
+	st := &state{info: e.info, gangs: e.gangs, boot: time.Now(), highestRun: map[workload.TaskRef]workload.RunNumber{}, unacknowledged: map[int64]*RunRecord{}, nextEnd: make(chan struct{})}
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
@@ -131,6 +143,9 @@
 		now := time.Now()
 		for _, r := range st.runs {
 			r.record.Ended, r.record.Outcome = now, workload.LeaseExpired
+			if r.members > 0 {
+				st.gangs.leave(r, workload.LeaseExpired)
+			}
 		}
 		st.runs, st.ended, st.lastEndNumber, st.fence, st.deadline = nil, nil, 0, 0, time.Time{}
 		clear(st.unacknowledged)
@@ -251,12 +266,18 @@
 		st.overCapacity++
 	}
 	r := st.runs[len(st.runs)-1]
-	duration, err := time.ParseDuration(o.Spec)
+	duration, members, err := parseSpec(o.Spec)
 	if err != nil {
 		st.endRun(r, workload.Failed)
 		return nil
 	}
-	r.endsAt = now.Add(duration)
+	r.duration, r.endsAt = duration, now.Add(duration)
+	if members > 0 && st.gangs != nil {
+		r.members = members
+		st.gangs.join(r)
+	} else {
+		record.Worked = true
+	}
 	return nil
 }
 
@@ -280,6 +301,8 @@
 		switch {
 		case now.After(st.deadline):
 			st.endRun(r, workload.LeaseExpired)
+		case r.members > 0:
+			st.advanceMember(now, r)
 		case now.After(r.endsAt):
 			st.endRun(r, workload.Done)
 		}
@@ -293,6 +316,9 @@
 	st.highestRun[r.task] = max(st.highestRun[r.task], r.number)
 	st.ended = append(st.ended, workload.EndedRun{Number: st.lastEndNumber, Task: r.task, Run: r.number, Outcome: outcome})
 	r.record.Ended, r.record.Outcome = time.Now(), outcome
+	if r.members > 0 {
+		st.gangs.leave(r, outcome)
+	}
 	st.unacknowledged[st.lastEndNumber] = r.record
 	close(st.nextEnd)
 	st.nextEnd = make(chan struct{})
