--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -248,24 +248,38 @@
 		}
 		return
 	}
-	for _, sp := range p.Steps {
-		for _, u := range j.units {
-			if u.occurrence == sp.Occurrence && u.step == sp.Step {
-				u.restore(&sp)
-			}
-		}
+	for i := range p.Steps {
+		j.restoreStep(&p.Steps[i])
 	}
 	j.version = 0
 }
 
-// restore applies the recorded progress of the unit's step.
-func (u *unit) restore(sp *workload.StepProgress) {
-	if sp.IsDone(u.firstTask) && u.state != unitDone {
-		u.job.completeUnit(u)
+// restoreStep applies the recorded progress of a step. Records of other writers may name units that the job does not have.
+func (j *job) restoreStep(sp *workload.StepProgress) {
+	if sp.Occurrence < 0 || sp.Step < 0 || sp.Step >= len(j.rec.Steps) {
 		return
 	}
-	for _, up := range sp.Units {
-		if up.First == u.firstTask {
+	unitAt := func(first int) *unit {
+		if first < 0 {
+			return nil
+		}
+		u := j.unitFor(workload.TaskRef{Occurrence: sp.Occurrence, Step: sp.Step, Index: first})
+		if u == nil || u.firstTask != first {
+			return nil
+		}
+		return u
+	}
+	for first := range j.rec.Steps[sp.Step].Units() {
+		if !sp.IsDone(first) {
+			continue
+		}
+		if u := unitAt(first); u != nil {
+			j.completeUnit(u)
+		}
+	}
+	for i := range sp.Units {
+		up := &sp.Units[i]
+		if u := unitAt(up.First); u != nil && u.state != unitDone {
 			u.failedRuns, u.earlierFailures, u.checkpoint = slices.Clone(up.Failed), up.Earlier, up.Saved
 			u.trimFailures()
 		}
--- a/decisions/fleet/records_test.go
+++ b/decisions/fleet/records_test.go
@@ -68,3 +68,36 @@
 		t.Errorf("the job is %s after 6 attempts", u.job.state)
 	}
 }
+
+// TestRestoreLargeJob guards against a holder that stands still, and loses its lease, while it restores the largest jobs: the
+// time must not grow with the square of the number of tasks.
+func TestRestoreLargeJob(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, shape := range []struct{ count, occurrences int }{{20000, 0}, {2, 10000}} {
+		rec := oneStep("j", "q", workload.Step{Count: shape.count})
+		rec.Occurrences = shape.occurrences
+		p := workload.Progress{State: workload.StateRunning, MayRun: true}
+		for occurrence := range rec.OccurrenceCount() {
+			s := p.Step(occurrence, 0)
+			for first := range shape.count {
+				if first%2 == 0 {
+					s.SetDone(first)
+				} else {
+					s.Units = append(s.Units, workload.UnitProgress{First: first, Failed: []workload.RunNumber{7}, Saved: "c"})
+				}
+			}
+		}
+		f := New(Settings{}, 1, 1, false, now)
+		began := time.Now()
+		f.AddJob(now, rec, 1, &p)
+		// Two thirds of the lease are lost at 1.3 s; without the race detector it takes some milliseconds.
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("%+v: restored in %v", shape, took)
+		}
+		for i, u := range f.jobs["j"].units {
+			if done := u.firstTask%2 == 0; done != (u.state == unitDone) || !done && (len(u.failedRuns) != 1 || u.checkpoint != "c") {
+				t.Fatalf("%+v: unit %d is in state %d with failed runs %v and checkpoint %q", shape, i, u.state, u.failedRuns, u.checkpoint)
+			}
+		}
+	}
+}
