--- a/tests/holder/rejections_test.go
+++ b/tests/holder/rejections_test.go
@@ -135,3 +135,28 @@
 	env.store.SetFaults(storestandin.Faults{})
 	env.awaitSoon("the job completes", func() bool { return env.state(smallJob) == workload.StateCompleted })
 }
+
+// TestOversizedJobOfEarlierBuild guards against a job without an end and against others that wait for it: an earlier build may
+// have accepted a job whose progress exceeds a value of the store without any checkpoint.
+func TestOversizedJobOfEarlierBuild(t *testing.T) {
+	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}}
+	const tasks = 20000
+	job := workload.Job{
+		ID: wideJob, Queue: "q", Spec: "50ms", Route: workload.Route{MaxAttempts: 9},
+		Steps: []workload.Step{{Count: tasks, Need: workload.Resources{CPU: 16000}, Estimate: time.Second}},
+	}
+	// The failed runs leave space for few more bytes in the record.
+	p := workload.Progress{State: workload.StateRunning, MayRun: true, Begun: true, Steps: []workload.StepProgress{{}}}
+	for i := range tasks {
+		p.Steps[0].Units = append(p.Steps[0].Units, workload.UnitProgress{First: i, Failed: []workload.RunNumber{100001, 200001, 300001, 400001}})
+	}
+	// The holder finds both entries when it begins its term.
+	env.refuseRecords.Store(true)
+	env.start()
+	env.store.Set(records.ProgressKey(wideJob), records.Encode(p))
+	env.store.Set(records.JobKey(wideJob), records.Encode(job))
+	env.refuseRecords.Store(false)
+	env.awaitSoon("the job ends", func() bool { return env.state(wideJob) == workload.StateFailed })
+	env.storeJob(smallJob, "50ms", workload.Step{Count: 1, Need: workload.Resources{CPU: 100}, Estimate: time.Second})
+	env.awaitSoon("another job completes", func() bool { return env.state(smallJob) == workload.StateCompleted })
+}
