--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
--- a/tests/holder/rejections_test.go
+++ b/tests/holder/rejections_test.go
@@ -152,14 +152,12 @@
 	for i := range tasks {
 		p.Steps[0].Units = append(p.Steps[0].Units, workload.UnitProgress{First: i, Failed: []workload.RunNumber{100001, 200001, 300001, 400001}})
 	}
-	var stored conc.WaitGroup
-	stored.Go(func() {
-		// The store takes these entries as soon as it runs, so that the holder finds them when it begins its term.
-		env.store.Set(records.ProgressKey(wideJob), records.Encode(p))
-		env.store.Set(records.JobKey(wideJob), records.Encode(job))
-	})
+	// The holder finds both entries when it begins its term.
+	env.refuseRecords.Store(true)
 	env.start()
-	stored.Wait()
+	env.store.Set(records.ProgressKey(wideJob), records.Encode(p))
+	env.store.Set(records.JobKey(wideJob), records.Encode(job))
+	env.refuseRecords.Store(false)
 	env.awaitSoon("the job ends", func() bool { return env.state(wideJob) == workload.StateFailed })
 	env.storeJob(smallJob, "50ms", workload.Step{Count: 1, Need: workload.Resources{CPU: 100}, Estimate: time.Second})
 	env.awaitSoon("another job completes", func() bool { return env.state(smallJob) == workload.StateCompleted })
