--- a/tests/holder/rejections_test.go
+++ b/tests/holder/rejections_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/api/records"
