Keep a reservation while only its own stops are missing, and search once for units of one kind

The wait is in vain only if an awaited run goes on (TestAwaitedEndBeforeSlowStop fails with the earlier condition: preemptions_awaited_in_vain 1). The search for victims ran for each waiting urgent unit although it had failed for an equal one in the same pass; such units are skipped now. A task that needs most of an executor may use the reserve once it is late, because the executors beside it are seldom empty.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -115,6 +115,9 @@
 	// pendingUnits and activeUnits are scratch lists of Plan, in the order of their jobs: the units that can start, and
 	// those that still have task runs.
 	pendingUnits, activeUnits []*unit
+	// failedPreemptions holds the number of tasks of the smallest unit of each kind for which a preemption has failed in
+	// this planning pass.
+	failedPreemptions map[preemptionKind]int
 	// fitScratch is the scratch list of fittingExecutors.
 	fitScratch []fitOption
 
@@ -144,6 +147,8 @@
 		evacuating:      map[workload.ExecutorID]bool{},
 		counters:        map[Counter]int64{},
 
+		failedPreemptions: map[preemptionKind]int{},
+
 		leaseConfirmedAt: now,
 	}
 	if s.LearnRunTimes {
--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -44,14 +44,17 @@
 	lowCapacity bool
 	// usable lists all executors that may be used, unreserved those beside the reserve.
 	usable, unreserved []*executor
+	// largest is the weighted capacity of the largest executor.
+	largest int
 }
 
 // headroom returns the capacity of the usable executors that work below priority 0 may use.
 func (f *Scheduler) headroom(now time.Time, usable []*executor) headroom {
-	free, capacity := 0, 0
+	free, capacity, largest := 0, 0, 0
 	for _, e := range usable {
 		free += max(0, weightedMillicores(e.free()))
 		capacity += weightedMillicores(e.info.Capacity)
+		largest = max(largest, weightedMillicores(e.info.Capacity))
 	}
 	rate := f.urgentArrivals.current(now, arrivalHalfLife) * math.Ln2 / arrivalHalfLife.Seconds()
 	reserved := min(rate*f.headroomWindow.Seconds(), maxHeadroomShare*float64(capacity))
@@ -60,7 +63,7 @@
 	}
 	h := headroom{
 		remaining: float64(free) - reserved, lowCapacity: now.Sub(f.lowCapacityAt) < lowCapacityHold,
-		usable: usable, unreserved: usable,
+		usable: usable, unreserved: usable, largest: largest,
 	}
 	if f.settings.ChooseVictims && reserved > 0 {
 		h.unreserved = beside(usable, reserved)
@@ -104,10 +107,12 @@
 	return order[n:]
 }
 
-// executorsFor returns the executors that a unit of a class may use. A unit that is bound to a rack has little choice, so
-// that it may use the reserve.
-func (h *headroom) executorsFor(class int, u *unit) []*executor {
-	if class <= classUrgent || u.spec().LongRunning || u.needsRack() {
+// executorsFor returns the executors that a unit of a candidate may use. A unit that is bound to a rack has little choice,
+// so that it may use the reserve. So may a large task that can no longer start in time: the executors beside the reserve
+// are seldom empty.
+func (h *headroom) executorsFor(now time.Time, c *candidate, u *unit) []*executor {
+	large := 2*weightedMillicores(u.spec().Need) > h.largest
+	if c.Class <= classUrgent || u.spec().LongRunning || u.needsRack() || large && now.After(c.LatestStart) {
 		return h.usable
 	}
 	return h.unreserved
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -59,8 +59,9 @@
 	latestStart time.Time
 	// waitsFor is why the unit was not started in the last planning pass.
 	waitsFor WaitReason
-	// awaitUntil is how long the reservation of the unit waits for others that end by themselves; zero if it does not.
+	// awaited lists the runs of other units whose own end the reservation of the unit waits for, until awaitUntil.
 	// awaitFailed is set once such a wait was in vain.
+	awaited     []awaitedRun
 	awaitUntil  time.Time
 	awaitFailed bool
 	// avoidedExecutor is the executor on which a run last failed, stalled or was refused; the unit does not start there
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -21,6 +21,7 @@
 	}
 	f.updatePaces(now)
 	usable := slices.DeleteFunc(slices.Clone(f.sortedExecutors), func(e *executor) bool { return !f.eligible(now, e) })
+	clear(f.failedPreemptions)
 	budget := f.headroom(now, usable)
 	var filter backfill
 	roomNeeded := false
@@ -74,7 +75,7 @@
 	if !budget.allows(c.Class, u) {
 		return WaitHeadroom
 	}
-	executors := budget.executorsFor(c.Class, u)
+	executors := budget.executorsFor(now, c, u)
 	if !f.placeUnit(now, c, u, executors) {
 		if len(executors) == len(budget.usable) || f.couldFit(u, executors, false) {
 			return WaitCapacity
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -236,7 +236,7 @@
 		switch {
 		case f.canStart(now, u) && f.mayDispatch(now, u):
 			f.start(now, u, "room_vacated")
-		case !u.awaitUntil.IsZero() && now.After(u.awaitUntil):
+		case u.awaitsInVain(now):
 			f.count(CountAwaitFailed)
 			u.awaitFailed = true
 			f.cancelReservation(now, u)
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -15,9 +15,12 @@
 	if c.Class > classUrgent || c.Class > classGuaranteed && now.After(c.LatestStart) {
 		return false
 	}
+	if f.settings.ChooseVictims && f.failsLike(c, u) {
+		return false
+	}
 	step := u.spec()
 	if !u.needsRack() {
-		return f.applyPreemption(now, u, f.findPreemption(now, c, u, usable))
+		return f.applyPreemption(now, c, u, f.findPreemption(now, c, u, usable))
 	}
 	// Of the racks that can hold the unit, the one with the least lost work is chosen.
 	racks := map[string][]*executor{}
@@ -41,7 +44,7 @@
 		// No rack can hold the unit even after preemption, so that it is placed across racks.
 		best = f.findPreemption(now, c, u, usable)
 	}
-	return f.applyPreemption(now, u, best)
+	return f.applyPreemption(now, c, u, best)
 }
 
 // preemption is a placement of a unit that stops other units, the victims; cost is their lost work.
@@ -49,7 +52,8 @@
 	placement []*executor
 	victims   []*unit
 	cost      float64
-	// awaitUntil is how long the placement waits for units that end by themselves; zero if it needs none of these.
+	// awaited lists the runs whose own end the placement waits for, until awaitUntil.
+	awaited    []awaitedRun
 	awaitUntil time.Time
 }
 
@@ -202,12 +206,13 @@
 }
 
 // applyPreemption stops the victims of a preemption and reserves its placement. It reports false if p is nil.
-func (f *Scheduler) applyPreemption(now time.Time, u *unit, p *preemption) bool {
+func (f *Scheduler) applyPreemption(now time.Time, c *candidate, u *unit, p *preemption) bool {
 	if p == nil {
+		f.recordFailedPreemption(c, u)
 		return false
 	}
-	u.awaitUntil = p.awaitUntil
-	if !p.awaitUntil.IsZero() {
+	u.awaited, u.awaitUntil = p.awaited, p.awaitUntil
+	if len(p.awaited) > 0 {
 		f.count(CountAwaited)
 	}
 	for _, victim := range p.victims {
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -18,6 +18,19 @@
 	return f.settings.MaxStopTime / 2
 }
 
+// awaitedRun is a run of a unit whose own end a reservation waits for.
+type awaitedRun struct {
+	unit *unit
+	run  workload.RunNumber
+}
+
+// awaitsInVain reports whether a reserved unit has waited long enough for a run that goes on.
+func (u *unit) awaitsInVain(now time.Time) bool {
+	return now.After(u.awaitUntil) && slices.ContainsFunc(u.awaited, func(a awaitedRun) bool {
+		return a.unit.state == unitActive && a.unit.run == a.run && !a.unit.ending
+	})
+}
+
 // endsWithin reports whether a unit is expected to end by itself within a time.
 func (f *Scheduler) endsWithin(now time.Time, u *unit, d time.Duration) bool {
 	remaining, known := f.remaining(now, u)
@@ -49,6 +62,7 @@
 		running   []*unit
 		units     []victims.Unit
 	)
+	// index holds the indices of units in running, or -1 for those that are neither stopped nor awaited.
 	index := map[*unit]int{}
 	for _, e := range usable {
 		if !advice.permits(now, e.info.ID) || !e.matches(pool, step) || !load.Fits(e.info.Capacity) {
@@ -63,16 +77,19 @@
 			if v == nil || v.state != unitActive || v.reserved() {
 				continue
 			}
-			ends := v.ending || await > 0 && f.endsWithin(now, v, await)
-			if !ends && (f.runningClass(v) <= c.Class || !f.mayInterrupt(v)) {
-				continue
-			}
 			i, known := index[v]
 			if !known {
-				i = len(running)
+				i = -1
+				ends := v.ending || await > 0 && f.endsWithin(now, v, await)
+				if ends || f.runningClass(v) > c.Class && f.mayInterrupt(v) {
+					i = len(running)
+					running = append(running, v)
+					units = append(units, victims.Unit{Cost: f.lostWork(now, v), Ends: ends})
+				}
 				index[v] = i
-				running = append(running, v)
-				units = append(units, victims.Unit{Cost: f.lostWork(now, v), Ends: ends})
+			}
+			if i < 0 {
+				continue
 			}
 			host.Occupants = addOccupant(host.Occupants, i, r.load)
 		}
@@ -84,8 +101,11 @@
 		return nil
 	}
 	p := &preemption{cost: plan.Cost}
-	if slices.ContainsFunc(plan.Awaited, func(i int) bool { return !running[i].ending }) {
-		p.awaitUntil = now.Add(await)
+	for _, i := range plan.Awaited {
+		if v := running[i]; !v.ending {
+			p.awaited = append(p.awaited, awaitedRun{v, v.run})
+			p.awaitUntil = now.Add(await)
+		}
 	}
 	for _, h := range plan.Hosts {
 		p.placement = append(p.placement, executors[h])
@@ -106,3 +126,35 @@
 	}
 	return append(occupants, victims.Occupant{Unit: u, Load: load})
 }
+
+// preemptionKind identifies units for which a preemption finds the same executors and victims.
+type preemptionKind struct {
+	class          int
+	load           workload.Resources
+	pool           workload.Pool
+	requires, rack string
+	maxPerExecutor int
+	needsRack      bool
+}
+
+func (f *Scheduler) preemptionKind(c *candidate, u *unit) preemptionKind {
+	s := u.spec()
+	return preemptionKind{c.Class, s.CapacityNeed(), f.route(u.job).Pool, s.Requires, s.Rack, s.MaxPerExecutor, u.needsRack()}
+}
+
+// failsLike reports whether the preemption for a unit of the same kind with no more tasks has failed in this planning
+// pass. In a burst, many urgent gangs wait at once and the search is the longest part of a pass.
+func (f *Scheduler) failsLike(c *candidate, u *unit) bool {
+	n, failed := f.failedPreemptions[f.preemptionKind(c, u)]
+	return failed && u.size >= n && f.adviceFor(u) == nil
+}
+
+func (f *Scheduler) recordFailedPreemption(c *candidate, u *unit) {
+	if !f.settings.ChooseVictims || f.adviceFor(u) != nil {
+		return
+	}
+	kind := f.preemptionKind(c, u)
+	if n, failed := f.failedPreemptions[kind]; !failed || u.size < n {
+		f.failedPreemptions[kind] = u.size
+	}
+}
--- a/decisions/fleet/victims_test.go
+++ b/decisions/fleet/victims_test.go
@@ -97,3 +97,37 @@
 func (a *fullFleet) add(b fullFleet) {
 	a.stopped, a.started, a.lost, a.inTime = a.stopped+b.stopped, a.started+b.started, a.lost+b.lost, a.inTime+b.inTime
 }
+
+// TestAwaitedEndBeforeSlowStop guards against a reservation that is given up because the stop of one unit takes longer
+// than the wait for another, which has ended meanwhile.
+func TestAwaitedEndBeforeSlowStop(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 1)
+	sim.settings.ChooseVictims = true
+	sim.newHolder()
+	sim.advanceRuns()
+	sim.advance(100 * time.Millisecond)
+	half := workload.Resources{CPU: 1000, GPU: 4}
+	sim.submit(oneStep("long", "batch", workload.Step{Count: 1, Need: half, Estimate: 20 * time.Second}), behavior{runTime: 20 * time.Second})
+	sim.submit(oneStep("short", "batch", workload.Step{Count: 1, Need: half, Estimate: 3 * time.Second}), behavior{runTime: 3 * time.Second})
+	sim.advance(2950 * time.Millisecond)
+	bound := sim.settings.MaxStopTime
+	// Stops take 0.9 of the bound that the scheduler knows.
+	sim.settings.MaxStopTime = 9 * bound / 5
+	sim.submit(oneStep("urgent", "urgent", workload.Step{Count: 1, Need: workload.Resources{CPU: 1000, GPU: 8}, Estimate: 2 * time.Second}), behavior{runTime: 2 * time.Second})
+	submittedAt := sim.now
+	// A further job causes a planning pass after the wait.
+	sim.advance(bound/2 + 50*time.Millisecond)
+	sim.submit(oneStep("later", "batch", workload.Step{Count: 1, Need: half, Estimate: time.Second}), behavior{runTime: time.Second})
+	sim.advance(time.Second)
+	for _, v := range sim.violations {
+		t.Error(v)
+	}
+	counts := sim.holder.scheduler.TakeCounters()
+	if counts[CountAwaited] != 1 || counts[CountAwaitFailed] != 0 || counts[CountPreempted] != 1 {
+		t.Errorf("counters %v, want one preemption that awaits one end and is not given up", counts)
+	}
+	starts := sim.starts[workload.TaskRef{Job: "urgent"}]
+	if len(starts) != 1 || starts[0].Sub(submittedAt) > bound+100*time.Millisecond {
+		t.Errorf("the urgent job started at %v after its submission at %v", starts, submittedAt)
+	}
+}
