Sample the descriptors at the end of a crowd's stay

On a loaded machine the periodic samples could miss the crowd (20 descriptors seen of 150). The last one is now taken while the crowd stays, and memory is checked again after it has left.

--- a/tests/crowd/crowd_test.go
+++ b/tests/crowd/crowd_test.go
@@ -117,6 +117,8 @@
 	check := f.watch(v)
 	leave := f.crowd(v, n, say)
 	f.checkServed(v)
+	check()
+	check = f.watch(v)
 	leave()
 	f.checkRoomReturned(v)
 	check()
--- a/tests/crowd/harness_test.go
+++ b/tests/crowd/harness_test.go
@@ -240,12 +240,15 @@
 	end := make(chan struct{})
 	var peak, unread, open int
 	var wg conc.WaitGroup
+	sample := func() {
+		p, u := v.memory()
+		peak, unread, open = max(peak, p), max(unread, u), max(open, v.descriptors())
+	}
 	wg.Go(func() {
 		t := time.NewTicker(20 * time.Millisecond)
 		defer t.Stop()
 		for {
-			p, u := v.memory()
-			peak, unread, open = max(peak, p), max(unread, u), max(open, v.descriptors())
+			sample()
 			select {
 			case <-end:
 				return
@@ -257,6 +260,7 @@
 		f.t.Helper()
 		close(end)
 		wg.Wait()
+		sample()
 		f.t.Logf("%s: peak of %d KiB resident, %d KiB unread, %d descriptors", v.name, peak, unread, open)
 		if !v.lives() {
 			f.t.Errorf("the process of %s ended", v.name)
