--- a/tests/fleet/output_test.go
+++ b/tests/fleet/output_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"syscall"
@@ -58,6 +59,34 @@
 	f.awaitReady()
 }
 
+// pauseReaders restarts the daemons of all VMs with pipes as their output, whose readers pause at random. What they read
+// goes to the logs of the VMs.
+func (f *fleet) pauseReaders(seed uint64) {
+	f.t.Helper()
+	readers := uint64(0)
+	f.redirectOutput(func(p outputPipe) {
+		readers++
+		r := rand.New(rand.NewPCG(seed, 1000+readers))
+		log, err := os.OpenFile(f.vms[readers-1].logFile, os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.t.Cleanup(func() { log.Close() })
+		go func() {
+			for buf := make([]byte, outputPipeBytes); ; {
+				n, err := p.r.Read(buf)
+				if err != nil {
+					return
+				}
+				_, _ = log.Write(buf[:n])
+				if r.IntN(20) == 0 {
+					time.Sleep(time.Duration(r.Int64N(int64(maxFaultDuration))))
+				}
+			}
+		}()
+	})
+}
+
 // logCounters are the counters of a daemon's log lines by level.
 type logCounters struct {
 	Written, Lost map[string]int64
--- a/tests/fleet/soak_test.go
+++ b/tests/fleet/soak_test.go
@@ -37,8 +37,8 @@
 var regressionSeeds = map[uint64]string{}
 
 // TestSoak checks the guarantees of the fleet under random overlapping faults: processes are killed, paused, stopped
-// and restarted, the store fails, executors crash, leave and return, network paths are cut, reset and delayed. Clients
-// submit jobs all the time.
+// and restarted, the store fails, executors crash, leave and return, network paths are cut, reset and delayed, and the
+// output of the daemons is not read for a while. Clients submit jobs all the time.
 func TestSoak(t *testing.T) {
 	first, n := uint64(1), defaultSeeds
 	if v, err := strconv.ParseUint(os.Getenv(testseed.EnvSeed), 10, 64); err == nil {
@@ -64,6 +64,7 @@
 func soak(t *testing.T, seed uint64) {
 	f := newFleet(t, 3, 5)
 	f.awaitReady()
+	f.pauseReaders(seed)
 	r := rand.New(rand.NewPCG(seed, 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
