--- a/standins/cloud/cloud.go
+++ b/standins/cloud/cloud.go
@@ -58,6 +58,15 @@
 type state struct {
 	machines []*machine
 	history  History
+	// unanswered is the number of next orders of each wave that get no answer and are carried out after lateBy.
+	unanswered map[int64]int
+	lateBy     time.Duration
+	late       []lateOrder
+}
+
+type lateOrder struct {
+	order cloud.UpkeepOrder
+	at    time.Time
 }
 
 // New returns a platform whose upkeeps take upkeepDuration.
@@ -67,7 +76,7 @@
 
 // Run serves until ctx ends.
 func (c *Cloud) Run(ctx context.Context, machines []Machine) {
-	st := &state{}
+	st := &state{unanswered: map[int64]int{}}
 	for _, m := range machines {
 		st.machines = append(st.machines, &machine{Machine: m, waves: map[int64]bool{}})
 	}
@@ -78,7 +87,7 @@
 		case call := <-c.calls:
 			call(st)
 		case now := <-t.C:
-			st.advance(now)
+			st.advance(now, c.upkeepDuration)
 		case <-ctx.Done():
 			return
 		}
@@ -96,6 +105,11 @@
 	return <-out
 }
 
+// DelayOrders lets the next n orders of a wave get no answer. They are carried out after a time.
+func (c *Cloud) DelayOrders(wave int64, n int, by time.Duration) {
+	c.calls <- func(st *state) { st.unanswered[wave], st.lateBy = n, by }
+}
+
 // ListMachines implements cloud.API.
 func (c *Cloud) ListMachines() []workload.Machine {
 	out := make(chan []workload.Machine, 1)
@@ -112,7 +126,15 @@
 // StartUpkeep implements cloud.API.
 func (c *Cloud) StartUpkeep(o cloud.UpkeepOrder) error {
 	out := make(chan error, 1)
-	c.calls <- func(st *state) { out <- st.startUpkeep(o, time.Now().Add(c.upkeepDuration)) }
+	c.calls <- func(st *state) {
+		if st.unanswered[o.Wave] > 0 {
+			st.unanswered[o.Wave]--
+			st.late = append(st.late, lateOrder{o, time.Now().Add(st.lateBy)})
+			out <- &cloud.NoAnswerError{}
+			return
+		}
+		out <- st.startUpkeep(o, time.Now().Add(c.upkeepDuration))
+	}
 	return <-out
 }
 
@@ -150,8 +172,13 @@
 	return n
 }
 
-// advance ends the upkeeps that have taken their time and starts the next executors.
-func (st *state) advance(now time.Time) {
+// advance ends the upkeeps that have taken their time, starts the next executors and carries out late orders.
+func (st *state) advance(now time.Time, upkeepDuration time.Duration) {
+	for len(st.late) > 0 && now.After(st.late[0].at) {
+		// Nobody waits for the result.
+		_ = st.startUpkeep(st.late[0].order, now.Add(upkeepDuration))
+		st.late = st.late[1:]
+	}
 	for _, m := range st.machines {
 		if !m.upkeepEnd.IsZero() && now.After(m.upkeepEnd) {
 			m.upkeepEnd = time.Time{}
--- a/tests/fleet/upkeep_test.go
+++ b/tests/fleet/upkeep_test.go
@@ -129,3 +129,31 @@
 		}
 	}
 }
+
+// TestLateOrdersOfSharedMachine guards against a wave that is reported as completed although the orders for a machine got
+// no answer, because another wave has replaced the machine's executor meanwhile (review/5).
+func TestLateOrdersOfSharedMachine(t *testing.T) {
+	f, platform, ids := newFleetWithMachines(t, 2, 3)
+	f.awaitReady()
+	// An order without an answer is repeated after 2 s.
+	platform.DelayOrders(2, 2, 7*time.Second)
+	for n, machines := range [][]workload.MachineID{ids[:2], ids[:1]} {
+		key, value := operator.EncodeWave(workload.Wave{Number: int64(n + 1), Machines: machines, Within: 20 * time.Second, MaxDown: 1})
+		f.store.Set(key, value)
+	}
+	for n := range int64(2) {
+		key, want := operator.EncodeWaveStatus(n+1, true)
+		f.eventually("wave completed", func() bool {
+			return slices.ContainsFunc(f.store.Entries(key), func(item metastore.Item) bool { return bytes.Equal(item.Value, want) })
+		})
+		done := map[workload.MachineID]int{}
+		for _, o := range platform.History().Orders {
+			if o.Wave == n+1 {
+				done[o.Machine]++
+			}
+		}
+		if len(done) != 2-int(n) || done[ids[0]] != 1 {
+			t.Errorf("wave %d is reported as completed after the upkeep of %v", n+1, done)
+		}
+	}
+}
