--- a/tests/fleet/soak_test.go
+++ b/tests/fleet/soak_test.go
@@ -37,8 +37,9 @@
 var regressionSeeds = map[uint64]string{}
 
 // TestSoak checks the guarantees of the fleet under random overlapping faults: processes are killed, paused, stopped
-// and restarted, the store fails, executors crash, leave and return, network paths are cut, reset and delayed. Clients
-// submit jobs all the time. Every second seed learns run times.
+// and restarted, the store fails, executors crash, leave and return, network paths are cut, reset and delayed, and the
+// output of the daemons is not read for a while. Clients submit jobs all the time. Every second seed runs with the
+// optional decisions of the scheduler.
 func TestSoak(t *testing.T) {
 	first, n := uint64(1), defaultSeeds
 	if v, err := strconv.ParseUint(os.Getenv(testseed.EnvSeed), 10, 64); err == nil {
@@ -61,10 +62,10 @@
 	accepted, refused []workload.JobID
 }
 
-// soakSettings returns the settings of the VMs for a seed: every second one learns run times.
+// soakSettings returns the settings of the VMs for a seed.
 func soakSettings(seed uint64) string {
 	if seed%2 == 0 {
-		return "[scheduling]\nlearn_run_times = true\n"
+		return "[scheduling]\nlearn_run_times = true\nchoose_victims = true\n"
 	}
 	return ""
 }
@@ -72,6 +73,7 @@
 func soak(t *testing.T, seed uint64) {
 	f := newFleetWith(t, 3, 5, soakSettings(seed))
 	f.awaitReady()
+	f.pauseReaders(seed)
 	r := rand.New(rand.NewPCG(seed, 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
