Serve accounts within their share first when all capacity is used

An account that submits more got more: its backlog took what became free while other accounts of the same weight waited. Within a class, work that can be in time goes by the account's present share of what is in use, then by latest start. Only accounts with a weight are compared.

TestShareOfFullFleet fails without markOverShare ("16 and 0 tasks").

--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -162,6 +162,7 @@
 			setWaiting(units, WaitRetry)
 		}
 	}
+	f.markOverShare(out)
 	slices.SortStableFunc(out, func(a, b *candidate) int { return f.jobOrder(now, &a.Candidate, &b.Candidate) })
 	return out
 }
--- a/decisions/joborder/joborder.go
+++ b/decisions/joborder/joborder.go
@@ -13,6 +13,8 @@
 	Class int
 	// Excess is set for work beyond the rate of its account.
 	Excess bool
+	// OverShare is set if the account occupies more than its share of what is in use.
+	OverShare bool
 	// Arrived is when the job was accepted.
 	Arrived time.Time
 	// LatestStart is the latest start with which the job can meet its objective, Expiry the latest start with which its
@@ -29,8 +31,8 @@
 // Guaranteed is the class of work within the guarantee of its account. It comes before all other classes.
 const Guaranteed = 0
 
-// InTimeFirst orders candidates by class. Within a class, those that can still meet their objective come first, by
-// latest start; then late ones, by work, so that a backlog delays as few jobs as possible. Candidates that can no
+// InTimeFirst orders candidates by class. Within a class, those that can still meet their objective come first, of these
+// the ones of accounts within their share, by latest start; then late ones, by work, so that a backlog delays as few jobs as possible. Candidates that can no
 // longer earn credit come after all classes, and excess work after these, except for candidates of the guaranteed class.
 func InTimeFirst(now time.Time, a, b *Candidate) int {
 	if c := cmp.Compare(a.rank(now), b.rank(now)); c != 0 {
@@ -44,6 +46,12 @@
 		return c
 	}
 	if stageOfA == inTime {
+		if a.OverShare != b.OverShare && a.Class != Guaranteed {
+			if a.OverShare {
+				return 1
+			}
+			return -1
+		}
 		return a.LatestStart.Compare(b.LatestStart)
 	}
 	return cmp.Compare(a.Work, b.Work)
