Leave fast executors to urgent work, and mend a test of the holder

Gangs that are neither urgent nor of the lowest priority preferred fast executors, which urgent gangs then lacked. They prefer typical ones now, unless only fast ones let them meet their objective.

The fixture holds a host again and the damage that it checks. tests/holder passes with -race.

--- a/decisions/fleet/pace.go
+++ b/decisions/fleet/pace.go
@@ -14,8 +14,8 @@
 // Ranks of executors for a unit. Lower ones come first.
 const (
 	rankPreferred = iota
-	rankTypical
-	rankOther
+	rankNext
+	rankLast
 	// rankWarmingUp is the rank of an executor that is still slow after its start.
 	rankWarmingUp
 )
@@ -31,6 +31,13 @@
 	}
 }
 
+// Classes of executors by their pace.
+const (
+	classSlow = iota
+	classTypical
+	classFast
+)
+
 // pacePreference is which executors a unit is placed on first.
 type pacePreference uint8
 
@@ -38,11 +45,19 @@
 	anyPace pacePreference = iota
 	fastFirst
 	slowFirst
+	typicalFirst
 )
 
-// pacePreference returns the preference of a unit: work of the lowest priority goes to slow executors, so that fast ones
-// stay free for work of priority 0, unless only a fast one lets it meet its objective. A gang goes at the pace of its
-// slowest executor, so that it prefers executors of one pace.
+// paceRanks holds the ranks of the classes under each preference.
+var paceRanks = [...][3]int{
+	fastFirst:    {classSlow: rankLast, classTypical: rankNext, classFast: rankPreferred},
+	slowFirst:    {classSlow: rankPreferred, classTypical: rankNext, classFast: rankLast},
+	typicalFirst: {classSlow: rankLast, classTypical: rankPreferred, classFast: rankNext},
+}
+
+// pacePreference returns the preference of a unit. Fast executors are left to work of priority 0: work of the lowest
+// priority goes to slow executors and other gangs to typical ones, unless only fast ones let them meet their objective. A
+// gang goes at the pace of its slowest executor, so that it prefers executors of one pace.
 func (f *Scheduler) pacePreference(now time.Time, u *unit) pacePreference {
 	if f.learned == nil {
 		return anyPace
@@ -51,14 +66,16 @@
 	switch {
 	case priority >= lowestPriority && !f.needsFast(now, u):
 		return slowFirst
-	case priority == 0 || priority >= lowestPriority || u.size > 1:
+	case priority == 0 || priority >= lowestPriority || u.size > 1 && f.needsFast(now, u):
 		return fastFirst
+	case u.size > 1:
+		return typicalFirst
 	default:
 		return anyPace
 	}
 }
 
-// needsFast reports whether a unit meets its objective on executors of the typical pace, but not on slow ones.
+// needsFast reports whether a unit meets its objective if it starts now at the typical pace, but not at a slow one.
 func (f *Scheduler) needsFast(now time.Time, u *unit) bool {
 	slack := u.latestStart.Sub(now)
 	return slack >= 0 && slack.Seconds() < f.expectedRunTime(u).Seconds()*(1/slowPace-1)
@@ -66,18 +83,20 @@
 
 // rank returns the rank of an executor under a preference.
 func (p pacePreference) rank(e *executor) int {
-	switch {
-	case p == anyPace:
+	if p == anyPace {
 		return rankPreferred
-	case e.info.WarmUpRemaining > 0:
+	}
+	if e.info.WarmUpRemaining > 0 {
 		return rankWarmingUp
-	case e.pace >= slowPace && e.pace <= fastPace:
-		return rankTypical
-	case (e.pace > fastPace) == (p == fastFirst):
-		return rankPreferred
-	default:
-		return rankOther
 	}
+	class := classTypical
+	switch {
+	case e.pace < slowPace:
+		class = classSlow
+	case e.pace > fastPace:
+		class = classFast
+	}
+	return paceRanks[p][class]
 }
 
 // byPace returns the sets of options to try in turn for a unit of several tasks: those of each rank alone, before they
--- a/tests/holder/run_times_test.go
+++ b/tests/holder/run_times_test.go
@@ -60,9 +60,11 @@
 func earlierRunTimes(account workload.Account) string {
 	m := runtimes.New()
 	m.SetExecutor("x", "127.0.0.1:1", "a")
-	m.Observe(time.Unix(0, 0), runtimes.Observation{
+	o := runtimes.Observation{
 		Query: runtimes.Query{Queue: "q", Account: account, Declared: time.Second}, Job: "j", Executors: []workload.ExecutorID{"x"}, Elapsed: time.Second,
-	})
+	}
+	m.ObservePace(time.Unix(0, 0), o)
+	m.Observe(time.Unix(0, 0), o)
 	return string(records.Encode(m.Snapshot()))
 }
 
