--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -72,25 +72,23 @@
 }
 
 // beside returns the executors beside a reserve, which consists of the emptiest executors of the racks with most free
-// capacity, slow ones last: gangs of large tasks find room on a rack there, while a reserve that is scattered over all
+// capacity, fast ones first: gangs of large tasks find room on a rack there, while a reserve that is scattered over all
 // executors would hold small tasks only.
 func beside(usable []*executor, reserve float64) []*executor {
-	rackFree := map[string]int{}
+	type part struct {
+		rack  string
+		class int
+	}
+	partOf := func(e *executor) part { return part{e.rack, e.paceClass()} }
+	free := map[part]int{}
 	for _, e := range usable {
-		if !e.slow() {
-			rackFree[e.rack] += max(0, weightedMillicores(e.free()))
-		}
+		free[partOf(e)] += max(0, weightedMillicores(e.free()))
 	}
 	order := slices.Clone(usable)
 	slices.SortStableFunc(order, func(a, b *executor) int {
-		if a.slow() != b.slow() {
-			if a.slow() {
-				return 1
-			}
-			return -1
-		}
+		p, q := partOf(a), partOf(b)
 		return cmp.Or(
-			cmp.Compare(rackFree[b.rack], rackFree[a.rack]), cmp.Compare(a.rack, b.rack),
+			cmp.Compare(q.class, p.class), cmp.Compare(free[q], free[p]), cmp.Compare(p.rack, q.rack),
 			cmp.Compare(weightedMillicores(b.free()), weightedMillicores(a.free())),
 		)
 	})
--- a/decisions/fleet/pace.go
+++ b/decisions/fleet/pace.go
@@ -11,9 +11,6 @@
 	fastPace = 1.3
 )
 
-// slow reports whether the learned pace of an executor is below slowPace.
-func (e *executor) slow() bool { return e.pace > 0 && e.pace < slowPace }
-
 // Ranks of executors for a unit. Lower ones come first.
 const (
 	rankPreferred = iota
@@ -92,14 +89,21 @@
 	if e.info.WarmUpRemaining > 0 {
 		return rankWarmingUp
 	}
-	class := classTypical
+	return paceRanks[p][e.paceClass()]
+}
+
+// paceClass returns the class of an executor. One whose pace is not known counts as typical.
+func (e *executor) paceClass() int {
 	switch {
+	case e.pace == 0:
+		return classTypical
 	case e.pace < slowPace:
-		class = classSlow
+		return classSlow
 	case e.pace > fastPace:
-		class = classFast
+		return classFast
+	default:
+		return classTypical
 	}
-	return paceRanks[p][class]
 }
 
 // byPace returns the sets of options to try in turn for a unit of several tasks: those of each rank alone, before they
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -41,7 +41,7 @@
 // suitable pace if the unit fits there, otherwise on all. It returns nil if not all tasks fit.
 func (f *Scheduler) choosePreemption(now time.Time, c *candidate, u *unit, usable []*executor) *preemption {
 	pace := f.pacePreference(now, u)
-	suitable := slices.DeleteFunc(slices.Clone(usable), func(e *executor) bool { return pace.rank(e) > rankTypical })
+	suitable := slices.DeleteFunc(slices.Clone(usable), func(e *executor) bool { return pace.rank(e) > rankNext })
 	if len(suitable) < len(usable) {
 		if p := f.choosePreemptionOn(now, c, u, suitable); p != nil {
 			return p
