Derive Retry-After from the cause of a refusal

Cause: a refused caller was told to return after 1 to 3 s at random, also if another VM would take the call at once, if no holder could be elected before 2 s, or if its work could never run. Change: decisions/retryafter gives a delay for each cause, spread where many callers are refused together; the gateway only maps reasons to causes.

--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/verbenaflow/verbenaflow/api/message"
 	"github.com/verbenaflow/verbenaflow/api/metrics"
 	"github.com/verbenaflow/verbenaflow/api/names"
+	"github.com/verbenaflow/verbenaflow/decisions/retryafter"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/front"
 	"github.com/verbenaflow/verbenaflow/platform/listener"
@@ -26,8 +27,6 @@
 	defaultTimeout = 3 * time.Second
 	// readyTimeout bounds a readiness check.
 	readyTimeout = 500 * time.Millisecond
-	// maxRetryAfterSeconds is the largest Retry-After value. Random values up to it spread the retries of clients.
-	maxRetryAfterSeconds = 3
 )
 
 // handler translates HTTP calls to messages for the intake. It is stateless.
@@ -130,7 +129,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(maxRetryAfterSeconds)))
+		w.Header().Set("Retry-After", strconv.Itoa(retryafter.Seconds(retryafter.Delay(retryCause(f.Reason), rand.Float64()))))
 	}
 	detail := ""
 	if f.Reason == failure.Malformed || f.Reason == failure.TooLarge {
@@ -147,3 +146,25 @@
 	// An error means that the client has disconnected and does not need the response.
 	_, _ = w.Write(body)
 }
+
+// retryCause returns the cause of a refusal that determines when its caller may return.
+func retryCause(r failure.Reason) retryafter.Cause {
+	switch r {
+	case failure.Draining:
+		return retryafter.Stopping
+	case failure.Overloaded, failure.QueueFull:
+		return retryafter.NoRoom
+	case failure.RateLimited:
+		return retryafter.RateExceeded
+	case failure.ConfigUnavailable:
+		return retryafter.NoConfiguration
+	case failure.StoreUnavailable:
+		return retryafter.StoreAway
+	case failure.NoHolder, failure.NotHolder:
+		return retryafter.NoHolder
+	case failure.AccountLimit:
+		return retryafter.BeyondLimit
+	default:
+		return retryafter.Other
+	}
+}
