Start an inherited job at once if no earlier holder may have started it

Cause: a job that waited at a change of holder counted as possibly running as soon as the present holder had requested the record that it may run, so that it waited for all executors to report or for the leases of earlier holders to end. Change: what counts is what an earlier holder has recorded. TestInheritedJobThatNeverRan fails without it.

--- a/decisions/fleet/fleet_test.go
+++ b/decisions/fleet/fleet_test.go
@@ -162,3 +162,25 @@
 		t.Errorf("the gang runs on the racks %v, want one", racks)
 	}
 }
+
+// TestInheritedJobThatNeverRan guards against a job that waits for executors which do not answer a new holder, although
+// no earlier holder has recorded that it may run.
+func TestInheritedJobThatNeverRan(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 2)
+	sim.newHolder()
+	sim.advanceRuns()
+	sim.advance(100 * time.Millisecond)
+	sim.executors["e0-1"].unreachable = true
+	sim.storeDown = true
+	sim.submit(oneStep("job", "urgent", workload.Step{Count: 1, Need: smallTask, Estimate: time.Second}), behavior{runTime: time.Second})
+	sim.advance(100 * time.Millisecond)
+	sim.storeDown = false
+	sim.newHolder()
+	sim.advance(time.Second)
+	for _, v := range sim.violations {
+		t.Error(v)
+	}
+	if len(sim.starts[workload.TaskRef{Job: "job"}]) == 0 {
+		t.Errorf("the job has not started a second after the change of holder:\n%s", sim.describe("job"))
+	}
+}
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -151,8 +151,7 @@
 		}
 		units := rest[:n]
 		rest = rest[n:]
-		inherited := u.job.createdRevision <= f.termRevision && u.job.mayRun
-		if inherited && slices.ContainsFunc(unreconciled, func(e *executor) bool { return e.mayHaveRun(u.job.rec.ID) }) {
+		if u.job.inherited && slices.ContainsFunc(unreconciled, func(e *executor) bool { return e.mayHaveRun(u.job.rec.ID) }) {
 			setWaiting(units, WaitUnverified)
 			continue
 		}
