Refuse a submission beyond the limit whose identifier another account uses

The check of the store before the refusal took any stored job for a repeated call, so that the caller got an acceptance although nothing of it was stored. It now fails as key_reused, as a submission within the limit does.

TestBeyondAccountLimit failed before: "identifier of another account's job: <nil>, want key_reused".

go test -race ./services/intake reports a race in TestJobsOfOtherAccounts, with and without this change: the test's store map is read by the stand-in of the holder without synchronization.

--- a/services/intake/limit.go
+++ b/services/intake/limit.go
@@ -21,12 +21,15 @@
 		return
 	}
 	out := storeDone{env: e, job: job, deadline: deadline, startedAt: time.Now()}
+	config, caller := s.config, submitter(&job)
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		item, err := s.store.Get(ctx, records.JobKey(job.ID))
 		var missing *metastore.NotFoundError
 		switch {
+		case err == nil && !mayAccess(config, caller, decodeOwner(&item)):
+			out.failure = failure.New(failure.KeyReused, "a job of another account has this identifier")
 		case err == nil:
 			out.existed, out.revision = true, item.Created
 		case errors.As(err, &missing):
--- a/services/intake/limit_test.go
+++ b/services/intake/limit_test.go
@@ -21,8 +21,8 @@
 }
 
 // TestBeyondAccountLimit guards against a gang that is accepted although it can never run, against the refusal of a wide
-// step whose tasks may run one after another, and against an untrue refusal: of a job that is stored already, or that may
-// be, because the store cannot be read.
+// step whose tasks may run one after another, and against untrue replies: a refusal of a job that is stored already, or that
+// may be, because the store cannot be read; and an acceptance because another account's job has the identifier.
 func TestBeyondAccountLimit(t *testing.T) {
 	submit := func(t *testing.T, store Store, s workload.Step) *failure.Error {
 		vm := startVM(t, store, publisher{})
@@ -50,6 +50,15 @@
 		if err != nil || job.AccountLimit.CPU != testLimit*1000 {
 			t.Errorf("%+v, %v, want a record with the limit at the acceptance", job, err)
 		}
+		item := store.items[records.JobKey(testJobID)]
+		job.Account, job.KeyHash = "b", "hash of another key"
+		if item.Value, err = records.EncodeJob(&job, metastore.MaxValueBytes); err != nil {
+			t.Fatal(err)
+		}
+		store.items[records.JobKey(testJobID)] = item
+		if f := submit(t, store, gang); f == nil || f.Reason != failure.KeyReused {
+			t.Errorf("identifier of another account's job: %v, want %s", f, failure.KeyReused)
+		}
 		if f := submit(t, unreadableStore{newMemoryStore()}, gang); f == nil || f.Reason != failure.StoreUnavailable {
 			t.Errorf("store that cannot be read: %v, want %s", f, failure.StoreUnavailable)
 		}
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -123,10 +123,7 @@
 			return
 		}
 	}
-	config, caller := s.config, workload.Caller{Account: job.Account, KeyHash: job.KeyHash}
-	if job.Route.Public {
-		caller.PublicQueue = job.Queue
-	}
+	config, caller := s.config, submitter(&job)
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		var conflict *metastore.ConflictError
 		out.revision, conflict, out.failure = s.commit(ctx, txn, deadline)
@@ -143,6 +140,15 @@
 	})
 }
 
+// submitter returns the caller that submits a job.
+func submitter(job *workload.Job) workload.Caller {
+	caller := workload.Caller{Account: job.Account, KeyHash: job.KeyHash}
+	if job.Route.Public {
+		caller.PublicQueue = job.Queue
+	}
+	return caller
+}
+
 // storeAvailable reports whether the store is expected to answer this VM.
 func (s *Service) storeAvailable() bool {
 	return s.storeReachable && time.Since(s.undecidedAt) >= storeHoldOff
