Count waiting units against the guarantee for which work is stopped

withinGuarantee counted the runs of an account, but not the units of the same planning pass for which other work of the account had already been stopped. Ten urgent tasks of 4 accelerators stopped 40 tasks of one accelerator for a guarantee of 8. An account without a guarantee has no work within it either, also if that needs no accelerator.

Before, TestVacatedWithinGuarantee failed with "40 tasks of one accelerator were stopped for a guarantee of 8, want 8", and TestNoGuaranteeWithoutAccelerators with "2 tasks were stopped for an account without a guarantee" and class 1 instead of one after all other work.

--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -128,11 +128,15 @@
 	p.backfill[a].restrictTo(latestStart)
 }
 
-// withinGuarantee reports whether a unit and all runs of priority 0 of its account need no more than the account's
-// guarantee.
+// withinGuarantee reports whether a unit, all runs of priority 0 of its account and the units within the guarantee that
+// already wait for room in this pass need no more than the account's guarantee. It is not called for a unit after its
+// room was held.
 func (f *Scheduler) withinGuarantee(u *unit) bool {
 	t := f.config.Account(u.job.rec.Account)
-	return t != nil && f.route(u.job).Priority == 0 && f.use.urgent.Occupied(t.Name).GPU+u.totalNeed().GPU <= t.Guaranteed
+	if t == nil || t.Guaranteed == 0 || f.route(u.job).Priority > 0 {
+		return false
+	}
+	return f.use.urgent.Occupied(t.Name).GPU+f.limitPass.guaranteed.Occupied(t.Name).GPU+u.totalNeed().GPU <= t.Guaranteed
 }
 
 // vacateLimit stops work of an account below priority 0, that with the least lost work first, so that what the account
--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -183,6 +183,57 @@
 	sim.expectDone()
 }
 
+// TestVacatedWithinGuarantee guards against simultaneous urgent jobs that each stop other work of their account as if they
+// alone used its guarantee.
+func TestVacatedWithinGuarantee(t *testing.T) {
+	sim := startSimulation(t, 2, 4)
+	c := withLimits(sim.config, map[workload.Account]workload.Resources{"a": {GPU: 40}})
+	c.Account("a").Guaranteed = 8
+	sim.configure(c)
+	sim.submit(oneStep("own", "batch", workload.Step{Count: 40, Need: smallTask, Estimate: 20 * time.Second}), behavior{runTime: 20 * time.Second})
+	sim.advance(2 * time.Second)
+	for i := range 10 {
+		sim.submit(oneStep(fmt.Sprintf("urgent%d", i), "urgent", workload.Step{Count: 1, Need: workload.Resources{CPU: 1000, GPU: 4}, Estimate: 5 * time.Second}), behavior{runTime: 5 * time.Second})
+	}
+	sim.advance(3 * time.Second)
+	if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n != 8 {
+		t.Errorf("%d tasks of one accelerator were stopped for a guarantee of 8, want 8", n)
+	}
+	sim.advance(120 * time.Second)
+	sim.expectDone()
+}
+
+// TestNoGuaranteeWithoutAccelerators guards against urgent work without accelerators of an account that has no guarantee
+// and that stops other work of the account, or is never excess, as if it were within the guarantee.
+func TestNoGuaranteeWithoutAccelerators(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	c := withLimits(sim.config, map[workload.Account]workload.Resources{"a": {CPU: 8000}})
+	c.Account("a").Guaranteed, c.Account("a").Weight = 0, 1
+	sim.configure(c)
+	step := workload.Step{Count: 1, Need: workload.Resources{CPU: 1000}, Estimate: 10 * time.Second}
+	for i := range 10 {
+		queue := workload.Queue("batch")
+		step.Need.GPU = 1
+		if i >= 8 {
+			queue, step.Need.GPU = "urgent", 0
+		}
+		j := oneStep(fmt.Sprintf("j%d", i), queue, step)
+		j.Accepted = sim.now
+		sim.submit(j, behavior{runTime: 10 * time.Second})
+		sim.advance(50 * time.Millisecond)
+	}
+	sim.advance(2 * time.Second)
+	f := sim.holder.scheduler
+	if n := f.TakeCounters()[CountLimitVacated]; n != 0 {
+		t.Errorf("%d tasks were stopped for an account without a guarantee", n)
+	}
+	if j := f.jobs["j9"]; !j.excess || f.classOf(j.units[0]) < classExcess || f.runningClass(j.units[0]) < classExcess {
+		t.Errorf("excess %v, class %d to start and %d while it runs, want a job beyond the rate after all other work", j.excess, f.classOf(j.units[0]), f.runningClass(j.units[0]))
+	}
+	sim.advance(60 * time.Second)
+	sim.expectDone()
+}
+
 // TestLimitHoldsOverGuarantee guards against guaranteed work that starts beyond the limit of its account, or that stops
 // work of its account although that does not suffice.
 func TestLimitHoldsOverGuarantee(t *testing.T) {
--- a/decisions/fleet/rate.go
+++ b/decisions/fleet/rate.go
@@ -62,7 +62,7 @@
 	if !j.excess {
 		return class
 	}
-	if t := f.config.Account(j.rec.Account); class == classUrgent && t != nil && urgentUse.GPU <= t.Guaranteed {
+	if t := f.config.Account(j.rec.Account); class == classUrgent && t != nil && t.Guaranteed > 0 && urgentUse.GPU <= t.Guaranteed {
 		return class
 	}
 	return class + classExcess
