Vacate room below a limit only for work that can use it

Guaranteed work at the limit of its account stopped batch work of the account although no executor could take it. The batch work started again, and was stopped again. Work that fits on no executor now stops nothing and keeps no room. Urgent work below the limit that waits for capacity keeps its room below the limit, so that other work of the account does not take it meanwhile.

TestVacatedOnce failed before: 44 tasks were stopped within 10 s for a task with a label that no executor has, want 0, and 44 for one that waits for an executor in use, want 1.

--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -71,7 +71,7 @@
 
 // belowLimit reports whether the limit of its account permits the start of a unit. If it does not, the unit keeps later
 // work of the account from the room that becomes free, and work within the guarantee stops other work of the account.
-func (f *Scheduler) belowLimit(now time.Time, c *candidate, u *unit) bool {
+func (f *Scheduler) belowLimit(now time.Time, c *candidate, u *unit, usable []*executor) bool {
 	a := u.job.rec.Account
 	limit := f.limitOf(u.job)
 	if limit == (workload.Resources{}) {
@@ -93,6 +93,8 @@
 	switch {
 	case accountlimit.Room(limit, workload.Resources{}, need) == 0:
 		// The unit never fits below the present limit.
+	case !f.couldFit(u, usable, false):
+		// The room below the limit would not let the unit start.
 	case guaranteed:
 		f.vacateLimit(now, a, accountlimit.Missing(limit, present, need))
 		// The record is durable before the room is free.
--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -203,6 +203,33 @@
 	sim.expectDone()
 }
 
+// TestVacatedOnce guards against batch work that is stopped and started again without end for guaranteed work of its
+// account that no executor can take, or that waits for one which others use.
+func TestVacatedOnce(t *testing.T) {
+	for label, want := range map[string]int64{"none": 0, "r0": 1} {
+		sim := startSimulation(t, 2, 1)
+		sim.configure(withLimits(sim.config, map[workload.Account]workload.Resources{"a": {GPU: 8}}))
+		other := oneStep("other", "urgent", workload.Step{Count: 8, Need: smallTask, Requires: "r0", Estimate: 20 * time.Second})
+		other.Account = "b"
+		sim.submit(other, behavior{runTime: 20 * time.Second})
+		sim.advance(time.Second)
+		sim.submit(oneStep("own", "batch", workload.Step{Count: 8, Need: smallTask, Estimate: 20 * time.Second}), behavior{runTime: 20 * time.Second})
+		sim.advance(6 * time.Second)
+		sim.submit(oneStep("urgent", "urgent", workload.Step{Count: 1, Need: smallTask, Requires: label}), behavior{runTime: time.Second})
+		sim.advance(10 * time.Second)
+		if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n != want {
+			t.Errorf("label %s: %d tasks were stopped for a task that cannot start, want %d", label, n, want)
+		}
+		sim.advance(20 * time.Second)
+		if started := len(sim.starts[workload.TaskRef{Job: "urgent"}]) > 0; started != (want > 0) {
+			t.Errorf("label %s: started %v once the executor is free", label, started)
+		}
+		for _, f := range sim.violations {
+			t.Error(f)
+		}
+	}
+}
+
 // TestNoGuaranteeWithoutAccelerators guards against urgent work without accelerators of an account that has no guarantee
 // and that stops other work of the account, or is never excess, as if it were within the guarantee.
 func TestNoGuaranteeWithoutAccelerators(t *testing.T) {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -57,6 +57,10 @@
 		c.Class = f.classOf(u)
 		if reason := f.tryPlace(now, c, u, budget); reason != "" {
 			setWaiting(c.units[i:], reason)
+			if reason == WaitCapacity && c.Class <= classUrgent && f.couldFit(u, usable, false) {
+				// Other work of the account does not take the room below the limit, which may have been vacated for this unit.
+				f.holdRoom(u)
+			}
 			if reason != WaitAccountLimit && budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
 			}
@@ -68,7 +72,7 @@
 
 // tryPlace places a unit if the headroom allows it. It returns why the next unit of the step is not worth trying, or "".
 func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, budget *headroom) WaitReason {
-	if !f.belowLimit(now, c, u) {
+	if !f.belowLimit(now, c, u, budget.usable) {
 		return WaitAccountLimit
 	}
 	if !budget.allows(c.Class, u) {
