Let a new holder wait for the configuration before it plans

A holder that is elected before the catalog has read the configuration marked all jobs as within the rate and used the limits at their acceptance. It now plans once the configuration is known, after 2 s in any case: accepted jobs run as before while the store holds no usable configuration.

--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -52,7 +52,9 @@
 	election election
 	term     *term
 	catalog  message.CatalogChanged
-	draining bool
+	// configured is set once the catalog has published a configuration.
+	configured bool
+	draining   bool
 	// cancelWatch ends the watch of the entries of the holder and the term.
 	cancelWatch context.CancelFunc
 	// now is the clock of the lease.
@@ -143,8 +145,9 @@
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
 	switch m := e.Body.(type) {
 	case message.CatalogChanged:
-		s.catalog = m
+		s.catalog, s.configured = m, true
 		if t := s.term; t != nil {
+			t.configured = true
 			t.fleet.SetConfig(m.Config)
 			t.fleet.SetExcludedDomains(m.Out)
 			s.requestPlan(c)
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -25,6 +25,9 @@
 	registryWatchPause = 200 * time.Millisecond
 	// recordsRetryDelay is the delay before the records are read again after a failure. The store counts refused calls, too.
 	recordsRetryDelay = 100 * time.Millisecond
+	// firstConfigWait bounds the wait of a new term for the configuration, which the catalog reads from the store at its
+	// start. Without a bound, accepted jobs would not run while the store holds no usable configuration.
+	firstConfigWait = 2 * time.Second
 )
 
 // term is the state of this VM while it is the holder.
@@ -53,9 +56,11 @@
 	// queueListed and registryListed are set once the first list of each has been applied. pendingUpdates holds the queue
 	// updates that arrived before progress was read.
 	queueListed, registryListed bool
-	pendingUpdates              []metastore.Update
-	startedAt                   time.Time
-	loadLogged                  bool
+	// configured is set once the operators' configuration is known, or after firstConfigWait.
+	configured     bool
+	pendingUpdates []metastore.Update
+	startedAt      time.Time
+	loadLogged     bool
 
 	// saveRevision is the revision of SaveKey after the last save.
 	saveRevision int64
@@ -108,8 +113,12 @@
 		termScoped
 		metastore.Update
 	}
+	configWaitOver struct{ termScoped }
 )
 
+// Kind implements kernel.Message.
+func (configWaitOver) Kind() string { return "holder_config_wait_over" }
+
 // Kind implements kernel.Message.
 func (recordsLoaded) Kind() string { return "holder_progress_read" }
 
@@ -122,8 +131,11 @@
 // Kind implements kernel.Message.
 func (registryUpdate) Kind() string { return "holder_servers_followed" }
 
-// loaded reports whether the records of earlier holders, the accepted jobs and the registered executors have been read.
-func (t *term) loaded() bool { return t.progress != nil && t.queueListed && t.registryListed }
+// loaded reports whether the records of earlier holders, the accepted jobs, the registered executors and the
+// configuration have been read. Without the configuration, the limits and rates of accounts are not known.
+func (t *term) loaded() bool {
+	return t.progress != nil && t.queueListed && t.registryListed && t.configured
+}
 
 // beginTerm creates the scheduler of a new term, and starts to read the records and to watch jobs and executors.
 func (s *Service) beginTerm(c *kernel.Context, number, fence int64, hasPredecessor bool) {
@@ -133,7 +145,7 @@
 	now := time.Now()
 	t := &term{
 		number: number, fence: fence, startedAt: now, lastSummaryAt: now, summaryCounts: map[fleet.Counter]int64{}, refusedEntries: map[string]runner.EntryProblem{},
-		loggedEnds: map[workload.ExecutorID]loggedEnds{},
+		loggedEnds: map[workload.ExecutorID]loggedEnds{}, configured: s.configured,
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.resumeStarts()
@@ -144,6 +156,9 @@
 	s.metrics.CountEvent("terms_begun", 1)
 	s.loadRecords(c, t)
 	s.loadRunTimes(c, t)
+	if !t.configured {
+		c.SendAfter(firstConfigWait, configWaitOver{termScoped{number}})
+	}
 	post := c.TaskSender()
 	s.watch(c, t, records.QueuePrefix, queueWatchPause, func(u metastore.Update) bool { return post(queueUpdate{termScoped{number}, u}) })
 	s.watch(c, t, runner.RegistryPrefix, registryWatchPause, func(u metastore.Update) bool { return post(registryUpdate{termScoped{number}, u}) })
@@ -205,6 +220,13 @@
 		s.loadRecords(c, s.term)
 	case recordsLoaded:
 		s.handleRecordsLoaded(c, m)
+	case configWaitOver:
+		if !s.term.configured {
+			s.log("no configuration known; jobs run by the one at their acceptance", "waited_ms", firstConfigWait.Milliseconds())
+			s.metrics.CountEvent("config_wait_over", 1)
+			s.term.configured = true
+			s.requestPlan(c)
+		}
 	case runTimesDue:
 		s.loadRunTimes(c, s.term)
 	case runTimesRead:
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -27,6 +27,9 @@
 	runnerstandin "github.com/verbenaflow/verbenaflow/standins/runner"
 )
 
+// limitedAccount is an account that may use a single accelerator.
+const limitedAccount = "limited"
+
 // waitLimit bounds every wait of a test. It only ends a test that hangs.
 const waitLimit = 30 * time.Second
 
@@ -42,6 +45,22 @@
 func (stub) Handle(_ *kernel.Context, e kernel.Envelope) { e.Reply(message.Done{}) }
 func (stub) Drain(c *kernel.Context)                     { c.CompleteDrain() }
 
+// lateCatalog is a catalog that publishes its configuration when it is called.
+type lateCatalog struct{ config message.CatalogChanged }
+
+// publishConfig is the call of a lateCatalog.
+type publishConfig struct{}
+
+// Kind implements kernel.Message.
+func (publishConfig) Kind() string { return "publish_config" }
+
+func (lateCatalog) Start(*kernel.Context) error { return nil }
+func (l lateCatalog) Handle(c *kernel.Context, e kernel.Envelope) {
+	c.Publish(l.config)
+	e.Reply(message.Done{})
+}
+func (lateCatalog) Drain(c *kernel.Context) { c.CompleteDrain() }
+
 // suspendableClock is a boottime.Clock that a test moves ahead as a suspension of the machine does.
 type suspendableClock struct{ suspended atomic.Int64 }
 
@@ -65,6 +84,8 @@
 	runTimesInterval time.Duration
 	// prepare is called, if set, once the store runs and before the holder starts.
 	prepare func()
+	// lateConfig is set if the catalog publishes the configuration only when it is called.
+	lateConfig bool
 	// refuseRunTimes makes the store refuse to read learned run times.
 	refuseRunTimes atomic.Bool
 }
@@ -116,9 +137,14 @@
 	info.Address = strings.TrimPrefix(executorServer.URL, "http://")
 	env.store.Set(runner.RegistryPrefix+"e", runner.EncodeRegistryEntry(info))
 
-	config := (&workload.Config{
+	config := message.CatalogChanged{Config: (&workload.Config{
 		Version: 1, Routes: []workload.Route{{Name: "q", Pool: "pool", Stretch: 3, Latency: time.Second}}, Pools: []workload.PoolConfig{{Name: "pool"}},
-	}).Index()
+		Accounts: []workload.AccountConfig{{Name: limitedAccount, Limit: workload.Resources{GPU: 1}}},
+	}).Index()}
+	var catalog kernel.Service = stub{publish: config}
+	if env.lateConfig {
+		catalog = lateCatalog{config}
+	}
 	service := holder.New(holder.Settings{
 		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
 		Fleet: fleet.Settings{
@@ -128,7 +154,7 @@
 		},
 	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), time.Second), runner.NewClient(2), nil, metrics.New())
 	k, err := kernel.New(nil, kernel.Spec{Name: names.Relay, Service: stub{}}, service.Spec(),
-		kernel.Spec{Name: names.Catalog, Service: stub{publish: message.CatalogChanged{Config: config}}})
+		kernel.Spec{Name: names.Catalog, Service: catalog})
 	if err != nil {
 		t.Fatal(err)
 	}
