Hold excess work back only for work of its pool that could run

One waiting unit held back the excess work of every pool while capacity was short, also one that no executor could take. Only units that fit on the empty executors of their pool count now, and only against excess work of that pool.

Before, TestExcessBesideUnplaceableWork and TestExcessOfOtherPool failed with "20 accelerators run the account's jobs, want all 32", for a label that no executor has, a gang larger than the pool and work of another pool.

--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -23,9 +23,11 @@
 	usable := slices.DeleteFunc(slices.Clone(f.sortedExecutors), func(e *executor) bool { return !f.eligible(now, e) })
 	budget := f.headroom(now, usable)
 	var filter backfill
-	roomNeeded := false
+	// roomNeeded holds the pools in which other work than excess work waits for capacity.
+	roomNeeded := map[workload.Pool]bool{}
 	for _, c := range waiting {
-		if c.Excess && roomNeeded && budget.lowCapacity {
+		pool := f.route(c.units[0].job).Pool
+		if c.Excess && roomNeeded[pool] && budget.lowCapacity {
 			setWaiting(c.units, WaitAccountRate)
 			continue
 		}
@@ -36,7 +38,9 @@
 		} else {
 			setWaiting(c.units, WaitGang)
 		}
-		roomNeeded = roomNeeded || !c.Excess && c.needsRoom()
+		if !c.Excess && !roomNeeded[pool] && f.needsRoom(c, usable) {
+			roomNeeded[pool] = true
+		}
 	}
 }
 
--- a/decisions/fleet/rate.go
+++ b/decisions/fleet/rate.go
@@ -40,12 +40,14 @@
 	f.unmarkedJobs = f.unmarkedJobs[:0]
 }
 
-// needsRoom reports whether a unit of a candidate waits because capacity is short. Excess work does not take what becomes
-// free then: it would keep larger units waiting.
-func (c *candidate) needsRoom() bool {
-	return slices.ContainsFunc(c.units, func(u *unit) bool {
+// needsRoom reports whether a unit of a candidate waits because capacity is short and would fit on empty executors. Excess
+// work of the same pool does not take what becomes free then: it would keep larger units waiting.
+func (f *Scheduler) needsRoom(c *candidate, usable []*executor) bool {
+	i := slices.IndexFunc(c.units, func(u *unit) bool {
 		return u.state == unitPending && (u.waitsFor == WaitCapacity || u.waitsFor == WaitHeadroom || u.waitsFor == WaitGang)
 	})
+	// The units of a step have equal demands.
+	return i >= 0 && f.couldFit(c.units[i], usable, false)
 }
 
 // submittedAt returns when a job was accepted. The clock of the accepting VM may be ahead.
--- a/decisions/fleet/rate_test.go
+++ b/decisions/fleet/rate_test.go
@@ -246,3 +246,63 @@
 	sim.advance(120 * time.Second)
 	sim.expectDone()
 }
+
+// TestExcessBesideUnplaceableWork guards against a job that no executor can take, or that waits for another pool, and that
+// keeps all jobs beyond the rate from free capacity.
+func TestExcessBesideUnplaceableWork(t *testing.T) {
+	for name, step := range map[string]workload.Step{
+		"label that no executor has": {Count: 1, Need: smallTask, Requires: "none"},
+		"gang larger than the pool":  {Count: 40, Gang: true, Need: smallTask},
+	} {
+		sim := startSimulation(t, 1, 4)
+		c := withLimits(sim.config, nil)
+		c.Account("a").Weight = 0.1
+		sim.configure(c)
+		waiting := oneStep("waiting", "normal", step)
+		waiting.Account = "b"
+		sim.submit(waiting, behavior{runTime: time.Second})
+		for i := range 8 {
+			j := oneStep(fmt.Sprintf("j%d", i), "batch", workload.Step{Count: 5, Need: workload.Resources{CPU: 4000, GPU: 1}, Estimate: 20 * time.Second})
+			j.Accepted = sim.now
+			sim.submit(j, behavior{runTime: 20 * time.Second})
+			sim.advance(500 * time.Millisecond)
+		}
+		sim.advance(5 * time.Second)
+		if got := sim.running("a").GPU; got != 32 {
+			t.Errorf("%s: %d accelerators run the account's jobs, want all 32", name, got)
+		}
+		for _, f := range sim.violations {
+			t.Error(f)
+		}
+	}
+}
+
+// TestExcessOfOtherPool guards against work of one pool that waits for capacity and keeps the jobs beyond the rate of
+// another pool from free capacity.
+func TestExcessOfOtherPool(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	sim.addExecutor("other", "r9", "zone")
+	info := &sim.executors["other"].info
+	info.Pool = "other"
+	sim.holder.scheduler.UpsertExecutor(sim.now, *info)
+	sim.advance(100 * time.Millisecond)
+	c := withLimits(sim.config, nil)
+	c.Routes = append(slices.Clone(c.Routes), workload.Route{Name: "elsewhere", Pool: "other", Priority: 1, MaxAttempts: 3, Stretch: 3, Latency: time.Second})
+	c.Pools = append(slices.Clone(c.Pools), workload.PoolConfig{Name: "other"})
+	c.Index()
+	c.Account("a").Weight = 0.1
+	sim.configure(c)
+	waiting := oneStep("waiting", "elsewhere", workload.Step{Count: 10, Need: smallTask, Estimate: 20 * time.Second})
+	waiting.Account = "b"
+	sim.submit(waiting, behavior{runTime: 20 * time.Second})
+	for i := range 8 {
+		j := oneStep(fmt.Sprintf("j%d", i), "batch", workload.Step{Count: 5, Need: workload.Resources{CPU: 4000, GPU: 1}, Estimate: 20 * time.Second})
+		j.Accepted = sim.now
+		sim.submit(j, behavior{runTime: 20 * time.Second})
+		sim.advance(500 * time.Millisecond)
+	}
+	sim.advance(5 * time.Second)
+	if got := sim.running("a").GPU; got != 32 {
+		t.Errorf("%d accelerators run the account's jobs, want all 32 of its pool", got)
+	}
+}
