Keep the relay accepting after a failed accept

The accept loop of the relay ended for good on any error, such as a lack of descriptors, so that the VM was cut off from the others until its restart. It ends only with its listener or with the service; other errors are counted and retried after 100 ms. TestAcceptFails got no answer before.

--- a/services/relay/service.go
+++ b/services/relay/service.go
@@ -30,6 +30,8 @@
 	writeTimeout = 2 * time.Second
 	// serveTimeout bounds the handling of a message from another VM.
 	serveTimeout = 3 * time.Second
+	// acceptRetryDelay is the wait after a failed accept, as for a lack of descriptors, which connections that end give back.
+	acceptRetryDelay = 100 * time.Millisecond
 )
 
 // Parcel is the request that sends a message to another VM. gob carries the names of the type and of its fields.
@@ -99,9 +101,17 @@
 		places := make(chan struct{}, maxConnections)
 		for {
 			conn, err := s.listener.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 				return nil
 			}
+			if err != nil {
+				s.metrics.CountEvent("relay_accept_failed", 1)
+				select {
+				case <-time.After(acceptRetryDelay):
+				case <-ctx.Done():
+				}
+				continue
+			}
 			select {
 			case places <- struct{}{}:
 			default:
--- a/services/relay/service_test.go
+++ b/services/relay/service_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/rpc"
 	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -253,3 +255,44 @@
 		}
 	}
 }
+
+// failingListener fails its first accepts for a lack of descriptors.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptFails guards against a VM that accepts no connections of other VMs any more after it was short of descriptors.
+func TestAcceptFails(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &failingListener{Listener: inner}
+	l.failures.Store(2)
+	block := make(chan struct{})
+	close(block)
+	startVMOn(t, l, block)
+	client, err := rpc.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	call := client.Go(rpcMethod, Parcel{To: string(names.Holder), Body: message.StateQuery{ID: "0000000000000001"}}, new(Receipt), make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			t.Errorf("the call failed: %v", call.Error)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("no answer after two accepts have failed")
+	}
+}
