Count relayed submissions among the records of their account

A VM that does not reach the store relayed submissions before it counted them, and the VM that stored them leaves the count to the first one, so that they were counted nowhere.

--- a/services/intake/records_test.go
+++ b/services/intake/records_test.go
@@ -86,3 +86,25 @@
 		})
 	}
 }
+
+// TestRelayedSubmissionsCount guards against a key without a limit at a VM that does not reach the store and relays its calls.
+func TestRelayedSubmissionsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, limits := newMemoryStore(), recordlimit.DefaultSettings()
+		other := startVM(t, store, publisher{})
+		vm := startVM(t, newMemoryStore(), relayTo{other, 0})
+		synctest.Wait()
+		if err := vm.Send(names.Intake, message.StoreReachability{Reachable: false}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		for i := range 2 * limits.Burst {
+			c := testCall()
+			c.Path = fmt.Sprintf("/q/%016x", i)
+			_, _ = vm.Call(t.Context(), names.Intake, message.SubmitCall{ClientCall: c, Job: workload.Job{Steps: []workload.Step{{Count: 1}}}})
+		}
+		if len(store.items) != limits.Burst {
+			t.Errorf("%d of %d submissions are relayed and stored at once, want %d", len(store.items), 2*limits.Burst, limits.Burst)
+		}
+	})
+}
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -102,6 +102,14 @@
 		s.refuse(e, "submit", job.ID, failure.New(failure.TooLarge, "%v", err))
 		return
 	}
+	// A repeated submission writes no record, but it is a write call of the store, too. The VM that took a relayed call counts
+	// it, whether it stores the job itself or relays it.
+	if mayRelay {
+		if f := s.limitRecords(job.Account, recordlimit.Job, recordlimit.Units(len(value))); f != nil {
+			s.refuse(e, "submit", job.ID, f)
+			return
+		}
+	}
 	out := storeDone{env: e, job: job, deadline: deadline, mayRelay: mayRelay, startedAt: time.Now()}
 	if !s.storeAvailable() {
 		// As nothing is sent to the store, the job certainly does not run, so that the client may retry. After an attempt
@@ -115,14 +123,6 @@
 		Conditions: []metastore.Condition{{Key: records.JobKey(job.ID)}, {Key: records.TombstoneKey(job.ID, job.Account)}},
 		Writes:     []metastore.Write{{Key: records.JobKey(job.ID), Value: value}},
 	}
-	// A repeated submission writes no record, but it is a write call of the store, too. The VM that took a relayed call has
-	// counted it.
-	if mayRelay {
-		if f := s.limitRecords(job.Account, recordlimit.Job, recordlimit.Units(len(txn.Writes[0].Value))); f != nil {
-			s.refuse(e, "submit", job.ID, f)
-			return
-		}
-	}
 	config, caller := s.config, workload.Caller{Account: job.Account, KeyHash: job.KeyHash}
 	if job.Route.Public {
 		caller.PublicQueue = job.Queue
