Look a job up before a submission is refused as not run

A repeated submission whose first attempt was stored, but whose answer was lost, was refused with 413 or 429 as not run if it met the records of its account or the size of a record. Both refusals look the job up as that beyond the account's limit does; all three check the owner, and a lookup that fails gives an unknown outcome instead of 'not run'. An account has at most four lookups at a time, because a rate would leave calls beyond it without a known outcome, which TestKeyThatFillsTheStore forbids. TestBeyondAccountLimit asks for the unknown outcome, too.

--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -46,6 +46,8 @@
 	undecidedAt time.Time
 	// records bounds what each account adds to the store.
 	records *recordlimit.Limiter
+	// lookups counts the lookups in progress of submissions that are refused if their job is not stored.
+	lookups map[workload.Account]int
 	// limited counts the calls refused by records since limitedLogged, the time of the last log line about them.
 	limited       int
 	limitedLogged time.Time
@@ -62,7 +64,9 @@
 	if s.Records == (recordlimit.Settings{}) {
 		s.Records = recordlimit.DefaultSettings()
 	}
-	return &Service{settings: s, store: store, metrics: m, storeReachable: true, records: recordlimit.New(s.Records)}
+	return &Service{
+		settings: s, store: store, metrics: m, storeReachable: true, records: recordlimit.New(s.Records), lookups: map[workload.Account]int{},
+	}
 }
 
 // Spec returns the registration of the service.
@@ -79,9 +83,12 @@
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
-// Recover implements kernel.Recoverer. The service holds no state that a call changes in several steps; the call that
-// caused the panic fails with an unknown outcome.
-func (s *Service) Recover(*kernel.Context, *kernel.PanicError) bool { return true }
+// Recover implements kernel.Recoverer. The service holds no state that a call changes in several steps, except the count of
+// lookups, which begins anew; the call that caused the panic fails with an unknown outcome.
+func (s *Service) Recover(*kernel.Context, *kernel.PanicError) bool {
+	clear(s.lookups)
+	return true
+}
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -54,6 +54,8 @@
 	revision int64
 	// existed is set if the job was already stored.
 	existed bool
+	// lookup is set if the call was only looked up, as one that is refused if the job is not stored.
+	lookup bool
 	// mayRelay is set if the call may be relayed to another VM.
 	mayRelay  bool
 	startedAt time.Time
@@ -87,7 +89,8 @@
 		job.AccountLimit = t.Limit
 	}
 	if step, never := accountlimit.NeverFits(job.AccountLimit, job.Steps); never {
-		s.refuseBeyondLimit(c, job, step, deadline, e)
+		s.refuseUnlessStored(c, job, deadline, e,
+			failure.New(failure.AccountLimit, "step %d needs more than account %s may have running", step, job.Account))
 		return
 	}
 	s.accept(c, job, deadline, e, true)
@@ -99,14 +102,14 @@
 func (s *Service) accept(c *kernel.Context, job workload.Job, deadline time.Time, e kernel.Envelope, mayRelay bool) {
 	value, err := records.EncodeJob(&job, metastore.MaxValueBytes)
 	if err != nil {
-		s.refuse(e, "submit", job.ID, failure.New(failure.TooLarge, "%v", err))
+		s.refuseUnlessStored(c, job, deadline, e, failure.New(failure.TooLarge, "%v", err))
 		return
 	}
 	// A repeated submission writes no record, but it is a write call of the store, too. The VM that took a relayed call counts
 	// it, whether it stores the job itself or relays it.
 	if mayRelay {
 		if f := s.limitRecords(job.Account, recordlimit.Job, recordlimit.Units(len(value))); f != nil {
-			s.refuse(e, "submit", job.ID, f)
+			s.refuseUnlessStored(c, job, deadline, e, f)
 			return
 		}
 	}
@@ -123,10 +126,7 @@
 		Conditions: []metastore.Condition{{Key: records.JobKey(job.ID)}, {Key: records.TombstoneKey(job.ID, job.Account)}},
 		Writes:     []metastore.Write{{Key: records.JobKey(job.ID), Value: value}},
 	}
-	config, caller := s.config, workload.Caller{Account: job.Account, KeyHash: job.KeyHash}
-	if job.Route.Public {
-		caller.PublicQueue = job.Queue
-	}
+	config, caller := s.config, callerOf(&job)
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		var conflict *metastore.ConflictError
 		out.revision, conflict, out.failure = s.commit(ctx, txn, deadline)
@@ -136,13 +136,26 @@
 				// An earlier attempt without an answer can't be applied either, because its conditions do not hold.
 				out.failure = failure.New(failure.JobGone, "the job was cancelled before it was stored")
 			} else if !mayAccess(config, caller, storedOwner(conflict, records.JobKey(job.ID))) {
-				out.failure = failure.New(failure.KeyReused, "a job of another account has this identifier")
+				out.failure = keyReused()
 			}
 		}
 		return out
 	})
 }
 
+// callerOf returns the caller who submits a job.
+func callerOf(job *workload.Job) workload.Caller {
+	caller := workload.Caller{Account: job.Account, KeyHash: job.KeyHash}
+	if job.Route.Public {
+		caller.PublicQueue = job.Queue
+	}
+	return caller
+}
+
+func keyReused() *failure.Error {
+	return failure.New(failure.KeyReused, "a job of another account has this identifier")
+}
+
 // storeAvailable reports whether the store is expected to answer this VM.
 func (s *Service) storeAvailable() bool {
 	return s.storeReachable && time.Since(s.undecidedAt) >= storeHoldOff
@@ -238,6 +251,9 @@
 
 // handleStoreDone replies to a submission.
 func (s *Service) handleStoreDone(c *kernel.Context, m storeDone) {
+	if m.lookup {
+		s.lookupEnded(m.job.Account)
+	}
 	if m.failure != nil {
 		s.recordUndecided(m.failure)
 		if m.mayRelay && m.failure.Reason == failure.StoreUnavailable && s.relayJob(c, m) {
