--- a/decisions/budget/budget.go
+++ b/decisions/budget/budget.go
@@ -103,12 +103,12 @@
 	}
 }
 
-// Fits reports whether there is room for a request of n bytes of a connection, or for the opening of a connection.
+// Fits reports whether a request of n bytes of a connection, or the opening of a connection, is granted at once.
 func (b *Budget) Fits(id ID, n int64) bool {
 	if b.holders[id] == nil {
-		return b.fits(request{id: id, bytes: b.settings.ConnectionBytes, open: true})
+		return b.fitsNow(request{id: id, bytes: b.settings.ConnectionBytes, open: true})
 	}
-	return b.fits(request{id: id, bytes: n})
+	return b.fitsNow(request{id: id, bytes: n})
 }
 
 // Open asks for a place for a new connection.
@@ -127,7 +127,7 @@
 }
 
 func (b *Budget) decide(r request, taker *holder) Outcome {
-	if b.fits(r) && (b.limit(r) == b.settings.Total || len(b.waiting) == 0) {
+	if b.fitsNow(r) {
 		b.grant(r)
 		return Outcome{Decision: Granted}
 	}
@@ -162,6 +162,11 @@
 	return b.used+r.bytes <= b.limit(r) && (!r.open || len(b.holders) < b.settings.Connections)
 }
 
+// fitsNow reports whether there is room for a request and none that waits goes before it.
+func (b *Budget) fitsNow(r request) bool {
+	return b.fits(r) && (b.limit(r) == b.settings.Total || len(b.waiting) == 0)
+}
+
 func (b *Budget) grant(r request) {
 	b.used += r.bytes
 	if r.open {
--- a/decisions/budget/budget_test.go
+++ b/decisions/budget/budget_test.go
@@ -117,10 +117,14 @@
 				id, n := m.some(), rapid.Int64Range(1, 700).Draw(m.t, "bytes")
 				m.progress[id] = Progress{Since: m.tick()}
 				m.b.Observe(id, m.progress[id])
-				fits := m.b.Fits(id, n)
+				room, fits := m.b.fits(request{id: id, bytes: n}), m.b.Fits(id, n)
 				o := m.b.Take(id, n)
-				if d := o.Decision; d == Granted && !fits || d != Granted && fits && len(m.waiting) == 0 {
-					m.t.Fatalf("fits is %v for a request that is answered with %d", fits, d)
+				if d := o.Decision; d == Granted && !room || d != Granted && room && len(m.waiting) == 0 {
+					m.t.Fatalf("room is %v for a request that is answered with %d", room, d)
+				}
+				// The progress of the others is refreshed only if the request does not fit.
+				if fits && (o.Decision != Granted || len(o.Evicted) > 0) {
+					m.t.Fatalf("a request that fits is answered with %+v", o)
 				}
 				m.apply(id, n, o, false)
 			}),
