--- a/decisions/runtimes/snapshot.go
+++ b/decisions/runtimes/snapshot.go
@@ -52,7 +52,8 @@
 const maxNameLength = 64
 
 // Snapshot returns the content of the model. What only limits weights for the moment, such as the recent jobs, is left
-// out.
+// out, and so is what counts for nothing: cells whose weight has decayed to 0 by the precision of a snapshot, and queues
+// without other cells.
 func (m *Model) Snapshot() Snapshot {
 	s := Snapshot{Version: SnapshotVersion}
 	for _, g := range m.order {
@@ -63,14 +64,21 @@
 		for _, c := range g.cells {
 			if len(c.key.account) <= maxNameLength {
 				sums := rounded([]float64{c.w, c.x, c.r, c.xx, c.xr}, 1e-4)
+				if sums[0] == 0 {
+					continue
+				}
 				state.Cells = append(state.Cells, CellState{c.key.account, [3]int{c.key.shape.CPU, c.key.shape.Memory, c.key.shape.GPU}, [5]float64(sums)})
 			}
 		}
-		s.Groups = append(s.Groups, state)
+		if len(state.Cells) > 0 {
+			s.Groups = append(s.Groups, state)
+		}
 	}
 	for _, h := range m.paces.order {
 		if len(h.key.Address) <= maxNameLength && len(h.key.Kind) <= maxNameLength {
-			s.Hosts = append(s.Hosts, HostState{h.key.Address, h.key.Kind, rounded([]float64{h.logPace - m.paces.all.mean()}, 1e-3)[0]})
+			// The mean can move away from a host without runs. Beyond maxPace, the distance makes no difference.
+			logPace := clamp(h.logPace-m.paces.all.mean(), maxLogPace)
+			s.Hosts = append(s.Hosts, HostState{h.key.Address, h.key.Kind, rounded([]float64{logPace}, 1e-3)[0]})
 		}
 	}
 	return s
@@ -143,7 +151,7 @@
 	hosts := map[hostKey]bool{}
 	for _, h := range s.Hosts {
 		k := hostKey{h.Address, h.Kind}
-		if hosts[k] || !inRange(h.LogPace, 2*maxPace) {
+		if hosts[k] || !inRange(h.LogPace, maxLogPace) {
 			return invalid("host %q of kind %q", h.Address, h.Kind)
 		}
 		hosts[k] = true
@@ -175,8 +183,12 @@
 	return nil
 }
 
-// maxLog bounds the logarithm of a ratio of run times.
-const maxLog = 50
+const (
+	// maxLog bounds the logarithm of a ratio of run times.
+	maxLog = 50
+	// maxLogPace bounds the logarithm of the pace of a host.
+	maxLogPace = 2 * maxPace
+)
 
 // inRange reports whether a number is finite and its magnitude is within a bound.
 func inRange(v, bound float64) bool { return math.Abs(v) <= bound }
--- a/decisions/runtimes/snapshot_test.go
+++ b/decisions/runtimes/snapshot_test.go
@@ -157,3 +157,62 @@
 		}
 	})
 }
+
+// TestSnapshotOfStaleCell guards against a model that refuses its own snapshot, because the weight of a cell has decayed
+// to 0 by its precision while the sums of logarithms have not: those of declared times far from a second are larger.
+func TestSnapshotOfStaleCell(t *testing.T) {
+	m := newModel()
+	run := func(i, cpu int) {
+		observe(m, start.Add(time.Duration(i)*time.Second), Observation{
+			Query:   Query{Queue: "q", Account: "a", Need: workload.Resources{CPU: cpu}, Declared: time.Hour},
+			Job:     workload.JobID(fmt.Sprint("j", i)),
+			Elapsed: time.Hour,
+		})
+		s := m.Snapshot()
+		if err := s.Validate(); err != nil {
+			t.Fatalf("after %d runs: %v", i+1, err)
+		}
+	}
+	run(0, 1000)
+	for i := range 300 {
+		run(i+1, 2000)
+	}
+	if s := m.Snapshot(); len(s.Groups) != 1 || len(s.Groups[0].Cells) != 1 {
+		t.Errorf("groups %v, want the cell of the later runs", s.Groups)
+	}
+}
+
+// TestSnapshotIsValid guards against a reachable model whose snapshot the same program refuses: accounts change the shape
+// of their tasks for many runs, and hosts are idle while the paces of others drift.
+func TestSnapshotIsValid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		for i := range 8 {
+			m.SetExecutor(workload.ExecutorID(fmt.Sprint("e", i)), fmt.Sprint(i), "a")
+		}
+		job := 0
+		for range rapid.IntRange(1, 6).Draw(t, "phases") {
+			o := Observation{
+				Query: Query{
+					Queue: "q", Account: workload.Account(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account")),
+					Need:     workload.Resources{CPU: 1 << rapid.IntRange(0, 20).Draw(t, "cpu")},
+					Declared: time.Duration(math.Exp(rapid.Float64Range(0, math.Log(math.MaxInt64/2)).Draw(t, "log declared"))),
+				},
+				Elapsed: time.Duration(math.Exp(rapid.Float64Range(0, math.Log(math.MaxInt64/2)).Draw(t, "log elapsed"))),
+			}
+			executors := rapid.IntRange(1, 8).Draw(t, "executors")
+			factor := rapid.Float64Range(0.8, 1.25).Draw(t, "change of the run time")
+			for range rapid.IntRange(1, 300).Draw(t, "runs") {
+				job++
+				o.Job = workload.JobID(fmt.Sprint(job))
+				o.Executors = []workload.ExecutorID{workload.ExecutorID(fmt.Sprint("e", job%executors))}
+				o.Elapsed = min(max(time.Duration(factor*float64(o.Elapsed)), time.Millisecond), maxRunTime)
+				observe(m, start.Add(time.Duration(job)*time.Second), o)
+			}
+			s := m.Snapshot()
+			if err := s.Validate(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
