Let a machine that stays down not block its wave

A machine that went down before its order kept its place in the wave, and so did one whose order was refused because it was down. With one place, the wave stopped. Such a machine now waits again until it is up. An order that was refused or not sent counts as if it had not been given, unless an earlier one got no answer.

A machine counted as gone, and its wave as completed, after five lists without it, which is about two seconds. A machine that is missing for at least the time of an upkeep is now ordered, and the answer decides.

The oracle has machines that stay down and lists that miss a machine for a while. A wave with a machine that stays down is not completed; the others must have their upkeep, except while that machine may be in its own: in its upkeep or with an order without an answer.

--- a/decisions/upkeep/oracle_test.go
+++ b/decisions/upkeep/oracle_test.go
@@ -27,6 +27,10 @@
 	inUpkeep bool
 	upAt     int
 	gone     bool
+	// staysDown is set if the machine does not come back after its crash.
+	staysDown bool
+	// missingUntil is when the lists contain the machine again.
+	missingUntil int
 	// busyUntil is when the tasks of the present executor end.
 	busyUntil int
 	// begun holds the waves of which the upkeep of the machine has begun.
@@ -158,7 +162,7 @@
 			case !needed:
 				planner.MarkNotNeeded(order)
 			default:
-				planner.MarkUnproven(order)
+				planner.MarkRefused(order)
 			}
 		})
 	}
@@ -184,7 +188,7 @@
 	o.after(madeAfter, func() {
 		var machines []workload.Machine
 		for _, m := range o.machines {
-			if !m.gone && !o.chance(2, "machine is missing in the list") {
+			if !m.gone && o.now >= m.missingUntil && !o.chance(2, "machine is missing in the list") {
 				machines = append(machines, workload.Machine{ID: m.id, Up: m.up, InUpkeep: m.inUpkeep, Executor: m.executorID()})
 			}
 		}
@@ -236,7 +240,7 @@
 // advance ends upkeeps and disturbs machines and holders.
 func (o *oracle) advance() {
 	for _, m := range o.machines {
-		if !m.up && o.now >= m.upAt {
+		if !m.up && !m.staysDown && o.now >= m.upAt {
 			m.up, m.inUpkeep = true, false
 			o.startExecutor(m)
 		}
@@ -245,8 +249,12 @@
 		}
 		if m.up && o.chance(1, "machine crashes") {
 			m.up, m.upAt = false, o.now+rapid.IntRange(1, 50).Draw(o.t, "ticks of the crash")
+			m.staysDown = o.chance(20, "machine stays down")
 		}
 	}
+	if o.chance(1, "lists miss a machine") {
+		o.machines[rapid.IntRange(0, len(o.machines)-1).Draw(o.t, "machine that lists miss")].missingUntil = o.now + rapid.IntRange(1, 60).Draw(o.t, "ticks without it")
+	}
 	if o.chance(1, "machine leaves") {
 		o.machines[rapid.IntRange(0, len(o.machines)-1).Draw(o.t, "machine that leaves")].gone = true
 	}
@@ -255,10 +263,34 @@
 	}
 }
 
+// blocked reports whether each wave that is not completed has a machine that stays down, and the upkeep of all others has
+// begun. Only one that stays down with an order that may still be carried out, or in its upkeep, keeps its place, so that
+// the others may have to wait for it.
+func (o *oracle) blocked() bool {
+	for _, w := range o.waves {
+		if o.completed[w.Number] {
+			continue
+		}
+		staysDown, waits, keepsPlace := false, false, false
+		for _, m := range o.machines {
+			if m.gone || !slices.Contains(w.Machines, m.id) {
+				continue
+			}
+			staysDown = staysDown || m.staysDown
+			waits = waits || !m.staysDown && !m.begun[w.Number]
+			keepsPlace = keepsPlace || m.staysDown && (o.planner.find(Order{w.Number, m.id}).unresolved || m.begun[w.Number])
+		}
+		if !staysDown || waits && !keepsPlace {
+			return false
+		}
+	}
+	return true
+}
+
 // TestWavesAgainstOracle guards against a wave that is reported as completed although the upkeep of one of its machines
 // has not begun, against too many machines in upkeep at once, and against a wave that is never completed. Orders are
-// lost, late or carried out twice, answers and lists are late, executors restart and machines crash by themselves,
-// waves share machines, and the holder changes at any step.
+// lost, late or carried out twice, answers and lists are late or miss a machine for a while, executors restart, machines
+// crash by themselves and may stay down, waves share machines, and the holder changes at any step.
 func TestWavesAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := &oracle{t: t, events: map[int][]func(){}, completed: map[int64]bool{}}
@@ -279,7 +311,10 @@
 		o.newHolder()
 		for ; len(o.completed) < len(o.waves); o.now++ {
 			if o.now > maxTicks {
-				t.Fatalf("%d of %d waves are completed after %d ticks", len(o.completed), len(o.waves), o.now)
+				if !o.blocked() {
+					t.Fatalf("%d of %d waves are completed after %d ticks", len(o.completed), len(o.waves), o.now)
+				}
+				return
 			}
 			o.advance()
 			for _, f := range o.events[o.now] {
--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -13,9 +13,9 @@
 //     upkeep of another wave. Until then the order is repeated, which has no effect once the upkeep has begun.
 //   - It has ended once a list of machines that was requested after that answer shows the machine as up. A list that
 //     was requested before may show it as it was before the upkeep.
-//   - It is not needed if the platform refuses the order because the machine does not exist or is not part of the wave,
-//     or if the machine is missing in several lists in a row. The pages of a list are no snapshot, so that one list may
-//     miss a machine.
+//   - It is not needed if the platform refuses the order because the machine does not exist or is not part of the wave.
+//     The pages of a list are no snapshot, so that a list may miss a machine. One that is missing for long is therefore
+//     ordered, and the answer shows whether it is gone. If its upkeep has begun, that counts as ended then.
 //
 // A wave is completed once each upkeep has ended or is not needed.
 package upkeep
@@ -32,8 +32,9 @@
 	plannedTimeShare = 0.8
 	// defaultWaveTime is the time for a wave that specifies none.
 	defaultWaveTime = time.Minute
-	// maxMissingLists is the number of lists in a row without a machine after which the machine counts as gone.
-	maxMissingLists = 5
+	// minMissingLists is the number of lists in a row without a machine from which on it may be gone. They must also be as
+	// far apart as an upkeep takes, so that one that an earlier holder has ordered is over.
+	minMissingLists = 5
 )
 
 // phase is the state of a machine of a wave.
@@ -70,12 +71,17 @@
 	id         workload.MachineID
 	phase      phase
 	phaseSince time.Time
-	// attempted is set once an order was sent, so that the upkeep may begin at any time.
-	attempted bool
+	// attempted is set once an order was sent, so that the upkeep may begin at any time, until a refusal shows that it will
+	// not. unresolved is set once an order got no answer: a later refusal shows nothing about it.
+	attempted, unresolved bool
 	// begunAt is when the answer that proves the begin of the upkeep arrived.
 	begunAt time.Time
-	// missingLists is the number of latest lists that do not contain the machine.
+	// missingLists is the number of latest lists that do not contain the machine, missingSince when the first of them was
+	// requested.
 	missingLists int
+	missingSince time.Time
+	// missingLong is set while the machine has been missing for so long that it may be gone.
+	missingLong bool
 }
 
 // New returns a planner without waves; upkeepTime is the duration of an upkeep.
@@ -166,7 +172,7 @@
 	for _, n := range numbers {
 		w := s.waves[n]
 		for _, m := range w.machines {
-			m.update(list.RequestedAt, byID)
+			m.update(list.RequestedAt, byID, s.upkeepTime)
 		}
 		s.stepWave(now, w, byID, vacated, ordered, &p)
 	}
@@ -184,9 +190,13 @@
 	// in upkeep by the order of an earlier holder, also if the list misses it.
 	inProgress, down := 0, 0
 	for _, m := range w.machines {
+		if m.phase == phaseEvacuating && !m.attempted && !machines[m.id].Up {
+			// It gives its place to others, because it may stay down.
+			m.phase = phaseWaiting
+		}
 		switch {
 		case m.phase == phaseFinished:
-		case m.attempted || m.phase == phaseBegun || m.missingLists > 0 || machines[m.id].InUpkeep:
+		case m.attempted || m.phase == phaseBegun || m.missingLists > 0 && !m.missingLong || machines[m.id].InUpkeep:
 			inProgress++
 			down++
 		case m.phase == phaseEvacuating:
@@ -195,6 +205,14 @@
 	}
 	for _, m := range w.machines {
 		status := machines[m.id]
+		if m.missingLong && (m.phase == phaseWaiting || m.phase == phaseEvacuating) && !ordered[m.id] && (m.attempted || down < max(1, w.spec.MaxDown)) {
+			if !m.attempted {
+				inProgress++
+				down++
+			}
+			ordered[m.id] = true
+			p.Orders = append(p.Orders, Order{w.spec.Number, m.id})
+		}
 		if !status.Up {
 			continue
 		}
@@ -225,16 +243,21 @@
 }
 
 // update applies the status of a machine in a list that was requested at a time.
-func (m *machine) update(requestedAt time.Time, machines map[workload.MachineID]workload.Machine) {
+func (m *machine) update(requestedAt time.Time, machines map[workload.MachineID]workload.Machine, upkeepTime time.Duration) {
 	status, listed := machines[m.id]
 	switch {
 	case m.phase == phaseFinished:
 	case !listed:
-		if m.missingLists++; m.missingLists >= maxMissingLists {
+		if m.missingLists == 0 {
+			m.missingSince = requestedAt
+		}
+		m.missingLists++
+		m.missingLong = m.missingLists >= minMissingLists && requestedAt.Sub(m.missingSince) >= upkeepTime
+		if m.phase == phaseBegun && m.missingLong && requestedAt.Sub(m.begunAt) >= upkeepTime {
 			m.phase = phaseFinished
 		}
 	default:
-		m.missingLists = 0
+		m.missingLists, m.missingLong = 0, false
 		if m.phase == phaseBegun && status.Up && requestedAt.After(m.begunAt) {
 			m.phase = phaseFinished
 		}
@@ -254,7 +277,7 @@
 
 // MarkOrdered records that an order is sent.
 func (s *Planner) MarkOrdered(o Order) {
-	if m := s.find(o); m != nil && m.phase == phaseEvacuating {
+	if m := s.find(o); m != nil && (m.phase == phaseEvacuating || m.phase == phaseWaiting) {
 		m.phase, m.attempted = phaseOrdered, true
 	}
 }
@@ -266,10 +289,17 @@
 	}
 }
 
-// MarkUnproven records that an order was refused, was not sent or got no answer, so that it is repeated.
+// MarkUnproven records that an order got no answer, so that it is repeated.
 func (s *Planner) MarkUnproven(o Order) {
 	if m := s.find(o); m != nil && m.phase == phaseOrdered {
-		m.phase = phaseEvacuating
+		m.phase, m.unresolved = phaseEvacuating, true
+	}
+}
+
+// MarkRefused records that an order was refused for now or was not sent, so that it is repeated.
+func (s *Planner) MarkRefused(o Order) {
+	if m := s.find(o); m != nil && m.phase == phaseOrdered {
+		m.phase, m.attempted = phaseEvacuating, m.unresolved
 	}
 }
 
--- a/decisions/upkeep/upkeep_test.go
+++ b/decisions/upkeep/upkeep_test.go
@@ -247,3 +247,71 @@
 		t.Errorf("orders %v after the time for the evacuation, want one", p.Orders)
 	}
 }
+
+// TestMachineStaysDown guards against a wave that stops at a machine which goes down for good: before its order, while it is
+// evacuated, or with an order that is refused because it is down. Its wave must not be completed either.
+func TestMachineStaysDown(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		now := time.Unix(0, 0)
+		c, spec := newWave(3, 1)
+		s := New(upkeepTime)
+		s.SetWaves(now, []workload.Wave{spec})
+		s.Step(now, List{now, c.machines}, nil)
+		if refused {
+			p := s.Step(now, List{now, c.machines}, c.vacated())
+			if len(p.Orders) != 1 || p.Orders[0].Machine != "m0" {
+				t.Fatalf("orders %v, want one for m0", p.Orders)
+			}
+			s.MarkOrdered(p.Orders[0])
+			s.MarkRefused(p.Orders[0])
+		}
+		c.machines[0].Up = false
+		c.upAt["m0"] = now.Add(time.Hour)
+		for range 200 {
+			now = now.Add(tick)
+			c.advance(now)
+			p := s.Step(now, List{now, c.machines}, c.vacated())
+			if len(p.CompletedWaves) > 0 {
+				t.Error("the wave is completed without the machine that stays down")
+			}
+			for _, o := range p.Orders {
+				c.startUpkeep(now, o.Machine)
+				s.MarkOrdered(o)
+				s.MarkBegun(now, o)
+			}
+		}
+		if c.upkeeps["m1"] != 1 || c.upkeeps["m2"] != 1 {
+			t.Errorf("order refused %v: upkeeps %v, want one of m1 and m2 each", refused, c.upkeeps)
+		}
+	}
+}
+
+// TestMissingMachine guards against a wave that is completed because the lists miss a machine that exists, and against
+// one that waits for ever for a machine that does not exist any more.
+func TestMissingMachine(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		now := time.Unix(0, 0)
+		_, spec := newWave(1, 1)
+		s := New(upkeepTime)
+		s.SetWaves(now, []workload.Wave{spec})
+		orders := 0
+		for s.Active() && orders == 0 {
+			if now.Sub(time.Unix(0, 0)) > spec.Within {
+				t.Fatal("no order for the missing machine")
+			}
+			now = now.Add(tick)
+			for _, o := range s.Step(now, List{now, nil}, nil).Orders {
+				orders++
+				s.MarkOrdered(o)
+				if gone {
+					s.MarkNotNeeded(o)
+				} else {
+					s.MarkUnproven(o)
+				}
+			}
+		}
+		if orders == 0 || s.Active() == gone {
+			t.Errorf("machine is gone %v: %d orders, wave is active %v", gone, orders, s.Active())
+		}
+	}
+}
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/verbenaflow/verbenaflow/decisions/upkeep"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/cloud"
+	"github.com/verbenaflow/verbenaflow/platform/httpjson"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 	"github.com/verbenaflow/verbenaflow/platform/operator"
 )
@@ -258,13 +260,29 @@
 	s.metrics.CountEvent("upkeep_failed", 1)
 	klog.InfoS("upkeep order failed", "vm", s.vm, "service", names.Upkeep, "wave", m.order.Wave, "machine", m.order.Machine, "error", m.err.Error())
 	var unknown *cloud.UnknownMachineError
-	if errors.As(m.err, &unknown) {
+	switch {
+	case errors.As(m.err, &unknown):
 		s.planner.MarkNotNeeded(m.order)
-	} else {
+	case refused(m.err):
+		s.planner.MarkRefused(m.order)
+	default:
 		s.planner.MarkUnproven(m.order)
 	}
 }
 
+// refused reports whether an error shows that the order will not be carried out.
+func refused(err error) bool {
+	var (
+		permit  *PermitError
+		notSent *httpjson.NotSentError
+		busy    *cloud.BusyError
+		fenced  *cloud.FencedError
+		status  *httpjson.StatusError
+	)
+	return errors.As(err, &permit) || errors.As(err, &notSent) || errors.As(err, &busy) || errors.As(err, &fenced) ||
+		errors.As(err, &status) && status.Status == http.StatusTooManyRequests
+}
+
 // recordWaveStatus writes to the store that a wave has started or is completed.
 func (s *Service) recordWaveStatus(c *kernel.Context, wave int64, completed bool) {
 	key, value := operator.EncodeWaveStatus(wave, completed)
