Do not begin completed waves anew after a change of holder

Nothing read the status that the system writes for a wave. The next holder evacuated the machines of completed waves again, and their status returned to running. A holder now reads the status of all waves before it plans any. A wave whose order was written after its completion is not skipped.

TestCompletedWaveOfEarlierHolder fails before: the status is written again.

--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -29,6 +29,8 @@
 const (
 	// stepInterval is the interval at which the machines are checked while a wave is unfinished.
 	stepInterval = 400 * time.Millisecond
+	// statusReadDelay is the delay before a failed reading of the status of the waves is repeated.
+	statusReadDelay = time.Second
 	// recoveryDelay is the delay before the waves are planned anew after a panic, which they may cause again.
 	recoveryDelay = time.Second
 	// callTimeout bounds a call to the platform.
@@ -36,7 +38,13 @@
 )
 
 type (
-	replanDue      struct{}
+	replanDue     struct{}
+	statusReadDue struct{ fencingToken workload.FencingToken }
+	statusRead    struct {
+		fencingToken workload.FencingToken
+		completed    map[int64]int64
+		err          error
+	}
 	stepDue        struct{ fencingToken workload.FencingToken }
 	machinesListed struct {
 		fencingToken workload.FencingToken
@@ -58,6 +66,12 @@
 // Kind implements kernel.Message.
 func (replanDue) Kind() string { return "upkeep_replan_due" }
 
+// Kind implements kernel.Message.
+func (statusReadDue) Kind() string { return "upkeep_status_due" }
+
+// Kind implements kernel.Message.
+func (statusRead) Kind() string { return "upkeep_status_read" }
+
 // Kind implements kernel.Message.
 func (stepDue) Kind() string { return "upkeep_step_due" }
 
@@ -81,7 +95,10 @@
 	waves []workload.Wave
 	// fencingToken is the fencing token of the holder; 0 while this VM is not the holder.
 	fencingToken workload.FencingToken
-	planner      *upkeep.Planner
+	// completed holds the revisions at which waves were recorded as completed, as of the begin of the term; nil until they
+	// are read. No wave is planned before.
+	completed map[int64]int64
+	planner   *upkeep.Planner
 	// evacuating lists the executors of the last evacuation request to the holder. vacated lists those that certainly run
 	// nothing, from its reply; none before the reply.
 	evacuating []workload.ExecutorID
@@ -129,7 +146,7 @@
 
 // Recover implements kernel.Recoverer. It plans all waves anew, as the service of a new holder does.
 func (s *Service) Recover(c *kernel.Context, _ *kernel.PanicError) bool {
-	s.planner = nil
+	s.planner, s.completed = nil, nil
 	c.SendAfter(recoveryDelay, replanDue{})
 	return true
 }
@@ -142,11 +159,19 @@
 		s.updatePlanner(c)
 	case message.HolderChanged:
 		if s.fencingToken != m.FencingToken {
-			s.fencingToken, s.planner, s.vacated = m.FencingToken, nil, nil
-			s.updatePlanner(c)
+			s.fencingToken, s.planner, s.vacated, s.completed = m.FencingToken, nil, nil, nil
+			s.readStatus(c)
 		}
 	case replanDue:
-		s.updatePlanner(c)
+		s.readStatus(c)
+	case statusReadDue:
+		if m.fencingToken == s.fencingToken {
+			s.readStatus(c)
+		}
+	case statusRead:
+		if m.fencingToken == s.fencingToken {
+			s.handleStatusRead(c, m)
+		}
 	case stepDue:
 		if m.fencingToken == s.fencingToken && s.planner != nil {
 			s.listMachines(c)
@@ -162,17 +187,57 @@
 	}
 }
 
+// readStatus reads which waves earlier holders have completed if this VM is the holder.
+func (s *Service) readStatus(c *kernel.Context) {
+	if s.fencingToken == 0 {
+		return
+	}
+	fencingToken := s.fencingToken
+	c.Spawn(func(ctx context.Context) kernel.Message {
+		items, _, err := s.store.List(ctx, operator.WaveStatusPrefix)
+		completed := map[int64]int64{}
+		for i := range items {
+			if n, ok := operator.CompletedWave(items[i].Key, items[i].Value); ok {
+				completed[n] = items[i].Revision
+			}
+		}
+		return statusRead{fencingToken, completed, err}
+	})
+}
+
+func (s *Service) handleStatusRead(c *kernel.Context, m statusRead) {
+	if m.err != nil {
+		s.metrics.CountEvent("wave_status_unread", 1)
+		c.SendAfter(statusReadDelay, statusReadDue{m.fencingToken})
+		return
+	}
+	s.completed = m.completed
+	s.updatePlanner(c)
+}
+
+// unfinishedWaves returns the waves without those that were completed before the term. A wave that was ordered anew since
+// its completion is unfinished.
+func (s *Service) unfinishedWaves() []workload.Wave {
+	var out []workload.Wave
+	for _, w := range s.waves {
+		if completedAt, ok := s.completed[w.Number]; !ok || w.Revision > completedAt {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // updatePlanner passes the waves to the planner if this VM is the holder and there are any. It starts the periodic
 // steps when the planner becomes active.
 func (s *Service) updatePlanner(c *kernel.Context) {
-	if s.fencingToken == 0 || len(s.waves) == 0 {
+	if s.fencingToken == 0 || len(s.waves) == 0 || s.completed == nil {
 		return
 	}
 	idle := s.planner == nil || !s.planner.Active()
 	if s.planner == nil {
 		s.planner = upkeep.New(s.upkeepTime)
 	}
-	s.planner.SetWaves(time.Now(), s.waves)
+	s.planner.SetWaves(time.Now(), s.unfinishedWaves())
 	if idle && s.planner.Active() {
 		c.SendAfter(0, stepDue{s.fencingToken})
 	}
--- a/tests/fleet/upkeep_test.go
+++ b/tests/fleet/upkeep_test.go
@@ -94,6 +94,35 @@
 	f.checkExecutors()
 }
 
+// TestCompletedWaveOfEarlierHolder guards against a completed wave that the next holder begins anew, so that its machines
+// are evacuated and its status returns to running.
+func TestCompletedWaveOfEarlierHolder(t *testing.T) {
+	f, platform, ids := newFleetWithMachines(t, 3, 2)
+	f.awaitReady()
+	wave := func(n int64, machines []workload.MachineID) (completed func() bool, revision func() int64) {
+		key, value := operator.EncodeWave(workload.Wave{Number: n, Machines: machines, Within: 15 * time.Second, MaxDown: 1})
+		f.store.Set(key, value)
+		statusKey, want := operator.EncodeWaveStatus(n, true)
+		completed = func() bool {
+			return slices.ContainsFunc(f.store.Entries(statusKey), func(item metastore.Item) bool { return bytes.Equal(item.Value, want) })
+		}
+		return completed, func() int64 { return f.store.Entries(statusKey)[0].Revision }
+	}
+	completed, revision := wave(7, ids)
+	f.eventually("wave completed", completed)
+	recordedAt := revision()
+	f.restart(f.holder(), syscall.SIGKILL)
+	// The next holder begins both waves in the same step, if it does.
+	nextCompleted, _ := wave(8, ids[:1])
+	f.eventually("wave of the next holder completed", nextCompleted)
+	if !completed() || revision() != recordedAt {
+		t.Errorf("status of the completed wave written at revision %d again, was %d", revision(), recordedAt)
+	}
+	if n := len(platform.History().Orders); n != 3 {
+		t.Errorf("%d upkeeps, want 3", n)
+	}
+}
+
 // TestFirstMachineOfWave guards against work that is thrown away because the first machine of a wave is taken down before
 // the holder has said what runs there.
 func TestFirstMachineOfWave(t *testing.T) {
