Learn the pace of 4,096 hosts

The bound of 1,536 hosts was below the 3,000 executors of CAPACITY.md: hosts of one fleet displaced each other, and the paces that were learned were lost. The bound now covers them and their replacements. The event run_times_hosts_evicted counts the hosts beyond.

--- a/decisions/runtimes/errors.go
+++ b/decisions/runtimes/errors.go
@@ -30,5 +30,8 @@
 // Hosts returns the number of hosts whose pace the model holds.
 func (m *Model) Hosts() int { return len(m.paces.order) }
 
+// EvictedHosts returns the number of hosts whose pace the model has forgotten to make room for others.
+func (m *Model) EvictedHosts() int64 { return m.paces.evicted }
+
 // Version changes with each observation, so that a caller can tell whether a snapshot is out of date.
 func (m *Model) Version() int64 { return m.uses }
--- a/decisions/runtimes/pace.go
+++ b/decisions/runtimes/pace.go
@@ -23,8 +23,8 @@
 	maxPace = 1.386
 	// paceTie is the difference of paces below which the slowest executor of a gang is not known.
 	paceTie = 0.15
-	// maxHosts bounds the hosts whose pace is kept.
-	maxHosts = 1536
+	// maxHosts bounds the hosts whose pace is kept: those of the 3,000 executors that are supported, and their replacements.
+	maxHosts = 4096
 	// runCountHalfLife is the half-life of a run in the count of a host's runs, maxRunShare the multiple of the mean count
 	// above which the weight of a host's runs decreases.
 	runCountHalfLife = time.Minute
@@ -79,6 +79,8 @@
 	kinds map[string]*paceSum
 	all   paceSum
 	runs  runCount
+	// evicted counts the hosts that were removed to make room for others.
+	evicted int64
 }
 
 // paceSum is a sum of the logarithms of the paces of hosts.
@@ -118,6 +120,7 @@
 		p.addToSums(oldest, -1)
 		p.order = slices.DeleteFunc(p.order, func(h *host) bool { return h == oldest })
 		delete(p.hosts, oldest.key)
+		p.evicted++
 	}
 	h := &host{key: k, logPace: logPace}
 	p.hosts[k] = h
--- a/services/holder/run_times.go
+++ b/services/holder/run_times.go
@@ -62,6 +62,8 @@
 	// version is the version of the model that was last saved, nextSaveAt the earliest time of the next save.
 	version    int64
 	nextSaveAt time.Time
+	// evictedHosts is the number of evicted hosts of the model that were counted.
+	evictedHosts int64
 }
 
 // loadRunTimes reads the run times that an earlier holder has saved.
@@ -108,6 +110,7 @@
 		return
 	}
 	t.fleet.RestoreRunTimes(snapshot)
+	t.runTimes.evictedHosts = 0
 	t.runTimes.version = t.fleet.RunTimes().Version()
 	s.log("run times restored", "cells", t.fleet.RunTimes().Cells(), "hosts", t.fleet.RunTimes().Hosts(), "bytes", len(m.item.Value), "revision", m.item.Revision)
 }
@@ -161,6 +164,8 @@
 	}
 	s.metrics.SetGauge("run_times_cells", int64(model.Cells()))
 	s.metrics.SetGauge("run_times_hosts", int64(model.Hosts()))
+	s.metrics.CountEvent("run_times_hosts_evicted", model.EvictedHosts()-s.term.runTimes.evictedHosts)
+	s.term.runTimes.evictedHosts = model.EvictedHosts()
 	for _, e := range model.Errors() {
 		s.metrics.SetGauge("run_time_error_declared_percent_"+string(e.Queue), percent(e.Declared))
 		s.metrics.SetGauge("run_time_error_learned_percent_"+string(e.Queue), percent(e.Learned))
