--- a/decisions/runtimes/snapshot.go
+++ b/decisions/runtimes/snapshot.go
@@ -1,9 +1,13 @@
 package runtimes
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
 )
@@ -51,39 +55,140 @@
 // maxNameLength bounds the names in a snapshot, in bytes. Longer ones are left out.
 const maxNameLength = 64
 
+// MaxSnapshotBytes bounds the size of a Snapshot in JSON: half of what the store holds in a value.
+const MaxSnapshotBytes = 512 << 10
+
 // Snapshot returns the content of the model. What only limits weights for the moment, such as the recent jobs, is left
 // out, and so is what counts for nothing: cells whose weight has decayed to 0 by the precision of a snapshot, and queues
-// without other cells.
+// without other cells. If the rest exceeds MaxSnapshotBytes, the cells and hosts that were not used for the longest time
+// are left out, too.
 func (m *Model) Snapshot() Snapshot {
-	s := Snapshot{Version: SnapshotVersion}
+	var entries []snapshotEntry
+	groups := make([]GroupState, 0, len(m.order))
 	for _, g := range m.order {
 		if len(g.key.queue) > maxNameLength {
 			continue
 		}
-		state := GroupState{Queue: g.key.queue, Declared: g.key.declared, Deviations: rounded(g.fitted().deviations.counts[:], 1e-2), Projection: rounded([]float64{g.projection}, 1e-3)[0]}
+		groups = append(groups, GroupState{Queue: g.key.queue, Declared: g.key.declared, Deviations: rounded(g.fitted().deviations.counts[:], 1e-2), Projection: rounded([]float64{g.projection}, 1e-3)[0]})
 		for _, c := range g.cells {
 			if len(c.key.account) <= maxNameLength {
 				sums := rounded([]float64{c.w, c.x, c.r, c.xx, c.xr}, 1e-4)
 				if sums[0] == 0 {
 					continue
 				}
-				state.Cells = append(state.Cells, CellState{c.key.account, [3]int{c.key.shape.CPU, c.key.shape.Memory, c.key.shape.GPU}, [5]float64(sums)})
+				entries = append(entries, snapshotEntry{
+					lastUse: c.lastUse, group: len(groups) - 1,
+					cell: CellState{c.key.account, [3]int{c.key.shape.CPU, c.key.shape.Memory, c.key.shape.GPU}, [5]float64(sums)},
+				})
 			}
 		}
-		if len(state.Cells) > 0 {
-			s.Groups = append(s.Groups, state)
-		}
 	}
 	for _, h := range m.paces.order {
 		if len(h.key.Address) <= maxNameLength && len(h.key.Kind) <= maxNameLength {
 			// The mean can move away from a host without runs. Beyond maxPace, the distance makes no difference.
 			logPace := clamp(h.logPace-m.paces.all.mean(), maxLogPace)
-			s.Hosts = append(s.Hosts, HostState{h.key.Address, h.key.Kind, rounded([]float64{logPace}, 1e-3)[0]})
+			entries = append(entries, snapshotEntry{lastUse: h.lastUse, group: hostEntry, host: HostState{h.key.Address, h.key.Kind, rounded([]float64{logPace}, 1e-3)[0]}})
+		}
+	}
+	markKept(entries, groups)
+	s := Snapshot{Version: SnapshotVersion}
+	for i := range entries {
+		switch e := &entries[i]; {
+		case !e.kept:
+		case e.group == hostEntry:
+			s.Hosts = append(s.Hosts, e.host)
+		default:
+			groups[e.group].Cells = append(groups[e.group].Cells, e.cell)
+		}
+	}
+	for _, g := range groups {
+		if len(g.Cells) > 0 {
+			s.Groups = append(s.Groups, g)
 		}
 	}
 	return s
 }
 
+// snapshotEntry is a cell or a host that a snapshot may contain.
+type snapshotEntry struct {
+	lastUse int64
+	// group is the index of the group of a cell, or hostEntry.
+	group int
+	cell  CellState
+	host  HostState
+	kept  bool
+}
+
+const hostEntry = -1
+
+// markKept marks the entries that a snapshot contains: the last used ones that fit.
+func markKept(entries []snapshotEntry, groups []GroupState) {
+	byUse := make([]*snapshotEntry, len(entries))
+	for i := range entries {
+		byUse[i] = &entries[i]
+	}
+	slices.SortStableFunc(byUse, func(a, b *snapshotEntry) int { return cmp.Compare(b.lastUse, a.lastUse) })
+	size := len(`{"Version":1,"Groups":[],"Hosts":[]}`)
+	present := make([]bool, len(groups))
+	for _, e := range byUse {
+		switch {
+		case e.group == hostEntry:
+			size += e.host.size()
+		case present[e.group]:
+			size += e.cell.size()
+		default:
+			size += groups[e.group].sizeWithoutCells() + e.cell.size()
+		}
+		if size > MaxSnapshotBytes {
+			return
+		}
+		e.kept = true
+		if e.group != hostEntry {
+			present[e.group] = true
+		}
+	}
+}
+
+// The sizes are those in JSON with a comma. They are bounds, because some characters count as escaped that need not be.
+
+func (g *GroupState) sizeWithoutCells() int {
+	return len(`{"Queue":,"Declared":false,"Deviations":[],"Projection":,"Cells":[]},`) + stringSize(string(g.Queue)) + numbersSize(g.Deviations...) + numbersSize(g.Projection)
+}
+
+func (c *CellState) size() int {
+	size := len(`{"Account":,"Shape":[,,],"Sums":[]},`) + stringSize(string(c.Account)) + numbersSize(c.Sums[:]...)
+	for _, n := range c.Shape {
+		size += len(strconv.Itoa(n))
+	}
+	return size
+}
+
+func (h *HostState) size() int {
+	return len(`{"Address":,"Kind":,"LogPace":},`) + stringSize(h.Address) + stringSize(h.Kind) + numbersSize(h.LogPace)
+}
+
+func stringSize(s string) int {
+	size := len(`""`)
+	for _, b := range []byte(s) {
+		if b < ' ' || b >= utf8.RuneSelf || strings.IndexByte(`"\<>&`, b) >= 0 {
+			size += len(`\u0000`)
+		} else {
+			size++
+		}
+	}
+	return size
+}
+
+// numbersSize returns the size of numbers with a comma after each.
+func numbersSize(numbers ...float64) int {
+	size := 0
+	var buffer [32]byte
+	for _, n := range numbers {
+		size += len(strconv.AppendFloat(buffer[:0], n, 'f', -1, 64)) + 1
+	}
+	return size
+}
+
 func rounded(values []float64, unit float64) []float64 {
 	out := make([]float64, len(values))
 	for i, v := range values {
--- a/decisions/runtimes/snapshot_test.go
+++ b/decisions/runtimes/snapshot_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,6 +82,43 @@
 	}
 }
 
+// TestSnapshotOfManyQueues guards against a snapshot that the holder cannot save, because each queue adds a histogram to it,
+// and against the loss of the queues and hosts that were used last.
+func TestSnapshotOfManyQueues(t *testing.T) {
+	for name, filler := range map[string]string{"usual names": "-of-usual-length", "long names": strings.Repeat("<", 50)} {
+		m := New()
+		const runs = 2 * maxHosts
+		for i := range runs {
+			id := workload.ExecutorID(fmt.Sprint("e", i))
+			m.SetExecutor(id, fmt.Sprintf("10.0.%d.%d:54321", i%maxHosts/250, i%250), "kind"+filler)
+			observe(m, start.Add(time.Duration(i)*time.Second), Observation{
+				Query: Query{
+					Queue: workload.Queue(fmt.Sprint("queue-", i%maxCells, filler)), Account: workload.Account(fmt.Sprint("account-", i%maxCells, filler)),
+					Need: workload.Resources{CPU: 1000}, Declared: time.Duration(1+i%1000) * time.Second,
+				},
+				Job: workload.JobID(fmt.Sprint("j", i)), Executors: []workload.ExecutorID{id}, Elapsed: time.Duration(1+i*i%1000) * time.Second,
+			})
+		}
+		s := m.Snapshot()
+		if err := s.Validate(); err != nil {
+			t.Error(err)
+		}
+		encoded, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %d queues, %d hosts, %d bytes", name, len(s.Groups), len(s.Hosts), len(encoded))
+		if len(encoded) > 512<<10 || len(encoded) < 256<<10 {
+			t.Errorf("%s: %d bytes, want at most 512 KiB and at least half of it", name, len(encoded))
+		}
+		lastQueue, lastHost := workload.Queue(fmt.Sprint("queue-", (runs-1)%maxCells, filler)), m.paces.executors[workload.ExecutorID(fmt.Sprint("e", runs-1))]
+		if !slices.ContainsFunc(s.Groups, func(g GroupState) bool { return g.Queue == lastQueue }) ||
+			!slices.ContainsFunc(s.Hosts, func(h HostState) bool { return h.Address == lastHost.Address }) {
+			t.Errorf("%s: queue %s or host %s is left out", name, lastQueue, lastHost.Address)
+		}
+	}
+}
+
 // TestUnusableSnapshot guards against a damaged or foreign snapshot that is used.
 func TestUnusableSnapshot(t *testing.T) {
 	l := newLoad(0.5, 0.3)
--- a/services/holder/run_times.go
+++ b/services/holder/run_times.go
@@ -20,9 +20,6 @@
 	// bytes a second, because the link of a small VM carries the calls of clients, too.
 	defaultRunTimesInterval = 10 * time.Second
 	maxRunTimesRate         = 4 << 10
-	// maxRunTimesSize bounds the encoded run times, in bytes; the store refuses values of 1 MiB. The bounds of the model keep
-	// them below.
-	maxRunTimesSize = 512 << 10
 	// runTimesReadDelay is the delay before a failed reading is repeated, runTimesReadLimit the age of the term from which on
 	// the holder goes on without the run times of its predecessor.
 	runTimesReadDelay = time.Second
@@ -128,8 +125,8 @@
 	out := runTimesSaved{termScoped: termScoped{t.number}, version: model.Version()}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		value := records.Encode(snapshot)
-		if out.size = len(value); out.size > maxRunTimesSize {
-			out.err = errors.Newf("%d bytes, want at most %d", out.size, maxRunTimesSize)
+		if out.size = len(value); out.size > runtimes.MaxSnapshotBytes {
+			out.err = errors.Newf("%d bytes, want at most %d", out.size, runtimes.MaxSnapshotBytes)
 			return out
 		}
 		_, out.err = s.store.Commit(ctx, metastore.Txn{
