Count no completed job as running, and keep finished ones until reconciled

A new holder took all tasks of a completed job for possibly running until its executors had reported, which kept its account from starting work. Cancelled and failed jobs, of which tasks may still run, were removed after their retention before the executors had reported, and were then not counted.

TestLimitAfterCompletedJobs failed before: "0 starts beside a completed job, want 1" and "[cancelled completed] are removed before all executors have reported, want next".

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -274,13 +274,17 @@
 }
 
 // RemoveExpired removes at most limit jobs whose retention has ended from the state and returns their identifiers, so
-// that the caller can delete their records.
+// that the caller can delete their records. Jobs of which an earlier holder may have started tasks stay until all runs of
+// earlier holders are known: these runs count against the limit of the job's account.
 func (f *Scheduler) RemoveExpired(now time.Time, limit int) []workload.JobID {
 	var ids []workload.JobID
 	for id, j := range f.jobs {
 		if len(ids) == limit {
 			break
 		}
+		if j.inherited && !f.reconcileBy.IsZero() {
+			continue
+		}
 		if j.state.Final() && j.recordedVersion >= j.version && now.Sub(j.endedAt) > f.settings.Retention && !j.hasRuns() {
 			ids = append(ids, id)
 		}
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -253,7 +253,8 @@
 	accounts := map[workload.Account]*accountlimit.Unreported{}
 	for _, j := range f.jobs {
 		a := j.rec.Account
-		if !j.inherited || f.limitOf(j) == (workload.Resources{}) || !slices.ContainsFunc(hosts, func(e *executor) bool { return e.mayHaveRun(j.rec.ID) }) {
+		// All tasks of a completed job have ended; those of one that was cancelled or has failed may still run.
+		if !j.inherited || j.state == workload.StateCompleted || f.limitOf(j) == (workload.Resources{}) || !slices.ContainsFunc(hosts, func(e *executor) bool { return e.mayHaveRun(j.rec.ID) }) {
 			continue
 		}
 		if accounts[a] == nil {
--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -336,3 +337,45 @@
 		t.Error(f)
 	}
 }
+
+// TestLimitAfterCompletedJobs guards against a new holder that counts completed jobs as possibly running, and against one
+// that forgets a finished job of which tasks may still run before the executors have reported.
+func TestLimitAfterCompletedJobs(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	sim.configure(withLimits(sim.config, map[workload.Account]workload.Resources{"a": {GPU: 8}}))
+	sim.submit(oneStep("completed", "batch", workload.Step{Count: 8, Need: smallTask, MaxPerExecutor: 2, Estimate: time.Second}), behavior{runTime: time.Second})
+	sim.advance(3 * time.Second)
+	cancelled := oneStep("cancelled", "batch", workload.Step{Count: 4, Need: smallTask, MaxPerExecutor: 1, Estimate: 30 * time.Second})
+	cancelled.Account = "b"
+	sim.submit(cancelled, behavior{runTime: 30 * time.Second})
+	sim.advance(time.Second)
+	if s := sim.progress["completed"].State; s != workload.StateCompleted {
+		t.Fatalf("the first job is %q, want %s", s, workload.StateCompleted)
+	}
+	for _, id := range []workload.ExecutorID{"e0-0", "e0-1"} {
+		sim.executors[id].unreachable = true
+	}
+	sim.cancel("cancelled")
+	sim.advance(500 * time.Millisecond)
+	if s := sim.progress["cancelled"].State; s != workload.StateCancelled {
+		t.Fatalf("the second job is %q, want %s", s, workload.StateCancelled)
+	}
+	sim.settings.Retention = time.Millisecond
+	sim.newHolder()
+	sim.submit(oneStep("next", "batch", workload.Step{Count: 4, Need: smallTask}), behavior{runTime: time.Second})
+	sim.advance(2 * time.Second)
+	if n := len(sim.starts[workload.TaskRef{Job: "next"}]); n != 1 {
+		t.Errorf("%d starts beside a completed job, want 1", n)
+	}
+	// The holder has started the job "next" itself and knows all of its runs.
+	if ids := sim.holder.scheduler.RemoveExpired(sim.now, 10); !slices.Equal(ids, []workload.JobID{"next"}) {
+		t.Errorf("%v are removed before all executors have reported, want next", ids)
+	}
+	sim.advance(20 * time.Second)
+	if ids := sim.holder.scheduler.RemoveExpired(sim.now, 10); !slices.Equal(ids, []workload.JobID{"cancelled", "completed"}) {
+		t.Errorf("%v are removed once all leases have ended, want the other two", ids)
+	}
+	for _, f := range sim.violations {
+		t.Error(f)
+	}
+}
