Draw switches, rates and simultaneous urgent jobs in the tests of limits

TestAccountLimitsUnderFaults ran without learned run times, chosen victims, rates and simultaneous urgent jobs. The new TestVacatedForUrgentJobs checks that 2 to 10 urgent jobs together stop no more than the guarantee.

--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -51,14 +51,22 @@
 			}
 			return limits
 		}
-		sim.configure(withLimits(sim.config, drawLimits()))
+		sim.settings.LearnRunTimes, sim.settings.ChooseVictims = rapid.Bool().Draw(rt, "learn run times"), rapid.Bool().Draw(rt, "choose victims")
+		c := withLimits(sim.config, drawLimits())
+		for i := range c.Accounts {
+			c.Accounts[i].Weight = rapid.SampledFrom([]float64{0, 0.2, 2}).Draw(rt, "weight")
+		}
+		sim.configure(c)
 		sim.newHolder()
 		sim.advanceRuns()
 		for i := range rapid.IntRange(5, 30).Draw(rt, "steps") {
 			sim.advance(time.Duration(rapid.IntRange(5, 1500).Draw(rt, "pause")) * time.Millisecond)
-			if rapid.IntRange(0, 7).Draw(rt, "limits") == 0 {
+			switch rapid.IntRange(0, 9).Draw(rt, "limits") {
+			case 0:
 				sim.configure(withLimits(sim.config, drawLimits()))
-			} else {
+			case 1:
+				sim.submitUrgent(rt, fmt.Sprintf("u%02d", i), 2*time.Second)
+			default:
 				sim.fuzzStep(rt, i)
 			}
 		}
@@ -86,6 +94,44 @@
 	})
 }
 
+// submitUrgent submits 2 to 10 urgent jobs of account a at once.
+func (sim *simulation) submitUrgent(rt *rapid.T, prefix string, runTime time.Duration) {
+	for i := range rapid.IntRange(2, 10).Draw(rt, "urgent jobs") {
+		sim.submit(oneStep(fmt.Sprintf("%s-%d", prefix, i), "urgent", workload.Step{
+			Count: rapid.IntRange(1, 2).Draw(rt, "urgent tasks"), Gang: rapid.Bool().Draw(rt, "urgent gang"), Estimate: runTime,
+			Need: workload.Resources{CPU: 1000, GPU: rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(rt, "urgent gpu")},
+		}), behavior{runTime: runTime})
+	}
+}
+
+// TestVacatedForUrgentJobs guards against simultaneous urgent jobs that together stop more work of their account than its
+// guarantee. The work is in tasks of one accelerator, so that none is larger than what is missing, and the urgent jobs run
+// until the end of the test, so that each part of the guarantee is used once.
+func TestVacatedForUrgentJobs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
+		sim.t = failOn{t, rt}
+		sim.settings.LearnRunTimes, sim.settings.ChooseVictims = rapid.Bool().Draw(rt, "learn run times"), rapid.Bool().Draw(rt, "choose victims")
+		limit := rapid.SampledFrom([]int{8, 16, 32}).Draw(rt, "limit")
+		c := withLimits(sim.config, map[workload.Account]workload.Resources{"a": {GPU: limit}})
+		a := c.Account("a")
+		a.Guaranteed, a.Weight = rapid.SampledFrom([]int{0, 4, 8, 16}).Draw(rt, "guarantee"), rapid.SampledFrom([]float64{0, 0.2, 2}).Draw(rt, "weight")
+		sim.configure(c)
+		sim.newHolder()
+		sim.advanceRuns()
+		sim.submit(oneStep("own", "batch", workload.Step{Count: 40, Need: smallTask, Estimate: time.Minute}), behavior{runTime: time.Minute})
+		sim.advance(3 * time.Second)
+		sim.submitUrgent(rt, "urgent", time.Minute)
+		sim.advance(10 * time.Second)
+		if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n > int64(a.Guaranteed) {
+			sim.t.Errorf("%d accelerators were vacated, want at most the guarantee of %d", n, a.Guaranteed)
+		}
+		for _, f := range sim.violations {
+			sim.t.Error(f)
+		}
+	})
+}
+
 // TestLimitInWaves guards against a step wider than the limit of its account that starts at once or never, against a
 // limit that leaves room unused, and against processors that do not count because they fill what others leave unused.
 func TestLimitInWaves(t *testing.T) {
