Say which jobs a new holder may mark differently

Finished jobs are removed after their retention and no longer use the rate, so that it may mark others. No test: only text changes.

--- a/decisions/fleet/rate.go
+++ b/decisions/fleet/rate.go
@@ -21,7 +21,8 @@
 }
 
 // markExcess marks the jobs that exceed the rate of their account among those that were added since the last call. They
-// count in the order of their acceptance, so that a new holder, which reads all jobs at once, marks the same ones.
+// count in the order of their acceptance, in which a new holder, which reads all stored jobs at once, counts them, too. It
+// may still mark others, because finished jobs that were removed after their retention no longer use the rate.
 func (f *Scheduler) markExcess() {
 	if len(f.unmarkedJobs) == 0 {
 		return
