Share only the descriptors that are not for files among connections

The platform reserves 200 of max_fds for files, but a quarter of all went to clients, and the relay took up to 1,536 whatever the process had. Clients get a quarter of what the files leave, other VMs half of what then remains.

--- a/node/daemon/clients.go
+++ b/node/daemon/clients.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	// clientDescriptorPart is the part of the descriptors that clients may take. The others are for executors, the store and
+	// fileDescriptors are the descriptors that the platform reserves for files; connections share the others.
+	fileDescriptors = 200
+	// clientDescriptorPart is the part of these that clients may take. The others are for executors, the store and
 	// other VMs: the holder of 297 VMs has 4,652 connections (docs/CAPACITY.md).
 	clientDescriptorPart = 4
 	// clientPlacePart is the part of the clients' memory that their connections may take before they send a body.
@@ -21,10 +23,22 @@
 	smallBodyBytes = 6 << 10
 	// serviceConnections is the number of connections of readiness checks, and of readers of metrics. Each has one.
 	serviceConnections = 32
+	// peerDescriptorPart is the part of the descriptors besides those of clients that other VMs may take. The rest is for the
+	// store and executors.
+	peerDescriptorPart = 2
 )
 
-// clientBudgets returns the budgets of the listeners, whose clients may take memory bytes together. front is the name of the
-// listener for client calls.
+// connectionDescriptors returns the descriptors for connections. A process with few of them opens few files, and keeps half.
+func connectionDescriptors(all int) int { return max(all-fileDescriptors, all/2) }
+
+// peerConnections returns the most connections of other VMs. Readiness checks and readers of metrics, which seldom have many,
+// do not take the places of other VMs at a VM with few descriptors.
+func peerConnections(descriptors int) int {
+	return max(descriptors-descriptors/clientDescriptorPart-2*serviceConnections, descriptors/clientDescriptorPart) / peerDescriptorPart
+}
+
+// clientBudgets returns the budgets of the listeners, whose clients may take memory bytes together and a part of the
+// descriptors for connections. front is the name of the listener for client calls.
 func clientBudgets(front string, memory int64, descriptors int) map[string]budget.Settings {
 	places := min(descriptors/clientDescriptorPart, int(memory/clientPlacePart/listener.ConnectionBytes))
 	others := budget.Settings{
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -66,14 +66,15 @@
 	if s.Advisor != "" {
 		advisorClient = advisor.NewClient(s.Advisor)
 	}
+	descriptors := connectionDescriptors(descriptorLimit(s.Descriptors))
 	specs := []kernel.Spec{
 		admission.New(admission.Settings{
-			VM: string(s.VM), Budgets: clientBudgets(names.Gateway, s.ClientMemory, descriptorLimit(s.Descriptors)),
+			VM: string(s.VM), Budgets: clientBudgets(names.Gateway, s.ClientMemory, descriptors),
 		}, m).Spec(),
 		admin.New(l.admin, m).Spec(),
 		r.Spec(),
 		catalog.New(string(s.VM), store, m).Spec(),
-		relay.New(l.relay, m).Spec(),
+		relay.New(l.relay, peerConnections(descriptors), m).Spec(),
 		holder.New(holder.Settings{
 			VM: string(s.VM), Address: s.Relay, Peers: withoutAddress(s.Peers, s.Relay), Weight: s.ProcessorShare,
 			Fleet: fleet.Settings{
--- a/services/relay/service.go
+++ b/services/relay/service.go
@@ -72,15 +72,17 @@
 // Service owns the listener for calls of other VMs and the connections to them.
 type Service struct {
 	listener net.Listener
-	metrics  *metrics.Set
-	clients  map[string]*rpc.Client
+	// places is the most connections of other VMs at a time.
+	places  int
+	metrics *metrics.Set
+	clients map[string]*rpc.Client
 	// pendingDials holds the calls that wait for a connection, by address.
 	pendingDials map[string][]dialDone
 }
 
-// New returns the service. It takes over the listener.
-func New(l net.Listener, m *metrics.Set) *Service {
-	return &Service{listener: l, metrics: m, clients: map[string]*rpc.Client{}, pendingDials: map[string][]dialDone{}}
+// New returns the service. It takes over the listener, and accepts at most so many connections, or maxConnections.
+func New(l net.Listener, connections int, m *metrics.Set) *Service {
+	return &Service{listener: l, places: max(1, min(connections, maxConnections)), metrics: m, clients: map[string]*rpc.Client{}, pendingDials: map[string][]dialDone{}}
 }
 
 // Spec returns the registration of the service.
@@ -98,7 +100,7 @@
 		var conns conc.WaitGroup
 		defer conns.Wait()
 		// places bounds the connections.
-		places := make(chan struct{}, maxConnections)
+		places := make(chan struct{}, s.places)
 		for {
 			conn, err := s.listener.Accept()
 			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
--- a/services/relay/service_test.go
+++ b/services/relay/service_test.go
@@ -67,7 +67,7 @@
 
 func startVMOn(t *testing.T, l net.Listener, block chan struct{}) {
 	t.Helper()
-	k, err := kernel.New(nil, New(l, metrics.New()).Spec(), kernel.Spec{Name: names.Holder, Service: fakeHolder{block}, MailboxSize: 1})
+	k, err := kernel.New(nil, New(l, maxConnections, metrics.New()).Spec(), kernel.Spec{Name: names.Holder, Service: fakeHolder{block}, MailboxSize: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
