--- a/cmd/verbenaflowd/platform.go
+++ b/cmd/verbenaflowd/platform.go
@@ -12,14 +12,9 @@
 	"github.com/verbenaflow/verbenaflow/node/settings"
 )
 
-const (
-	// memoryLimitShare is the memory limit of the Go runtime as a share of the VM's memory. Near the limit, the garbage
-	// collector runs more often.
-	memoryLimitShare = 0.6
-	// gcPercent is below the default of 100, which saves memory at the cost of CPU time: the live heap of a daemon is a
-	// few megabytes, so collections are cheap, and memory is the scarcest resource of a VM.
-	gcPercent = 60
-)
+// gcPercent is below the default of 100, which saves memory at the cost of CPU time: the live heap of a daemon is a
+// few megabytes, so collections are cheap, and memory is the scarcest resource of a VM. daemon.RunPlatform sets the limit.
+const gcPercent = 60
 
 // runPlatform runs the daemon on the users' platform, with logs on standard output.
 func runPlatform(o options) int {
@@ -28,7 +23,6 @@
 		return code
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	return serve(os.Stdout, s.VM, s.Verbosity, func(ctx context.Context, output *logging.Output) error {
