--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -48,8 +48,8 @@
 	records *recordlimit.Limiter
 	// lookups counts the lookups in progress of submissions that are refused if their job is not stored.
 	lookups map[workload.Account]int
-	// limited counts the calls refused by records since limitedLogged, the time of the last log line about them.
-	limited       int
+	// limited counts the calls refused by records, by account, since limitedLogged, the time of the last log line about them.
+	limited       map[workload.Account]int
 	limitedLogged time.Time
 }
 
@@ -66,6 +66,7 @@
 	}
 	return &Service{
 		settings: s, store: store, metrics: m, storeReachable: true, records: recordlimit.New(s.Records), lookups: map[workload.Account]int{},
+		limited: map[workload.Account]int{},
 	}
 }
 
@@ -150,9 +151,10 @@
 	if s.records.Allow(now, account, k, units) {
 		return nil
 	}
-	if s.limited++; now.Sub(s.limitedLogged) >= limitedLogInterval {
-		s.log("calls refused because an account exceeds its records", "account", account, "calls", s.limited)
-		s.limited, s.limitedLogged = 0, now
+	s.limited[account]++
+	if now.Sub(s.limitedLogged) >= limitedLogInterval {
+		s.log("calls refused because an account exceeds its records", "calls", s.limited)
+		s.limited, s.limitedLogged = map[workload.Account]int{}, now
 	}
 	return failure.New(failure.RateLimited, "the account exceeds its records a second, or in ten minutes")
 }
