Check only overdue runs for a stall by their expected run time

With learned run times each planning pass computed the expectation and the paces of the executors for each active run. A run whose last report is less than minStallTime and a poll's wait after its progress cannot have stalled and is skipped first.

TestStallsAreCheckedCheaply fails before.

--- a/decisions/fleet/learn.go
+++ b/decisions/fleet/learn.go
@@ -107,11 +107,16 @@
 	return p.bySteps[step], p.longest
 }
 
-// slowestPace returns the pace of the slowest executor of a unit's run.
+// slowestPace returns the pace of the slowest executor of a unit's run, as of the last update of the paces.
 func (f *Scheduler) slowestPace(u *unit) float64 {
 	slowest := math.Inf(1)
 	for _, r := range u.taskRuns {
-		slowest = min(slowest, f.learned.Pace(r.executor.info.ID))
+		pace := r.executor.pace
+		if pace == 0 {
+			// The executor is newer than the last update.
+			pace = f.learned.Pace(r.executor.info.ID)
+		}
+		slowest = min(slowest, pace)
 	}
 	if math.IsInf(slowest, 1) {
 		return 1
--- a/decisions/fleet/learn_test.go
+++ b/decisions/fleet/learn_test.go
@@ -188,6 +188,40 @@
 	}
 }
 
+// TestStallsAreCheckedCheaply guards against expectations that are computed in each planning pass for all runs, although few
+// can have stalled, and against paces that are computed anew for each of them.
+func TestStallsAreCheckedCheaply(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 2)
+	sim.settings.LearnRunTimes = true
+	sim.newHolder()
+	sim.advanceRuns()
+	sim.advance(100 * time.Millisecond)
+	for i := range 4 {
+		sim.submit(oneStep(fmt.Sprint("j", i), "batch", workload.Step{Count: 1, Need: smallTask, Estimate: time.Second}), behavior{runTime: time.Second})
+	}
+	sim.advance(10 * time.Second)
+	sim.submit(oneStep("active", "batch", workload.Step{Count: 1, Need: smallTask, Estimate: 10 * time.Second}), behavior{runTime: 10 * time.Second})
+	sim.advance(2 * time.Second)
+	f := sim.holder.scheduler
+	u := f.jobs["active"].units[0]
+	if u.state != unitActive || len(u.taskRuns) != 1 || f.RunTimes().Cells() == 0 {
+		t.Fatalf("state %v, %d runs, %d cells", u.state, len(u.taskRuns), f.RunTimes().Cells())
+	}
+	f.activeUnits = []*unit{u}
+	u.progressAt = u.taskRuns[0].executor.reportedAt
+	// The expectation of a queue is computed with allocations after a restoration, and kept until its next run.
+	s := f.RunTimes().Snapshot()
+	restore := testing.AllocsPerRun(10, func() { f.RestoreRunTimes(s) })
+	check := testing.AllocsPerRun(10, func() { f.RestoreRunTimes(s); f.restartStalled(sim.now) }) - restore
+	if check > 0 {
+		t.Errorf("%v allocations to check a run that has just progressed", check)
+	}
+	u.taskRuns[0].executor.pace = 0.25
+	if pace := f.slowestPace(u); pace != 0.25 {
+		t.Errorf("slowest pace %v, want that of the last update, 0.25", pace)
+	}
+}
+
 // TestRunsThatTeachNothing guards against run times that are learned from a run which does not show them: one that failed
 // before it has reported progress, that ran away from its data, that resumed from a checkpoint, or whose start another holder has sent.
 func TestRunsThatTeachNothing(t *testing.T) {
--- a/decisions/fleet/move.go
+++ b/decisions/fleet/move.go
@@ -58,10 +58,14 @@
 		if u.taskRuns[0].state != taskRunning || !u.taskRuns[0].executor.unresponsiveSince.IsZero() {
 			continue
 		}
-		est := f.longestRunTime(u)
-		bound := max(minStallTime, time.Duration(stallFactor*stallProgressShare*f.settings.RemoteSlowdown*float64(est)))
 		// Only a report shows that there was no progress. Time without reports, such as a pause of this process, does not.
-		if u.taskRuns[0].executor.reportedAt.Sub(u.progressAt) < bound+f.settings.PollWait {
+		// Most runs have progressed lately, and the longest run time is costly to compute.
+		without := u.taskRuns[0].executor.reportedAt.Sub(u.progressAt) - f.settings.PollWait
+		if without < minStallTime {
+			continue
+		}
+		est := f.longestRunTime(u)
+		if without < time.Duration(stallFactor*stallProgressShare*f.settings.RemoteSlowdown*float64(est)) {
 			continue
 		}
 		f.count(CountStalled)
