Remove the gauges of a term at its end

A former holder showed the run-time errors of queues, the size of its model and the accounts at their limit as they were at the end of its term, for ever.

TestGaugesEndWithTerm fails before.

--- a/api/metrics/metrics.go
+++ b/api/metrics/metrics.go
@@ -90,3 +90,10 @@
 	g.Set(v)
 	s.gauges.Set(name, g)
 }
+
+// RemoveGauge removes the gauge with the given name, if there is one.
+func (s *Set) RemoveGauge(name string) {
+	if s != nil {
+		s.gauges.Delete(name)
+	}
+}
--- a/services/holder/run_times.go
+++ b/services/holder/run_times.go
@@ -61,6 +61,8 @@
 	nextSaveAt time.Time
 	// evictedHosts is the number of evicted hosts of the model that were counted.
 	evictedHosts int64
+	// queueGauges holds the names of the gauges of queues that were set in the term.
+	queueGauges map[string]bool
 }
 
 // loadRunTimes reads the run times that an earlier holder has saved.
@@ -163,9 +165,26 @@
 	s.metrics.SetGauge("run_times_hosts", int64(model.Hosts()))
 	s.metrics.CountEvent("run_times_hosts_evicted", model.EvictedHosts()-s.term.runTimes.evictedHosts)
 	s.term.runTimes.evictedHosts = model.EvictedHosts()
+	state := &s.term.runTimes
+	if state.queueGauges == nil {
+		state.queueGauges = map[string]bool{}
+	}
 	for _, e := range model.Errors() {
-		s.metrics.SetGauge("run_time_error_declared_percent_"+string(e.Queue), percent(e.Declared))
-		s.metrics.SetGauge("run_time_error_learned_percent_"+string(e.Queue), percent(e.Learned))
+		for prefix, v := range map[string]float64{"run_time_error_declared_percent_": e.Declared, "run_time_error_learned_percent_": e.Learned} {
+			name := prefix + string(e.Queue)
+			s.metrics.SetGauge(name, percent(v))
+			state.queueGauges[name] = true
+		}
+	}
+}
+
+// removeTermGauges removes the gauges of a term that has ended, which would show for ever what was so at its end.
+func (s *Service) removeTermGauges(t *term) {
+	for name := range t.runTimes.queueGauges {
+		s.metrics.RemoveGauge(name)
+	}
+	for _, name := range []string{"run_times_cells", "run_times_hosts", "run_times_bytes", "accounts_at_limit", "units_at_account_limit", "jobs_excess_open"} {
+		s.metrics.RemoveGauge(name)
 	}
 }
 
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -190,6 +190,7 @@
 	t := s.term
 	t.cancel()
 	s.flushRunLog(time.Now(), true)
+	s.removeTermGauges(t)
 	s.term = nil
 	s.log("holder term ended", append([]any{"reason", reason, "term_ended", t.number}, keysAndValues...)...)
 	s.metrics.CountEvent("terms_ended", 1)
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -56,6 +56,7 @@
 	executor *runnerstandin.Executor
 	clock    *suspendableClock
 	kernel   *kernel.Kernel
+	metrics  *metrics.Set
 	// refuseRecords makes the store refuse to list the progress of jobs, recordReads counts these calls.
 	refuseRecords atomic.Bool
 	recordReads   atomic.Int64
@@ -119,6 +120,7 @@
 	config := (&workload.Config{
 		Version: 1, Routes: []workload.Route{{Name: "q", Pool: "pool", Stretch: 3, Latency: time.Second}}, Pools: []workload.PoolConfig{{Name: "pool"}},
 	}).Index()
+	env.metrics = metrics.New()
 	service := holder.New(holder.Settings{
 		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
 		Fleet: fleet.Settings{
@@ -126,7 +128,7 @@
 			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: time.Hour,
 			LearnRunTimes: env.runTimesInterval > 0,
 		},
-	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), time.Second), runner.NewClient(2), nil, metrics.New())
+	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), time.Second), runner.NewClient(2), nil, env.metrics)
 	k, err := kernel.New(nil, kernel.Spec{Name: names.Relay, Service: stub{}}, service.Spec(),
 		kernel.Spec{Name: names.Catalog, Service: stub{publish: message.CatalogChanged{Config: config}}})
 	if err != nil {
--- a/tests/holder/run_times_test.go
+++ b/tests/holder/run_times_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -152,3 +153,22 @@
 		}
 	}
 }
+
+// TestGaugesEndWithTerm guards against a former holder that shows for ever what its last term knew of queues and accounts.
+func TestGaugesEndWithTerm(t *testing.T) {
+	t.Parallel()
+	env := newLearningEnvironment(t, "", false)
+	env.finishJobs("first", 0, 3)
+	shown := func(name string) bool { return strings.Contains(env.metrics.Var().String(), strconv.Quote(name)) }
+	names := []string{"run_time_error_declared_percent_q", "run_time_error_learned_percent_q", "run_times_cells", "accounts_at_limit", "units_at_account_limit", "jobs_excess_open"}
+	env.eventually("the gauges are shown", func() bool {
+		return !slices.ContainsFunc(names, func(name string) bool { return !shown(name) })
+	})
+	env.store.Set(records.HolderKey, records.Encode(records.Holder{VM: "other", Address: "127.0.0.1:9", Incarnation: "other", Term: 99}))
+	env.eventually("the term ends", func() bool { return shown("terms_ended") })
+	for _, name := range names {
+		if shown(name) {
+			t.Errorf("gauge %s is shown after the term", name)
+		}
+	}
+}
