--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -75,6 +75,7 @@
 	executor *runnerstandin.Executor
 	clock    *suspendableClock
 	kernel   *kernel.Kernel
+	metrics  *metrics.Set
 	// refuseRecords makes the store refuse to list the progress of jobs, recordReads counts these calls.
 	refuseRecords atomic.Bool
 	recordReads   atomic.Int64
@@ -145,6 +146,7 @@
 	if env.lateConfig {
 		catalog = lateCatalog{config}
 	}
+	env.metrics = metrics.New()
 	service := holder.New(holder.Settings{
 		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
 		Fleet: fleet.Settings{
@@ -152,7 +154,7 @@
 			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: time.Hour,
 			LearnRunTimes: env.runTimesInterval > 0,
 		},
-	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), time.Second), runner.NewClient(2), nil, metrics.New())
+	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), time.Second), runner.NewClient(2), nil, env.metrics)
 	k, err := kernel.New(nil, kernel.Spec{Name: names.Relay, Service: stub{}}, service.Spec(),
 		kernel.Spec{Name: names.Catalog, Service: catalog})
 	if err != nil {
