--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -71,7 +71,7 @@
 
 // belowLimit reports whether the limit of its account permits the start of a unit. If it does not, the unit keeps later
 // work of the account from the room that becomes free, and work within the guarantee stops other work of the account.
-func (f *Scheduler) belowLimit(now time.Time, c *candidate, u *unit) bool {
+func (f *Scheduler) belowLimit(now time.Time, c *candidate, u *unit, usable []*executor) bool {
 	a := u.job.rec.Account
 	limit := f.limitOf(u.job)
 	if limit == (workload.Resources{}) {
@@ -93,6 +93,8 @@
 	switch {
 	case accountlimit.Room(limit, workload.Resources{}, need) == 0:
 		// The unit never fits below the present limit.
+	case !f.couldFit(u, usable, false):
+		// The room below the limit would not let the unit start.
 	case guaranteed:
 		f.vacateLimit(now, a, accountlimit.Missing(limit, present, need))
 		// The record is durable before the room is free.
@@ -128,11 +130,15 @@
 	p.backfill[a].restrictTo(latestStart)
 }
 
-// withinGuarantee reports whether a unit and all runs of priority 0 of its account need no more than the account's
-// guarantee.
+// withinGuarantee reports whether a unit, all runs of priority 0 of its account and the units within the guarantee that
+// already wait for room in this pass need no more than the account's guarantee. It is not called for a unit after its
+// room was held.
 func (f *Scheduler) withinGuarantee(u *unit) bool {
 	t := f.config.Account(u.job.rec.Account)
-	return t != nil && f.route(u.job).Priority == 0 && f.use.urgent.Occupied(t.Name).GPU+u.totalNeed().GPU <= t.Guaranteed
+	if t == nil || t.Guaranteed == 0 || f.route(u.job).Priority > 0 {
+		return false
+	}
+	return f.use.urgent.Occupied(t.Name).GPU+f.limitPass.guaranteed.Occupied(t.Name).GPU+u.totalNeed().GPU <= t.Guaranteed
 }
 
 // vacateLimit stops work of an account below priority 0, that with the least lost work first, so that what the account
@@ -247,7 +253,8 @@
 	accounts := map[workload.Account]*accountlimit.Unreported{}
 	for _, j := range f.jobs {
 		a := j.rec.Account
-		if !j.inherited || f.limitOf(j) == (workload.Resources{}) || !slices.ContainsFunc(hosts, func(e *executor) bool { return e.mayHaveRun(j.rec.ID) }) {
+		// All tasks of a completed job have ended; those of one that was cancelled or has failed may still run.
+		if !j.inherited || j.state == workload.StateCompleted || f.limitOf(j) == (workload.Resources{}) || !slices.ContainsFunc(hosts, func(e *executor) bool { return e.mayHaveRun(j.rec.ID) }) {
 			continue
 		}
 		if accounts[a] == nil {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -24,9 +24,11 @@
 	clear(f.failedPreemptions)
 	budget := f.headroom(now, usable)
 	var filter backfill
-	roomNeeded := false
+	// roomNeeded holds the pools in which other work than excess work waits for capacity.
+	roomNeeded := map[workload.Pool]bool{}
 	for _, c := range waiting {
-		if c.Excess && roomNeeded && budget.lowCapacity {
+		pool := f.route(c.units[0].job).Pool
+		if c.Excess && roomNeeded[pool] && budget.lowCapacity {
 			setWaiting(c.units, WaitAccountRate)
 			continue
 		}
@@ -37,7 +39,9 @@
 		} else {
 			setWaiting(c.units, WaitGang)
 		}
-		roomNeeded = roomNeeded || !c.Excess && c.needsRoom()
+		if !c.Excess && !roomNeeded[pool] && f.needsRoom(c, usable) {
+			roomNeeded[pool] = true
+		}
 	}
 }
 
@@ -58,6 +62,10 @@
 		c.Class = f.classOf(u)
 		if reason := f.tryPlace(now, c, u, budget); reason != "" {
 			setWaiting(c.units[i:], reason)
+			if reason == WaitCapacity && c.Class <= classUrgent && f.couldFit(u, usable, false) {
+				// Other work of the account does not take the room below the limit, which may have been vacated for this unit.
+				f.holdRoom(u)
+			}
 			if reason != WaitAccountLimit && budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
 			}
@@ -69,7 +77,7 @@
 
 // tryPlace places a unit if the headroom allows it. It returns why the next unit of the step is not worth trying, or "".
 func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, budget *headroom) WaitReason {
-	if !f.belowLimit(now, c, u) {
+	if !f.belowLimit(now, c, u, budget.usable) {
 		return WaitAccountLimit
 	}
 	if !budget.allows(c.Class, u) {
--- a/decisions/fleet/rate.go
+++ b/decisions/fleet/rate.go
@@ -21,7 +21,8 @@
 }
 
 // markExcess marks the jobs that exceed the rate of their account among those that were added since the last call. They
-// count in the order of their acceptance, so that a new holder, which reads all jobs at once, marks the same ones.
+// count in the order of their acceptance, in which a new holder, which reads all stored jobs at once, counts them, too. It
+// may still mark others, because finished jobs that were removed after their retention no longer use the rate.
 func (f *Scheduler) markExcess() {
 	if len(f.unmarkedJobs) == 0 {
 		return
@@ -40,12 +41,14 @@
 	f.unmarkedJobs = f.unmarkedJobs[:0]
 }
 
-// needsRoom reports whether a unit of a candidate waits because capacity is short. Excess work does not take what becomes
-// free then: it would keep larger units waiting.
-func (c *candidate) needsRoom() bool {
-	return slices.ContainsFunc(c.units, func(u *unit) bool {
+// needsRoom reports whether a unit of a candidate waits because capacity is short and would fit on empty executors. Excess
+// work of the same pool does not take what becomes free then: it would keep larger units waiting.
+func (f *Scheduler) needsRoom(c *candidate, usable []*executor) bool {
+	i := slices.IndexFunc(c.units, func(u *unit) bool {
 		return u.state == unitPending && (u.waitsFor == WaitCapacity || u.waitsFor == WaitHeadroom || u.waitsFor == WaitGang)
 	})
+	// The units of a step have equal demands.
+	return i >= 0 && f.couldFit(c.units[i], usable, false)
 }
 
 // submittedAt returns when a job was accepted. The clock of the accepting VM may be ahead.
@@ -62,7 +65,7 @@
 	if !j.excess {
 		return class
 	}
-	if t := f.config.Account(j.rec.Account); class == classUrgent && t != nil && urgentUse.GPU <= t.Guaranteed {
+	if t := f.config.Account(j.rec.Account); class == classUrgent && t != nil && t.Guaranteed > 0 && urgentUse.GPU <= t.Guaranteed {
 		return class
 	}
 	return class + classExcess
--- a/services/holder/run_times.go
+++ b/services/holder/run_times.go
@@ -20,9 +20,6 @@
 	// bytes a second, because the link of a small VM carries the calls of clients, too.
 	defaultRunTimesInterval = 10 * time.Second
 	maxRunTimesRate         = 4 << 10
-	// maxRunTimesSize bounds the encoded run times, in bytes; the store refuses values of 1 MiB. The bounds of the model keep
-	// them below.
-	maxRunTimesSize = 512 << 10
 	// runTimesReadDelay is the delay before a failed reading is repeated, runTimesReadLimit the age of the term from which on
 	// the holder goes on without the run times of its predecessor.
 	runTimesReadDelay = time.Second
@@ -62,6 +59,10 @@
 	// version is the version of the model that was last saved, nextSaveAt the earliest time of the next save.
 	version    int64
 	nextSaveAt time.Time
+	// evictedHosts is the number of evicted hosts of the model that were counted.
+	evictedHosts int64
+	// queueGauges holds the names of the gauges of queues that were set in the term.
+	queueGauges map[string]bool
 }
 
 // loadRunTimes reads the run times that an earlier holder has saved.
@@ -108,6 +109,7 @@
 		return
 	}
 	t.fleet.RestoreRunTimes(snapshot)
+	t.runTimes.evictedHosts = 0
 	t.runTimes.version = t.fleet.RunTimes().Version()
 	s.log("run times restored", "cells", t.fleet.RunTimes().Cells(), "hosts", t.fleet.RunTimes().Hosts(), "bytes", len(m.item.Value), "revision", m.item.Revision)
 }
@@ -125,8 +127,8 @@
 	out := runTimesSaved{termScoped: termScoped{t.number}, version: model.Version()}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		value := records.Encode(snapshot)
-		if out.size = len(value); out.size > maxRunTimesSize {
-			out.err = errors.Newf("%d bytes, want at most %d", out.size, maxRunTimesSize)
+		if out.size = len(value); out.size > runtimes.MaxSnapshotBytes {
+			out.err = errors.Newf("%d bytes, want at most %d", out.size, runtimes.MaxSnapshotBytes)
 			return out
 		}
 		_, out.err = s.store.Commit(ctx, metastore.Txn{
@@ -161,9 +163,28 @@
 	}
 	s.metrics.SetGauge("run_times_cells", int64(model.Cells()))
 	s.metrics.SetGauge("run_times_hosts", int64(model.Hosts()))
+	s.metrics.CountEvent("run_times_hosts_evicted", model.EvictedHosts()-s.term.runTimes.evictedHosts)
+	s.term.runTimes.evictedHosts = model.EvictedHosts()
+	state := &s.term.runTimes
+	if state.queueGauges == nil {
+		state.queueGauges = map[string]bool{}
+	}
 	for _, e := range model.Errors() {
-		s.metrics.SetGauge("run_time_error_declared_percent_"+string(e.Queue), percent(e.Declared))
-		s.metrics.SetGauge("run_time_error_learned_percent_"+string(e.Queue), percent(e.Learned))
+		for prefix, v := range map[string]float64{"run_time_error_declared_percent_": e.Declared, "run_time_error_learned_percent_": e.Learned} {
+			name := prefix + string(e.Queue)
+			s.metrics.SetGauge(name, percent(v))
+			state.queueGauges[name] = true
+		}
+	}
+}
+
+// removeTermGauges removes the gauges of a term that has ended, which would show for ever what was so at its end.
+func (s *Service) removeTermGauges(t *term) {
+	for name := range t.runTimes.queueGauges {
+		s.metrics.RemoveGauge(name)
+	}
+	for _, name := range []string{"run_times_cells", "run_times_hosts", "run_times_bytes", "accounts_at_limit", "units_at_account_limit", "jobs_excess_open"} {
+		s.metrics.RemoveGauge(name)
 	}
 }
 
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -46,8 +46,10 @@
 	undecidedAt time.Time
 	// records bounds what each account adds to the store.
 	records *recordlimit.Limiter
-	// limited counts the calls refused by records since limitedLogged, the time of the last log line about them.
-	limited       int
+	// lookups counts the lookups in progress of submissions that are refused if their job is not stored.
+	lookups map[workload.Account]int
+	// limited counts the calls refused by records, by account, since limitedLogged, the time of the last log line about them.
+	limited       map[workload.Account]int
 	limitedLogged time.Time
 }
 
@@ -62,7 +64,10 @@
 	if s.Records == (recordlimit.Settings{}) {
 		s.Records = recordlimit.DefaultSettings()
 	}
-	return &Service{settings: s, store: store, metrics: m, storeReachable: true, records: recordlimit.New(s.Records)}
+	return &Service{
+		settings: s, store: store, metrics: m, storeReachable: true, records: recordlimit.New(s.Records), lookups: map[workload.Account]int{},
+		limited: map[workload.Account]int{},
+	}
 }
 
 // Spec returns the registration of the service.
@@ -79,9 +84,12 @@
 // Drain implements kernel.Service.
 func (s *Service) Drain(c *kernel.Context) { c.CompleteDrain() }
 
-// Recover implements kernel.Recoverer. The service holds no state that a call changes in several steps; the call that
-// caused the panic fails with an unknown outcome.
-func (s *Service) Recover(*kernel.Context, *kernel.PanicError) bool { return true }
+// Recover implements kernel.Recoverer. The service holds no state that a call changes in several steps, except the count of
+// lookups, which begins anew; the call that caused the panic fails with an unknown outcome.
+func (s *Service) Recover(*kernel.Context, *kernel.PanicError) bool {
+	clear(s.lookups)
+	return true
+}
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(c *kernel.Context, e kernel.Envelope) {
@@ -143,9 +151,10 @@
 	if s.records.Allow(now, account, k, units) {
 		return nil
 	}
-	if s.limited++; now.Sub(s.limitedLogged) >= limitedLogInterval {
-		s.log("calls refused because an account exceeds its records", "account", account, "calls", s.limited)
-		s.limited, s.limitedLogged = 0, now
+	s.limited[account]++
+	if now.Sub(s.limitedLogged) >= limitedLogInterval {
+		s.log("calls refused because an account exceeds its records", "calls", s.limited)
+		s.limited, s.limitedLogged = map[workload.Account]int{}, now
 	}
 	return failure.New(failure.RateLimited, "the account exceeds its records a second, or in ten minutes")
 }
