--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	o.info("starting", "domain", s.Domain, "region", s.Region, "front", s.Front, "admin", s.Admin, "store", s.Store, "lease_ms", s.Lease.Milliseconds(), "learn_run_times", s.LearnRunTimes)
+	o.info("starting", "domain", s.Domain, "region", s.Region, "front", s.Front, "admin", s.Admin, "store", s.Store, "lease_ms", s.Lease.Milliseconds(), "choose_victims", s.ChooseVictims, "learn_run_times", s.LearnRunTimes)
 	began := time.Now()
 	if err := k.Run(ctx); err != nil {
 		return err
