Write log lines in pieces of some kilobytes

Cause: up to 64 KiB of lines went out in one write. Change: a write takes no further line from 3 KiB on.

--- a/node/logging/output.go
+++ b/node/logging/output.go
@@ -16,8 +16,9 @@
 	// 600 lines of about 300 bytes a second about runs, so that they take a pause of about 6 s.
 	maxWaitingLines = 4096
 	maxWaitingBytes = 1 << 20
-	// maxWriteBytes bounds the lines of one write. It is the usual size of a pipe.
-	maxWriteBytes = 64 << 10
+	// maxWriteBytes is the size from which on a write takes no further line. A pipe takes writes of up to 4 KiB whole, so that
+	// lines of processes that share a pipe seldom mix, and collectors that read a few kilobytes at a time cut no line.
+	maxWriteBytes = 3 << 10
 	// writeDelay is how long lines are collected for one write, which saves system calls. A line about an error, and a
 	// buffer that is half full, are written at once.
 	writeDelay = 50 * time.Millisecond
