--- a/api/workload/workload.go
+++ b/api/workload/workload.go
@@ -49,6 +49,20 @@
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
 }
 
+// maxCount is the result of CountIn for an amount that needs nothing.
+const maxCount = 1 << 20
+
+// CountIn returns how many times the amount fits into a free amount.
+func (r Resources) CountIn(free Resources) int {
+	n := maxCount
+	for _, p := range [...][2]int{{r.CPU, free.CPU}, {r.Memory, free.Memory}, {r.GPU, free.GPU}} {
+		if p[0] > 0 {
+			n = min(n, max(0, p[1])/p[0])
+		}
+	}
+	return n
+}
+
 // Step is a set of equal tasks of a job.
 type Step struct {
 	Count int
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -211,13 +211,7 @@
 
 // capacityFor returns how many tasks of a step fit into the free resources of an executor.
 func capacityFor(s *workload.Step, free workload.Resources) int {
-	n := 1 << 20
-	load := s.CapacityNeed()
-	for _, p := range [...][2]int{{load.CPU, free.CPU}, {load.Memory, free.Memory}, {load.GPU, free.GPU}} {
-		if p[0] > 0 {
-			n = min(n, max(0, p[1])/p[0])
-		}
-	}
+	n := s.CapacityNeed().CountIn(free)
 	if s.MaxPerExecutor > 0 {
 		n = min(n, s.MaxPerExecutor)
 	}
--- a/decisions/victims/victims.go
+++ b/decisions/victims/victims.go
@@ -118,7 +118,7 @@
 		}
 		tasks := 0
 		for _, h := range on {
-			tasks += min(s.hosts[h].Slots, fits(s.need, s.hosts[h].Free.Add(s.load(u, h))))
+			tasks += min(s.hosts[h].Slots, s.need.CountIn(s.hosts[h].Free.Add(s.load(u, h))))
 		}
 		if tasks > 0 {
 			out = append(out, gang{u, s.units[u].Cost / float64(min(count, tasks))})
@@ -277,14 +277,3 @@
 func relieves(load, room workload.Resources) bool {
 	return room.CPU < 0 && load.CPU > 0 || room.Memory < 0 && load.Memory > 0 || room.GPU < 0 && load.GPU > 0
 }
-
-// fits returns how many tasks fit into free resources.
-func fits(need, free workload.Resources) int {
-	n := 1 << 20
-	for _, p := range [...][2]int{{need.CPU, free.CPU}, {need.Memory, free.Memory}, {need.GPU, free.GPU}} {
-		if p[0] > 0 {
-			n = min(n, max(0, p[1])/p[0])
-		}
-	}
-	return n
-}
--- a/decisions/victims/victims_test.go
+++ b/decisions/victims/victims_test.go
@@ -54,7 +54,7 @@
 				free = free.Add(o.Load)
 			}
 		}
-		out[h] = min(hosts[h].Slots, fits(need, free))
+		out[h] = min(hosts[h].Slots, need.CountIn(free))
 	}
 	return out
 }
