Run the long replays of the scheduler side by side

decisions/fleet took over five minutes with the race detector beside other runs. The replays share no state; seeds and bounds are unchanged.

--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -18,16 +18,19 @@
 // partitioned, executors crash, restart, drain, stall and become unreachable, silently or with rejected connections,
 // calls take effect late, and the store is down for a while.
 func TestFleet(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) { fuzzFleet(t, rt, func(*Settings) {}) })
 }
 
 // TestFleetLearning checks the same guarantees while run times and paces are learned, on executors of uneven pace.
 func TestFleetLearning(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) { fuzzFleet(t, rt, func(s *Settings) { s.LearnRunTimes = true }) })
 }
 
 // TestFleetOptions checks the same guarantees with all optional decisions switched on.
 func TestFleetOptions(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		fuzzFleet(t, rt, func(s *Settings) { s.LearnRunTimes, s.ChooseVictims = true, true })
 	})
--- a/decisions/fleet/gang_test.go
+++ b/decisions/fleet/gang_test.go
@@ -12,6 +12,7 @@
 // TestGangsEndTogether guards against a gang of which some tasks wait in vain, because the others were not started or
 // were stopped without them. Jobs are only submitted and cancelled; there are no faults that could cause such an end.
 func TestGangsEndTogether(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
 		sim.t = failOn{t, rt}
--- a/decisions/fleet/headroom_test.go
+++ b/decisions/fleet/headroom_test.go
@@ -42,6 +42,7 @@
 // TestHeadroomSparesWork guards against urgent work that preempts long tasks again and again, because they fill the
 // capacity that it releases. The load is a stream of short urgent gangs beside more batch work than the fleet can hold.
 func TestHeadroomSparesWork(t *testing.T) {
+	t.Parallel()
 	preemptedWithout, completedWithout := replayUrgent(t, 0)
 	preemptedWith, completedWith := replayUrgent(t, defaultHeadroomWindow)
 	t.Logf("preempted units: %d without headroom, %d with it; completed urgent jobs: %d and %d", preemptedWithout, preemptedWith, completedWithout, completedWith)
--- a/decisions/fleet/learn_test.go
+++ b/decisions/fleet/learn_test.go
@@ -170,6 +170,7 @@
 // TestLearnedPaceOutlivesHolder guards against a holder that starts with even paces although the snapshot of its
 // predecessor holds them.
 func TestLearnedPaceOutlivesHolder(t *testing.T) {
+	t.Parallel()
 	_, sim := replayUneven(t, 1, true, 1, quarterSlow)
 	s := sim.holder.scheduler.RunTimes().Snapshot()
 	if err := s.Validate(); err != nil {
--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -39,6 +39,7 @@
 // limit, whatever happens to holders, executors, calls and the configuration in between, and against work that does not
 // go on once limits are lifted. The executors see what truly runs.
 func TestAccountLimitsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
 		sim.t = failOn{t, rt}
@@ -108,6 +109,7 @@
 // guarantee. The work is in tasks of one accelerator, so that none is larger than what is missing, and the urgent jobs run
 // until the end of the test, so that each part of the guarantee is used once.
 func TestVacatedForUrgentJobs(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(rt, "seed"), 2, 3)
 		sim.t = failOn{t, rt}
--- a/decisions/fleet/orders_test.go
+++ b/decisions/fleet/orders_test.go
@@ -197,6 +197,7 @@
 // TestOrderOverload guards against an order of jobs that earns no more credit than first come, first served in an
 // overload with bursts, because work that is late already delays work that can still be in time.
 func TestOrderOverload(t *testing.T) {
+	t.Parallel()
 	var inTimeFirstCredit, fifoCredit float64
 	// The results of a single seed vary by more than the orders differ.
 	const seeds = 6
--- a/decisions/fleet/rate_test.go
+++ b/decisions/fleet/rate_test.go
@@ -129,6 +129,7 @@
 // because of the whole flood, since what the rate admits raises the load by a tenth. For a single account, two standard
 // errors of its 24 jobs are added, whose credit varies by about 0.35.
 func TestFloodOfOneAccount(t *testing.T) {
+	t.Parallel()
 	const seeds, load, maxExcessDrop, maxDrop, maxAccountDrop = 8, 1.3, 0.03, 0.1, 0.24
 	without, kept, flooded := map[workload.Account]float64{}, 0.0, 0.0
 	with := map[workload.Account]float64{}
--- a/decisions/fleet/victims_test.go
+++ b/decisions/fleet/victims_test.go
@@ -78,6 +78,7 @@
 // TestFewerVictims guards against work that is stopped without need: units that free nothing of what is missing, gangs
 // that end for one of their tasks, and work that would end by itself in time.
 func TestFewerVictims(t *testing.T) {
+	t.Parallel()
 	var before, after fullFleet
 	for seed := range uint64(5) {
 		b := replayFullFleet(t, seed+1, func(*Settings) {})
