--- a/tests/requests/entryvm_test.go
+++ b/tests/requests/entryvm_test.go
@@ -328,12 +328,20 @@
 		{Name: names.Config, Service: &fakeService{}},
 		{Name: names.Membership, Service: &fakeService{}},
 		{Name: names.Admin, Service: &fakeService{}},
+		{Name: names.Admission, Service: openAdmission{}},
 		executors.New(dial, m).Spec(), dispatch.New("a", m).Spec(), scheduler.New("a", m).Spec(),
 		routing.New(self, m).Spec(),
 		httpapi.New(self, vm.listener, httpapi.Options{}, m).Spec(),
 	}
 }
 
+// openAdmission gives every connection a place and memory.
+type openAdmission struct{}
+
+func (openAdmission) Start(*kernel.Context) error                 { return nil }
+func (openAdmission) Handle(_ *kernel.Context, e kernel.Envelope) { e.Reply(message.Done{}) }
+func (openAdmission) Drain(c *kernel.Context)                     { c.CompleteDrain() }
+
 // drain begins the graceful shutdown of a VM.
 func (d *failureDomain) drain(vm *entryVM) {
 	d.serving = slices.DeleteFunc(d.serving, func(o *entryVM) bool { return o == vm })
