Keep the plan of a large fleet short, and take an empty number of descriptors

Change: the order of the reserve is used for 200 ms, and the search looks at the reported progress only.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -104,6 +104,7 @@
 	jobOrder       joborder.Order
 	// headroomWindow is the duration of urgent arrivals for which capacity is reserved.
 	headroomWindow time.Duration
+	reserveOrder   reserveOrder
 	// lowCapacityAt is when the free share of the fleet was last below lowCapacityShare.
 	lowCapacityAt time.Time
 	// advice holds the answers of the advisory service; adviceInFlight is set while a query is unanswered.
--- a/decisions/fleet/headroom.go
+++ b/decisions/fleet/headroom.go
@@ -66,43 +66,80 @@
 		usable: usable, unreserved: usable, largest: largest,
 	}
 	if f.settings.ChooseVictims && reserved > 0 {
-		h.unreserved = beside(usable, reserved)
+		h.unreserved = f.beside(now, usable, reserved)
 	}
 	return h
 }
 
+// reserveOrderAge is the age up to which the order of the executors in the reserve is used again. Sorting thousands of
+// executors in each planning pass would take most of its time.
+const reserveOrderAge = 200 * time.Millisecond
+
+// reserveOrder is the order in which executors enter the reserve.
+type reserveOrder struct {
+	executors []*executor
+	at        time.Time
+}
+
 // beside returns the executors beside a reserve, which consists of the emptiest executors of the racks with most free
 // capacity, fast ones first: gangs of large tasks find room on a rack there, while a reserve that is scattered over all
 // executors would hold small tasks only.
-func beside(usable []*executor, reserve float64) []*executor {
+func (f *Scheduler) beside(now time.Time, usable []*executor, reserve float64) []*executor {
+	if o := &f.reserveOrder; o.executors == nil || now.Sub(o.at) >= reserveOrderAge {
+		*o = reserveOrder{orderForReserve(usable), now}
+	}
+	closed := map[*executor]bool{}
+	for _, e := range f.reserveOrder.executors {
+		free := float64(max(0, weightedMillicores(e.free())))
+		if reserve < free/2 {
+			// Less than half of the executor is needed, so that a small reserve closes none.
+			break
+		}
+		reserve -= free
+		closed[e] = true
+	}
+	if len(closed) == 0 {
+		return usable
+	}
+	out := make([]*executor, 0, len(usable))
+	for _, e := range usable {
+		if !closed[e] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// orderForReserve returns the executors in the order in which they enter the reserve.
+func orderForReserve(usable []*executor) []*executor {
 	type part struct {
 		rack  string
 		class int
 	}
-	partOf := func(e *executor) part { return part{e.rack, e.paceClass()} }
-	free := map[part]int{}
-	for _, e := range usable {
-		free[partOf(e)] += max(0, weightedMillicores(e.free()))
+	type entry struct {
+		e                        *executor
+		class, rackFree, ownFree int
+	}
+	rackFree := map[part]int{}
+	entries := make([]entry, len(usable))
+	for i, e := range usable {
+		free := max(0, weightedMillicores(e.free()))
+		entries[i] = entry{e: e, class: e.paceClass(), ownFree: free}
+		rackFree[part{e.rack, entries[i].class}] += free
 	}
-	order := slices.Clone(usable)
-	slices.SortStableFunc(order, func(a, b *executor) int {
-		p, q := partOf(a), partOf(b)
+	for i := range entries {
+		entries[i].rackFree = rackFree[part{entries[i].e.rack, entries[i].class}]
+	}
+	slices.SortStableFunc(entries, func(a, b entry) int {
 		return cmp.Or(
-			cmp.Compare(q.class, p.class), cmp.Compare(free[q], free[p]), cmp.Compare(p.rack, q.rack),
-			cmp.Compare(weightedMillicores(b.free()), weightedMillicores(a.free())),
+			cmp.Compare(b.class, a.class), cmp.Compare(b.rackFree, a.rackFree), cmp.Compare(a.e.rack, b.e.rack), cmp.Compare(b.ownFree, a.ownFree),
 		)
 	})
-	n := 0
-	for n < len(order) {
-		free := float64(max(0, weightedMillicores(order[n].free())))
-		if reserve < free/2 {
-			// Less than half of the executor is needed, so that a small reserve closes none.
-			break
-		}
-		reserve -= free
-		n++
+	out := make([]*executor, len(entries))
+	for i := range entries {
+		out[i] = entries[i].e
 	}
-	return order[n:]
+	return out
 }
 
 // executorsFor returns the executors that a unit of a candidate may use. A unit that is bound to a rack has little choice,
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -31,10 +31,15 @@
 	})
 }
 
-// endsWithin reports whether a unit is expected to end by itself within a time.
-func (f *Scheduler) endsWithin(now time.Time, u *unit, d time.Duration) bool {
-	remaining, known := f.remaining(now, u)
-	return known && remaining <= d
+// endsWithin reports whether a unit is expected to end by itself within a time, by its reported progress. The model of run
+// times is not asked: a search looks at thousands of units.
+func endsWithin(now time.Time, u *unit, d time.Duration) bool {
+	pace := u.progressPerSecond()
+	if pace <= 0 || u.spec().LongRunning {
+		return false
+	}
+	left := time.Duration(float64(fullProgress-u.progress) / pace * float64(time.Second))
+	return left-now.Sub(u.progressAt) <= d
 }
 
 // choosePreemption places the tasks of a unit on executors of which other units are stopped or awaited: on those of
@@ -80,7 +85,7 @@
 			i, known := index[v]
 			if !known {
 				i = -1
-				ends := v.ending || await > 0 && f.endsWithin(now, v, await)
+				ends := v.ending || await > 0 && endsWithin(now, v, await)
 				if ends || f.runningClass(v) > c.Class && f.mayInterrupt(v) {
 					i = len(running)
 					running = append(running, v)
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -142,7 +142,10 @@
 		LameDuck:              r.duration("timing", "lame_duck", DefaultLameDuck, 0, maxTimeout),
 		Verbosity:             r.integer("log", "verbosity", 0, 0, maxVerbosity),
 	}
-	s.Descriptors = r.integer("limits", "descriptors", 0, minDescriptors, maxDescriptors)
+	if r.value("limits", "descriptors") != "" {
+		// A platform without this figure leaves the value empty.
+		s.Descriptors = r.integer("limits", "descriptors", 0, minDescriptors, maxDescriptors)
+	}
 	s.ClientMemory = r.size("limits", "client_memory", max(minClientMemory, s.Memory/ClientMemoryPart), minClientMemory, 1<<40)
 	s.Limits = r.clientLimits()
 	s.Records = r.recordLimits()
