--- a/decisions/fleet/rate_test.go
+++ b/decisions/fleet/rate_test.go
@@ -126,11 +126,11 @@
 // TestFloodOfOneAccount guards against a flood of one account that changes when other accounts are served. Ten accounts
 // share a full fleet, and one submits eight times its usual number of jobs; its rate is twice that number. What the others
 // earn for the jobs of that time may fall by at most 0.03 because of the jobs beyond the rate, and by at most a tenth
-// because of the whole flood, since what the rate admits raises the load by a tenth. For a single account, two standard
-// errors of its 24 jobs are added, whose credit varies by about 0.35.
+// because of the whole flood, since what the rate admits raises the load by a tenth. A single account, which has only
+// 24 jobs in these seeds, may lose half as much again.
 func TestFloodOfOneAccount(t *testing.T) {
 	t.Parallel()
-	const seeds, load, maxExcessDrop, maxDrop, maxAccountDrop = 8, 1.3, 0.03, 0.1, 0.24
+	const seeds, load, maxExcessDrop, maxDrop, maxAccountDrop = 8, 1.3, 0.03, 0.1, 0.15
 	without, kept, flooded := map[workload.Account]float64{}, 0.0, 0.0
 	with := map[workload.Account]float64{}
 	for seed := range uint64(seeds) {
