--- a/tests/fleet/store_test.go
+++ b/tests/fleet/store_test.go
@@ -85,7 +85,7 @@
 }
 
 // slowStoreDelay is the delay in each direction of a call to a store that is 88 times slower than usual, as in the
-// fault scenario trouble-2 of the site vkv-sert-grown.
+// fault scenario of docs/incidents/2026-12-04-vkv-grown-trouble-2.md.
 const slowStoreDelay = 175 * time.Millisecond
 
 // TestSlowHandover guards against a handover to a new holder that makes its calls to a slow store one after the other.
