--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -16,6 +16,7 @@
 	MemMB       int  `json:"mem_mb"`
 	GPU         int  `json:"gpu,omitempty"`
 	EstimateMS  int  `json:"estimate_ms,omitempty"`
+	Checkpoint  bool `json:"checkpoint,omitempty"`
 	Gang        bool `json:"gang,omitempty"`
 	LongRunning bool `json:"long_running,omitempty"`
 	MayMiss     int  `json:"may_miss,omitempty"`
--- a/review/harness-2/executor.go
+++ b/review/harness-2/executor.go
@@ -23,7 +23,8 @@
 )
 
 // executor is a stand-in for one executor, with 32 cores, 64 GB and 8 GPUs unless set otherwise. A spec "work MS" ends as
-// done after that time; a spec "serve MS" is at work after a startup of that time and runs until it is stopped.
+// done after that time; a spec "serve MS" is at work after a startup of that time and runs until it is stopped. A spec "save MS
+// BYTES" is "work MS" with checkpoints of that size.
 type executor struct {
 	rec     *record
 	store   *store
@@ -65,9 +66,11 @@
 	started  time.Time
 	work     time.Duration
 	serve    bool
-	stopAt   time.Time
-	ended    time.Time
-	how      string
+	// saved is the checkpoint.
+	saved  string
+	stopAt time.Time
+	ended  time.Time
+	how    string
 	// noted is when the end was taken note of, zero before.
 	noted time.Time
 	end   int64
@@ -270,8 +273,10 @@
 	}
 	now := time.Now()
 	r := &run{executor: e.id, task: in.Task, number: in.Run, started: now}
-	kind, ms, _ := strings.Cut(in.Spec, " ")
-	n, err := strconv.Atoi(ms)
+	words := strings.Fields(in.Spec + " 0 0")
+	kind := words[0]
+	n, err := strconv.Atoi(words[1])
+	bytes, _ := strconv.Atoi(words[2])
 	switch {
 	case in.Run <= e.highest[in.Task]:
 		e.extend(in.DeadlineMS)
@@ -286,11 +291,11 @@
 		e.rec.line("executor %s: start of task %s run %d refused: ticket", e.id, in.Task, in.Run)
 		e.refuse(w, "ticket")
 		return
-	case err != nil || kind != "work" && kind != "serve":
+	case err != nil || kind != "work" && kind != "serve" && kind != "save":
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	r.work, r.serve = time.Duration(n)*time.Millisecond, kind == "serve"
+	r.work, r.serve, r.saved = time.Duration(n)*time.Millisecond, kind == "serve", strings.Repeat("c", bytes)
 	e.extend(in.DeadlineMS)
 	e.runs = append(e.runs, r)
 	e.history = append(e.history, r)
@@ -350,10 +355,14 @@
 	now = time.Now()
 	running, ended := [][]any{}, [][]any{}
 	for _, x := range e.runs {
-		running = append(running, []any{x.task, x.number, "", x.percent(now), 0})
+		running = append(running, []any{x.task, x.number, x.saved, x.percent(now), 0})
 	}
 	for _, x := range e.ended[:min(len(e.ended), maxEndsPage)] {
-		ended = append(ended, []any{x.number, x.run.task, x.run.number, x.run.how, ""})
+		saved := x.run.saved
+		if x.run.how == "done" {
+			saved = ""
+		}
+		ended = append(ended, []any{x.number, x.run.task, x.run.number, x.run.how, saved})
 	}
 	reply(w, http.StatusOK, map[string]any{"clock_ms": e.clock().Milliseconds(), "born": e.booted.UnixMilli(), "running": running, "ended": ended})
 }
