Keep finished jobs until the removal of their entries is confirmed

Cause: the scheduler forgot expired jobs when the transaction that removes their entries was built. If it failed, the entries stayed, and the next list of the queue showed jobs that nothing knew, which are new ones. The log line of a failed save now names the number of expired jobs.

Change: ExpiredJobs only lists; RemoveJobs is called once the store has confirmed the removal. Related paths: a list that was read before the removal and arrives after it, and a late notice of another VM, are recognized by the revision up to which the queue was followed, and counted (removed_jobs_listed, job_notices_late).

TestLimitAfterCompletedJobs asks the same of the two methods that replace RemoveExpired.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -279,27 +280,34 @@
 	return n
 }
 
-// RemoveExpired removes at most limit jobs whose retention has ended from the state and returns their identifiers, so
-// that the caller can delete their records. Jobs of which an earlier holder may have started tasks stay until all runs of
-// earlier holders are known: these runs count against the limit of the job's account.
-func (f *Scheduler) RemoveExpired(now time.Time, limit int) []workload.JobID {
-	var ids []workload.JobID
-	for id, j := range f.jobs {
-		if len(ids) == limit {
-			break
-		}
+// ExpiredJobs returns at most limit jobs whose retention has ended, those that ended first before others, so that the
+// caller can delete their records. Jobs of which an earlier holder may have started tasks stay until all runs of earlier
+// holders are known: these runs count against the limit of the job's account.
+//
+// The jobs stay in the state until RemoveJobs is called: a stored job that the scheduler does not know is a new one.
+func (f *Scheduler) ExpiredJobs(now time.Time, limit int) []workload.JobID {
+	var expired []*job
+	for _, j := range f.jobs {
 		if j.inherited && !f.reconcileBy.IsZero() {
 			continue
 		}
 		if j.state.Final() && j.recordedVersion >= j.version && now.Sub(j.endedAt) > f.settings.Retention && !j.hasRuns() {
-			ids = append(ids, id)
+			expired = append(expired, j)
 		}
 	}
+	slices.SortFunc(expired, func(a, b *job) int { return cmp.Or(a.endedAt.Compare(b.endedAt), cmp.Compare(a.rec.ID, b.rec.ID)) })
+	var ids []workload.JobID
+	for _, j := range expired[:min(limit, len(expired))] {
+		ids = append(ids, j.rec.ID)
+	}
+	return ids
+}
+
+// RemoveJobs removes jobs whose records were deleted from the state.
+func (f *Scheduler) RemoveJobs(ids []workload.JobID) {
 	for _, id := range ids {
 		delete(f.jobs, id)
 	}
-	slices.Sort(ids)
-	return ids
 }
 
 // SetEvacuating replaces the set of executors that are evacuated: they get no new work and their runs are moved where
--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -386,6 +386,14 @@
 	}
 }
 
+// removeExpired removes the expired jobs and returns them in the order of their identifiers.
+func (sim *simulation) removeExpired() []workload.JobID {
+	ids := sim.holder.scheduler.ExpiredJobs(sim.now, 10)
+	sim.holder.scheduler.RemoveJobs(ids)
+	slices.Sort(ids)
+	return ids
+}
+
 // TestLimitAfterCompletedJobs guards against a new holder that counts completed jobs as possibly running, and against one
 // that forgets a finished job of which tasks may still run before the executors have reported.
 func TestLimitAfterCompletedJobs(t *testing.T) {
@@ -416,11 +424,11 @@
 		t.Errorf("%d starts beside a completed job, want 1", n)
 	}
 	// The holder has started the job "next" itself and knows all of its runs.
-	if ids := sim.holder.scheduler.RemoveExpired(sim.now, 10); !slices.Equal(ids, []workload.JobID{"next"}) {
+	if ids := sim.removeExpired(); !slices.Equal(ids, []workload.JobID{"next"}) {
 		t.Errorf("%v are removed before all executors have reported, want next", ids)
 	}
 	sim.advance(20 * time.Second)
-	if ids := sim.holder.scheduler.RemoveExpired(sim.now, 10); !slices.Equal(ids, []workload.JobID{"cancelled", "completed"}) {
+	if ids := sim.removeExpired(); !slices.Equal(ids, []workload.JobID{"cancelled", "completed"}) {
 		t.Errorf("%v are removed once all leases have ended, want the other two", ids)
 	}
 	for _, f := range sim.violations {
--- a/decisions/fleet/records_test.go
+++ b/decisions/fleet/records_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -101,3 +102,33 @@
 		}
 	}
 }
+
+// TestExpiredJobStaysUntilRemoved guards against a finished job that is taken for a new one, because it was forgotten before
+// its records were deleted, and against one that is never offered for removal again after a failure.
+func TestExpiredJobStaysUntilRemoved(t *testing.T) {
+	sim := startSimulation(t, 1, 1)
+	sim.submit(oneStep("second", "batch", workload.Step{Count: 1, Need: smallTask}), behavior{runTime: 400 * time.Millisecond})
+	sim.submit(oneStep("first", "batch", workload.Step{Count: 1, Need: smallTask}), behavior{runTime: 100 * time.Millisecond})
+	sim.advance(2 * time.Second)
+	f := sim.holder.scheduler
+	if ids := f.ExpiredJobs(sim.now, 10); len(ids) != 0 {
+		t.Errorf("%v have expired within the retention", ids)
+	}
+	later := sim.now.Add(sim.settings.Retention + time.Second)
+	for range 2 {
+		if ids := f.ExpiredJobs(later, 1); !slices.Equal(ids, []workload.JobID{"first"}) {
+			t.Errorf("%v have expired, want the job that ended first", ids)
+		}
+	}
+	f.AddJob(later, sim.jobs["first"], sim.createdRevision["first"], nil)
+	if s, known := f.Status("first"); !known || s != workload.StateCompleted {
+		t.Errorf("the expired job is %q, known %v", s, known)
+	}
+	f.RemoveJobs([]workload.JobID{"first"})
+	if _, known := f.Status("first"); known {
+		t.Error("the removed job is known")
+	}
+	if ids := f.ExpiredJobs(later, 10); !slices.Equal(ids, []workload.JobID{"second"}) {
+		t.Errorf("%v have expired, want the other job", ids)
+	}
+}
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -39,6 +39,8 @@
 	bytes map[string]int
 	// probe is set if the transaction only shows whether the store takes transactions without the suspected entry.
 	probe bool
+	// expired lists the jobs whose entries the transaction removes.
+	expired []workload.JobID
 	// roster is nil if the transaction did not contain it; rosterVersion is its version.
 	roster        workload.Roster
 	rosterVersion int64
@@ -76,7 +78,7 @@
 			return
 		}
 		t.nextExpiryAt = now.Add(expiryInterval)
-		s.addExpired(now, &txn)
+		s.addExpired(now, &out, &txn)
 		if len(txn.Removals) == 0 {
 			return
 		}
@@ -153,9 +155,10 @@
 
 // addExpired adds the removal of expired entries to a transaction: those of finished jobs or, if there are none, of
 // tombstones. A tombstone that was written again meanwhile is kept, because its revision is a condition.
-func (s *Service) addExpired(now time.Time, txn *metastore.Txn) {
+func (s *Service) addExpired(now time.Time, out *saveDone, txn *metastore.Txn) {
 	t := s.term
-	txn.Removals = recordKeys(t.fleet.RemoveExpired(now, maxExpiredJobs))
+	out.expired = t.fleet.ExpiredJobs(now, maxExpiredJobs)
+	txn.Removals = recordKeys(out.expired)
 	if len(txn.Removals) > 0 {
 		return
 	}
@@ -196,6 +199,8 @@
 			}
 		}
 		t.fleet.MarkRecorded(m.records)
+		t.fleet.RemoveJobs(m.expired)
+		t.queue.markRemoved(m.expired, m.revision)
 		s.handleAccepted(c, m)
 		s.requestPlan(c)
 		return
@@ -214,7 +219,7 @@
 	default:
 		s.metrics.CountEvent("save_failed", 1)
 	}
-	s.log("saving the progress failed; retrying", "jobs", len(m.records), "error", m.err.Error())
+	s.log("saving the progress failed; retrying", "jobs", len(m.records), "expired", len(m.expired), "error", m.err.Error())
 	t.nextSaveAt = time.Now().Add(saveRetryDelay)
 	s.schedulePlan(c, saveRetryDelay)
 }
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -178,7 +178,12 @@
 	now := time.Now()
 	switch m := e.Body.(type) {
 	case message.JobStored:
-		t.addJob(now, s, &m.Job, m.Revision)
+		if t.queue.includes(m.Revision) {
+			// The list or the watch of the queue has shown the job if its entry was usable, so that an unknown one was removed.
+			s.metrics.CountEvent("job_notices_late", 1)
+		} else {
+			t.addJob(now, s, &m.Job, m.Revision)
+		}
 		e.Reply(message.Done{})
 		s.requestPlan(c)
 	case message.JobCancelled:
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -53,9 +53,10 @@
 
 	// progress is the recorded progress of jobs that are not yet added to the scheduler; nil until it is read.
 	progress map[workload.JobID]*workload.Progress
-	// queueListed and registryListed are set once the first list of each has been applied. pendingUpdates holds the queue
-	// updates that arrived before progress was read.
-	queueListed, registryListed bool
+	// registryListed is set once the first list of the registry has been applied. pendingUpdates holds the queue updates
+	// that arrived before progress was read.
+	registryListed bool
+	queue          queuePosition
 	// configured is set once the operators' configuration is known, or after firstConfigWait.
 	configured     bool
 	pendingUpdates []metastore.Update
@@ -134,7 +135,7 @@
 // loaded reports whether the records of earlier holders, the accepted jobs, the registered executors and the
 // configuration have been read. Without the configuration, the limits and rates of accounts are not known.
 func (t *term) loaded() bool {
-	return t.progress != nil && t.queueListed && t.registryListed && t.configured
+	return t.progress != nil && t.queue.listed && t.registryListed && t.configured
 }
 
 // beginTerm creates the scheduler of a new term, and starts to read the records and to watch jobs and executors.
@@ -301,7 +302,7 @@
 		}
 		t.tombstones.Retain(listed)
 	}
-	t.queueListed = t.queueListed || u.Snapshot
+	t.queue.advance(u)
 	if u.Snapshot || len(u.Events) > 0 {
 		s.requestPlan(c)
 	}
@@ -326,6 +327,10 @@
 	if _, known := t.fleet.Status(id); known {
 		return
 	}
+	if t.queue.wasRemoved(id, item.Created) {
+		s.metrics.CountEvent("removed_jobs_listed", 1)
+		return
+	}
 	job, err := records.Decode[workload.Job](item.Key, item.Value)
 	if err != nil {
 		s.log("unreadable job ignored", "error", err.Error())
--- a/standins/metastore/metastore.go
+++ b/standins/metastore/metastore.go
@@ -30,6 +30,8 @@
 	LateTxnShare float64
 	// Reject, if not nil, reports whether the store refuses a transaction for good.
 	Reject func(metastore.Txn) bool
+	// RefuseTxn, if not nil, reports whether the store refuses a transaction without effect, as a busy store does.
+	RefuseTxn func(metastore.Txn) bool
 }
 
 // lateDelay is the time after which a late transaction is applied.
@@ -278,6 +280,9 @@
 	if st.faults.Reject != nil && st.faults.Reject(t) {
 		return 0, &metastore.RejectedError{Status: http.StatusForbidden, Cause: &metastore.NotExecutedError{Cause: context.Canceled}}
 	}
+	if st.faults.RefuseTxn != nil && st.faults.RefuseTxn(t) {
+		return 0, &metastore.NotExecutedError{Cause: context.Canceled}
+	}
 	conflict := &metastore.ConflictError{}
 	ok := true
 	for _, c := range t.Conditions {
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -2,7 +2,9 @@
 package holder
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -81,6 +83,14 @@
 	recordReads   atomic.Int64
 	// tombstoneRetention is that of the holder; 0 means its default.
 	tombstoneRetention time.Duration
+	// retention is how long the holder keeps the state of finished jobs; 0 means an hour.
+	retention time.Duration
+	// queueLists counts the lists of jobs and cancellations. holdQueueLists keeps their answers back while it is set, and
+	// heldQueueLists counts the answers that are kept back.
+	queueLists, heldQueueLists atomic.Int64
+	holdQueueLists             atomic.Bool
+	// storeTimeout bounds the holder's calls to the store; 0 means a second.
+	storeTimeout time.Duration
 	// runTimesInterval is that of the holder, which learns run times if it is set.
 	runTimesInterval time.Duration
 	// prepare is called, if set, once the store runs and before the holder starts.
@@ -105,10 +115,31 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if r.URL.Query().Get("prefix") == records.QueuePrefix && !r.URL.Query().Has("wait_ms") {
+			env.serveQueueList(h, w, r)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// serveQueueList answers a list of jobs and cancellations. While holdQueueLists is set, the answer is kept back, so that
+// the store may change meanwhile.
+func (env *environment) serveQueueList(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	h.ServeHTTP(answer, r)
+	if env.holdQueueLists.Load() {
+		env.heldQueueLists.Add(1)
+		for env.holdQueueLists.Load() && r.Context().Err() == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	maps.Copy(w.Header(), answer.Header())
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+	env.queueLists.Add(1)
+}
+
 func newEnvironment(t *testing.T) *environment {
 	t.Helper()
 	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}}
@@ -151,10 +182,10 @@
 		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
 		Fleet: fleet.Settings{
 			Lease: 6 * time.Second, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: 50 * time.Millisecond,
-			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: time.Hour,
+			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: cmp.Or(env.retention, time.Hour),
 			LearnRunTimes: env.runTimesInterval > 0,
 		},
-	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), time.Second), runner.NewClient(2), nil, env.metrics)
+	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), cmp.Or(env.storeTimeout, time.Second)), runner.NewClient(2), nil, env.metrics)
 	k, err := kernel.New(nil, kernel.Spec{Name: names.Relay, Service: stub{}}, service.Spec(),
 		kernel.Spec{Name: names.Catalog, Service: catalog})
 	if err != nil {
