Count only work of priority 0 against the guarantee of an account

Cause: the class of a unit compared the guarantee with the accelerators of all runs of the account, batch work included, so that the gang was urgent work beyond the guarantee.

Change: guaranteeCovers looks at the runs of priority 0, for waiting and running units and for the limit of the account; the second count is gone (TestUsageOfReplacedRun asks the same of the one that stays, and also that a replaced run counts until it has ended). Related paths: the guarantee of an account that runs more than it covers the units that were accepted first, so that another guarantee stops only what lies beyond; without choose_victims, the room of ending units counts. Late guaranteed jobs are logged and counted (fleet_guaranteed_jobs_waited).

--- a/decisions/fleet/account_test.go
+++ b/decisions/fleet/account_test.go
@@ -21,24 +21,34 @@
 	f.Plan(now)
 	f.MarkRecorded(f.UnrecordedProgress(10))
 	f.Plan(now)
-	if n := f.usage["a"]; n != 2 {
+	if n := f.use.occupied.Occupied("a").GPU; n != 2 {
 		t.Fatalf("the account uses %d accelerators after the start of the gang, want 2", n)
 	}
 	return f, now
 }
 
 // TestUsageOfReplacedRun guards against a run that counts against its account's guarantee for ever, because a reported
-// run with a higher number took its place.
+// run with a higher number took its place. It counts until it has ended, because it may still occupy its executor.
 func TestUsageOfReplacedRun(t *testing.T) {
 	f, now := newTestScheduler(t)
-	run := f.jobs["j"].units[0].run + 1
+	replaced := f.jobs["j"].units[0].run
+	run := replaced + 1
 	var rows []workload.RunningTask
 	for i := range 2 {
 		rows = append(rows, workload.RunningTask{Task: workload.TaskRef{Job: "j", Index: i}, Run: run})
 	}
-	f.Report(now.Add(time.Second), "e", now.Add(time.Second), Poll{Executor: "e", Address: "e"}, workload.Report{Clock: 2 * time.Second, StartedAtMS: 1, Running: rows})
-	if n := f.usage["a"]; n != 2 {
-		t.Errorf("the account uses %d accelerators after the run was replaced, want 2", n)
+	poll := Poll{Executor: "e", Address: "e"}
+	f.Report(now.Add(time.Second), "e", now.Add(time.Second), poll, workload.Report{Clock: 2 * time.Second, StartedAtMS: 1, Running: rows})
+	if n := f.use.occupied.Occupied("a").GPU; n != 4 {
+		t.Errorf("the account uses %d accelerators while the replaced run may go on, want 4", n)
+	}
+	var ends []workload.EndedRun
+	for i := range 2 {
+		ends = append(ends, workload.EndedRun{Number: int64(i + 1), Task: workload.TaskRef{Job: "j", Index: i}, Run: replaced, Outcome: workload.Stopped})
+	}
+	f.Report(now.Add(2*time.Second), "e", now.Add(2*time.Second), poll, workload.Report{Clock: 3 * time.Second, StartedAtMS: 1, Running: rows, Ended: ends})
+	if n := f.use.occupied.Occupied("a").GPU; n != 2 {
+		t.Errorf("the account uses %d accelerators after the replaced run has ended, want 2", n)
 	}
 }
 
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -132,6 +132,8 @@
 	CountExecutorLost         Counter = "executors_lost"
 	// CountWait counts jobs that have waited for long, by reason.
 	CountWait Counter = "jobs_waited"
+	// CountGuaranteedWait counts those of them that wait within the guarantee of their account.
+	CountGuaranteedWait Counter = "guaranteed_jobs_waited"
 	// CountLimitVacated counts units that were stopped to bring their account below its limit.
 	CountLimitVacated Counter = "limit_vacated_units"
 	// CountExcess counts jobs beyond the rate of their account.
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -87,9 +87,9 @@
 	executors map[workload.ExecutorID]*executor
 	// sortedExecutors lists the executors by identifier, so that decisions do not depend on the iteration order of a map.
 	sortedExecutors []*executor
-	usage           usage
 	// use counts what the runs of client accounts occupy.
 	use        accountUse
+	guaranteed guaranteedUnits
 	limitPass  limitPass
 	unreported unreported
 	rates      accountlimit.Rates
@@ -141,7 +141,6 @@
 		excludedDomains: map[workload.Domain]bool{},
 		jobs:            map[workload.JobID]*job{},
 		executors:       map[workload.ExecutorID]*executor{},
-		usage:           usage{},
 		runTimes:        runTimeModel{},
 		jobOrder:        joborder.InTimeFirst,
 		headroomWindow:  defaultHeadroomWindow,
--- a/decisions/fleet/health.go
+++ b/decisions/fleet/health.go
@@ -60,11 +60,6 @@
 	return len(e.taskRuns) > 0 || now.Sub(s.failures.at) < probeInterval
 }
 
-// usage counts the accelerators that the runs of each client account occupy.
-type usage map[workload.Account]int
-
-func (u usage) add(of *unit, gpu int) { u[of.job.rec.Account] += gpu }
-
 // runTimeModel holds the average ratio of actual to estimated run time of each queue.
 type runTimeModel map[workload.Queue]*runTimeRatio
 
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -22,12 +22,15 @@
 // sent, and those of priority 0.
 type accountUse struct {
 	occupied, dispatched, urgent accountlimit.Ledger
+	// urgentVersion counts the changes of urgent.
+	urgentVersion int64
 }
 
 func (u *accountUse) add(c charge) {
 	u.occupied.Add(c.account, c.need)
 	if c.urgent {
 		u.urgent.Add(c.account, c.need)
+		u.urgentVersion++
 	}
 }
 
@@ -35,6 +38,7 @@
 	u.occupied.Remove(c.account, c.need)
 	if c.urgent {
 		u.urgent.Remove(c.account, c.need)
+		u.urgentVersion++
 	}
 }
 
@@ -134,11 +138,8 @@
 // already wait for room in this pass need no more than the account's guarantee. It is not called for a unit after its
 // room was held.
 func (f *Scheduler) withinGuarantee(u *unit) bool {
-	t := f.config.Account(u.job.rec.Account)
-	if t == nil || t.Guaranteed == 0 || f.route(u.job).Priority > 0 {
-		return false
-	}
-	return f.use.urgent.Occupied(t.Name).GPU+f.limitPass.guaranteed.Occupied(t.Name).GPU+u.totalNeed().GPU <= t.Guaranteed
+	a := u.job.rec.Account
+	return f.route(u.job).Priority == 0 && f.guaranteeCovers(a, f.limitPass.guaranteed.Occupied(a).GPU+u.totalNeed().GPU)
 }
 
 // vacateLimit stops work of an account below priority 0, that with the least lost work first, so that what the account
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -222,7 +222,6 @@
 		}
 		u.taskRuns = append(u.taskRuns, r)
 		e.add(r)
-		f.usage.add(u, r.load.GPU)
 	}
 	f.activeUnits = append(f.activeUnits, u)
 }
@@ -289,8 +288,7 @@
 	if r.Priority > 0 {
 		return f.demoted(u.job, classUrgent+r.Priority, workload.Resources{})
 	}
-	t := f.config.Account(u.job.rec.Account)
-	if t != nil && f.usage[u.job.rec.Account]+u.size*u.spec().Need.GPU <= t.Guaranteed {
+	if f.guaranteeCovers(u.job.rec.Account, u.totalNeed().GPU) {
 		return classGuaranteed
 	}
 	return f.demoted(u.job, classUrgent, f.use.urgent.Occupied(u.job.rec.Account).Add(u.totalNeed()))
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -80,6 +80,7 @@
 	for _, e := range usable {
 		if advice.permits(now, e.info.ID) && e.matches(pool, u.spec()) && load.Fits(e.info.Capacity) {
 			hosts = append(hosts, e)
+			freed[e] = e.endingLoad()
 		}
 	}
 	for range u.size {
@@ -115,6 +116,17 @@
 	return p
 }
 
+// endingLoad returns what the runs of units that are ending occupy.
+func (e *executor) endingLoad() workload.Resources {
+	var sum workload.Resources
+	for _, r := range e.taskRuns {
+		if r.unit != nil && r.unit.ending {
+			sum = sum.Add(r.load)
+		}
+	}
+	return sum
+}
+
 // selectVictims returns the units to stop on an executor so that the missing resources become free, and their lost
 // work. The last result is false if the units that may be stopped do not occupy enough.
 func (f *Scheduler) selectVictims(now time.Time, class int, e *executor, missing workload.Resources, chosen map[*unit]bool) ([]*unit, float64, bool) {
@@ -162,7 +174,7 @@
 	if r.Priority > 0 {
 		return f.demoted(u.job, classUrgent+r.Priority, workload.Resources{})
 	}
-	if t := f.config.Account(u.job.rec.Account); t != nil && f.usage[u.job.rec.Account] <= t.Guaranteed {
+	if f.runsWithinGuarantee(u) {
 		return classGuaranteed
 	}
 	return f.demoted(u.job, classUrgent, f.use.urgent.Occupied(u.job.rec.Account))
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -180,7 +180,6 @@
 	case u.state == unitActive:
 		// A higher run number than that of the unit was not issued by this holder; the lower run is obsolete.
 		for _, other := range u.taskRuns {
-			f.usage.add(u, -other.load.GPU)
 			other.unit = nil
 			other.stopping, other.stopReason = true, StopOrphan
 		}
@@ -191,7 +190,6 @@
 	}
 	r.unit = u
 	u.taskRuns = append(u.taskRuns, r)
-	f.usage.add(u, r.load.GPU)
 	f.count(CountAdopted)
 	if u.ending {
 		r.stopping, r.stopReason = true, u.endReason
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -39,7 +39,6 @@
 	}
 	if i := slices.Index(u.taskRuns, r); i >= 0 {
 		u.taskRuns = slices.Delete(u.taskRuns, i, i+1)
-		f.usage.add(u, -r.load.GPU)
 	}
 	r.unit = nil
 	f.learnFromEnd(now, u, r, outcome)
@@ -166,7 +165,6 @@
 func (f *Scheduler) cancelReservation(now time.Time, u *unit) {
 	for _, r := range slices.Clone(u.taskRuns) {
 		r.executor.remove(r)
-		f.usage.add(u, -r.load.GPU)
 	}
 	u.taskRuns = nil
 	u.ending = true
--- a/decisions/fleet/waiting.go
+++ b/decisions/fleet/waiting.go
@@ -43,6 +43,8 @@
 	Reason           WaitReason
 	// Excess is set if the job exceeds the rate of its account, so that other work comes first.
 	Excess bool
+	// Guaranteed is set if the unit lies within the guarantee of its account, which is to be reclaimed within seconds.
+	Guaranteed bool
 }
 
 func (WaitNotice) action() {}
@@ -62,8 +64,12 @@
 		}
 		u.job.waitReported = true
 		f.count(CountWait + "_" + Counter(u.waitsFor))
+		guaranteed := f.classOf(u) == classGuaranteed
+		if guaranteed {
+			f.count(CountGuaranteedWait)
+		}
 		f.actions = append(f.actions, WaitNotice{
-			Job: u.job.rec.ID, Occurrence: u.occurrence, Step: u.step, Waited: now.Sub(u.pendingSince), Reason: u.waitsFor, Excess: u.job.excess,
+			Job: u.job.rec.ID, Occurrence: u.occurrence, Step: u.step, Waited: now.Sub(u.pendingSince), Reason: u.waitsFor, Excess: u.job.excess, Guaranteed: guaranteed,
 		})
 	}
 }
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -132,7 +132,7 @@
 
 func (s *Service) logWait(a fleet.WaitNotice) {
 	s.log("job waits", "job", a.Job, "step", strconv.Itoa(a.Occurrence)+"."+strconv.Itoa(a.Step), "waited_ms", a.Waited.Milliseconds(), "waits_for", a.Reason,
-		"excess", a.Excess)
+		"excess", a.Excess, "guaranteed", a.Guaranteed)
 }
 
 func (s *Service) logLoss(a fleet.LossNotice) {
