Ask for advice on executors that a preemption can vacate

Cause: advice was asked for only on executors with free capacity, and a preemption considers only executors with a ticket, so that on a full fleet no ticket was ever issued. Evidence: TestAdviceOnFullFleet on the old code sees no query and no stopped unit; without advice the job starts.

Change: a unit that may preempt and finds no placement asks for advice on the executors that it could vacate at the least loss. In the other direction, nothing is stopped while advice on a free executor is open, for at most a second, and work that preempts nothing asks no more than before.

--- a/decisions/fleet/guarantee_test.go
+++ b/decisions/fleet/guarantee_test.go
@@ -134,3 +134,85 @@
 		t.Errorf("%d late guaranteed jobs, want one", n)
 	}
 }
+
+// withAdvice makes the urgent queue need advice, which permits some executors, with tickets of a validity.
+func (sim *simulation) withAdvice(valid time.Duration, permits func(workload.ExecutorID) bool) {
+	sim.config.Routes[0].Advised = true
+	sim.advisor = &fakeAdvisor{permits: permits, decide: 20 * time.Millisecond, each: 2 * time.Millisecond, valid: valid, tickets: map[string]time.Time{}}
+}
+
+// TestAdviceOnFullFleet guards against guaranteed work of a queue with advice that never starts on a full fleet, because
+// advice was asked for only on executors with free capacity, and against tickets that expire while others are stopped.
+func TestAdviceOnFullFleet(t *testing.T) {
+	all := func(workload.ExecutorID) bool { return true }
+	for name, tc := range map[string]struct {
+		racks, perRack int
+		valid          time.Duration
+		permits        func(workload.ExecutorID) bool
+		step           workload.Step
+		maxQueries     int
+		silent         int
+	}{
+		"all may run it": {racks: 1, perRack: 3, valid: 3 * time.Second, permits: all, step: workload.Step{Count: 8, Need: smallTask}, maxQueries: 1},
+		"short tickets":  {racks: 1, perRack: 3, valid: 350 * time.Millisecond, permits: all, step: workload.Step{Count: 8, Need: smallTask}, maxQueries: 8},
+		"tickets shorter than the margin of a start": {
+			racks: 1, perRack: 3, valid: 200 * time.Millisecond, permits: all, step: workload.Step{Count: 8, Need: smallTask}, maxQueries: 12,
+		},
+		"first query unanswered": {
+			racks: 1, perRack: 3, valid: 3 * time.Second, permits: all, step: workload.Step{Count: 8, Need: smallTask}, maxQueries: 2, silent: 1,
+		},
+		"few may run it": {
+			racks: 4, perRack: 20, valid: 3 * time.Second, permits: func(id workload.ExecutorID) bool { return id == "e2-7" || id == "e3-19" },
+			step: workload.Step{Count: 8, Need: workload.Resources{CPU: 8000, GPU: 2}, Gang: true}, maxQueries: 3,
+		},
+		"gang in a rack": {
+			racks: 4, perRack: 20, valid: 3 * time.Second, permits: func(id workload.ExecutorID) bool { return id[1] == '2' },
+			step: workload.Step{Count: 2, Need: workload.Resources{CPU: 8000, GPU: 8}, Gang: true, SameRack: true}, maxQueries: 3,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+				sim := startGuaranteed(t, tc.racks, tc.perRack, 16, configure)
+				sim.withAdvice(tc.valid, tc.permits)
+				sim.advisor.silent = tc.silent
+				sim.submitFor("guest", "batch", "batch", workload.Step{Count: 8 * tc.racks * tc.perRack, Need: smallTask}, time.Minute)
+				sim.advance(6 * time.Second)
+				if n := sim.running("guest").GPU; n != 8*tc.racks*tc.perRack {
+					t.Fatalf("%d accelerators of the batch job run, want a full fleet", n)
+				}
+				sim.expectReclaimed("host", "guaranteed", tc.step)
+				if stopped, need := sim.holder.scheduler.TakeCounters()[CountPreempted], tc.step.Count*tc.step.Need.GPU; stopped != int64(need) {
+					t.Errorf("%d tasks of one accelerator were stopped for %d", stopped, need)
+				}
+				if a := sim.advisor; a.queries > tc.maxQueries || a.refused > 0 {
+					t.Errorf("%d queries for advice, want at most %d, and %d starts were refused for their tickets", a.queries, tc.maxQueries, a.refused)
+				}
+			})
+		})
+	}
+}
+
+// TestAdviceBeforePreemption guards against work that is stopped for a unit with advice although another executor that may
+// run it is free, and against queries for advice on occupied executors for work that preempts nothing.
+func TestAdviceBeforePreemption(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 4, 16, configure)
+		sim.withAdvice(3*time.Second, func(workload.ExecutorID) bool { return true })
+		sim.submitFor("host", "earlier", "urgent", workload.Step{Count: 1, Need: smallTask}, 100*time.Millisecond)
+		sim.submitFor("guest", "batch", "batch", workload.Step{Count: 3, Need: workload.Resources{CPU: 8000, GPU: 8}}, time.Minute)
+		sim.advance(6 * time.Second)
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 8, Need: smallTask})
+		if stopped := sim.holder.scheduler.TakeCounters()[CountPreempted]; stopped > 0 {
+			t.Errorf("%d units were stopped beside a free executor", stopped)
+		}
+		sim.submitFor("guest", "second", "batch", workload.Step{Count: 1, Need: workload.Resources{CPU: 8000, GPU: 8}}, time.Minute)
+		sim.advance(3 * time.Second)
+		sim.config.Routes[2].Advised = true
+		queries := sim.advisor.queries
+		sim.submitFor("guest", "third", "batch", workload.Step{Count: 1, Need: workload.Resources{CPU: 8000, GPU: 8}}, time.Minute)
+		sim.advance(3 * time.Second)
+		if n := sim.advisor.queries - queries; n > 0 {
+			t.Errorf("%d queries for batch work on a full fleet", n)
+		}
+	})
+}
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -57,6 +57,8 @@
 	notBefore             time.Time
 	// latestStart is the latest start with which the job can meet its objective, as of the latest attempt to place the unit.
 	latestStart time.Time
+	// adviceOpen is set if advice was open on executors with free capacity in the last attempt to place the unit.
+	adviceOpen bool
 	// waitsFor is why the unit was not started in the last planning pass.
 	waitsFor WaitReason
 	// awaited lists the runs of other units whose own end the reservation of the unit waits for, until awaitUntil.
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -146,7 +146,11 @@
 func (f *Scheduler) findPlacement(now time.Time, u *unit, usable []*executor) ([]*executor, string) {
 	fit := f.fittingExecutors(now, u, usable)
 	if a := f.adviceFor(u); a != nil {
-		f.queryAdvice(now, u, fit)
+		free := make([]*executor, len(fit))
+		for i := range fit {
+			free[i] = fit[i].executor
+		}
+		u.adviceOpen = f.queryAdvice(now, u, free)
 		fit = slices.DeleteFunc(fit, func(option fitOption) bool { return !a.permits(now, option.executor.info.ID) })
 	}
 	if len(fit) == 0 {
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -233,7 +233,7 @@
 			continue
 		}
 		switch {
-		case f.canStart(now, u) && f.mayDispatch(now, u):
+		case f.canStart(now, u) && f.mayDispatch(now, u) && f.renewTickets(now, u):
 			f.start(now, u, "room_vacated")
 		case u.awaitsInVain(now):
 			f.count(CountAwaitFailed)
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -18,9 +18,19 @@
 	if f.settings.ChooseVictims && f.failsLike(c, u) {
 		return false
 	}
+	advised := f.adviceFor(u) != nil
+	maxWaitOver := now.Sub(u.pendingSince) >= maxAdviceWait
+	if advised && u.adviceOpen && !maxWaitOver {
+		// An executor with free capacity may be permitted.
+		return false
+	}
 	step := u.spec()
 	if !u.needsRack() {
-		return f.applyPreemption(now, c, u, f.findPreemption(now, c, u, usable))
+		p := f.findPreemption(now, c, u, usable)
+		if p == nil && advised {
+			f.queryVacatable(now, c, u, usable)
+		}
+		return f.applyPreemption(now, c, u, p)
 	}
 	// Of the racks that can hold the unit, the one with the least lost work is chosen.
 	racks := map[string][]*executor{}
@@ -40,6 +50,10 @@
 			best = p
 		}
 	}
+	if best == nil && advised && f.queryVacatable(now, c, u, usable) && !maxWaitOver {
+		// A rack that can hold the unit may be permitted.
+		return false
+	}
 	if best == nil {
 		// No rack can hold the unit even after preemption, so that it is placed across racks.
 		best = f.findPreemption(now, c, u, usable)
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -48,6 +48,8 @@
 	addressTaken bool
 	// polls counts the polls that holders have sent.
 	polls int
+	// advisor answers queries for advice; nil if no queue needs any.
+	advisor *fakeAdvisor
 
 	// activeRuns holds the latest run of each task, doneAt the time of its successful end. ackedDoneAt and failedAt hold
 	// the times of the successful and the failed ends that were acknowledged.
@@ -87,6 +89,19 @@
 	fails   bool
 }
 
+// fakeAdvisor permits some executors to run the steps of queues that need advice. It handles one query at a time.
+type fakeAdvisor struct {
+	// permits reports whether an executor may run a step.
+	permits func(workload.ExecutorID) bool
+	// decide and each are the time of a query and, in addition, of each executor that it names. Tickets are valid for valid.
+	decide, each, valid time.Duration
+	// silent is the number of queries that get no answer from now on.
+	silent int
+	// queries counts the queries, refused the starts without a valid ticket.
+	queries, refused int
+	tickets          map[string]time.Time
+}
+
 // holder is a holder of the fleet. Messages to a replaced one are dropped.
 type holder struct {
 	scheduler     *Scheduler
@@ -317,6 +332,10 @@
 			sim.stop(h, a)
 		case Poll:
 			sim.poll(h, a)
+		case AdviceQuery:
+			if sim.advisor != nil {
+				sim.advise(h, a)
+			}
 		}
 	}
 	sim.save(h)
@@ -475,6 +494,47 @@
 	}
 }
 
+// advise answers a query for advice.
+func (sim *simulation) advise(h *holder, a AdviceQuery) {
+	adv := sim.advisor
+	adv.queries++
+	if adv.silent > 0 {
+		adv.silent--
+		sim.schedule(700*time.Millisecond, func() {
+			if !h.replaced {
+				h.scheduler.AdviceReceived(sim.now, a, nil, 0, false)
+				sim.plan(h)
+			}
+		})
+		return
+	}
+	sim.schedule(adv.decide+time.Duration(len(a.Executors))*adv.each+2*callLatency, func() {
+		tickets := map[workload.ExecutorID]string{}
+		for _, id := range a.Executors {
+			if adv.permits(id) {
+				tickets[id] = fmt.Sprintf("%s %d.%d %s at %v", a.Step.Job, a.Step.Occurrence, a.Step.Step, id, sim.now)
+				adv.tickets[tickets[id]] = sim.now.Add(adv.valid)
+			}
+		}
+		if !h.replaced {
+			h.scheduler.AdviceReceived(sim.now, a, tickets, adv.valid, true)
+			sim.plan(h)
+		}
+	})
+}
+
+// hasTicket reports whether a start on an executor carries a valid ticket, if it needs one.
+func (sim *simulation) hasTicket(e *fakeExecutor, a Start) bool {
+	if sim.advisor == nil || !sim.config.Route(sim.jobs[a.Task.Job].Queue).Advised {
+		return true
+	}
+	if sim.now.Before(sim.advisor.tickets[a.Ticket]) {
+		return true
+	}
+	sim.advisor.refused++
+	return false
+}
+
 // handleStart handles a start as an executor does.
 func (sim *simulation) handleStart(e *fakeExecutor, fence workload.FencingToken, a Start, sentAt time.Time) (CallFailure, bool) {
 	if fence < e.fence {
@@ -494,6 +554,9 @@
 		return CallDeadlinePassed, false
 	}
 	sim.extend(e, a.Deadline)
+	if !sim.hasTicket(e, a) {
+		return CallInvalidTicket, false
+	}
 	j := sim.jobs[a.Task.Job]
 	sim.trace("%s run %d begins on %s", a.Task, a.Run, e.info.ID)
 	sim.checkStart(e, j, a)
