Bound the lasting tasks that one preemption stops

Cause: each victim was checked alone against MayMiss. Evidence: TestPreemptionKeepsLastingTasks on the old code stops the second task while the first is missing, with both ways to choose victims.

Change: the victims of a decision share a budget for each step, also those that are stopped for the limit of an account. The simulation checks each stop of a lasting task, whose progress it now reports after a startup.

TestChooseWithinBudgets fails without the budget.

--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -113,13 +113,14 @@
 	step := u.spec()
 	load := step.CapacityNeed()
 	pool := f.route(u.job).Pool
+	budgets := stopBudgets{}
 	var options []option
 	rackCost := map[string]float64{}
 	for _, e := range usable {
 		if !a.isOpen(now, e.info.ID) || !e.matches(pool, step) || step.MaxPerExecutor > 0 && e.stepTaskCount(u) >= step.MaxPerExecutor {
 			continue
 		}
-		_, cost, ok := f.selectVictims(now, c.Class, e, load.Sub(e.free().Add(e.endingLoad())), nil)
+		_, cost, ok := f.selectVictims(now, c.Class, e, load.Sub(e.free().Add(e.endingLoad())), nil, budgets)
 		if !ok {
 			continue
 		}
--- a/decisions/fleet/lasting_test.go
+++ b/decisions/fleet/lasting_test.go
@@ -33,3 +33,25 @@
 		t.Errorf("the job is %q with %d failed runs, ending %v, want it to go on without a count", j.state, j.units[0].failures(), j.units[0].ending)
 	}
 }
+
+// TestPreemptionKeepsLastingTasks guards against a single preemption that stops more tasks of a long-running step than may
+// be missing, although each of them alone might be stopped.
+func TestPreemptionKeepsLastingTasks(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 2, 0, configure)
+		whole := workload.Step{Count: 1, Need: workload.Resources{CPU: 16000, GPU: 8}}
+		sim.submitFor("guest", "batch", "batch", whole, time.Hour)
+		sim.advance(3 * time.Second)
+		sim.submitFor("guest", "lasting", "batch", workload.Step{Count: 2, Need: workload.Resources{CPU: 2000, GPU: 4}, LongRunning: true, MayMiss: 1}, time.Hour)
+		sim.advance(6 * time.Second)
+		// The loss of the lasting tasks seems smaller, because they run for less time.
+		sim.submitFor("host", "urgent", "urgent", whole, time.Second)
+		sim.advance(reclaimBound)
+		if begun, _ := sim.startsOf("urgent"); begun != 1 {
+			t.Error("the urgent task has not begun although the batch task may be stopped")
+		}
+		for _, v := range sim.violations {
+			t.Error(v)
+		}
+	})
+}
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -163,13 +163,14 @@
 	}
 	var options, victims []victim
 	for _, u := range f.activeUnits {
-		if u.job.rec.Account == a && u.state == unitActive && !u.ending && !u.reserved() && f.route(u.job).Priority > 0 && f.mayInterrupt(u) {
+		if u.job.rec.Account == a && u.state == unitActive && !u.ending && !u.reserved() && f.route(u.job).Priority > 0 {
 			options = append(options, victim{u, times(u.spec().Need, len(u.taskRuns)), f.lostWork(now, u)})
 		}
 	}
 	slices.SortStableFunc(options, func(x, y victim) int { return cmp.Compare(x.cost, y.cost) })
+	budgets := stopBudgets{}
 	for _, v := range options {
-		if reduces(missing, v.need) {
+		if reduces(missing, v.need) && budgets.take(v.u) {
 			victims = append(victims, v)
 			missing = missing.Sub(v.need)
 		}
@@ -181,8 +182,7 @@
 	for _, v := range slices.Backward(victims) {
 		if rest := missing.Add(v.need); !exceeds(rest) {
 			missing = rest
-		} else if f.mayInterrupt(v.u) {
-			// The step of a long-running task may miss fewer tasks than were chosen.
+		} else {
 			f.count(CountLimitVacated)
 			f.interrupt(now, v.u, StopAccountLimit)
 		}
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -85,6 +85,7 @@
 	load := u.spec().CapacityNeed()
 	p := &preemption{}
 	chosen := map[*unit]bool{}
+	budgets := stopBudgets{}
 	freed := map[*executor]workload.Resources{}
 	placed := map[*executor]int{}
 	limit := u.spec().MaxPerExecutor
@@ -107,7 +108,7 @@
 			if limit > 0 && e.stepTaskCount(u)+placed[e] >= limit {
 				continue
 			}
-			victims, cost, ok := f.selectVictims(now, class, e, load.Sub(e.free().Add(freed[e])), chosen)
+			victims, cost, ok := f.selectVictims(now, class, e, load.Sub(e.free().Add(freed[e])), chosen, budgets)
 			if ok && (best == nil || cost < bestCost) {
 				best, bestCost, bestVictims = e, cost, victims
 			}
@@ -117,6 +118,7 @@
 		}
 		for _, victim := range bestVictims {
 			chosen[victim] = true
+			budgets.take(victim)
 			p.victims = append(p.victims, victim)
 			for _, r := range victim.taskRuns {
 				freed[r.executor] = freed[r.executor].Add(r.load)
@@ -142,8 +144,9 @@
 }
 
 // selectVictims returns the units to stop on an executor so that the missing resources become free, and their lost
-// work. The last result is false if the units that may be stopped do not occupy enough.
-func (f *Scheduler) selectVictims(now time.Time, class int, e *executor, missing workload.Resources, chosen map[*unit]bool) ([]*unit, float64, bool) {
+// work. Units of chosen are not stopped, and budgets is what remains beside them. The last result is false if the units that
+// may be stopped do not occupy enough.
+func (f *Scheduler) selectVictims(now time.Time, class int, e *executor, missing workload.Resources, chosen map[*unit]bool, budgets stopBudgets) ([]*unit, float64, bool) {
 	if missing.CPU <= 0 && missing.Memory <= 0 && missing.GPU <= 0 {
 		return nil, 0, true
 	}
@@ -155,9 +158,10 @@
 	var options []option
 	for _, r := range e.taskRuns {
 		victim := r.unit
-		if victim == nil || chosen[victim] || victim.ending || victim.state != unitActive || victim.reserved() || f.runningClass(victim) <= class || !f.mayInterrupt(victim) {
+		if victim == nil || chosen[victim] || victim.ending || victim.state != unitActive || victim.reserved() || f.runningClass(victim) <= class {
 			continue
 		}
+		budgets.of(victim)
 		i := slices.IndexFunc(options, func(o option) bool { return o.u == victim })
 		if i < 0 {
 			options = append(options, option{victim, r.load, f.lostWork(now, victim)})
@@ -170,10 +174,14 @@
 		out  []*unit
 		cost float64
 	)
+	left := budgets.clone()
 	for _, o := range options {
 		if missing.CPU <= 0 && missing.Memory <= 0 && missing.GPU <= 0 {
 			break
 		}
+		if !left.take(o.u) {
+			continue
+		}
 		out = append(out, o.u)
 		cost += o.cost
 		missing = missing.Sub(o.load)
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -48,6 +48,8 @@
 	addressTaken bool
 	// polls counts the polls that holders have sent.
 	polls int
+	// missingSince holds the long-running tasks whose latest run has ended at work, with the time.
+	missingSince map[workload.TaskRef]missingTask
 	// advisor answers queries for advice; nil if no queue needs any.
 	advisor *fakeAdvisor
 
@@ -89,6 +91,40 @@
 	fails   bool
 }
 
+// missingTask is the end of a run of a long-running task: whether an order ended it, and when.
+type missingTask struct {
+	byOrder bool
+	at      time.Time
+}
+
+// checkAvailability checks that the end of a run by an order leaves no more tasks of a long-running step missing than it
+// may miss.
+func (sim *simulation) checkAvailability(r *fakeRun, outcome workload.Outcome) {
+	step := &r.job.Steps[r.task.Step]
+	if _, cancelled := sim.cancelled[r.job.ID]; cancelled || !step.LongRunning || sim.now.Sub(r.startedAt) < startupTime {
+		return
+	}
+	sim.missingSince[r.task] = missingTask{outcome == workload.Stopped, sim.now}
+	if step.MayMiss == 0 || outcome != workload.Stopped {
+		return
+	}
+	missing := 0
+	for i := range step.Count {
+		t := r.task
+		t.Index = i
+		end, ended := sim.missingSince[t]
+		if other := sim.activeRuns[t]; t == r.task || !ended || slices.Contains(other.executor.runs, other) && sim.now.Sub(other.startedAt) >= startupTime {
+			continue
+		}
+		if end.byOrder || sim.now.Sub(end.at) >= noticeTime {
+			missing++
+		}
+	}
+	if missing >= step.MayMiss {
+		sim.recordViolation("availability: %s was stopped while %d others are missing", r.task, missing)
+	}
+}
+
 // fakeAdvisor permits some executors to run the steps of queues that need advice. It handles one query at a time.
 type fakeAdvisor struct {
 	// permits reports whether an executor may run a step.
@@ -155,6 +191,10 @@
 const (
 	tick        = 20 * time.Millisecond
 	callLatency = 5 * time.Millisecond
+	// startupTime is the time until a long-running task is at work.
+	startupTime = 300 * time.Millisecond
+	// noticeTime is the time from which on a long-running task that is not at work for any cause counts as missing.
+	noticeTime = 5500 * time.Millisecond
 )
 
 type event struct {
@@ -184,7 +224,7 @@
 		behavior: map[workload.JobID]behavior{}, progress: map[workload.JobID]workload.Progress{},
 		createdRevision: map[workload.JobID]int64{}, cancelled: map[workload.JobID]time.Time{},
 		activeRuns: map[workload.TaskRef]*fakeRun{}, ackedDoneAt: map[workload.TaskRef]time.Time{}, failedAt: map[workload.TaskRef][]time.Time{},
-		doneAt: map[workload.TaskRef]time.Time{}, endedAt: map[endKey]time.Time{}, unregistered: map[workload.ExecutorID]bool{}, starts: map[workload.TaskRef][]time.Time{},
+		doneAt: map[workload.TaskRef]time.Time{}, endedAt: map[endKey]time.Time{}, unregistered: map[workload.ExecutorID]bool{}, missingSince: map[workload.TaskRef]missingTask{}, starts: map[workload.TaskRef][]time.Time{},
 	}
 	sim.config = (&workload.Config{
 		Version: 1,
@@ -714,6 +754,9 @@
 	for _, run := range e.runs {
 		b := sim.behavior[run.task.Job]
 		row := workload.RunningTask{Task: run.task, Run: run.run, Percent: int(100 * (b.runTime - run.remaining) / max(1, b.runTime))}
+		if run.job.Steps[run.task.Step].LongRunning {
+			row.Percent = int(min(100, 100*sim.now.Sub(run.startedAt)/startupTime))
+		}
 		if run.job.Steps[run.task.Step].Checkpoint {
 			row.Checkpoint = fmt.Sprint((b.runTime - run.remaining).Truncate(time.Second).Milliseconds())
 		}
@@ -807,6 +850,7 @@
 	complete := r.job.Steps[r.task.Step].Gang && sim.gangComplete(r)
 	r.executor.runs = slices.Delete(r.executor.runs, i, i+1)
 	r.executor.lastEnd++
+	sim.checkAvailability(r, outcome)
 	sim.trace("%s run %d on %s ends %s as %d", r.task, r.run, r.executor.info.ID, outcome, r.executor.lastEnd)
 	checkpoint := ""
 	if r.job.Steps[r.task.Step].Checkpoint && outcome == workload.Stopped {
--- a/decisions/fleet/throttle.go
+++ b/decisions/fleet/throttle.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/victims"
 )
 
 const (
@@ -63,16 +64,55 @@
 // mayInterrupt reports whether the scheduler may stop a unit that could continue. At most MayMiss tasks of a
 // long-running step may be missing at the same time, for whatever reason the others are missing.
 func (f *Scheduler) mayInterrupt(u *unit) bool {
-	if !u.spec().LongRunning {
-		return true
-	}
+	return !u.spec().LongRunning || u.size <= u.spec().MayMiss-u.missingTasks()
+}
+
+// missingTasks returns how many tasks of a unit's step do not run or have not finished their startup.
+func (u *unit) missingTasks() int {
 	missing := 0
 	for _, other := range u.job.units {
 		if other.occurrence == u.occurrence && other.step == u.step && !other.fullyRunning() {
 			missing += other.size
 		}
 	}
-	return missing+u.size <= u.spec().MayMiss
+	return missing
+}
+
+// stopBudgets holds how many more tasks of each long-running step may be stopped by one decision. It is determined when
+// a step is first asked for.
+type stopBudgets map[stepKey]*victims.Budget
+
+// of returns the budget of a unit's step, or nil if there is no limit.
+func (b stopBudgets) of(u *unit) *victims.Budget {
+	if !u.spec().LongRunning {
+		return nil
+	}
+	key := stepKey{u.job, u.occurrence, u.step}
+	if b[key] == nil {
+		b[key] = &victims.Budget{Tasks: u.spec().MayMiss - u.missingTasks()}
+	}
+	return b[key]
+}
+
+func (b stopBudgets) clone() stopBudgets {
+	out := make(stopBudgets, len(b))
+	for key, budget := range b {
+		out[key] = &victims.Budget{Tasks: budget.Tasks}
+	}
+	return out
+}
+
+// take reports whether a unit may be stopped besides those that were taken, and takes it then.
+func (b stopBudgets) take(u *unit) bool {
+	budget := b.of(u)
+	if budget == nil {
+		return true
+	}
+	if budget.Tasks < u.size {
+		return false
+	}
+	budget.Tasks -= u.size
+	return true
 }
 
 // fullyRunning reports whether all tasks of a unit run and have finished their startup.
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -67,6 +67,7 @@
 		running   []*unit
 		units     []victims.Unit
 	)
+	budgets := stopBudgets{}
 	// index holds the indices of units in running, or -1 for those that are neither stopped nor awaited.
 	index := map[*unit]int{}
 	for _, e := range usable {
@@ -86,10 +87,14 @@
 			if !known {
 				i = -1
 				ends := v.ending || await > 0 && endsWithin(now, v, await)
-				if ends || f.runningClass(v) > c.Class && f.mayInterrupt(v) {
+				if ends || f.runningClass(v) > c.Class {
 					i = len(running)
 					running = append(running, v)
-					units = append(units, victims.Unit{Cost: f.lostWork(now, v), Ends: ends})
+					unit := victims.Unit{Cost: f.lostWork(now, v), Ends: ends, Tasks: v.size}
+					if !ends {
+						unit.Budget = budgets.of(v)
+					}
+					units = append(units, unit)
 				}
 				index[v] = i
 			}
--- a/decisions/victims/victims.go
+++ b/decisions/victims/victims.go
@@ -34,8 +34,15 @@
 	Cost float64
 	// Ends is set if the unit ends by itself early enough, so that its room need not be vacated.
 	Ends bool
+	// Tasks is the number of tasks of the unit that are stopped with it. It counts against Budget, which is nil if there is
+	// no limit.
+	Tasks  int
+	Budget *Budget
 }
 
+// Budget is how many tasks of the units that share it may be stopped at once.
+type Budget struct{ Tasks int }
+
 // Plan is a placement with the units whose room it needs.
 type Plan struct {
 	// Hosts has the index of a host for each task.
@@ -58,12 +65,17 @@
 // each of a few gangs, whose end frees room on many hosts at once. The time is proportional to the occupants plus
 // count times the hosts, at most maxGangTrials+1 times.
 func Choose(need workload.Resources, count int, hosts []Host, units []Unit) (Plan, bool) {
-	s := &search{need: need, hosts: hosts, units: units, hostsOf: make([][]int, len(units))}
+	s := &search{need: need, hosts: hosts, units: units, hostsOf: make([][]int, len(units)), sharing: map[*Budget][]int{}}
 	for h := range hosts {
 		for _, o := range hosts[h].Occupants {
 			s.hostsOf[o.Unit] = append(s.hostsOf[o.Unit], h)
 		}
 	}
+	for u := range units {
+		if b := units[u].Budget; b != nil && !units[u].Ends {
+			s.sharing[b] = append(s.sharing[b], s.hostsOf[u]...)
+		}
+	}
 	best, ok := s.place(count, nil)
 	if !ok || len(best.Stopped) == 0 {
 		return best, ok
@@ -83,8 +95,12 @@
 	units []Unit
 	// hostsOf lists the hosts of each unit.
 	hostsOf [][]int
+	// sharing lists the hosts of the units that share a budget.
+	sharing map[*Budget][]int
 
 	chosen []bool
+	// spent is the part of each budget that the chosen units use.
+	spent map[*Budget]int
 	// room is the capacity of each host that is free once the chosen units have ended, less the tasks placed.
 	room    []workload.Resources
 	placed  []int
@@ -113,7 +129,7 @@
 	}
 	var out []gang
 	for u, on := range s.hostsOf {
-		if len(on) < 2 || s.units[u].Ends || s.units[u].Cost >= limit {
+		if len(on) < 2 || s.units[u].Ends || s.units[u].Cost >= limit || !s.affordable(u, nil) {
 			continue
 		}
 		tasks := 0
@@ -144,6 +160,7 @@
 // place places the tasks one by one, each where the least is lost, after the units of first have been chosen.
 func (s *search) place(count int, first []int) (Plan, bool) {
 	s.chosen = make([]bool, len(s.units))
+	s.spent = map[*Budget]int{}
 	s.room = make([]workload.Resources, len(s.hosts))
 	s.placed = make([]int, len(s.hosts))
 	s.options = make([]option, len(s.hosts))
@@ -171,6 +188,7 @@
 		for _, u := range s.options[best].units {
 			s.choose(u)
 			changed = append(changed, s.hostsOf[u]...)
+			changed = append(changed, s.sharing[s.units[u].Budget]...)
 		}
 		s.room[best] = s.room[best].Sub(s.need)
 		s.placed[best]++
@@ -193,9 +211,27 @@
 	return p, true
 }
 
+// affordable reports whether the budget of a unit permits to stop it besides the chosen units and those of a set.
+func (s *search) affordable(u int, set []Occupant) bool {
+	unit := s.units[u]
+	if unit.Budget == nil || unit.Ends {
+		return true
+	}
+	tasks := s.spent[unit.Budget] + unit.Tasks
+	for _, o := range set {
+		if other := s.units[o.Unit]; other.Budget == unit.Budget && !other.Ends {
+			tasks += other.Tasks
+		}
+	}
+	return tasks <= unit.Budget.Tasks
+}
+
 // choose marks a unit as one that ends.
 func (s *search) choose(u int) {
 	s.chosen[u] = true
+	if unit := s.units[u]; unit.Budget != nil && !unit.Ends {
+		s.spent[unit.Budget] += unit.Tasks
+	}
 	for _, h := range s.hostsOf[u] {
 		s.room[h] = s.room[h].Add(s.load(u, h))
 	}
@@ -233,7 +269,7 @@
 	}
 	var occupants []Occupant
 	for _, o := range s.hosts[h].Occupants {
-		if !s.chosen[o.Unit] && relieves(o.Load, room) {
+		if !s.chosen[o.Unit] && relieves(o.Load, room) && s.affordable(o.Unit, nil) {
 			occupants = append(occupants, o)
 		}
 	}
@@ -243,7 +279,7 @@
 		if covered(room) {
 			break
 		}
-		if relieves(o.Load, room) {
+		if relieves(o.Load, room) && s.affordable(o.Unit, set) {
 			set = append(set, o)
 			room = room.Add(o.Load)
 		}
--- a/decisions/victims/victims_test.go
+++ b/decisions/victims/victims_test.go
@@ -136,6 +136,48 @@
 	}
 }
 
+// TestChooseWithinBudgets guards against more tasks of units that share a budget being stopped at once than it permits, and
+// against a placement that is missed although units without a budget give enough room.
+func TestChooseWithinBudgets(t *testing.T) {
+	limited := 0
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		hosts, units := drawFleet(t)
+		budgets := []*Budget{{Tasks: rapid.IntRange(0, 2).Draw(t, "first budget")}, {Tasks: rapid.IntRange(0, 2).Draw(t, "second budget")}, nil}
+		for u := range units {
+			units[u].Tasks = rapid.IntRange(1, 2).Draw(t, "tasks")
+			units[u].Budget = rapid.SampledFrom(budgets).Draw(t, "budget")
+		}
+		need := gpus(rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(t, "need"))
+		count := rapid.IntRange(1, 4).Draw(t, "count")
+		p, ok := Choose(need, count, hosts, units)
+		free := func(u int) bool { return units[u].Ends || units[u].Budget == nil }
+		if !ok {
+			g.Expect(sum(roomAfter(need, hosts, free))).To(gomega.BeNumerically("<", count), "the units without a budget suffice")
+			return
+		}
+		spent := map[*Budget]int{}
+		for _, u := range p.Stopped {
+			if b := units[u].Budget; b != nil {
+				limited++
+				spent[b] += units[u].Tasks
+				g.Expect(spent[b]).To(gomega.BeNumerically("<=", b.Tasks))
+			}
+		}
+		placed := make([]int, len(hosts))
+		for _, h := range p.Hosts {
+			placed[h]++
+		}
+		room := roomAfter(need, hosts, func(u int) bool { return slices.Contains(p.Stopped, u) || slices.Contains(p.Awaited, u) })
+		for h, n := range placed {
+			g.Expect(n).To(gomega.BeNumerically("<=", room[h]), "the placement does not fit")
+		}
+	})
+	if limited == 0 {
+		t.Error("no unit with a budget was stopped, so that the test does not check anything")
+	}
+}
+
 // TestNeedlessVictims guards against stopping a unit that frees nothing of what is missing, one whose room a later
 // choice frees as well, and one that ends by itself.
 func TestNeedlessVictims(t *testing.T) {
