Let lasting tasks give way to guaranteed work

Cause: MayMiss bounded the stops of steps without one, too, so that their tasks were never stopped. Evidence: TestReclaimFromLastingTasks on the old code stops nothing, while tasks that end are preempted.

Change: lasting tasks of a step without MayMiss give way to work within a guarantee, and to no other. Related paths: of a step with MayMiss no more tasks may be stopped, so that its tasks start only where executors without such tasks still hold all guarantees; the same holds below the limit of their own account. They wait with the reason "guarantee".

The cost: such a step waits beside idle capacity if it needs more than the fleet less all guarantees.

--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -113,7 +113,7 @@
 	step := u.spec()
 	load := step.CapacityNeed()
 	pool := f.route(u.job).Pool
-	budgets := stopBudgets{}
+	budgets := newStopBudgets(c.Class)
 	var options []option
 	rackCost := map[string]float64{}
 	for _, e := range usable {
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -90,9 +90,11 @@
 	// use counts what the runs of client accounts occupy.
 	use        accountUse
 	guaranteed guaranteedUnits
-	limitPass  limitPass
-	unreported unreported
-	rates      accountlimit.Rates
+	// guaranteeRooms holds the rooms of the pools in this planning pass, as far as they were asked for.
+	guaranteeRooms map[workload.Pool]*guaranteeRoom
+	limitPass      limitPass
+	unreported     unreported
+	rates          accountlimit.Rates
 	// unmarkedJobs holds the jobs that were added since the last planning pass.
 	unmarkedJobs []*job
 	runTimes     runTimeModel
@@ -149,6 +151,7 @@
 		counters:        map[Counter]int64{},
 
 		failedPreemptions: map[preemptionKind]int{},
+		guaranteeRooms:    map[workload.Pool]*guaranteeRoom{},
 
 		leaseConfirmedAt: now,
 	}
--- a/decisions/fleet/guarantee.go
+++ b/decisions/fleet/guarantee.go
@@ -64,3 +64,127 @@
 	}
 	return covered
 }
+
+// isFixed reports whether running tasks of a unit cannot give way to guaranteed work at once: tasks that last and of which
+// only some may be missing.
+func (u *unit) isFixed() bool {
+	s := u.spec()
+	return s.LongRunning && s.MayMiss > 0 && s.MayMiss < s.Count
+}
+
+// guaranteeRoom is the room of a pool in which guaranteed work can start. It consists of the executors that carry no
+// fixed tasks and no lasting tasks within a guarantee: the rest of such an executor may not hold the next guaranteed task.
+type guaranteeRoom struct {
+	// occupied holds the other executors.
+	occupied map[*executor]bool
+	// spare is the number of accelerators of the room beyond what accounts may still reclaim.
+	spare int
+	// limited is set if the room has to be kept: accounts have guarantees that the pool can hold.
+	limited bool
+}
+
+// guaranteeRoomOf returns the room of a pool in this planning pass.
+func (f *Scheduler) guaranteeRoomOf(pool workload.Pool) *guaranteeRoom {
+	if g := f.guaranteeRooms[pool]; g != nil {
+		return g
+	}
+	g := &guaranteeRoom{occupied: map[*executor]bool{}}
+	f.guaranteeRooms[pool] = g
+	reclaimable := f.reclaimable(pool)
+	if reclaimable == 0 {
+		return g
+	}
+	total := 0
+	for _, e := range f.sortedExecutors {
+		if e.info.Pool != pool || e.closed() || f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID] {
+			continue
+		}
+		total += e.info.Capacity.GPU
+		g.spare += e.info.Capacity.GPU
+		if slices.ContainsFunc(e.taskRuns, func(r *taskRun) bool { return r.unit != nil && f.occupiesGuaranteeRoom(r.unit) }) {
+			g.occupy(e)
+		}
+	}
+	g.spare -= reclaimable
+	// Guarantees that exceed the pool cannot be kept, and would keep lasting tasks from running at all.
+	g.limited = reclaimable <= total
+	return g
+}
+
+// occupiesGuaranteeRoom reports whether running tasks of a unit cannot be stopped for guaranteed work of other accounts
+// before their job ends.
+func (f *Scheduler) occupiesGuaranteeRoom(u *unit) bool {
+	return u.isFixed() || u.spec().LongRunning && f.route(u.job).Priority == 0 && f.runsWithinGuarantee(u)
+}
+
+// reclaimable returns the accelerators of a pool that accounts may still reclaim: their guarantees less what their lasting
+// tasks use of them.
+func (f *Scheduler) reclaimable(pool workload.Pool) int {
+	urgent := func(r workload.Route) bool { return r.Pool == pool && r.Priority == 0 }
+	if !slices.ContainsFunc(f.config.Routes, urgent) {
+		return 0
+	}
+	used := map[workload.Account]int{}
+	for _, u := range f.activeUnits {
+		if u.spec().LongRunning && f.route(u.job).Priority == 0 && f.runsWithinGuarantee(u) {
+			used[u.job.rec.Account] += u.totalNeed().GPU
+		}
+	}
+	sum := 0
+	for i := range f.config.Accounts {
+		a := &f.config.Accounts[i]
+		sum += max(0, a.Guaranteed-used[a.Name])
+	}
+	return sum
+}
+
+// occupy takes an executor out of the room.
+func (g *guaranteeRoom) occupy(e *executor) {
+	if !g.occupied[e] {
+		g.occupied[e] = true
+		g.spare -= e.info.Capacity.GPU
+	}
+}
+
+// besideGuarantees returns the executors on which fixed tasks of a unit leave enough room for what accounts may reclaim.
+func (f *Scheduler) besideGuarantees(u *unit, usable []*executor) []*executor {
+	g := f.guaranteeRoomOf(f.route(u.job).Pool)
+	if !g.limited {
+		return usable
+	}
+	spare := g.spare
+	var out []*executor
+	for _, e := range usable {
+		switch gpus := e.info.Capacity.GPU; {
+		case g.occupied[e] || gpus == 0:
+		case gpus > spare:
+			continue
+		case u.size > 1:
+			// The tasks of a gang may take all of these executors.
+			spare -= gpus
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// fixedUse returns the accelerators that fixed tasks of an account use outside its guarantee.
+func (f *Scheduler) fixedUse(a workload.Account) int {
+	sum := 0
+	for _, u := range f.activeUnits {
+		if u.job.rec.Account == a && u.state == unitActive && u.isFixed() && f.route(u.job).Priority > 0 {
+			sum += u.totalNeed().GPU
+		}
+	}
+	return sum
+}
+
+// leavesGuarantee reports whether the limit of its account leaves room for the guarantee of the account beside a unit: fixed
+// tasks of the account could not be stopped for its guaranteed work.
+func (f *Scheduler) leavesGuarantee(u *unit) bool {
+	t := f.config.Account(u.job.rec.Account)
+	if t == nil || t.Guaranteed == 0 || t.Limit.GPU == 0 || !u.isFixed() || f.route(u.job).Priority == 0 {
+		return true
+	}
+	return f.fixedUse(t.Name)+u.totalNeed().GPU+min(t.Guaranteed, t.Limit.GPU) <= t.Limit.GPU
+}
--- a/decisions/fleet/guarantee_test.go
+++ b/decisions/fleet/guarantee_test.go
@@ -54,7 +54,8 @@
 // expectReclaimed submits a job of an account within its guarantee and fails the test unless all its tasks begin in time.
 func (sim *simulation) expectReclaimed(account workload.Account, id string, s workload.Step) {
 	sim.t.Helper()
-	sim.submitFor(account, id, "urgent", s, time.Second)
+	// The tasks run for longer than the bound, so that none can take the room of another.
+	sim.submitFor(account, id, "urgent", s, 2*reclaimBound)
 	sim.advance(reclaimBound)
 	if n, _ := sim.startsOf(workload.JobID(id)); n < s.Count {
 		sim.t.Errorf("%d of %d tasks of the guaranteed job %s have begun after %v", n, s.Count, id, reclaimBound)
@@ -206,7 +207,7 @@
 			t.Errorf("%d units were stopped beside a free executor", stopped)
 		}
 		sim.submitFor("guest", "second", "batch", workload.Step{Count: 1, Need: workload.Resources{CPU: 8000, GPU: 8}}, time.Minute)
-		sim.advance(3 * time.Second)
+		sim.advance(3 * reclaimBound)
 		sim.config.Routes[2].Advised = true
 		queries := sim.advisor.queries
 		sim.submitFor("guest", "third", "batch", workload.Step{Count: 1, Need: workload.Resources{CPU: 8000, GPU: 8}}, time.Minute)
@@ -216,3 +217,127 @@
 		}
 	})
 }
+
+// lasting returns a step of tasks with one accelerator that run until their job is cancelled.
+func lasting(count, mayMiss int) workload.Step {
+	return workload.Step{Count: count, Need: smallTask, LongRunning: true, MayMiss: mayMiss}
+}
+
+// TestReclaimFromLastingTasks guards against tasks that last, without a limit on how many may be missing, that are never
+// stopped for a guarantee, against more of them being stopped than it needs, and against tasks that stay away afterwards.
+func TestReclaimFromLastingTasks(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 3, 8, configure)
+		sim.submitFor("guest", "lasting", "batch", lasting(24, 0), time.Hour)
+		sim.advance(6 * time.Second)
+		if n := sim.running("guest").GPU; n != 24 {
+			t.Fatalf("%d accelerators of the lasting job run, want a full fleet", n)
+		}
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 8, Need: smallTask})
+		if stopped := sim.holder.scheduler.TakeCounters()[CountPreempted]; stopped != 8 {
+			t.Errorf("%d tasks were stopped for 8 guaranteed ones", stopped)
+		}
+		sim.advance(3 * reclaimBound)
+		if n := sim.running("guest").GPU; n != 24 {
+			t.Errorf("%d accelerators of the lasting job run again, want a full fleet", n)
+		}
+	})
+}
+
+// TestLastingTasksStayForOthers guards against tasks that last that are stopped for work beyond a guarantee.
+func TestLastingTasksStayForOthers(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 3, 8, configure)
+		sim.submitFor("host", "lasting", "batch", lasting(24, 0), time.Hour)
+		sim.advance(time.Second)
+		sim.submitFor("guest", "urgent", "urgent", workload.Step{Count: 4, Need: smallTask}, time.Second)
+		sim.submitFor("host", "beyond", "urgent", workload.Step{Count: 9, Gang: true, Need: smallTask}, time.Second)
+		sim.advance(3 * time.Second)
+		if begun, again := sim.startsOf("lasting"); begun != 24 || again != 0 {
+			t.Errorf("%d lasting tasks have begun and %d were started again, want 24 and none", begun, again)
+		}
+	})
+}
+
+// TestRoomForGuaranteeBesideLastingTasks guards against tasks that last and of which only some may be missing that take
+// the room of a guarantee: no more of them may be stopped at once. It also guards against more of them missing than
+// that, and against room that is kept although it is not guaranteed.
+func TestRoomForGuaranteeBesideLastingTasks(t *testing.T) {
+	for name, step := range map[string]workload.Step{
+		"small":     {Count: 8, Need: smallTask},
+		"whole":     {Count: 1, Need: workload.Resources{CPU: 13000, GPU: 8}},
+		"gang":      {Count: 2, Gang: true, Need: workload.Resources{CPU: 3700, GPU: 4}},
+		"all cores": {Count: 1, Need: workload.Resources{CPU: 32000, GPU: 8}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+				sim := startGuaranteed(t, 1, 3, 8, configure)
+				sim.submitFor("guest", "lasting", "batch", lasting(24, 2), time.Hour)
+				sim.submitFor("guest", "batch", "batch", workload.Step{Count: 24, Need: smallTask}, time.Hour)
+				sim.advance(6 * time.Second)
+				if begun, _ := sim.startsOf("lasting"); begun < 16 {
+					t.Errorf("%d lasting tasks have begun beside a guarantee of 8 of 24 accelerators, want 16", begun)
+				}
+				if n := sim.running("guest").GPU; n != 24 {
+					t.Errorf("%d accelerators of the guest run, want a full fleet: batch work may use the room of the guarantee", n)
+				}
+				sim.expectReclaimed("host", "guaranteed", step)
+				if _, again := sim.startsOf("lasting"); again > 0 {
+					t.Errorf("%d lasting tasks were stopped although batch work could give way", again)
+				}
+			})
+		})
+	}
+}
+
+// TestRoomOfUnguaranteedFleet guards against tasks that last that are kept waiting on a fleet without guarantees, or whose
+// own account has the guarantee.
+func TestRoomOfUnguaranteedFleet(t *testing.T) {
+	for account, queue := range map[workload.Account]workload.Queue{"guest": "batch", "host": "urgent"} {
+		forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+			guaranteed := 0
+			if account == "host" {
+				guaranteed = 24
+			}
+			sim := startGuaranteed(t, 1, 3, guaranteed, configure)
+			sim.submitFor(account, "lasting", queue, lasting(24, 2), time.Hour)
+			sim.advance(2 * time.Second)
+			if begun, _ := sim.startsOf("lasting"); begun != 24 {
+				t.Errorf("%d of 24 lasting tasks of %s have begun on an idle fleet", begun, account)
+			}
+		})
+	}
+}
+
+// TestGuaranteeBelowLimitBesideLastingTasks guards against tasks that last and of which only some may be missing that take
+// the room below the limit of their own account that its guarantee needs.
+func TestGuaranteeBelowLimitBesideLastingTasks(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 4, 8, configure)
+		sim.configure(withLimits(sim.config, map[workload.Account]workload.Resources{"host": {GPU: 12}}))
+		sim.submitFor("host", "lasting", "batch", lasting(12, 1), time.Hour)
+		sim.advance(6 * time.Second)
+		if n := sim.running("host").GPU; n != 4 {
+			t.Errorf("%d accelerators of the lasting job run, want 4 beside a guarantee of 8 below a limit of 12", n)
+		}
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 8, Need: smallTask})
+	})
+}
+
+// TestGuaranteeAtLimitOfLastingTasks guards against lasting work of an account, without a limit on how many tasks may be
+// missing, that keeps its guaranteed work from starting at the account's limit.
+func TestGuaranteeAtLimitOfLastingTasks(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 4, 8, configure)
+		sim.configure(withLimits(sim.config, map[workload.Account]workload.Resources{"host": {GPU: 12}}))
+		sim.submitFor("host", "lasting", "batch", lasting(12, 0), time.Hour)
+		sim.advance(6 * time.Second)
+		if n := sim.running("host").GPU; n != 12 {
+			t.Errorf("%d accelerators of the lasting job run, want the limit of 12", n)
+		}
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 8, Need: smallTask})
+		if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n != 8 {
+			t.Errorf("%d tasks were stopped for the limit, want 8", n)
+		}
+	})
+}
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -90,6 +90,9 @@
 		claimed = &p.guaranteed
 	}
 	present = present.Add(claimed.Occupied(a))
+	if !f.leavesGuarantee(u) {
+		return false
+	}
 	if accountlimit.Room(limit, present, need) > 0 {
 		b := p.backfill[a]
 		return b == nil || c.Class <= classUrgent || u.spec().LongRunning || b.permits(now, c.expected)
@@ -168,7 +171,7 @@
 		}
 	}
 	slices.SortStableFunc(options, func(x, y victim) int { return cmp.Compare(x.cost, y.cost) })
-	budgets := stopBudgets{}
+	budgets := newStopBudgets(classGuaranteed)
 	for _, v := range options {
 		if reduces(missing, v.need) && budgets.take(v.u) {
 			victims = append(victims, v)
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -83,6 +83,9 @@
 	if !budget.allows(c.Class, u) {
 		return WaitHeadroom
 	}
+	if u.isFixed() && c.Class > classGuaranteed {
+		return f.tryPlaceFixed(now, c, u, budget.usable)
+	}
 	executors := budget.executorsFor(now, c, u)
 	if !f.placeUnit(now, c, u, executors) {
 		if len(executors) == len(budget.usable) || f.couldFit(u, executors, false) {
@@ -100,6 +103,24 @@
 	return ""
 }
 
+// tryPlaceFixed places a unit whose tasks cannot give way to guaranteed work, where enough room for that is left. It returns
+// what tryPlace returns.
+func (f *Scheduler) tryPlaceFixed(now time.Time, c *candidate, u *unit, usable []*executor) WaitReason {
+	beside := f.besideGuarantees(u, usable)
+	switch {
+	case f.placeUnit(now, c, u, beside):
+		if u.job.mayRunPending() {
+			u.waitsFor = WaitRecord
+			f.holdRoom(u)
+		}
+		return ""
+	case len(beside) < len(usable):
+		return WaitGuarantee
+	default:
+		return WaitCapacity
+	}
+}
+
 // backfill restricts the work that may start ahead of gangs which do not fit, so that capacity becomes free for them:
 // it has to end before the earliest latest start of these gangs.
 type backfill struct {
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -21,6 +21,7 @@
 	f.expireLeases(now)
 	f.markExcess()
 	f.limitPass = limitPass{}
+	clear(f.guaranteeRooms)
 	f.collectUnits(now)
 	f.stopIncompleteRuns(now)
 	f.evacuateDraining(now)
@@ -224,6 +225,11 @@
 		e.add(r)
 	}
 	f.activeUnits = append(f.activeUnits, u)
+	if g := f.guaranteeRooms[f.route(u.job).Pool]; g != nil && f.occupiesGuaranteeRoom(u) {
+		for _, e := range executors {
+			g.occupy(e)
+		}
+	}
 }
 
 // startReserved starts the units whose reserved capacity has become free, and cancels reservations that wait too long.
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -85,7 +85,7 @@
 	load := u.spec().CapacityNeed()
 	p := &preemption{}
 	chosen := map[*unit]bool{}
-	budgets := stopBudgets{}
+	budgets := newStopBudgets(class)
 	freed := map[*executor]workload.Resources{}
 	placed := map[*executor]int{}
 	limit := u.spec().MaxPerExecutor
--- a/decisions/fleet/throttle.go
+++ b/decisions/fleet/throttle.go
@@ -80,24 +80,34 @@
 
 // stopBudgets holds how many more tasks of each long-running step may be stopped by one decision. It is determined when
 // a step is first asked for.
-type stopBudgets map[stepKey]*victims.Budget
+type stopBudgets struct {
+	// guaranteed is set if the decision is for work within the guarantee of its account. Long-running tasks without MayMiss
+	// give way to that only: a guarantee can always be reclaimed.
+	guaranteed bool
+	steps      map[stepKey]*victims.Budget
+}
+
+// newStopBudgets returns the budgets of a decision for work of a class.
+func newStopBudgets(class int) stopBudgets {
+	return stopBudgets{guaranteed: class == classGuaranteed, steps: map[stepKey]*victims.Budget{}}
+}
 
 // of returns the budget of a unit's step, or nil if there is no limit.
 func (b stopBudgets) of(u *unit) *victims.Budget {
-	if !u.spec().LongRunning {
+	if !u.spec().LongRunning || b.guaranteed && u.spec().MayMiss == 0 {
 		return nil
 	}
 	key := stepKey{u.job, u.occurrence, u.step}
-	if b[key] == nil {
-		b[key] = &victims.Budget{Tasks: u.spec().MayMiss - u.missingTasks()}
+	if b.steps[key] == nil {
+		b.steps[key] = &victims.Budget{Tasks: u.spec().MayMiss - u.missingTasks()}
 	}
-	return b[key]
+	return b.steps[key]
 }
 
 func (b stopBudgets) clone() stopBudgets {
-	out := make(stopBudgets, len(b))
-	for key, budget := range b {
-		out[key] = &victims.Budget{Tasks: budget.Tasks}
+	out := stopBudgets{guaranteed: b.guaranteed, steps: make(map[stepKey]*victims.Budget, len(b.steps))}
+	for key, budget := range b.steps {
+		out.steps[key] = &victims.Budget{Tasks: budget.Tasks}
 	}
 	return out
 }
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -67,7 +67,7 @@
 		running   []*unit
 		units     []victims.Unit
 	)
-	budgets := stopBudgets{}
+	budgets := newStopBudgets(c.Class)
 	// index holds the indices of units in running, or -1 for those that are neither stopped nor awaited.
 	index := map[*unit]int{}
 	for _, e := range usable {
--- a/decisions/fleet/waiting.go
+++ b/decisions/fleet/waiting.go
@@ -28,6 +28,9 @@
 	WaitAccountLimit WaitReason = "account_limit"
 	// WaitAccountRate means that the job exceeds the rate of its account and that other work waits for capacity.
 	WaitAccountRate WaitReason = "account_rate"
+	// WaitGuarantee means that what is left of the capacity can be reclaimed by accounts with a guarantee, and that the tasks
+	// of the unit could not be stopped for them.
+	WaitGuarantee WaitReason = "guarantee"
 	// WaitCapacity means that the unit does not fit on the executors that may run it.
 	WaitCapacity WaitReason = "capacity"
 )
