Vacate the limit of an account for all guaranteed tasks at once

What callers see: guaranteed tasks of an account whose batch work fills its limit start one after the other, and too late (RECLAIM).

Cause: a planning pass looks at the waiting tasks of a step until one cannot start. At the limit, room was therefore vacated, and held, for the first task only; batch work took the rest again and was stopped again.

Change: a pass vacates and holds room for all waiting tasks of the step that the guarantee covers.

--- a/decisions/fleet/guarantee_test.go
+++ b/decisions/fleet/guarantee_test.go
@@ -341,3 +341,41 @@
 		}
 	})
 }
+
+// TestLimitIsVacatedAtOnce guards against guaranteed tasks at the limit of their account for which work is stopped one task
+// after the other, so that the last one starts too late.
+func TestLimitIsVacatedAtOnce(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 3, 12, configure)
+		sim.stopTime = sim.settings.MaxStopTime
+		sim.configure(withLimits(sim.config, map[workload.Account]workload.Resources{"host": {GPU: 14}}))
+		sim.submitFor("host", "own", "batch", workload.Step{Count: 14, Need: smallTask}, time.Minute)
+		sim.advance(2 * time.Second)
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 12, Need: smallTask})
+		if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n != 12 {
+			t.Errorf("%d tasks were stopped for the limit, want 12", n)
+		}
+		sim.submitFor("host", "beyond", "urgent", workload.Step{Count: 2, Need: smallTask}, time.Second)
+		sim.advance(time.Second)
+		if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n != 0 {
+			t.Errorf("%d tasks were stopped for work beyond the guarantee", n)
+		}
+	})
+}
+
+// TestRoomBelowLimitIsHeldForAllTasks guards against guaranteed tasks at the limit of their account that start one after the
+// other, because lower work takes the room again that was vacated for them while the first of them waits for advice.
+func TestRoomBelowLimitIsHeldForAllTasks(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 2, 5, configure)
+		sim.stopTime = sim.settings.MaxStopTime
+		sim.withAdvice(400*time.Millisecond, func(id workload.ExecutorID) bool { return id == "e0-1" })
+		sim.configure(withLimits(sim.config, map[workload.Account]workload.Resources{"host": {GPU: 5}}))
+		sim.submitFor("host", "own", "batch", workload.Step{Count: 5, Need: smallTask}, time.Minute)
+		sim.advance(50 * time.Millisecond)
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 5, Need: smallTask})
+		if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n != 5 {
+			t.Errorf("%d tasks were stopped for the limit, want 5", n)
+		}
+	})
+}
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -126,6 +126,21 @@
 	f.limitPass.claimed.Add(u.job.rec.Account, u.totalNeed())
 }
 
+// holdRoomForStep keeps room below the limit of its account for the first of the waiting units of a step and for those of
+// the others that the guarantee covers, too.
+func (f *Scheduler) holdRoomForStep(units []*unit) {
+	f.holdRoom(units[0])
+	if f.limitOf(units[0].job) == (workload.Resources{}) {
+		return
+	}
+	for _, u := range units[1:] {
+		if !f.withinGuarantee(u) {
+			return
+		}
+		f.holdRoom(u)
+	}
+}
+
 // restrict lets work of an account below priority 0 start only if it ends before a gang of the account has to start.
 func (p *limitPass) restrict(a workload.Account, latestStart time.Time) {
 	if p.backfill == nil {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -55,16 +55,21 @@
 		if u.job.mayRunPending() {
 			// No unit of the job starts before the record is durable, so that no placement is needed yet.
 			setWaiting(c.units[i:], WaitRecord)
-			f.holdRoom(u)
+			f.holdRoomForStep(c.units[i:])
 			return
 		}
 		// Each placement uses some of the account's guarantee, so that the class of the next unit may differ.
 		c.Class = f.classOf(u)
 		if reason := f.tryPlace(now, c, u, budget); reason != "" {
+			if reason == WaitAccountLimit && i+1 < len(c.units) && f.withinGuarantee(c.units[i+1]) {
+				// Room below the limit is vacated for all guaranteed units at once.
+				u.waitsFor = reason
+				continue
+			}
 			setWaiting(c.units[i:], reason)
 			if reason == WaitCapacity && c.Class <= classUrgent && f.couldFit(u, usable, false) {
 				// Other work of the account does not take the room below the limit, which may have been vacated for this unit.
-				f.holdRoom(u)
+				f.holdRoomForStep(c.units[i:])
 			}
 			if reason != WaitAccountLimit && budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -48,6 +48,12 @@
 	addressTaken bool
 	// polls counts the polls that holders have sent.
 	polls int
+	// stopTime is how long a stop takes; 0 means half of the longest time.
+	stopTime time.Duration
+	// onStop, if not nil, is called for each stop that is sent.
+	onStop func(Stop)
+	// stops counts the stops that were sent, by reason.
+	stops map[StopReason]int
 	// missingSince holds the long-running tasks whose latest run has ended at work, with the time.
 	missingSince map[workload.TaskRef]missingTask
 	// advisor answers queries for advice; nil if no queue needs any.
@@ -224,7 +230,7 @@
 		behavior: map[workload.JobID]behavior{}, progress: map[workload.JobID]workload.Progress{},
 		createdRevision: map[workload.JobID]int64{}, cancelled: map[workload.JobID]time.Time{},
 		activeRuns: map[workload.TaskRef]*fakeRun{}, ackedDoneAt: map[workload.TaskRef]time.Time{}, failedAt: map[workload.TaskRef][]time.Time{},
-		doneAt: map[workload.TaskRef]time.Time{}, endedAt: map[endKey]time.Time{}, unregistered: map[workload.ExecutorID]bool{}, missingSince: map[workload.TaskRef]missingTask{}, starts: map[workload.TaskRef][]time.Time{},
+		doneAt: map[workload.TaskRef]time.Time{}, endedAt: map[endKey]time.Time{}, unregistered: map[workload.ExecutorID]bool{}, stops: map[StopReason]int{}, missingSince: map[workload.TaskRef]missingTask{}, starts: map[workload.TaskRef][]time.Time{},
 	}
 	sim.config = (&workload.Config{
 		Version: 1,
@@ -647,6 +653,10 @@
 }
 
 func (sim *simulation) stop(h *holder, a Stop) {
+	sim.stops[a.Reason]++
+	if sim.onStop != nil {
+		sim.onStop(a)
+	}
 	reply := func(ok bool, clock time.Duration) {
 		sim.schedule(callLatency, func() {
 			if !h.replaced {
@@ -662,7 +672,7 @@
 			e.stopped[a.Task] = max(e.stopped[a.Task], a.Run)
 			for _, r := range e.runs {
 				if r.task == a.Task && r.run == a.Run {
-					sim.schedule(sim.settings.MaxStopTime/2, func() { sim.endRun(r, workload.Stopped) })
+					sim.schedule(cmp.Or(sim.stopTime, sim.settings.MaxStopTime/2), func() { sim.endRun(r, workload.Stopped) })
 				}
 			}
 		}
