Count a lasting task that is missing already once

Cause: a task of a long-running step that has not finished its startup counted twice against MayMiss when it was to be stopped: as missing, and as the one that would be. It could not be stopped for a guarantee until a report showed it at work, which takes up to the wait of a poll, and never if it ends sooner.

Change: a stop counts only if the task is not missing already. If more tasks are missing than may be, none is stopped, as before.

--- a/decisions/fleet/job_features_test.go
+++ b/decisions/fleet/job_features_test.go
@@ -70,6 +70,9 @@
 	if f.mayInterrupt(units[2]) {
 		t.Error("two tasks are missing and a third may be interrupted")
 	}
+	if !f.mayInterrupt(units[1]) {
+		t.Error("two tasks are missing, two may be, and one of the missing may not be interrupted")
+	}
 }
 
 // requestedSpeeds returns the percentages of the Throttle actions since the last call, and discards the other actions.
--- a/decisions/fleet/throttle.go
+++ b/decisions/fleet/throttle.go
@@ -64,7 +64,16 @@
 // mayInterrupt reports whether the scheduler may stop a unit that could continue. At most MayMiss tasks of a
 // long-running step may be missing at the same time, for whatever reason the others are missing.
 func (f *Scheduler) mayInterrupt(u *unit) bool {
-	return !u.spec().LongRunning || u.size <= u.spec().MayMiss-u.missingTasks()
+	return !u.spec().LongRunning || u.missingIfStopped() <= u.spec().MayMiss-u.missingTasks()
+}
+
+// missingIfStopped returns how many more tasks of its step are missing once a unit is stopped: none if it is missing
+// already.
+func (u *unit) missingIfStopped() int {
+	if !u.fullyRunning() {
+		return 0
+	}
+	return u.size
 }
 
 // missingTasks returns how many tasks of a unit's step do not run or have not finished their startup.
@@ -118,10 +127,11 @@
 	if budget == nil {
 		return true
 	}
-	if budget.Tasks < u.size {
+	tasks := u.missingIfStopped()
+	if budget.Tasks < tasks {
 		return false
 	}
-	budget.Tasks -= u.size
+	budget.Tasks -= tasks
 	return true
 }
 
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -90,7 +90,7 @@
 				if ends || f.runningClass(v) > c.Class {
 					i = len(running)
 					running = append(running, v)
-					unit := victims.Unit{Cost: f.lostWork(now, v), Ends: ends, Tasks: v.size}
+					unit := victims.Unit{Cost: f.lostWork(now, v), Ends: ends, Tasks: v.missingIfStopped()}
 					if !ends {
 						unit.Budget = budgets.of(v)
 					}
--- a/decisions/victims/victims.go
+++ b/decisions/victims/victims.go
@@ -34,8 +34,8 @@
 	Cost float64
 	// Ends is set if the unit ends by itself early enough, so that its room need not be vacated.
 	Ends bool
-	// Tasks is the number of tasks of the unit that are stopped with it. It counts against Budget, which is nil if there is
-	// no limit.
+	// Tasks is the number of tasks that are missing once the unit is stopped. It counts against Budget, which is nil if there
+	// is no limit.
 	Tasks  int
 	Budget *Budget
 }
