Keep the room of guarantees while executors are in upkeep

Cause: the room of guarantees was given up when the guarantees exceeded the executors in use. An upkeep of one executor was enough, and lasting tasks of which only some may be missing then took all of it for good.

Change: guarantees are given up only if they exceed all executors of the pool, those in upkeep or in an excluded failure domain included.

--- a/decisions/fleet/guarantee.go
+++ b/decisions/fleet/guarantee.go
@@ -96,17 +96,21 @@
 	}
 	total := 0
 	for _, e := range f.sortedExecutors {
-		if e.info.Pool != pool || e.closed() || f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID] {
+		if e.info.Pool != pool || e.closed() {
 			continue
 		}
 		total += e.info.Capacity.GPU
+		if f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID] {
+			continue
+		}
 		g.spare += e.info.Capacity.GPU
 		if slices.ContainsFunc(e.taskRuns, func(r *taskRun) bool { return r.unit != nil && f.occupiesGuaranteeRoom(r.unit) }) {
 			g.occupy(e)
 		}
 	}
 	g.spare -= reclaimable
-	// Guarantees that exceed the pool cannot be kept, and would keep lasting tasks from running at all.
+	// Guarantees that exceed the pool cannot be kept, and would keep lasting tasks from running at all. Executors that are
+	// out of use for a while do not make them so.
 	g.limited = reclaimable <= total
 	return g
 }
--- a/decisions/fleet/guarantee_test.go
+++ b/decisions/fleet/guarantee_test.go
@@ -379,3 +379,21 @@
 		}
 	})
 }
+
+// TestRoomForGuaranteesInUpkeep guards against tasks that last and of which only some may be missing that take the room of
+// all guarantees while an executor is in upkeep, because the others do not hold the sum of the guarantees meanwhile.
+func TestRoomForGuaranteesInUpkeep(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 2, 5, configure)
+		sim.config.Accounts[1].Guaranteed = 4
+		sim.holder.scheduler.SetEvacuating([]workload.ExecutorID{"e0-0"})
+		sim.submitFor("guest", "lasting", "batch", lasting(5, 1), time.Hour)
+		sim.advance(time.Second)
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 5, Need: smallTask})
+		sim.holder.scheduler.SetEvacuating(nil)
+		sim.advance(3 * time.Second)
+		if begun, _ := sim.startsOf("lasting"); begun != 0 {
+			t.Errorf("%d lasting tasks have begun, but guarantees of 9 accelerators need both executors", begun)
+		}
+	})
+}
