Remove expired jobs as fast as jobs are accepted

Cause: at most nine finished jobs were removed every 5 s, 1.8 a second. A fleet that accepts more (17.6 a second on the largest) fills the store and the memory of its holder, and more so since finished jobs stay in memory until their removal is confirmed. Evidence: of 80 finished jobs in TestManyExpiredJobsAreRemoved not all were removed after 30 s.

Change: after a removal of as many jobs as fit into a transaction, the next one follows at once. A removal that fails is repeated at the next check, as before.

--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -200,6 +200,10 @@
 		}
 		t.fleet.MarkRecorded(m.records)
 		t.fleet.RemoveJobs(m.expired)
+		if len(m.expired) == maxExpiredJobs {
+			// There may be more of them.
+			t.nextExpiryAt = time.Time{}
+		}
 		t.queue.markRemoved(m.expired, m.revision)
 		s.handleAccepted(c, m)
 		s.requestPlan(c)
--- a/tests/holder/expired_test.go
+++ b/tests/holder/expired_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -115,3 +116,19 @@
 	}
 	env.expectNoRestart("")
 }
+
+// TestManyExpiredJobsAreRemoved guards against entries of finished jobs that fill the store and the memory of the holder,
+// because fewer of them are removed than new ones are accepted.
+func TestManyExpiredJobsAreRemoved(t *testing.T) {
+	t.Parallel()
+	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}, retention: 200 * time.Millisecond}
+	env.start()
+	const jobs = 80
+	for i := range jobs {
+		env.storeJob(workload.JobID(fmt.Sprintf("%016x", 0x2000+i)), "10ms", workload.Step{Count: 1, Need: workload.Resources{CPU: 100}, Estimate: time.Second})
+	}
+	env.eventually("all jobs have run", func() bool { return env.starts() == jobs })
+	env.eventually("all entries are removed", func() bool {
+		return len(env.store.Entries(records.QueuePrefix)) == 0 && len(env.store.Entries(records.ProgressPrefix)) == 0
+	})
+}
