Move guaranteed tasks that keep guaranteed work from an executor

Found while looking at all that may occupy a fleet.

Cause: work within a guarantee is never stopped, and tasks that started beside others stay spread. Evidence: TestGuaranteedWorkMovesTogether on the old code begins nothing and stops nothing.

Change: a guaranteed unit that fits nowhere after all other work was stopped may stop single guaranteed tasks, provided that all of them fit beside the work that cannot be stopped for them; each at most once in 10 s.

Measured: two cases of the test failed before, with both ways to choose victims; the third, in which the tasks fit nowhere else, stops nothing.

--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -83,6 +83,8 @@
 	StopGangDone StopReason = "gang_done"
 	// StopPreempted frees capacity for a job of a higher class.
 	StopPreempted StopReason = "preempted"
+	// StopRelocated ends a run within the guarantee of its account that fits elsewhere, for guaranteed work that does not.
+	StopRelocated StopReason = "relocated"
 	// StopGangIncomplete ends the remaining tasks of a gang that lost a task.
 	StopGangIncomplete StopReason = "gang_incomplete"
 	// StopStartUnanswered cancels a start whose outcome is unknown.
@@ -130,6 +132,8 @@
 	CountJobsUnrecordable     Counter = "jobs_unrecordable"
 	CountReservationCancelled Counter = "reservations_given_up"
 	CountExecutorLost         Counter = "executors_lost"
+	// CountRelocated counts guaranteed units that were stopped because they fit elsewhere.
+	CountRelocated Counter = "relocated_units"
 	// CountWait counts jobs that have waited for long, by reason.
 	CountWait Counter = "jobs_waited"
 	// CountGuaranteedWait counts those of them that wait within the guarantee of their account.
--- a/decisions/fleet/guarantee_test.go
+++ b/decisions/fleet/guarantee_test.go
@@ -397,3 +397,49 @@
 		}
 	})
 }
+
+// TestGuaranteedWorkMovesTogether guards against a guaranteed task that needs a whole executor and waits for guaranteed tasks
+// of another account that are spread over all of them, against moves without need, and against moves back and forth.
+func TestGuaranteedWorkMovesTogether(t *testing.T) {
+	whole := workload.Step{Count: 1, Need: workload.Resources{CPU: 16000, GPU: 8}}
+	for name, tc := range map[string]struct {
+		// spread is the number of guaranteed tasks on each of two executors, moves how many of them may have to move.
+		spread, moves int
+	}{
+		"fit on one":        {spread: 4, moves: 4},
+		"few on one":        {spread: 2, moves: 2},
+		"do not fit on one": {spread: 5, moves: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+				sim := startGuaranteed(t, 1, 2, 8, configure)
+				sim.config.Accounts[1].Guaranteed = 2 * tc.spread
+				// Short tasks fill the rest of both executors, so that the guaranteed ones do not fit on one.
+				sim.submitFor("guest", "short", "batch", workload.Step{Count: 2, Need: workload.Resources{CPU: 1000, GPU: 8 - tc.spread}, MaxPerExecutor: 1}, 2*time.Second)
+				sim.advance(time.Second)
+				sim.submitFor("guest", "spread", "urgent", workload.Step{Count: 2 * tc.spread, Need: smallTask}, time.Hour)
+				sim.advance(6 * time.Second)
+				for _, id := range sim.executorIDs {
+					if n := len(sim.executors[id].runs); n != tc.spread {
+						t.Fatalf("%d tasks on %s, want %d", n, id, tc.spread)
+					}
+				}
+				sim.submitFor("host", "whole", "urgent", whole, 10*time.Second)
+				sim.advance(reclaimBound)
+				if begun, _ := sim.startsOf("whole"); begun != min(1, tc.moves) {
+					t.Errorf("%d guaranteed tasks have begun on a whole executor, want %d", begun, min(1, tc.moves))
+				}
+				sim.advance(5 * time.Second)
+				if begun, again := sim.startsOf("spread"); begun != 2*tc.spread || again != tc.moves {
+					t.Errorf("%d of %d guaranteed tasks have begun and %d were moved, want all and %d", begun, 2*tc.spread, again, tc.moves)
+				}
+				if n := sim.running("guest").GPU; n != 2*tc.spread {
+					t.Errorf("%d accelerators of the other account run, want its guarantee of %d", n, 2*tc.spread)
+				}
+				for _, v := range sim.violations {
+					t.Error(v)
+				}
+			})
+		})
+	}
+}
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -59,6 +59,8 @@
 	latestStart time.Time
 	// adviceOpen is set if advice was open on executors with free capacity in the last attempt to place the unit.
 	adviceOpen bool
+	// relocatedAt is when the unit was last stopped because it fits elsewhere.
+	relocatedAt time.Time
 	// waitsFor is why the unit was not started in the last planning pass.
 	waitsFor WaitReason
 	// awaited lists the runs of other units whose own end the reservation of the unit waits for, until awaitUntil.
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -30,6 +30,9 @@
 		if p == nil && advised {
 			f.queryVacatable(now, c, u, usable)
 		}
+		if p == nil && c.Class == classGuaranteed {
+			p = f.findRelocation(now, c, u, usable)
+		}
 		return f.applyPreemption(now, c, u, p)
 	}
 	// Of the racks that can hold the unit, the one with the least lost work is chosen.
@@ -58,6 +61,9 @@
 		// No rack can hold the unit even after preemption, so that it is placed across racks.
 		best = f.findPreemption(now, c, u, usable)
 	}
+	if best == nil && c.Class == classGuaranteed {
+		best = f.findRelocation(now, c, u, usable)
+	}
 	return f.applyPreemption(now, c, u, best)
 }
 
@@ -250,6 +256,12 @@
 		f.count(CountAwaited)
 	}
 	for _, victim := range p.victims {
+		if f.runningClass(victim) == classGuaranteed {
+			victim.relocatedAt = now
+			f.count(CountRelocated)
+			f.interrupt(now, victim, StopRelocated)
+			continue
+		}
 		f.count(CountPreempted)
 		f.interrupt(now, victim, StopPreempted)
 	}
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -48,14 +48,16 @@
 	pace := f.pacePreference(now, u)
 	suitable := slices.DeleteFunc(slices.Clone(usable), func(e *executor) bool { return pace.rank(e) > rankNext })
 	if len(suitable) < len(usable) {
-		if p := f.choosePreemptionOn(now, c, u, suitable); p != nil {
+		if p := f.choosePreemptionOn(now, c, u, suitable, nil); p != nil {
 			return p
 		}
 	}
-	return f.choosePreemptionOn(now, c, u, usable)
+	return f.choosePreemptionOn(now, c, u, usable, nil)
 }
 
-func (f *Scheduler) choosePreemptionOn(now time.Time, c *candidate, u *unit, usable []*executor) *preemption {
+// choosePreemptionOn places the tasks of a unit on some executors. Units of higher classes may be stopped, and those that
+// mayAlso, if not nil, permits.
+func (f *Scheduler) choosePreemptionOn(now time.Time, c *candidate, u *unit, usable []*executor, mayAlso func(time.Time, *unit) bool) *preemption {
 	step := u.spec()
 	load := step.CapacityNeed()
 	pool := f.route(u.job).Pool
@@ -87,7 +89,7 @@
 			if !known {
 				i = -1
 				ends := v.ending || await > 0 && endsWithin(now, v, await)
-				if ends || f.runningClass(v) > c.Class {
+				if ends || f.runningClass(v) > c.Class || mayAlso != nil && mayAlso(now, v) {
 					i = len(running)
 					running = append(running, v)
 					unit := victims.Unit{Cost: f.lostWork(now, v), Ends: ends, Tasks: v.missingIfStopped()}
