--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -27,8 +27,9 @@
 	step := u.spec()
 	if !u.needsRack() {
 		p := f.findPreemption(now, c, u, usable)
-		if p == nil && advised {
-			f.queryVacatable(now, c, u, usable)
+		if p == nil && advised && f.queryVacatable(now, c, u, usable) && !maxWaitOver {
+			// An executor that can be vacated may be permitted.
+			return false
 		}
 		if p == nil && c.Class == classGuaranteed {
 			p = f.findRelocation(now, c, u, usable)
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -178,7 +178,7 @@
 	now := time.Now()
 	switch m := e.Body.(type) {
 	case message.JobStored:
-		if t.queue.includes(m.Revision) {
+		if _, known := t.fleet.Status(m.Job.ID); !known && t.queue.includes(m.Revision) {
 			// The list or the watch of the queue has shown the job if its entry was usable, so that an unknown one was removed.
 			s.metrics.CountEvent("job_notices_late", 1)
 		} else {
