Log restarts of executors and deadlines of an earlier process

The scheduler now reports each restart of an executor with the clocks before and after, and each answer to a call whose deadline lies further ahead of the executor's clock than any deadline that is counted on it. No decision changes.

--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an action that the holder carries out for the scheduler: Start, Stop, Poll, Throttle, AdviceQuery,
-// WaitNotice or LossNotice.
+// WaitNotice, LossNotice, RestartNotice or StaleDeadlineNotice.
 type Action interface{ action() }
 
 // Start starts one run of a task. The result is applied by Started or StartFailed.
@@ -144,4 +144,7 @@
 	CountExcess Counter = "jobs_excess"
 	// CountExecutorRestarted counts restarts of executors under the same identifier.
 	CountExecutorRestarted Counter = "executors_reborn"
+	// CountStaleDeadline counts calls that reached a later process of their executor than the one on whose clock their
+	// deadline was counted.
+	CountStaleDeadline Counter = "stale_deadlines"
 )
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -43,6 +43,8 @@
 	state    taskRunState
 	// startAttempts is the number of times that the start was sent.
 	startAttempts int
+	// deadline is the lease deadline of the latest start.
+	deadline time.Duration
 	// startSentAt is when the start was sent, confirmedAt when the scheduler first learned that the task was running.
 	startSentAt, confirmedAt time.Time
 	// stopping is set once the run is to be stopped, stopInFlight while a stop is unanswered. stopAckedAt is when the
@@ -243,8 +245,11 @@
 
 // handleRestart resets the state of an executor that has restarted. Earlier runs have ended, but a start in flight may
 // still reach the new process, so that the next report decides which runs are lost.
-func (f *Scheduler) handleRestart(now time.Time, e *executor, incarnation int64) {
+func (f *Scheduler) handleRestart(now time.Time, e *executor, incarnation int64, evidence RestartEvidence, clock time.Duration) {
 	f.count(CountExecutorRestarted)
+	f.actions = append(f.actions, RestartNotice{
+		Executor: e.info.ID, Address: e.address, Evidence: evidence, EarlierClock: e.minClock(now), Clock: clock, Runs: len(e.taskRuns),
+	})
 	e.incarnation = incarnation
 	e.processedEnd, e.durableEnd, e.ackedEnd, e.pendingEnds = 0, 0, 0, nil
 	e.clock, e.clockAt, e.leaseDeadline = 0, now, f.settings.Lease
--- a/decisions/fleet/incarnation.go
+++ b/decisions/fleet/incarnation.go
@@ -17,9 +17,11 @@
 	switch {
 	case differs && r.StartedAtMS < e.incarnation && sentAt.Before(e.incarnationSeenAt):
 		return false
-	case differs, r.Clock > 0 && r.Clock < e.reportedClock && !sentAt.Before(e.reportedAt):
+	case differs:
+		f.handleRestart(now, e, r.StartedAtMS, RestartStartTime, r.Clock)
+	case r.Clock > 0 && r.Clock < e.reportedClock && !sentAt.Before(e.reportedAt):
 		// A process that was started with an equal start time shows a lower clock, which never runs backwards.
-		f.handleRestart(now, e, r.StartedAtMS)
+		f.handleRestart(now, e, r.StartedAtMS, RestartClock, r.Clock)
 	}
 	if r.StartedAtMS != 0 && (differs || e.incarnation == 0) {
 		e.incarnation, e.incarnationSeenAt = r.StartedAtMS, now
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -51,6 +51,7 @@
 		return
 	}
 	f.setClock(now, e, r.Clock)
+	f.noteDeadline(e, "poll", poll.Deadline, r.Clock)
 	firstReport := !e.verified
 	e.verified = true
 	e.ackedEnd = max(e.ackedEnd, poll.AckedThrough)
@@ -98,7 +99,7 @@
 	case clock+maxAnswerDelay < e.minClock(now):
 		// The clock of a restarted executor begins anew, and so do the numbers of its ends: a number from before the
 		// restart must not be acknowledged.
-		f.handleRestart(now, e, 0)
+		f.handleRestart(now, e, 0, RestartClock, clock)
 		e.clock, e.clockAt = clock, now
 	}
 }
@@ -274,6 +275,7 @@
 	e.markResponsive()
 	f.setClock(now, e, clock)
 	if r := e.find(t, run); r != nil {
+		f.noteDeadline(e, "start", r.deadline, clock)
 		if r.state != taskRunning {
 			r.state, r.confirmedAt = taskRunning, now
 		}
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -135,6 +135,10 @@
 			s.logWait(a)
 		case fleet.LossNotice:
 			s.logLoss(a)
+		case fleet.RestartNotice:
+			s.logRestart(a)
+		case fleet.StaleDeadlineNotice:
+			s.logStaleDeadline(a)
 		}
 	}
 	s.save(c)
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -140,6 +140,16 @@
 		"unresponsive_ms", a.Unresponsive.Milliseconds(), "lease_remaining_ms", a.LeaseRemaining.Milliseconds())
 }
 
+func (s *Service) logRestart(a fleet.RestartNotice) {
+	s.log("executor restarted", "executor", a.Executor, "address", a.Address, "evidence", a.Evidence, "runs", a.Runs,
+		"earlier_clock_ms", a.EarlierClock.Milliseconds(), "clock_ms", a.Clock.Milliseconds())
+}
+
+func (s *Service) logStaleDeadline(a fleet.StaleDeadlineNotice) {
+	s.log("order reached a later process of its executor", "executor", a.Executor, "order", a.Order,
+		"clock_ms", a.Clock.Milliseconds(), "deadline_ahead_ms", a.Ahead.Milliseconds())
+}
+
 // loggedEnds identifies the last end of an executor's process that was logged.
 type loggedEnds struct{ startedAtMS, number int64 }
 
