--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -15,11 +15,13 @@
 // simulation simulates the executors of a holder in virtual time. It checks the guarantees of the scheduler from what
 // the executors observe.
 type simulation struct {
-	t     testing.TB
-	rand  *rand.Rand
-	now   time.Time
-	queue events
-	seq   int
+	t    testing.TB
+	rand *rand.Rand
+	// clocks draws the clocks of processes at their starts.
+	clocks *rand.Rand
+	now    time.Time
+	queue  events
+	seq    int
 
 	settings Settings
 	config   *workload.Config
@@ -166,7 +168,11 @@
 	unreachable bool
 	// rejecting is set if calls to the unreachable executor fail with a refused connection instead of a timeout.
 	rejecting bool
-	stalled   bool
+	// silent is set while the machine of a process that has ended answers nothing. Calls wait for the next process then, and
+	// those in waiting reach it if it starts before their timeout.
+	silent  bool
+	waiting []func()
+	stalled bool
 	// pace is the factor by which runs go faster; 0 means 1.
 	pace      float64
 	fence     workload.FencingToken
@@ -176,6 +182,8 @@
 	lastEnd   int64
 	seen      int64
 	startedAt time.Time
+	// clockStart is the clock of the present process at its start.
+	clockStart time.Duration
 	// clockOffset is the error of the machine's clock from which the next start time is taken.
 	clockOffset time.Duration
 	// leaseExpiredAt is the latest time at which the lease was found expired.
@@ -195,8 +203,14 @@
 }
 
 const (
-	tick        = 20 * time.Millisecond
-	callLatency = 5 * time.Millisecond
+	// longestLease is the longest lease that an executor grants: a later deadline is shortened to it.
+	longestLease = 10 * time.Second
+	// startTimeout and commandTimeout are the timeouts of starts and stops, pollMargin that of a poll beyond its wait.
+	startTimeout   = 350 * time.Millisecond
+	commandTimeout = 900 * time.Millisecond
+	pollMargin     = 700 * time.Millisecond
+	tick           = 20 * time.Millisecond
+	callLatency    = 5 * time.Millisecond
 	// startupTime is the time until a long-running task is at work.
 	startupTime = 300 * time.Millisecond
 	// noticeTime is the time from which on a long-running task that is not at work for any cause counts as missing.
@@ -221,7 +235,7 @@
 
 func newSimulation(t testing.TB, seed uint64, racks, perRack int) *simulation {
 	sim := &simulation{
-		t: t, rand: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_700_000_000, 0),
+		t: t, rand: rand.New(rand.NewPCG(seed, seed)), clocks: rand.New(rand.NewPCG(seed, ^seed)), now: time.Unix(1_700_000_000, 0),
 		settings: Settings{
 			Lease: 6 * time.Second, HolderLease: HolderLease, RenewalGrace: RenewalGrace, PollWait: 1500 * time.Millisecond, MaxStopTime: 400 * time.Millisecond, RemoteSlowdown: 3,
 			CheckpointRestoreTime: 100 * time.Millisecond, CheckpointInterval: time.Second, Retention: time.Hour,
@@ -255,7 +269,7 @@
 	e := &fakeExecutor{info: workload.Executor{
 		ID: workload.ExecutorID(id), Pool: "pool", Address: id, Domain: workload.Domain(domain),
 		Capacity: workload.Resources{CPU: 32000, Memory: 64000, GPU: 8}, Labels: []string{"a", rack}, StartedAtMS: sim.now.UnixMilli(),
-	}, up: true, startedAt: sim.now, stopped: map[workload.TaskRef]workload.RunNumber{}}
+	}, up: true, startedAt: sim.now, clockStart: sim.drawClock(), stopped: map[workload.TaskRef]workload.RunNumber{}}
 	sim.executors[e.info.ID] = e
 	sim.executorIDs = append(sim.executorIDs, e.info.ID)
 	if sim.holder != nil {
@@ -423,9 +437,24 @@
 
 // call delivers a call to an executor at an address or reports its failure. Nothing listens at addresses other than that
 // of the executor, or another executor does if addressTaken is set. A call that is reported as unanswered takes effect late.
-func (sim *simulation) call(h *holder, id workload.ExecutorID, address string, deliver func(e *fakeExecutor), fail func(r CallFailure)) {
+// A call to a silent executor reaches its next process if that starts within the timeout of the call.
+func (sim *simulation) call(h *holder, id workload.ExecutorID, address string, timeout time.Duration, deliver func(e *fakeExecutor), fail func(r CallFailure)) {
 	e := sim.executors[id]
 	switch {
+	case e != nil && !e.up && e.silent && address == e.info.Address:
+		done := false
+		sim.schedule(timeout, func() {
+			if !done {
+				done = true
+				fail(CallUnanswered)
+			}
+		})
+		e.waiting = append(e.waiting, func() {
+			if !done {
+				done = true
+				deliver(e)
+			}
+		})
 	case e != nil && address != e.info.Address && sim.addressTaken:
 		sim.schedule(callLatency, func() { fail(CallWrongExecutor) })
 	case e == nil || !e.up || address != e.info.Address:
@@ -518,7 +547,7 @@
 		})
 	}
 	answered := false
-	sim.call(h, a.Executor, a.Address, func(e *fakeExecutor) {
+	sim.call(h, a.Executor, a.Address, startTimeout, func(e *fakeExecutor) {
 		result, ok := sim.handleStart(e, h.fence, a, sentAt)
 		if !answered {
 			answered = true
@@ -531,11 +560,22 @@
 }
 
 func (sim *simulation) clock(e *fakeExecutor) time.Duration {
-	return sim.now.Sub(e.startedAt) + time.Second
+	return sim.now.Sub(e.startedAt) + e.clockStart
+}
+
+// drawClock returns the clock of a process at its start. It has no relation to that of an earlier process, and a difference
+// of seconds is as likely as one of an hour.
+func (sim *simulation) drawClock() time.Duration {
+	seconds := []int{1, 10, 20, 3600, 7200}[sim.clocks.IntN(5)]
+	return time.Duration(seconds)*time.Second + time.Duration(sim.clocks.IntN(9000))*time.Millisecond
 }
 
 func (sim *simulation) extend(e *fakeExecutor, deadline time.Duration) {
-	if at := e.startedAt.Add(deadline - time.Second); at.After(e.deadline) {
+	at := e.startedAt.Add(deadline - e.clockStart)
+	if latest := sim.now.Add(longestLease); at.After(latest) {
+		at = latest
+	}
+	if at.After(e.deadline) {
 		e.deadline = at
 	}
 }
@@ -666,7 +706,7 @@
 		})
 	}
 	answered := false
-	sim.call(h, a.Executor, a.Address, func(e *fakeExecutor) {
+	sim.call(h, a.Executor, a.Address, commandTimeout, func(e *fakeExecutor) {
 		if h.fence >= e.fence {
 			e.fence = h.fence
 			e.stopped[a.Task] = max(e.stopped[a.Task], a.Run)
@@ -690,7 +730,7 @@
 	sentAt := sim.now
 	sim.polls++
 	answered := false
-	sim.call(h, a.Executor, a.Address, func(e *fakeExecutor) {
+	sim.call(h, a.Executor, a.Address, a.Wait+pollMargin, func(e *fakeExecutor) {
 		if h.fence < e.fence {
 			if h.partitioned {
 				h.replaced = true
@@ -904,6 +944,12 @@
 	}
 }
 
+// crashSilently ends an executor's process while its machine answers nothing, so that calls may wait for the next process.
+func (sim *simulation) crashSilently(id workload.ExecutorID) {
+	sim.crash(id)
+	sim.executors[id].silent = true
+}
+
 // restart starts an executor again under its identifier and updates its registry entry.
 func (sim *simulation) restart(id workload.ExecutorID) {
 	sim.restartUnregistered(id)
@@ -919,8 +965,18 @@
 	e.up, e.unreachable, e.rejecting, e.fence, e.lastEnd, e.seen, e.startedAt = true, false, false, 0, 0, 0, sim.now
 	e.info.StartedAtMS = sim.now.Add(e.clockOffset).UnixMilli()
 	e.stopped = map[workload.TaskRef]workload.RunNumber{}
+	e.clockStart = sim.drawClock()
 	e.deadline = time.Time{}
 	e.runs, e.ends = nil, nil
+	e.silent = false
+	for _, deliver := range e.waiting {
+		sim.schedule(callLatency, func() {
+			if e.up && !e.unreachable {
+				deliver()
+			}
+		})
+	}
+	e.waiting = nil
 }
 
 // checkAttempts checks that no task starts again after a success, or after as many failures as its queue allows. An end
