Bound the lease of a restarted executor by the longest lease

Callers saw tasks run twice: an executor starts again under its identifier and is cut off soon after; the holder starts its tasks elsewhere while they still run.

Cause: a lease deadline is a time on the clock of one process of an executor. A call that was sent before the restart was noticed reaches the next process, on whose clock the deadline may lie far ahead; the executor shortens it to its longest lease from the arrival, and a lease never becomes shorter. The scheduler counted 6 s from a clock of 0, which is no lease at all if the next clock is beyond 6 s, and then only the deadlines that it sent itself. A new holder knew as little of what reached the process before its term. An answer with a higher clock was taken for one of the present process.

Change: the first reading of a process' clock bounds its lease by the longest one from then and from the latest arrival of a call in flight, for a restart and for a new holder. A start without an answer counts as running for that long, because it may have reached a later process. A reading ahead of the clock makes the executor report first; one a little behind it prolongs the counted lease by the difference. The end of a new holder's reconciliation covers the longest lease. This holds whatever process a call reaches, as the executor itself enforces the bound.

Ruled out: a renewal carried out late (no sign in the logs); the other path (platform/worker has relative leases).

In the other direction TestLossAfterRestart: tasks of an executor that stays away within 4 s of a restart or of a takeover wait for the longest lease, later ones for the usual one.

--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -85,8 +85,13 @@
 	// clock is the executor's clock at local time clockAt.
 	clock   time.Duration
 	clockAt time.Time
-	// leaseDeadline is the latest lease deadline that was sent, on the executor's clock.
-	leaseDeadline time.Duration
+	// leaseDeadline is the latest time, on the executor's clock, at which its lease may end. deadlineSentAt is when a call
+	// with a deadline was last sent to the executor.
+	leaseDeadline  time.Duration
+	deadlineSentAt time.Time
+	// clockLag is how far readings since the last report were behind the expected clock. They may be late, or come from a later
+	// process, whose lease ends later by this time.
+	clockLag time.Duration
 	// processedEnd is the number of the last end that was processed, durableEnd that of the last end up to which all are
 	// durable, ackedEnd that of the last end whose acknowledgement the executor has received. pendingEnds are the
 	// processed ends that are not durable yet.
@@ -124,10 +129,40 @@
 	return e.clock + time.Duration(float64(now.Sub(e.clockAt))*(1-maxClockDrift))
 }
 
-// leaseExpiry returns the local time from which no run that was started under the sent leases is still running.
+// maxClock returns an upper bound of the executor's clock at a local time, unless the holder's process was suspended.
+func (e *executor) maxClock(now time.Time) time.Duration {
+	return e.clock + now.Sub(e.clockAt) + maxAnswerDelay
+}
+
+// longestWait returns the longest time for which a lease that is measured by an executor's clock lasts.
+func longestWait(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-maxClockDrift)) + expiryMargin
+}
+
+// leaseExpiry returns the local time from which no run of the executor's present process is still running.
 func (e *executor) leaseExpiry() time.Time {
-	left := max(0, e.leaseDeadline-e.clock)
-	return e.clockAt.Add(time.Duration(float64(left)/(1-maxClockDrift)) + expiryMargin)
+	return e.clockAt.Add(longestWait(max(0, e.leaseDeadline-e.clock+e.clockLag)))
+}
+
+// runExpiry returns the local time from which a run has certainly ended if the executor does not answer. A start without an
+// answer may have reached a later process, which has granted it the longest lease.
+func (f *Scheduler) runExpiry(r *taskRun) time.Time {
+	e := r.executor
+	expiry := e.leaseExpiry()
+	if r.state == taskStartSent || r.state == taskStartUnknown {
+		expiry = latest(expiry, e.deadlineSentAt.Add(maxAnswerDelay+longestWait(f.settings.LongestLease)))
+	}
+	return expiry
+}
+
+// longestDeadline returns the latest deadline that the lease of an executor's process may have at a reading of its clock if no
+// deadline was counted on this clock yet. Calls with a deadline on the clock of an earlier process may have reached this one, or
+// may still; the executor shortens their lease to the longest one from their arrival.
+func (f *Scheduler) longestDeadline(now time.Time, e *executor, clock time.Duration) time.Duration {
+	if !f.hasPredecessor && e.deadlineSentAt.IsZero() {
+		return clock
+	}
+	return clock + f.settings.LongestLease + max(0, e.deadlineSentAt.Add(maxAnswerDelay).Sub(now))
 }
 
 // renewedDeadline returns the deadline of a lease that begins now, on the executor's clock.
@@ -250,15 +285,22 @@
 	f.actions = append(f.actions, RestartNotice{
 		Executor: e.info.ID, Address: e.address, Evidence: evidence, EarlierClock: e.minClock(now), Clock: clock, Runs: len(e.taskRuns),
 	})
+	e.forgetProcess(now)
 	e.incarnation = incarnation
-	e.processedEnd, e.durableEnd, e.ackedEnd, e.pendingEnds = 0, 0, 0, nil
-	e.clock, e.clockAt, e.leaseDeadline = 0, now, f.settings.Lease
-	e.verified = false
+	e.leaseDeadline = f.longestDeadline(now, e, 0)
 	e.suspicion = suspicion{}
 	e.nextPollAt = now
 	f.dropAdvice(nil, e.info.ID)
 }
 
+// forgetProcess drops what is known of the process of an executor, because it has ended.
+func (e *executor) forgetProcess(now time.Time) {
+	e.verified = false
+	e.incarnation, e.reportedClock = 0, 0
+	e.clock, e.clockAt, e.leaseDeadline, e.clockLag = 0, now, 0, 0
+	e.processedEnd, e.durableEnd, e.ackedEnd, e.pendingEnds = 0, 0, 0, nil
+}
+
 // eligible reports whether an executor may be given work.
 func (f *Scheduler) eligible(now time.Time, e *executor) bool {
 	return !e.closed() && e.verified && !e.closedInRoster && !f.excludedDomains[e.info.Domain] && e.unresponsiveSince.IsZero() &&
@@ -299,7 +341,7 @@
 		if e.verified && e.clock > 0 && len(e.dispatchedRuns()) > 0 && e.unresponsiveSince.IsZero() && f.mayRenew(now) {
 			poll.Deadline = e.renewedDeadline(now, f.settings.Lease)
 			poll.Wait = f.settings.PollWait
-			e.leaseDeadline = max(e.leaseDeadline, poll.Deadline)
+			e.leaseDeadline, e.deadlineSentAt = max(e.leaseDeadline, poll.Deadline), now
 		}
 		if e.ackedEnd < e.durableEnd && len(e.dispatchedRuns()) == 0 {
 			poll.Wait = 0
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -20,6 +20,8 @@
 type Settings struct {
 	// Lease is how long an executor keeps its runs after the last lease renewal.
 	Lease time.Duration
+	// LongestLease is the longest lease that executors grant: they shorten a longer one. It is at least Lease.
+	LongestLease time.Duration
 	// PollWait is how long a poll of an executor may wait for a run to end.
 	PollWait time.Duration
 	// MaxStopTime is the longest time that an executor takes to stop a run.
@@ -72,6 +74,8 @@
 	// termRevision is the store's revision at the beginning of the term. Earlier holders have not seen jobs that were
 	// accepted after it.
 	termRevision int64
+	// hasPredecessor is set if an earlier holder may have sent orders to executors.
+	hasPredecessor bool
 	// leaseConfirmedAt is when the latest confirmed renewal of the holder's lease was sent, as of the last SetLeaseAge.
 	leaseConfirmedAt time.Time
 	// reconcileBy is when all executor leases granted by earlier holders have expired; zero once all executors have
@@ -135,10 +139,12 @@
 // New returns the state of a holder at the beginning of a term. termRevision is the store's revision at which the term
 // began; hasPredecessor is set if an earlier holder may have started tasks.
 func New(s Settings, term, termRevision int64, hasPredecessor bool, now time.Time) *Scheduler {
+	s.LongestLease = max(s.LongestLease, s.Lease)
 	f := &Scheduler{
 		settings:        s,
 		term:            term,
 		termRevision:    termRevision,
+		hasPredecessor:  hasPredecessor,
 		config:          (&workload.Config{}).Index(),
 		excludedDomains: map[workload.Domain]bool{},
 		jobs:            map[workload.JobID]*job{},
@@ -159,8 +165,9 @@
 		f.learned = runtimes.New()
 	}
 	if hasPredecessor {
-		lease := time.Duration(float64(s.Lease) / (1 - maxClockDrift))
-		f.reconcileBy = now.Add(lease + max(0, s.RenewalGrace-s.HolderLease) + fencingDelay)
+		renewed := max(0, s.RenewalGrace-s.HolderLease) + fencingDelay + longestWait(s.Lease)
+		// A start of an earlier holder may have reached a later process than the one it was meant for.
+		f.reconcileBy = now.Add(max(renewed, maxAnswerDelay+longestWait(s.LongestLease)))
 	}
 	return f
 }
--- a/decisions/fleet/fuzz_test.go
+++ b/decisions/fleet/fuzz_test.go
@@ -82,7 +82,7 @@
 		return sim.executorIDs[rapid.IntRange(0, len(sim.executorIDs)-1).Draw(rt, "executor")]
 	}
 	switch rapid.SampledFrom([]string{
-		"submit", "submit", "submit", "submit", "cancel", "holder", "crash", "restart", "cut", "heal", "stall", "store", "loss", "drain", "unregister", "partition", "clock",
+		"submit", "submit", "submit", "submit", "cancel", "holder", "crash", "restart", "cut", "heal", "stall", "store", "loss", "drain", "unregister", "partition", "clock", "silent restart",
 	}).Draw(rt, "action") {
 	case "submit":
 		sim.submit(drawJob(rt, i), behavior{
@@ -106,6 +106,19 @@
 		if id := pick(); sim.executors[id].up {
 			sim.crash(id)
 		}
+	case "silent restart":
+		// Calls reach the next process, and a cut soon after it hides what they did.
+		id := pick()
+		e := sim.executors[id]
+		if !e.up {
+			break
+		}
+		cutAfter := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "cut after")) * time.Millisecond
+		sim.restartSilently(id, time.Duration(rapid.IntRange(50, 2000).Draw(rt, "pause"))*time.Millisecond, func() {
+			sim.submit(drawJob(rt, 100+i), behavior{runTime: time.Duration(rapid.IntRange(200, 15000).Draw(rt, "work")) * time.Millisecond})
+		})
+		sim.advance(cutAfter)
+		e.unreachable = true
 	case "restart":
 		if id := pick(); !sim.executors[id].up {
 			sim.restart(id)
--- a/decisions/fleet/loss.go
+++ b/decisions/fleet/loss.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
@@ -31,19 +30,25 @@
 
 func (LossNotice) action() {}
 
-// markRunsLost ends all runs on an executor that can no longer report them.
-func (f *Scheduler) markRunsLost(now time.Time, e *executor, reason LossReason) {
-	if len(e.taskRuns) == 0 {
+// markRunsLost ends the runs on an executor that have ended without a report of it.
+func (f *Scheduler) markRunsLost(now time.Time, e *executor, reason LossReason, ended func(*taskRun) bool) {
+	var lost []*taskRun
+	for _, r := range e.taskRuns {
+		if ended(r) {
+			lost = append(lost, r)
+		}
+	}
+	if len(lost) == 0 {
 		return
 	}
 	f.count(CountExecutorLost)
 	f.count(CountExecutorLost + "_" + Counter(reason))
-	notice := LossNotice{Executor: e.info.ID, Address: e.address, Reason: reason, Runs: len(e.taskRuns), LeaseRemaining: e.leaseExpiry().Sub(now)}
+	notice := LossNotice{Executor: e.info.ID, Address: e.address, Reason: reason, Runs: len(lost), LeaseRemaining: e.leaseExpiry().Sub(now)}
 	if !e.unresponsiveSince.IsZero() {
 		notice.Unresponsive = now.Sub(e.unresponsiveSince)
 	}
 	f.actions = append(f.actions, notice)
-	for _, r := range slices.Clone(e.taskRuns) {
+	for _, r := range lost {
 		f.endRun(now, r, workload.LeaseExpired, "")
 	}
 }
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -64,7 +64,7 @@
 	// The loop removes executors from the list, so that it iterates over a copy.
 	for _, e := range slices.Clone(f.sortedExecutors) {
 		if len(e.dispatchedRuns()) > 0 && !e.unresponsiveSince.IsZero() && e.leaseDeadline > 0 && now.After(e.leaseExpiry()) {
-			f.markRunsLost(now, e, LossLeaseExpired)
+			f.markRunsLost(now, e, LossLeaseExpired, func(r *taskRun) bool { return now.After(f.runExpiry(r)) })
 			f.removeIfUnused(e)
 		}
 	}
@@ -203,7 +203,7 @@
 func (f *Scheduler) sendStart(now time.Time, r *taskRun, reason string) {
 	u, e := r.unit, r.executor
 	deadline := e.renewedDeadline(now, f.settings.Lease)
-	e.leaseDeadline = max(e.leaseDeadline, deadline)
+	e.leaseDeadline, e.deadlineSentAt = max(e.leaseDeadline, deadline), now
 	r.deadline = deadline
 	r.startAttempts++
 	f.actions = append(f.actions, Start{
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -50,7 +50,8 @@
 		e.nextPollAt = now.Add(pollRetryDelay)
 		return
 	}
-	f.setClock(now, e, r.Clock)
+	f.setReportedClock(now, e, r.Clock)
+	e.clockLag = 0
 	f.noteDeadline(e, "poll", poll.Deadline, r.Clock)
 	firstReport := !e.verified
 	e.verified = true
@@ -90,17 +91,35 @@
 	e.unresponsiveSince = time.Time{}
 }
 
-// setClock applies a reading of an executor's clock. Answers on different connections may arrive out of order.
+// setClock applies a reading of an executor's clock in the answer to an order, which does not name the process. Answers on
+// different connections may arrive out of order.
 func (f *Scheduler) setClock(now time.Time, e *executor, clock time.Duration) {
+	if e.clock > 0 && clock > e.maxClock(now) {
+		// Either the executor has restarted or the holder's process was suspended. The next report names the process.
+		e.verified = false
+		e.nextPollAt = now
+		return
+	}
+	if clock <= 0 {
+		return
+	}
+	f.setReportedClock(now, e, clock)
+	e.clockLag = max(e.clockLag, e.clock+now.Sub(e.clockAt)-clock)
+}
+
+// setReportedClock applies a reading of an executor's clock in a report, which names the process.
+func (f *Scheduler) setReportedClock(now time.Time, e *executor, clock time.Duration) {
 	switch {
 	case clock <= 0:
+	case e.clock == 0:
+		e.clock, e.clockAt, e.leaseDeadline = clock, now, f.longestDeadline(now, e, clock)
 	case clock >= e.minClock(now):
 		e.clock, e.clockAt = clock, now
 	case clock+maxAnswerDelay < e.minClock(now):
-		// The clock of a restarted executor begins anew, and so do the numbers of its ends: a number from before the
-		// restart must not be acknowledged.
+		// The clock of a restarted executor has no relation to the earlier one, and the numbers of its ends begin anew: a number
+		// from before the restart must not be acknowledged.
 		f.handleRestart(now, e, 0, RestartClock, clock)
-		e.clock, e.clockAt = clock, now
+		e.clock, e.clockAt, e.leaseDeadline = clock, now, f.longestDeadline(now, e, clock)
 	}
 }
 
@@ -158,11 +177,6 @@
 		r.stopping, r.stopReason = true, StopOrphan
 	}
 	e.add(r)
-	if e.clock > 0 {
-		// The lease that an earlier holder has granted ends at the latest after the full time, also if this holder never
-		// renews it.
-		e.leaseDeadline = max(e.leaseDeadline, e.renewedDeadline(now, f.settings.Lease))
-	}
 	return r
 }
 
@@ -368,11 +382,9 @@
 		if !e.atProvenAddress() {
 			break
 		}
-		f.markRunsLost(now, e, LossReplaced)
+		f.markRunsLost(now, e, LossReplaced, func(*taskRun) bool { return true })
 		e.forgetAddress()
-		e.verified = false
-		e.incarnation = 0
-		e.processedEnd, e.durableEnd, e.ackedEnd, e.pendingEnds = 0, 0, 0, nil
+		e.forgetProcess(now)
 		e.nextPollAt = now.Add(pollRetryDelay)
 	case CallUnhealthy:
 		e.suspicion.add(now, unhealthyWeight)
--- a/decisions/fleet/restart_test.go
+++ b/decisions/fleet/restart_test.go
@@ -44,3 +44,122 @@
 		sim.expectDone()
 	}
 }
+
+// TestUnansweredStartOfEarlierProcess guards against a task that runs twice: its start reaches the next process of the
+// executor, which grants it the longest lease, and a cut keeps the holder from any answer of this process.
+func TestUnansweredStartOfEarlierProcess(t *testing.T) {
+	sim := startSimulation(t, 1, 3)
+	sim.advance(30 * time.Second)
+	id := sim.executorIDs[0]
+	sim.restartSilently(id, 300*time.Millisecond, func() {
+		sim.submit(oneStep("j", "batch", workload.Step{Count: 12, Need: smallTask, Estimate: 20 * time.Second}), behavior{runTime: 20 * time.Second})
+	})
+	for range 500 {
+		if sim.advance(time.Millisecond); len(sim.executors[id].runs) > 0 {
+			break
+		}
+	}
+	sim.executors[id].unreachable = true
+	if len(sim.executors[id].runs) == 0 {
+		t.Fatal("no start has reached the next process")
+	}
+	sim.advance(9500 * time.Millisecond)
+	sim.executors[id].unreachable = false
+	sim.advance(60 * time.Second)
+	sim.expectDone()
+}
+
+// TestLossAfterRestart guards against work that waits longer than it must for an executor that has restarted, or that a new
+// holder has taken over, and then stays away: the longest lease counts only for the time after the first report of the process.
+func TestLossAfterRestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		begin  func(sim *simulation, id workload.ExecutorID)
+		after  time.Duration
+		within time.Duration
+	}{
+		"soon after a restart":          {func(sim *simulation, id workload.ExecutorID) { sim.restartSilently(id, 300*time.Millisecond, nil) }, time.Second, 13 * time.Second},
+		"long after a restart":          {func(sim *simulation, id workload.ExecutorID) { sim.restartSilently(id, 300*time.Millisecond, nil) }, 8 * time.Second, 8 * time.Second},
+		"soon after a change of holder": {func(sim *simulation, _ workload.ExecutorID) { sim.newHolder() }, time.Second, 10 * time.Second},
+		"long after a change of holder": {func(sim *simulation, _ workload.ExecutorID) { sim.newHolder() }, 5 * time.Second, 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := startSimulation(t, 1, 3)
+			sim.submit(oneStep("j", "batch", workload.Step{Count: 24, Need: smallTask, Estimate: 30 * time.Second}), behavior{runTime: 30 * time.Second})
+			sim.advance(2 * time.Second)
+			id := sim.executorIDs[0]
+			c.begin(sim, id)
+			sim.advance(c.after)
+			if len(sim.executors[id].runs) == 0 {
+				t.Fatal("nothing runs on the executor")
+			}
+			sim.crash(id)
+			sim.advance(c.within)
+			if n := len(sim.holder.scheduler.executors); n != 2 {
+				t.Errorf("%d executors %v after one has stayed away, want 2: its runs have ended", n, c.within)
+			}
+			sim.advance(120 * time.Second)
+			sim.expectDone()
+		})
+	}
+}
+
+// TestClockOfNextProcess guards against an answer of a later process that is taken for one of the present process: it shows a
+// higher clock, and the ends and the lease of the earlier process would be applied to the later one.
+func TestClockOfNextProcess(t *testing.T) {
+	f, now := newTestScheduler(t)
+	e := f.executors["e"]
+	run := f.jobs["j"].units[0].run
+	now = now.Add(time.Second)
+	f.Started(now, "e", workload.TaskRef{Job: "j"}, run, 2*time.Second)
+	if !e.verified {
+		t.Fatal("a reading of the present process makes the executor unverified")
+	}
+	f.StopAnswered(now, "e", workload.TaskRef{Job: "j"}, run, false, time.Hour)
+	if e.verified || e.clock != 2*time.Second {
+		t.Errorf("verified %v with clock %v, want an executor that has to report first", e.verified, e.clock)
+	}
+}
+
+// TestLagOfNextProcess guards against a lease that is counted too short: an answer of a later process shows a clock that is a
+// little behind the expected one, as a late answer of the present process would.
+func TestLagOfNextProcess(t *testing.T) {
+	f, now := newTestScheduler(t)
+	e := f.executors["e"]
+	before := e.leaseExpiry()
+	now = now.Add(4 * time.Second)
+	const lag = 2 * time.Second
+	f.Started(now, "e", workload.TaskRef{Job: "j"}, f.jobs["j"].units[0].run, 5*time.Second-lag)
+	if d := e.leaseExpiry().Sub(before); d < lag {
+		t.Errorf("the lease ends %v later, want at least %v", d, lag)
+	}
+}
+
+// TestReconciliationOutlastsLongestLease guards against a new holder that starts a task again while a start of its predecessor
+// runs in a later process of an executor that does not answer.
+func TestReconciliationOutlastsLongestLease(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f := New(Settings{Lease: 2 * time.Second, LongestLease: longestLease, HolderLease: HolderLease, RenewalGrace: HolderLease}, 2, 1, true, now)
+	if d := f.reconcileBy.Sub(now); d < longestLease+maxAnswerDelay {
+		t.Errorf("the leases of earlier holders count as expired after %v, want %v at least", d, longestLease+maxAnswerDelay)
+	}
+}
+
+// TestCallInFlightAtRestart guards against a lease that is counted too short: a call that was sent before the restart was noticed
+// reaches the next process after its first answer, and extends its lease once more.
+func TestCallInFlightAtRestart(t *testing.T) {
+	f, now := newTestScheduler(t)
+	e := f.executors["e"]
+	now = now.Add(time.Second)
+	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{Clock: time.Hour, StartedAtMS: 1})
+	actions, _ := f.Plan(now)
+	find[Poll](t, actions)
+	latestArrival := now.Add(maxAnswerDelay)
+	now = now.Add(500 * time.Millisecond)
+	f.StopAnswered(now, "e", workload.TaskRef{Job: "j"}, f.jobs["j"].units[0].run, true, time.Second)
+	if e.clock != time.Second {
+		t.Fatalf("clock %v, want that of the next process", e.clock)
+	}
+	if d := e.leaseExpiry().Sub(latestArrival); d < f.settings.LongestLease {
+		t.Errorf("the lease ends %v after the latest arrival of the call, want %v at least", d, f.settings.LongestLease)
+	}
+}
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -237,7 +237,7 @@
 	sim := &simulation{
 		t: t, rand: rand.New(rand.NewPCG(seed, seed)), clocks: rand.New(rand.NewPCG(seed, ^seed)), now: time.Unix(1_700_000_000, 0),
 		settings: Settings{
-			Lease: 6 * time.Second, HolderLease: HolderLease, RenewalGrace: RenewalGrace, PollWait: 1500 * time.Millisecond, MaxStopTime: 400 * time.Millisecond, RemoteSlowdown: 3,
+			Lease: 6 * time.Second, LongestLease: longestLease, HolderLease: HolderLease, RenewalGrace: RenewalGrace, PollWait: 1500 * time.Millisecond, MaxStopTime: 400 * time.Millisecond, RemoteSlowdown: 3,
 			CheckpointRestoreTime: 100 * time.Millisecond, CheckpointInterval: time.Second, Retention: time.Hour,
 		},
 		executors: map[workload.ExecutorID]*fakeExecutor{}, jobs: map[workload.JobID]*workload.Job{},
@@ -538,6 +538,15 @@
 			if h.replaced {
 				return
 			}
+			if sim.executors[a.Executor].unreachable && clock > 0 {
+				sim.schedule(startTimeout, func() {
+					if !h.replaced {
+						h.scheduler.StartFailed(sim.now, a.Executor, a.Task, a.Run, CallUnanswered, 0)
+						sim.plan(h)
+					}
+				})
+				return
+			}
 			if ok {
 				h.scheduler.Started(sim.now, a.Executor, a.Task, a.Run, clock)
 			} else {
@@ -700,6 +709,9 @@
 	reply := func(ok bool, clock time.Duration) {
 		sim.schedule(callLatency, func() {
 			if !h.replaced {
+				if sim.executors[a.Executor].unreachable {
+					ok, clock = false, 0
+				}
 				h.scheduler.StopAnswered(sim.now, a.Executor, a.Task, a.Run, ok, clock)
 				sim.plan(h)
 			}
@@ -970,7 +982,8 @@
 	e.runs, e.ends = nil, nil
 	e.silent = false
 	for _, deliver := range e.waiting {
-		sim.schedule(callLatency, func() {
+		// Connections are tried again after up to a second.
+		sim.schedule(callLatency+time.Duration(sim.rand.IntN(1000))*time.Millisecond, func() {
 			if e.up && !e.unreachable {
 				deliver()
 			}
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -78,7 +78,7 @@
 		holder.New(holder.Settings{
 			VM: string(s.VM), Address: s.Relay, Peers: withoutAddress(s.Peers, s.Relay), Weight: s.ProcessorShare,
 			Fleet: fleet.Settings{
-				Lease: s.Lease, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: pollWait, MaxStopTime: s.MaxStopTime, RemoteSlowdown: s.RemoteSlowdown,
+				Lease: s.Lease, LongestLease: s.LongestLease, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: pollWait, MaxStopTime: s.MaxStopTime, RemoteSlowdown: s.RemoteSlowdown,
 				CheckpointRestoreTime: s.CheckpointRestoreTime, CheckpointInterval: s.CheckpointInterval, Retention: s.Retention,
 				ChooseVictims: s.ChooseVictims,
 				LearnRunTimes: s.LearnRunTimes,
--- a/node/settings/platform.go
+++ b/node/settings/platform.go
@@ -46,6 +46,8 @@
 	Records recordlimit.Settings
 	// Lease is the time for which an executor keeps its runs after the last renewal of its lease.
 	Lease time.Duration
+	// LongestLease is the longest lease that executors grant.
+	LongestLease time.Duration
 	// MaxStopTime is the longest time that an executor takes to stop a run.
 	MaxStopTime time.Duration
 	// RemoteSlowdown is the factor by which the run time of a task grows if it runs outside its rack or away from its
@@ -152,8 +154,8 @@
 	if s.ClientMemory > s.Memory/2 {
 		r.addProblem("limits", "client_memory", "at most half of memory (%d MiB)", s.Memory>>20)
 	}
-	longest := r.duration("executor", "longest_lease", s.Lease+leaseMargin, time.Second, maxTimeout)
-	s.Lease = min(s.Lease, longest-leaseMargin)
+	s.LongestLease = r.duration("executor", "longest_lease", s.Lease+leaseMargin, time.Second, maxTimeout)
+	s.Lease = min(s.Lease, s.LongestLease-leaseMargin)
 	if s.LameDuck >= s.GracePeriod {
 		r.addProblem("timing", "lame_duck", "a duration below grace (%s), so that calls in progress can complete", s.GracePeriod)
 	}
