Send acknowledgements and renewals only to a process that has answered

Its acknowledgement discards ends that nobody has read, so that tasks that are done run again; its deadline extends the lease. No caller has reported it.

The answer also counted as an acknowledgement by the next process, whose own ends were then never acknowledged: TestAcknowledgementOfEarlierProcess failed before.

A process that has just started is behind a new connection. A call can now carry another request for connections that were not answered before; a poll is a query there, and the next poll renews and acknowledges on any connection. Polls acknowledge only what is not confirmed yet.

--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -64,6 +64,12 @@
 	AckedThrough int64
 	// Wait is how long the executor may delay its answer until a run ends.
 	Wait time.Duration
+	// AnyConnection is set if the poll may renew the lease and acknowledge ends on a connection that has not been answered yet.
+	AnyConnection bool
+	// QueryOnly is set with the result if the poll did neither, because it went out on such a connection.
+	QueryOnly bool
+	// process is the count of the executor's processes that were known when the poll was planned.
+	process int64
 }
 
 func (Start) action()       {}
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -78,6 +78,11 @@
 
 	// verified is set once the executor has seen the fencing token of this term and has reported its runs.
 	verified bool
+	// process counts the processes of the executor that were found to have ended.
+	process int64
+	// queriedOnly is set if the last poll did not renew the lease because its connection was new. The next one renews it on any
+	// connection, so that the lease does not expire on an executor that closes its connections.
+	queriedOnly bool
 	// incarnation identifies the executor's process by its start time, and incarnationSeenAt is when a report first named it.
 	// A later process may have an earlier start time.
 	incarnation       int64
@@ -295,6 +300,7 @@
 
 // forgetProcess drops what is known of the process of an executor, because it has ended.
 func (e *executor) forgetProcess(now time.Time) {
+	e.process++
 	e.verified = false
 	e.incarnation, e.reportedClock = 0, 0
 	e.clock, e.clockAt, e.leaseDeadline, e.clockLag = 0, now, 0, 0
@@ -330,8 +336,8 @@
 		if e.polling || !e.needsPoll() || now.Before(e.nextPollAt) || e.address == "" {
 			continue
 		}
-		poll := Poll{Executor: e.info.ID, Address: e.address}
-		if e.verified && e.unresponsiveSince.IsZero() {
+		poll := Poll{Executor: e.info.ID, Address: e.address, AnyConnection: e.queriedOnly, process: e.process}
+		if e.verified && e.unresponsiveSince.IsZero() && e.ackedEnd < e.durableEnd {
 			// An executor that is not verified or did not answer may have restarted, and numbers its ends from the beginning
 			// then.
 			poll.AckedThrough = e.durableEnd
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -55,7 +55,10 @@
 	f.noteDeadline(e, "poll", poll.Deadline, r.Clock)
 	firstReport := !e.verified
 	e.verified = true
-	e.ackedEnd = max(e.ackedEnd, poll.AckedThrough)
+	e.queriedOnly = poll.QueryOnly
+	if poll.process == e.process {
+		e.ackedEnd = max(e.ackedEnd, poll.AckedThrough)
+	}
 	for _, row := range r.Running {
 		f.applyRunning(now, e, row)
 	}
--- a/decisions/fleet/restart_test.go
+++ b/decisions/fleet/restart_test.go
@@ -163,3 +163,56 @@
 		t.Errorf("the lease ends %v after the latest arrival of the call, want %v at least", d, f.settings.LongestLease)
 	}
 }
+
+// TestAcknowledgementOfEarlierProcess guards against ends that are never acknowledged, and are reported again with each poll: the
+// acknowledgement of a poll that was sent to the earlier process was counted as one of the next process.
+func TestAcknowledgementOfEarlierProcess(t *testing.T) {
+	f, now := newTestScheduler(t)
+	run := f.jobs["j"].units[0].run
+	rows := []workload.RunningTask{{Task: workload.TaskRef{Job: "j"}, Run: run}, {Task: workload.TaskRef{Job: "j", Index: 1}, Run: run}}
+	now = now.Add(time.Second)
+	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{Clock: 2 * time.Second, StartedAtMS: 1, Running: rows, Ended: []workload.EndedRun{
+		{Number: 57, Task: workload.TaskRef{Job: "gone"}, Run: 1, Outcome: workload.Done},
+	}})
+	now = now.Add(time.Second)
+	actions, _ := f.Plan(now)
+	poll := find[Poll](t, actions)
+	if poll.AckedThrough != 57 {
+		t.Fatalf("acknowledged through %d, want 57", poll.AckedThrough)
+	}
+	ends := []workload.EndedRun{{Number: 1, Task: workload.TaskRef{Job: "j"}, Run: run, Outcome: workload.Done}, {Number: 2, Task: workload.TaskRef{Job: "j", Index: 1}, Run: run, Outcome: workload.Done}}
+	now = now.Add(time.Second)
+	f.Report(now, "e", now, poll, workload.Report{Clock: time.Hour, StartedAtMS: 2, Ended: ends})
+	f.MarkRecorded(f.UnrecordedProgress(10))
+	actions, _ = f.Plan(now.Add(time.Second))
+	if a := find[Poll](t, actions).AckedThrough; a != 2 {
+		t.Errorf("acknowledged through %d, want 2", a)
+	}
+}
+
+// TestRenewalAfterQuery guards against a lease that is never renewed on an executor that closes its connections after each
+// answer: a poll on a new connection is a query only, and the next one renews the lease on any connection.
+func TestRenewalAfterQuery(t *testing.T) {
+	f, now := newTestScheduler(t)
+	run := f.jobs["j"].units[0].run
+	rows := []workload.RunningTask{{Task: workload.TaskRef{Job: "j"}, Run: run}, {Task: workload.TaskRef{Job: "j", Index: 1}, Run: run}}
+	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{Clock: time.Second, StartedAtMS: 1, Running: rows})
+	for _, queryOnly := range []bool{false, true, false, true} {
+		now = now.Add(time.Second)
+		actions, _ := f.Plan(now)
+		poll := find[Poll](t, actions)
+		if poll.Deadline == 0 {
+			t.Fatal("the poll does not renew the lease")
+		}
+		if f.executors["e"].queriedOnly != poll.AnyConnection {
+			t.Errorf("poll on any connection: %v, want %v", poll.AnyConnection, !poll.AnyConnection)
+		}
+		if queryOnly {
+			poll.QueryOnly, poll.Deadline, poll.AckedThrough = true, 0, 0
+		}
+		f.Report(now, "e", now, poll, workload.Report{Clock: now.Sub(time.Unix(1_700_000_000, 0)) + time.Second, StartedAtMS: 1, Running: rows})
+		if f.executors["e"].queriedOnly != queryOnly {
+			t.Errorf("queried only: %v, want %v", !queryOnly, queryOnly)
+		}
+	}
+}
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -742,7 +742,15 @@
 	sentAt := sim.now
 	sim.polls++
 	answered := false
+	processStart := time.Time{}
+	if e := sim.executors[a.Executor]; e != nil {
+		processStart = e.startedAt
+	}
 	sim.call(h, a.Executor, a.Address, a.Wait+pollMargin, func(e *fakeExecutor) {
+		if !e.startedAt.Equal(processStart) && !a.AnyConnection {
+			// The connection is new.
+			a.QueryOnly, a.Deadline, a.AckedThrough, a.Wait = true, 0, 0, 0
+		}
 		if h.fence < e.fence {
 			if h.partitioned {
 				h.replaced = true
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -45,7 +45,9 @@
 		action fleet.Poll
 		sentAt time.Time
 		report workload.Report
-		err    error
+		// queryOnly is set if the poll neither renewed the lease nor acknowledged ends.
+		queryOnly bool
+		err       error
 	}
 )
 
@@ -241,12 +243,12 @@
 func (s *Service) pollExecutor(c *kernel.Context, a fleet.Poll) {
 	t := s.term
 	to := s.renewalOrder(a.Executor, a.Address)
-	command := runner.RenewOrder{Deadline: a.Deadline, Fence: workload.FencingToken(t.fence), SeenUpTo: a.AckedThrough, Wait: a.Wait}
+	command := runner.RenewOrder{Deadline: a.Deadline, Fence: workload.FencingToken(t.fence), SeenUpTo: a.AckedThrough, Wait: a.Wait, AnyConnection: a.AnyConnection}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, a.Wait+pollMargin)
 		defer cancel()
 		out := pollDone{termScoped: termScoped{t.number}, action: a, sentAt: time.Now()}
-		out.report, out.err = s.runner.RenewLease(ctx, to, command)
+		out.report, out.queryOnly, out.err = s.runner.RenewLease(ctx, to, command)
 		s.metrics.RecordLatency("executor_look", time.Since(out.sentAt))
 		return out
 	})
@@ -265,6 +267,10 @@
 		s.requestPlan(c)
 		return
 	}
+	if m.queryOnly {
+		s.metrics.CountEvent("looks_without_renewal", 1)
+		m.action.Deadline, m.action.AckedThrough, m.action.QueryOnly = 0, 0, true
+	}
 	s.logEndedRuns(m)
 	t.fleet.Report(now, m.action.Executor, m.sentAt, m.action, m.report)
 	s.requestPlan(c)
