Tell apart which process may have received a start without an answer

A call now tells which connection it used. A start on a connection that the executor had answered before can have reached only the process that answered, and waits for the usual lease. One that got no connection in time was never sent: it is repeated, and then ends at once instead of being stopped. One on another connection, or one that was sent before a restart was noticed, bounds the lease of the next process until it can no longer be carried out.

--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -43,8 +43,14 @@
 	state    taskRunState
 	// startAttempts is the number of times that the start was sent.
 	startAttempts int
-	// deadline is the lease deadline of the latest start.
+	// deadline is the lease deadline of the latest start, process the count of the executor's processes when it was sent at sentAt.
 	deadline time.Duration
+	process  int64
+	sentAt   time.Time
+	// unanswered is set if a start may have arrived without an answer. Until unprovenUntil a process that is later than the one for
+	// which it was meant may carry it out.
+	unanswered    bool
+	unprovenUntil time.Time
 	// startSentAt is when the start was sent, confirmedAt when the scheduler first learned that the task was running.
 	startSentAt, confirmedAt time.Time
 	// stopping is set once the run is to be stopped, stopInFlight while a stop is unanswered. stopAckedAt is when the
@@ -94,6 +100,9 @@
 	// with a deadline was last sent to the executor.
 	leaseDeadline  time.Duration
 	deadlineSentAt time.Time
+	// unprovenUntil is the latest time at which the executor may carry out a start whose deadline was counted on the clock of an
+	// earlier process.
+	unprovenUntil time.Time
 	// clockLag is how far readings since the last report were behind the expected clock. They may be late, or come from a later
 	// process, whose lease ends later by this time.
 	clockLag time.Duration
@@ -152,10 +161,9 @@
 // runExpiry returns the local time from which a run has certainly ended if the executor does not answer. A start without an
 // answer may have reached a later process, which has granted it the longest lease.
 func (f *Scheduler) runExpiry(r *taskRun) time.Time {
-	e := r.executor
-	expiry := e.leaseExpiry()
-	if r.state == taskStartSent || r.state == taskStartUnknown {
-		expiry = latest(expiry, e.deadlineSentAt.Add(maxAnswerDelay+longestWait(f.settings.LongestLease)))
+	expiry := r.executor.leaseExpiry()
+	if (r.state == taskStartSent || r.state == taskStartUnknown) && !r.unprovenUntil.IsZero() {
+		expiry = latest(expiry, r.unprovenUntil.Add(longestWait(f.settings.LongestLease)))
 	}
 	return expiry
 }
@@ -167,7 +175,8 @@
 	if !f.hasPredecessor && e.deadlineSentAt.IsZero() {
 		return clock
 	}
-	return clock + f.settings.LongestLease + max(0, e.deadlineSentAt.Add(maxAnswerDelay).Sub(now))
+	latestArrival := latest(e.deadlineSentAt.Add(maxAnswerDelay), e.unprovenUntil)
+	return clock + f.settings.LongestLease + max(0, latestArrival.Sub(now))
 }
 
 // renewedDeadline returns the deadline of a lease that begins now, on the executor's clock.
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -204,7 +204,7 @@
 	u, e := r.unit, r.executor
 	deadline := e.renewedDeadline(now, f.settings.Lease)
 	e.leaseDeadline, e.deadlineSentAt = max(e.leaseDeadline, deadline), now
-	r.deadline = deadline
+	r.deadline, r.process, r.sentAt = deadline, e.process, now
 	r.startAttempts++
 	f.actions = append(f.actions, Start{
 		Executor: e.info.ID, Address: e.address, Task: r.task, Run: r.run, Spec: u.job.rec.Spec, Checkpoint: u.checkpoint, Ticket: f.ticketFor(u, e.info.ID),
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -13,6 +13,11 @@
 const (
 	// CallUnanswered means that the outcome is unknown: the call may have taken effect, or may still do so.
 	CallUnanswered CallFailure = iota
+	// CallUnansweredProven is CallUnanswered on a connection on which the executor had answered before, so that no later process of
+	// it has received the call.
+	CallUnansweredProven
+	// CallNotConnected means that no connection was available in time, so that the call had no effect.
+	CallNotConnected
 	// CallRefused means that the connection was refused, so that the call had no effect. The executor's process may have
 	// ended, but a partition may also answer in its place while its runs go on.
 	CallRefused
@@ -35,6 +40,10 @@
 // executor. A clock reading that is further behind shows that the executor has restarted.
 const maxAnswerDelay = 2500 * time.Millisecond
 
+// maxExecutionDelay bounds how late an executor carries out an order that it has not answered. The platform says "seconds later" and
+// names no bound.
+const maxExecutionDelay = 12 * time.Second
+
 // Report applies an executor's answer to a poll that was sent at sentAt.
 func (f *Scheduler) Report(now time.Time, id workload.ExecutorID, sentAt time.Time, poll Poll, r workload.Report) {
 	e, ok := f.executors[id]
@@ -313,15 +322,21 @@
 	}
 	f.setClock(now, e, clock)
 	r := e.find(t, run)
-	repeated := r != nil && r.state == taskStartSent && r.startAttempts > 1
+	repeated := r != nil && r.state == taskStartSent && r.unanswered
 	switch {
-	case result == CallUnanswered:
+	case result == CallUnanswered || result == CallUnansweredProven || result == CallNotConnected && repeated:
 		f.count(CountStartUnanswered)
 		f.markUnresponsive(now, e)
+		if result != CallNotConnected {
+			f.markUnanswered(now, e, r, result)
+		}
 		if !f.repeatStart(now, r) {
 			f.giveUpStart(now, r)
 		}
 		return
+	case result == CallNotConnected && f.repeatStart(now, r):
+		f.markUnresponsive(now, e)
+		return
 	case repeated && result == CallStaleRun:
 		// An earlier attempt has arrived and its run has ended. The next report shows how.
 		r.state, r.confirmedAt = taskRunning, now
@@ -349,6 +364,24 @@
 	f.applyCallFailure(now, e, result)
 }
 
+// markUnanswered records that an executor may still carry out a start that it has not answered, and that a later process than the
+// one for which the deadline was counted may do so, unless the connection was proven.
+func (f *Scheduler) markUnanswered(now time.Time, e *executor, r *taskRun, result CallFailure) {
+	if r == nil || r.state != taskStartSent {
+		return
+	}
+	r.unanswered = true
+	earlier := r.process != e.process
+	if result == CallUnansweredProven && !earlier {
+		return
+	}
+	r.unprovenUntil = latest(r.unprovenUntil, r.sentAt.Add(maxExecutionDelay))
+	e.unprovenUntil = latest(e.unprovenUntil, r.unprovenUntil)
+	if earlier && e.clock > 0 {
+		e.leaseDeadline = max(e.leaseDeadline, f.longestDeadline(now, e, e.clock+now.Sub(e.clockAt)))
+	}
+}
+
 // giveUpStart stops a run whose start may have arrived or may still arrive.
 func (f *Scheduler) giveUpStart(now time.Time, r *taskRun) {
 	if r == nil || r.state != taskStartSent {
@@ -391,7 +424,7 @@
 		e.nextPollAt = now.Add(pollRetryDelay)
 	case CallUnhealthy:
 		e.suspicion.add(now, unhealthyWeight)
-	case CallUnanswered, CallRefused:
+	case CallUnanswered, CallUnansweredProven, CallRefused, CallNotConnected:
 		f.markUnresponsive(now, e)
 	}
 }
@@ -410,6 +443,10 @@
 	}
 	e.polling = false
 	e.nextPollAt = now.Add(pollRetryDelay)
+	if result == CallUnanswered && e.queriedOnly {
+		// The poll may have renewed the lease of a later process.
+		e.unprovenUntil = latest(e.unprovenUntil, now.Add(maxExecutionDelay))
+	}
 	// A failed poll, whatever its cause, may not have renewed the lease.
 	f.markUnresponsive(now, e)
 	f.applyCallFailure(now, e, result)
--- a/decisions/fleet/restart_test.go
+++ b/decisions/fleet/restart_test.go
@@ -216,3 +216,59 @@
 		}
 	}
 }
+
+// TestLateStartOfEarlierProcess guards against a lease that is counted too short: a start that was meant for the earlier process is
+// not answered, and the next one carries it out seconds later with a deadline far ahead of its clock.
+func TestLateStartOfEarlierProcess(t *testing.T) {
+	f, now, first := newStartingGang(t)
+	e := f.executors["e"]
+	sentAt := now
+	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{Clock: time.Second, StartedAtMS: 1})
+	now = now.Add(200 * time.Millisecond)
+	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{Clock: time.Hour, StartedAtMS: 2})
+	now = now.Add(150 * time.Millisecond)
+	f.StartFailed(now, "e", first.Task, first.Run, CallUnansweredProven, 0)
+	if d := e.leaseExpiry().Sub(sentAt.Add(maxExecutionDelay)); d < f.settings.LongestLease {
+		t.Errorf("the lease ends %v after the start may be carried out, want %v at least", d, f.settings.LongestLease)
+	}
+}
+
+// TestUnansweredStartsOfLostExecutor guards against work that waits longer than it must: its starts got no answer from an executor
+// that has ended. If they went out on a connection that the executor had answered, they wait for its usual lease, and if
+// they got no connection, they start elsewhere at once.
+func TestUnansweredStartsOfLostExecutor(t *testing.T) {
+	for result, within := range map[CallFailure]time.Duration{
+		CallUnansweredProven: 7 * time.Second,
+		CallNotConnected:     2 * time.Second,
+		CallUnanswered:       maxExecutionDelay + 8*time.Second,
+	} {
+		f, now := newTestScheduler(t)
+		f.AddJob(now, oneStep("s", "batch", workload.Step{Count: 1, Need: smallTask}), 3, nil)
+		f.Plan(now)
+		f.MarkRecorded(f.UnrecordedProgress(10))
+		actions, _ := f.Plan(now)
+		first := find[Start](t, actions)
+		begin := now
+		f.StartFailed(now, "e", first.Task, first.Run, result, 0)
+		for ; len(f.jobs["s"].units[0].taskRuns) > 0 && now.Sub(begin) < time.Minute; now = now.Add(100 * time.Millisecond) {
+			f.SetLeaseAge(now, 0)
+			actions, _ := f.Plan(now)
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Start:
+					f.StartFailed(now, a.Executor, a.Task, a.Run, result, 0)
+				case Stop:
+					f.StopAnswered(now, a.Executor, a.Task, a.Run, false, 0)
+				case Poll:
+					f.PollFailed(now, a.Executor, CallUnansweredProven)
+				}
+			}
+			if now.Equal(begin) {
+				f.PollFailed(now, "e", CallUnansweredProven)
+			}
+		}
+		if d := now.Sub(begin); d > within {
+			t.Errorf("failure %d: the task waits for %v, want %v at most", result, d, within)
+		}
+	}
+}
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -158,6 +158,8 @@
 	// the store.
 	reachable   map[workload.ExecutorID]bool
 	partitioned bool
+	// answered holds the start of the process that last answered the holder, by executor. Calls to it use the same connection.
+	answered map[workload.ExecutorID]time.Time
 	// configuredAt is when the latest configuration reached the holder.
 	configuredAt time.Time
 }
@@ -314,7 +316,7 @@
 	}
 	sim.term++
 	sim.revision++
-	h := &holder{fence: workload.FencingToken(sim.revision), reachable: reachable}
+	h := &holder{fence: workload.FencingToken(sim.revision), reachable: reachable, answered: map[workload.ExecutorID]time.Time{}}
 	h.scheduler = New(sim.settings, sim.term, sim.revision, sim.term > 1, sim.now)
 	h.scheduler.SetConfig(sim.config)
 	h.scheduler.InheritRoster(sim.now, sim.roster)
@@ -437,16 +439,19 @@
 
 // call delivers a call to an executor at an address or reports its failure. Nothing listens at addresses other than that
 // of the executor, or another executor does if addressTaken is set. A call that is reported as unanswered takes effect late.
-// A call to a silent executor reaches its next process if that starts within the timeout of the call.
+// A call to a silent executor reaches its next process if that starts within the timeout of the call, unless the call was sent
+// on a connection to the earlier one.
 func (sim *simulation) call(h *holder, id workload.ExecutorID, address string, timeout time.Duration, deliver func(e *fakeExecutor), fail func(r CallFailure)) {
 	e := sim.executors[id]
 	switch {
+	case e != nil && !e.up && e.silent && address == e.info.Address && sim.rand.IntN(2) == 0 && h.answered[id].Equal(e.startedAt):
+		sim.schedule(timeout, func() { fail(CallUnansweredProven) })
 	case e != nil && !e.up && e.silent && address == e.info.Address:
 		done := false
 		sim.schedule(timeout, func() {
 			if !done {
 				done = true
-				fail(CallUnanswered)
+				fail(CallNotConnected)
 			}
 		})
 		e.waiting = append(e.waiting, func() {
@@ -473,7 +478,11 @@
 				sim.deliveringLate = false
 			}
 		})
-		sim.schedule(900*time.Millisecond, func() { fail(CallUnanswered) })
+		result := CallUnanswered
+		if h.answered[id].Equal(processStart) {
+			result = CallUnansweredProven
+		}
+		sim.schedule(900*time.Millisecond, func() { fail(result) })
 	default:
 		sim.schedule(callLatency, func() { deliver(e) })
 	}
@@ -538,15 +547,22 @@
 			if h.replaced {
 				return
 			}
-			if sim.executors[a.Executor].unreachable && clock > 0 {
+			if e := sim.executors[a.Executor]; e.unreachable && clock > 0 {
+				lost := CallUnanswered
+				if h.answered[a.Executor].Equal(e.startedAt) {
+					lost = CallUnansweredProven
+				}
 				sim.schedule(startTimeout, func() {
 					if !h.replaced {
-						h.scheduler.StartFailed(sim.now, a.Executor, a.Task, a.Run, CallUnanswered, 0)
+						h.scheduler.StartFailed(sim.now, a.Executor, a.Task, a.Run, lost, 0)
 						sim.plan(h)
 					}
 				})
 				return
 			}
+			if clock > 0 {
+				h.answered[a.Executor] = sim.executors[a.Executor].startedAt
+			}
 			if ok {
 				h.scheduler.Started(sim.now, a.Executor, a.Task, a.Run, clock)
 			} else {
@@ -709,8 +725,10 @@
 	reply := func(ok bool, clock time.Duration) {
 		sim.schedule(callLatency, func() {
 			if !h.replaced {
-				if sim.executors[a.Executor].unreachable {
+				if e := sim.executors[a.Executor]; e.unreachable {
 					ok, clock = false, 0
+				} else if ok {
+					h.answered[a.Executor] = e.startedAt
 				}
 				h.scheduler.StopAnswered(sim.now, a.Executor, a.Task, a.Run, ok, clock)
 				sim.plan(h)
@@ -834,6 +852,7 @@
 	}
 	sim.schedule(callLatency, func() {
 		if !h.replaced {
+			h.answered[a.Executor] = e.startedAt
 			sim.trace("report of %s to the poll of %v: %+v", a.Executor, sentAt.Sub(time.Unix(1_700_000_000, 0)), r)
 			h.scheduler.Report(sim.now, a.Executor, sentAt, a, r)
 			sim.plan(h)
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -289,6 +289,7 @@
 		refused     *runner.RefusedError
 		notExecuted *runner.NotExecutedError
 		replaced    *runner.ReplacedError
+		unknown     *runner.UnknownOutcomeError
 	)
 	switch {
 	case errors.As(err, &refused):
@@ -311,10 +312,14 @@
 		switch {
 		case notExecuted.ConnectionRefused:
 			return fleet.CallRefused, 0, false
+		case notExecuted.NoConnection:
+			return fleet.CallNotConnected, 0, false
 		case notExecuted.Unhealthy:
 			return fleet.CallUnhealthy, 0, false
 		}
 		return fleet.CallNotExecuted, 0, false
+	case errors.As(err, &unknown) && unknown.Proven:
+		return fleet.CallUnansweredProven, 0, false
 	default:
 		return fleet.CallUnanswered, 0, false
 	}
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -190,6 +190,8 @@
 // failureNames holds the names of call failures in log lines and metric names.
 var failureNames = map[fleet.CallFailure]string{
 	fleet.CallUnanswered:           "unanswered",
+	fleet.CallUnansweredProven:     "unanswered_proven",
+	fleet.CallNotConnected:         "not_connected",
 	fleet.CallRefused:              "connection_refused",
 	fleet.CallNotExecuted:          "not_done",
 	fleet.CallUnhealthy:            "unhealthy",
