Restart executors silently in the tests with real processes

The stand-in of an executor kept its clock base over a crash and granted leases of any length, so that no test with real processes could show the fault: a deadline on the clock of an earlier process.

The clock of each incarnation is drawn anew and leases are shortened to the longest one.

--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -51,12 +52,15 @@
 	info workload.Executor
 	// gangs is nil if the tasks of gangs run independently.
 	gangs *Gangs
-	// boot is the start time of the incarnation, fence the highest fencing token seen and deadline the end of the lease.
-	boot     time.Time
-	fence    workload.FencingToken
-	deadline time.Time
-	runs     []*run
-	ended    []workload.EndedRun
+	// boot is the start time of the incarnation and clockStart its clock at that time, fence the highest fencing token seen and
+	// deadline the end of the lease, which lasts for longestLease at most.
+	boot         time.Time
+	clockStart   time.Duration
+	fence        workload.FencingToken
+	deadline     time.Time
+	longestLease time.Duration
+	runs         []*run
+	ended        []workload.EndedRun
 	// lastEndNumber is the number of the last end.
 	lastEndNumber int64
 	// highestRun is the highest run number of each task that was stopped or has ended.
@@ -92,6 +96,12 @@
 	return int(100 * min(total, now.Sub(r.record.Started)) / total)
 }
 
+const (
+	// firstClock is the clock of the first incarnation at its start, DefaultLongestLease the default of SetLongestLease.
+	firstClock          = time.Hour
+	DefaultLongestLease = 10 * time.Second
+)
+
 // New returns an executor on which the tasks of gangs run independently. A task runs for the duration in its
 // specification, such as "300ms"; it fails at once if the specification is not a duration. A number of bytes after the
 // duration, such as "300ms 4000", is the size of its checkpoints.
@@ -105,7 +115,7 @@
 
 // Run serves until ctx ends.
 func (e *Executor) Run(ctx context.Context) {
-	st := &state{info: e.info, gangs: e.gangs, boot: time.Now(), highestRun: map[workload.TaskRef]workload.RunNumber{}, unacknowledged: map[int64]*RunRecord{}, nextEnd: make(chan struct{})}
+	st := &state{info: e.info, gangs: e.gangs, boot: time.Now(), clockStart: firstClock, longestLease: DefaultLongestLease, highestRun: map[workload.TaskRef]workload.RunNumber{}, unacknowledged: map[int64]*RunRecord{}, nextEnd: make(chan struct{})}
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
@@ -140,9 +150,19 @@
 	return <-out
 }
 
+// SetLongestLease sets the longest lease that the executor grants: a later deadline is shortened to it.
+func (e *Executor) SetLongestLease(d time.Duration) {
+	e.calls <- func(st *state) { st.longestLease = d }
+}
+
 // Crash simulates a crash and restart of the process: all runs end and none of the ends is reported. The executor gets
-// a new start time, which identifies its incarnation. The records of runs are kept.
+// a new start time, which identifies its incarnation, and a new clock. The records of runs are kept.
 func (e *Executor) Crash() {
+	e.RestartWithClock(time.Duration(rand.Int64N(int64(2 * firstClock))))
+}
+
+// RestartWithClock is Crash with the clock of the new incarnation at its start.
+func (e *Executor) RestartWithClock(clock time.Duration) {
 	e.calls <- func(st *state) {
 		now := time.Now()
 		for _, r := range st.runs {
@@ -153,6 +173,7 @@
 		}
 		st.runs, st.ended, st.lastEndNumber, st.fence, st.deadline = nil, nil, 0, 0, time.Time{}
 		clear(st.unacknowledged)
+		st.clockStart = max(clock, time.Second)
 		st.boot, st.highestRun = now, map[workload.TaskRef]workload.RunNumber{}
 		st.info.StartedAtMS = now.UnixMilli()
 	}
@@ -241,8 +262,8 @@
 	return r.report, r.nextEnd, r.err
 }
 
-// clock returns the time on the executor's clock. The clock starts at 1 s, so that a deadline of 0 can mean none.
-func (st *state) clock() time.Duration { return time.Since(st.boot) + time.Second }
+// clock returns the time on the executor's clock, which has no relation to that of an earlier incarnation.
+func (st *state) clock() time.Duration { return time.Since(st.boot) + st.clockStart }
 
 // checkFence refuses a fencing token that is lower than the highest one seen.
 func (st *state) checkFence(f workload.FencingToken) error {
@@ -255,7 +276,14 @@
 
 // extendLease moves the end of the lease to a deadline on the executor's clock, unless the lease ends later.
 func (st *state) extendLease(deadline time.Duration) {
-	if at := st.boot.Add(deadline - time.Second); deadline > 0 && at.After(st.deadline) {
+	if deadline <= 0 {
+		return
+	}
+	at := st.boot.Add(deadline - st.clockStart)
+	if latest := time.Now().Add(st.longestLease); at.After(latest) {
+		at = latest
+	}
+	if at.After(st.deadline) {
 		st.deadline = at
 	}
 }
--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -59,6 +59,9 @@
 	os.Exit(code)
 }
 
+// longestLease is the longest lease that executors grant.
+const longestLease = 3 * time.Second
+
 // vm is an entry VM: a daemon process that can be stopped and started again.
 type vm struct {
 	name         string
@@ -171,6 +174,16 @@
 	t.Cleanup(func() { server.Close() })
 }
 
+// restartSilently ends the process of an executor without a sign: its connections end, and new ones are answered by the next
+// process after a pause, during which calls wait. The clock of the next process is behind.
+func (f *fleet) restartSilently(id workload.ExecutorID, pause time.Duration) {
+	f.setPath(string(id), link.ModeRefuse, 0)
+	f.setPath(string(id), link.ModeHold, 0)
+	time.Sleep(pause)
+	f.executors[id].RestartWithClock(time.Second)
+	f.setPath(string(id), link.ModePass, 0)
+}
+
 // newFleet starts a store, executors with 4 accelerators each and entry VMs.
 func newFleet(t *testing.T, vms, executors int) *fleet {
 	t.Helper()
@@ -205,6 +218,7 @@
 		}
 		e := runnerstandin.NewWithGangs(info, gangs)
 		wg.Go(func() { e.Run(ctx) })
+		e.SetLongestLease(longestLease)
 		serve(t, wg, l, runner.NewHandler(info.ID, e))
 		f.executors[info.ID], f.infos[info.ID] = e, info
 		f.store.Set(runner.RegistryPrefix+string(info.ID), runner.EncodeRegistryEntry(info))
@@ -235,7 +249,7 @@
 	dir := f.t.TempDir()
 	v := &vm{name: name, frontAddress: addresses[0], relayAddress: addresses[2], adminAddress: addresses[3], settingsFile: filepath.Join(dir, "settings.ini"), logFile: filepath.Join(dir, "log"), current: make(chan daemon, 1)}
 	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n[platform]\nstore = %s\npeers =\n%s"+
-		"[executor]\nlongest_lease = 3s\nstop_bound = 100ms\n[timing]\ngrace = 4s\nlame_duck = 300ms\n",
+		"[executor]\nlongest_lease = "+longestLease.String()+"\nstop_bound = 100ms\n[timing]\ngrace = 4s\nlame_duck = 300ms\n",
 		name, addresses[0], addresses[1], addresses[2], addresses[3], storeAddress, f.platformSettings)
 	if err := os.WriteFile(v.settingsFile, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/tests/fleet/soak_test.go
+++ b/tests/fleet/soak_test.go
@@ -137,7 +137,7 @@
 		during(func() { f.setPath(name, mode, 0) }, func() { f.setPath(name, link.ModePass, 0) })
 	}
 	register := func() { f.store.Set(runner.RegistryPrefix+string(e), runner.EncodeRegistryEntry(f.infos[e])) }
-	switch r.IntN(12) {
+	switch r.IntN(13) {
 	case 0:
 		f.restart(v, syscall.SIGKILL)
 	case 1:
@@ -166,5 +166,14 @@
 		during(func() { f.setPath(string(e), link.ModePass, 150*time.Millisecond) }, func() { f.setPath(string(e), link.ModePass, 0) })
 	case 11:
 		f.store.Set(operator.ConfigKey, operator.EncodeConfig(testConfig(time.Now().UnixNano())))
+	case 12:
+		pause := time.Duration(r.Int64N(int64(500 * time.Millisecond)))
+		faults.Go(func() {
+			f.restartSilently(e, pause)
+			time.Sleep(pause)
+			f.setPath(string(e), link.ModeHold, 0)
+			time.Sleep(duration)
+			f.setPath(string(e), link.ModePass, 0)
+		})
 	}
 }
