Forget an unproven connection with the process behind it

A poll that follows a query may renew the lease on any connection. After a failed poll or a restart it follows no answered query any more, so that it must not. Found by reading; no test shows it, as polls carry neither a deadline nor an acknowledgement while the executor does not answer. docs/platform.md says how orders and processes are told apart.

--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -310,7 +310,7 @@
 // forgetProcess drops what is known of the process of an executor, because it has ended.
 func (e *executor) forgetProcess(now time.Time) {
 	e.process++
-	e.verified = false
+	e.verified, e.queriedOnly = false, false
 	e.incarnation, e.reportedClock = 0, 0
 	e.clock, e.clockAt, e.leaseDeadline, e.clockLag = 0, now, 0, 0
 	e.processedEnd, e.durableEnd, e.ackedEnd, e.pendingEnds = 0, 0, 0, nil
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -447,6 +447,7 @@
 		// The poll may have renewed the lease of a later process.
 		e.unprovenUntil = latest(e.unprovenUntil, now.Add(maxExecutionDelay))
 	}
+	e.queriedOnly = false
 	// A failed poll, whatever its cause, may not have renewed the lease.
 	f.markUnresponsive(now, e)
 	f.applyCallFailure(now, e, result)
