Wait for each VM in the test of submissions beside cancellations

The log shows vm1 starting 15 ms after vm0 had accepted the job for which the test waits: it asked a VM that had no configuration yet, which answers 503 as it must. The test now waits until each VM knows a job, and expects what it expected.

The clock of the first incarnation is 30 min now.

--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -98,7 +98,7 @@
 
 const (
 	// firstClock is the clock of the first incarnation at its start, DefaultLongestLease the default of SetLongestLease.
-	firstClock          = time.Hour
+	firstClock          = 30 * time.Minute
 	DefaultLongestLease = 10 * time.Second
 )
 
--- a/tests/fleet/cancel_test.go
+++ b/tests/fleet/cancel_test.go
@@ -95,7 +95,7 @@
 // one that repeats an accepted submission, and one of a job that only another client account has tried to cancel.
 func TestSubmissionsBesideCancellations(t *testing.T) {
 	f := newFleet(t, 2, 2)
-	f.awaitReady()
+	f.awaitAllReady()
 	ctx := context.Background()
 	accepted := job(f.newID(), 1, 10*time.Second, false)
 	foreign := job(f.newID(), 1, 100*time.Millisecond, false)
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -21,6 +21,19 @@
 	f.awaitState(f.mustSubmit(1, 10*time.Millisecond, false), workload.StateCompleted)
 }
 
+// awaitAllReady waits until each VM knows a job of the fleet, and so has a configuration.
+func (f *fleet) awaitAllReady() {
+	f.t.Helper()
+	id := f.mustSubmit(1, 10*time.Millisecond, false)
+	for _, v := range f.vms {
+		f.eventually(v.name+" is ready", func() bool {
+			r, err := f.client(v).JobState(context.Background(), id)
+			return err == nil && r.Status == http.StatusOK
+		})
+	}
+	f.awaitState(id, workload.StateCompleted)
+}
+
 func (f *fleet) mustSubmit(count int, runTime time.Duration, gang bool) workload.JobID {
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
