--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -173,6 +173,7 @@
 // may still; the executor shortens their lease to the longest one from their arrival.
 func (f *Scheduler) longestDeadline(now time.Time, e *executor, clock time.Duration) time.Duration {
 	if !f.hasPredecessor && e.deadlineSentAt.IsZero() {
+		// No call with a deadline was sent to the executor.
 		return clock
 	}
 	latestArrival := latest(e.deadlineSentAt.Add(maxAnswerDelay), e.unprovenUntil)
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -40,8 +40,8 @@
 // executor. A clock reading that is further behind shows that the executor has restarted.
 const maxAnswerDelay = 2500 * time.Millisecond
 
-// maxExecutionDelay bounds how late an executor carries out an order that it has not answered. The platform says "seconds later" and
-// names no bound.
+// maxExecutionDelay bounds how late an executor carries out an order that it has not answered. It is an assumption: the protocol
+// has no such bound.
 const maxExecutionDelay = 12 * time.Second
 
 // Report applies an executor's answer to a poll that was sent at sentAt.
