Give the daemons of tests ports that no other daemon gets

Cause: the harness of tests/fleet drew each port at random and only checked that nothing listened on it, so that two daemons of one fleet could get the same port before the first one listened. The harness of tests/process counted up within its own process, but could meet the ports of test binaries that run beside it. Change: standins/ports gives each process a block of ports, which it holds by listening on the first one, and hands the others out in turn. The three harnesses that start daemons use it.

--- a/tests/crowd/harness_test.go
+++ b/tests/crowd/harness_test.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +27,7 @@
 	"github.com/verbenaflow/verbenaflow/platform/operator"
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 	storestandin "github.com/verbenaflow/verbenaflow/standins/metastore"
+	"github.com/verbenaflow/verbenaflow/standins/ports"
 	runnerstandin "github.com/verbenaflow/verbenaflow/standins/runner"
 )
 
@@ -96,25 +96,14 @@
 	return l
 }
 
-// freeAddresses returns n different loopback addresses on which nothing listens. Their ports are below those of outgoing
-// connections.
+// freeAddresses returns n different loopback addresses on which nothing listens.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	var out []string
-	for range 100 * n {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		// The port stays taken until all are chosen.
-		defer l.Close()
-		if out = append(out, address); len(out) == n {
-			return out
-		}
+	out, err := ports.Free(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return nil
+	return out
 }
 
 // newFleet starts a store, an executor and entry VMs, and waits until each VM has served an ordinary request.
--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -27,6 +27,7 @@
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 	"github.com/verbenaflow/verbenaflow/standins/link"
 	storestandin "github.com/verbenaflow/verbenaflow/standins/metastore"
+	"github.com/verbenaflow/verbenaflow/standins/ports"
 	runnerstandin "github.com/verbenaflow/verbenaflow/standins/runner"
 )
 
@@ -144,27 +145,14 @@
 	return l
 }
 
-// Ports of the daemons are below those that the kernel gives to outgoing connections (from 32768 on): one of these could
-// take a port between the check that it is free and the start of the daemon.
-const (
-	firstPort = 12000
-	lastPort  = 32000
-)
-
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns n loopback addresses on which nothing listens.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		return address
+	out, err := ports.Free(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return out
 }
 
 // serve runs an HTTP server until the test ends.
@@ -242,10 +230,7 @@
 // addVM writes the settings of an entry VM and starts it.
 func (f *fleet) addVM(name, storeAddress string) {
 	f.t.Helper()
-	var addresses []string
-	for range 4 {
-		addresses = append(addresses, freeAddress(f.t))
-	}
+	addresses := freeAddresses(f.t, 4)
 	dir := f.t.TempDir()
 	v := &vm{name: name, frontAddress: addresses[0], relayAddress: addresses[2], adminAddress: addresses[3], settingsFile: filepath.Join(dir, "settings.ini"), logFile: filepath.Join(dir, "log"), current: make(chan daemon, 1)}
 	text := fmt.Sprintf("[vm]\nid = %s\ndomain = domain-a\nregion = r\n[listen]\nfront = %s\nready = %s\nrelay = %s\nadmin = %s\n[platform]\nstore = %s\npeers =\n%s"+
--- a/tests/process/harness_test.go
+++ b/tests/process/harness_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/verbenaflow/verbenaflow/api/model"
+	"github.com/verbenaflow/verbenaflow/standins/ports"
 )
 
 // waitLimit bounds every wait of a test. It only ends a test that hangs; no check depends on its value.
@@ -83,31 +83,12 @@
 	}
 }
 
-// The listening ports lie below the range of ephemeral ports. Otherwise an outgoing connection may take the port of a
-// daemon that is restarted.
-const (
-	firstPort = 10000
-	portRange = 20000
-)
-
-var nextPortOffset = os.Getpid() * 97 % portRange
-
 // freePorts returns n distinct loopback addresses that no process listens on.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	var out []string
-	for attempts := 0; len(out) < n; attempts++ {
-		if attempts > portRange {
-			t.Fatal("no free ports")
-		}
-		nextPortOffset = (nextPortOffset + 1) % portRange
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPortOffset)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		out = append(out, address)
+	out, err := ports.Free(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return out
 }
