Read reports of executors whatever the size of their checkpoints

All executors counted as silent, and their leases ran out. Cause: a response of more than 4 MiB was not read at all; the limit of one checkpoint was applied only after the whole report had been read. The list of ended runs stayed as long, because it was never acknowledged. A checkpoint that is not kept costs its own run only, is counted (checkpoints_oversized) and logged. The large checkpoints of all executors together may take a sixteenth of the VM's memory.

--- a/api/workload/workload.go
+++ b/api/workload/workload.go
@@ -252,6 +252,8 @@
 	Run  RunNumber
 	// Checkpoint is the latest checkpoint, or empty.
 	Checkpoint string
+	// Oversized is set if a checkpoint was too large to be kept.
+	Oversized bool
 	// Percent is the progress of the task.
 	Percent int
 	// Usage is the tail response time in ms of a serving task, or the processor use of any other task.
@@ -285,6 +287,8 @@
 	Run        RunNumber
 	Outcome    Outcome
 	Checkpoint string
+	// Oversized is set if a checkpoint was too large to be kept.
+	Oversized bool
 }
 
 // Report is an executor's answer to a poll by the holder.
@@ -298,3 +302,18 @@
 	// Incomplete is set if tasks may be running that are not in Running.
 	Incomplete bool
 }
+
+// OversizedCheckpoints returns the number of runs whose checkpoints were too large to be kept, and the task of one of them.
+func (r *Report) OversizedCheckpoints() (n int, example TaskRef) {
+	for _, t := range r.Running {
+		if t.Oversized {
+			n, example = n+1, t.Task
+		}
+	}
+	for _, e := range r.Ended {
+		if e.Oversized {
+			n, example = n+1, e.Task
+		}
+	}
+	return n, example
+}
--- a/decisions/fleet/roster.go
+++ b/decisions/fleet/roster.go
@@ -11,6 +11,9 @@
 // closed reports whether an executor is draining or unregistered, so that it gets no more starts.
 func (e *executor) closed() bool { return !e.registered || e.info.Draining }
 
+// ExecutorCount returns the number of executors.
+func (f *Scheduler) ExecutorCount() int { return len(f.executors) }
+
 // RosterVersion returns a number that changes whenever the roster may have changed.
 func (f *Scheduler) RosterVersion() int64 { return f.rosterVersion }
 
--- a/node/daemon/clients.go
+++ b/node/daemon/clients.go
@@ -66,6 +66,10 @@
 	return int(l.Cur)
 }
 
+// checkpointMemoryPart is the part of the VM's memory that large checkpoints in the reports of executors may take. A report takes about
+// three times the memory of its checkpoints while it is read.
+const checkpointMemoryPart = 16
+
 // minOutsideRuntime is the least memory left outside the limit of the Go runtime: the pages of the program, about 10 MB, and
 // what the kernel holds for its sockets.
 const minOutsideRuntime = 16 << 20
--- a/node/daemon/platform.go
+++ b/node/daemon/platform.go
@@ -77,6 +77,7 @@
 		relay.New(l.relay, peerConnections(descriptors), m).Spec(),
 		holder.New(holder.Settings{
 			VM: string(s.VM), Address: s.Relay, Peers: withoutAddress(s.Peers, s.Relay), Weight: s.ProcessorShare,
+			CheckpointMemory: s.Memory / checkpointMemoryPart,
 			Fleet: fleet.Settings{
 				Lease: s.Lease, LongestLease: s.LongestLease, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: pollWait, MaxStopTime: s.MaxStopTime, RemoteSlowdown: s.RemoteSlowdown,
 				CheckpointRestoreTime: s.CheckpointRestoreTime, CheckpointInterval: s.CheckpointInterval, Retention: s.Retention,
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -243,7 +243,7 @@
 func (s *Service) pollExecutor(c *kernel.Context, a fleet.Poll) {
 	t := s.term
 	to := s.renewalOrder(a.Executor, a.Address)
-	command := runner.RenewOrder{Deadline: a.Deadline, Fence: workload.FencingToken(t.fence), SeenUpTo: a.AckedThrough, Wait: a.Wait, AnyConnection: a.AnyConnection}
+	command := runner.RenewOrder{Deadline: a.Deadline, Fence: workload.FencingToken(t.fence), SeenUpTo: a.AckedThrough, Wait: a.Wait, AnyConnection: a.AnyConnection, CheckpointBytes: s.checkpointBytes()}
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		ctx, cancel := context.WithTimeout(ctx, a.Wait+pollMargin)
 		defer cancel()
@@ -272,10 +272,16 @@
 		m.action.Deadline, m.action.AckedThrough, m.action.QueryOnly = 0, 0, true
 	}
 	s.logEndedRuns(m)
+	s.noteOversizedCheckpoints(m.action.Executor, &m.report)
 	t.fleet.Report(now, m.action.Executor, m.sentAt, m.action, m.report)
 	s.requestPlan(c)
 }
 
+// checkpointBytes returns the part of the memory for checkpoints that the report of one executor may take.
+func (s *Service) checkpointBytes() int {
+	return int(s.settings.CheckpointMemory) / max(1, s.term.fleet.ExecutorCount())
+}
+
 // handleFenced ends the term, because an executor has seen a higher fencing token: there is a newer holder.
 func (s *Service) handleFenced(c *kernel.Context, executor workload.ExecutorID) {
 	s.metrics.CountEvent("fenced", 1)
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -203,3 +203,17 @@
 }
 
 func failureName(r fleet.CallFailure) string { return failureNames[r] }
+
+// noteOversizedCheckpoints counts checkpoints that were too large to be kept, and logs when an executor begins to report them.
+func (s *Service) noteOversizedCheckpoints(executor workload.ExecutorID, r *workload.Report) {
+	n, task := r.OversizedCheckpoints()
+	if n == 0 {
+		delete(s.term.oversized, executor)
+		return
+	}
+	s.metrics.CountEvent("checkpoints_oversized", int64(n))
+	if !s.term.oversized[executor] {
+		s.term.oversized[executor] = true
+		s.log("checkpoints too large to be kept", "executor", executor, "job", task.Job, "task", task, "runs", n, "limit_bytes", s.checkpointBytes())
+	}
+}
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -33,6 +33,9 @@
 	// Weight is the VM's share of a processor; VMs with a small share stand for election later.
 	Weight float64
 	Fleet  fleet.Settings
+	// CheckpointMemory bounds the memory in bytes that the large checkpoints in the reports of all executors take together; 0 means
+	// no bound besides that of a report.
+	CheckpointMemory int64
 	// TombstoneRetention is how long tombstones of cancelled jobs are kept; 0 means defaultTombstoneRetention.
 	TombstoneRetention time.Duration
 	// RunTimesInterval is the shortest time between two saves of learned run times; 0 means defaultRunTimesInterval.
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -81,6 +81,8 @@
 	nextExpiryAt  time.Time
 	runLog        runLog
 	loggedEnds    map[workload.ExecutorID]loggedEnds
+	// oversized holds the executors whose last report had checkpoints that were too large to be kept.
+	oversized map[workload.ExecutorID]bool
 	// tombstones holds the tombstones of cancelled jobs that were not stored.
 	tombstones expiry.Set
 	// refusedEntries holds the registry entries that are ignored now and why.
@@ -146,7 +148,7 @@
 	now := time.Now()
 	t := &term{
 		number: number, fence: fence, startedAt: now, lastSummaryAt: now, summaryCounts: map[fleet.Counter]int64{}, refusedEntries: map[string]runner.EntryProblem{},
-		loggedEnds: map[workload.ExecutorID]loggedEnds{}, configured: s.configured,
+		loggedEnds: map[workload.ExecutorID]loggedEnds{}, oversized: map[workload.ExecutorID]bool{}, configured: s.configured,
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.resumeStarts()
--- a/tests/fleet/harness_test.go
+++ b/tests/fleet/harness_test.go
@@ -181,6 +181,12 @@
 // newFleetWith is newFleet with additional lines of the section platform, or further sections, in the settings of the
 // VMs.
 func newFleetWith(t *testing.T, vms, executors int, platformSettings string) *fleet {
+	t.Helper()
+	return newFleetOf(t, vms, executors, 4, platformSettings)
+}
+
+// newFleetOf is newFleetWith with executors of a number of accelerators.
+func newFleetOf(t *testing.T, vms, executors int, accelerators int, platformSettings string) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	wg := &conc.WaitGroup{}
@@ -202,7 +208,7 @@
 		id := fmt.Sprintf("e%d", i)
 		info := workload.Executor{
 			ID: workload.ExecutorID(id), Pool: "pool", Address: f.newPath(ctx, wg, id, l.Addr().String()).address, Domain: "domain-a",
-			Capacity: workload.Resources{CPU: 32000, Memory: 64000, GPU: 4}, Labels: []string{"a", fmt.Sprintf("r%d", i/2)}, StartedAtMS: time.Now().UnixMilli(),
+			Capacity: workload.Resources{CPU: 32000, Memory: 64000, GPU: accelerators}, Labels: []string{"a", fmt.Sprintf("r%d", i/2)}, StartedAtMS: time.Now().UnixMilli(),
 		}
 		e := runnerstandin.NewWithGangs(info, gangs)
 		wg.Go(func() { e.Run(ctx) })
--- a/tests/fleet/reports_test.go
+++ b/tests/fleet/reports_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -214,3 +217,47 @@
 		t.Errorf("%d and %d runs of jobs with 2 tasks", runs[id], runs[long])
 	}
 }
+
+// TestLargeCheckpoints guards against a job whose checkpoints silence the executors: all tasks there would end with the lease, and no work
+// of any account would start again.
+func TestLargeCheckpoints(t *testing.T) {
+	const executors, tasks, memory = 8, 32, 144 << 20
+	f := newFleetOf(t, 2, executors, tasks+4, fmt.Sprintf("[limits]\nmemory = %dMiB\n", memory>>20))
+	f.awaitReady()
+	large := job(f.newID(), tasks*executors, 8*time.Second, false)
+	// The checkpoints of the tasks of an executor have 4.8 MB together, more than the limit of a response.
+	large.Spec = "8s 150000"
+	large.Steps[0].Need, large.Steps[0].Checkpoint = workload.Resources{CPU: 800, GPU: 1}, true
+	if accepted, _ := f.submit(t.Context(), large); !accepted {
+		t.Fatal("not accepted")
+	}
+	f.eventually("all tasks run", func() bool { worked, _ := f.workedRuns(large.ID); return worked == tasks*executors })
+	for range 3 {
+		id := f.mustSubmit(1, 100*time.Millisecond, false)
+		f.awaitState(id, workload.StateCompleted)
+	}
+	f.awaitState(large.ID, workload.StateCompleted)
+	if n := f.checkExecutors()[large.ID]; n != tasks*executors {
+		t.Errorf("%d runs of %d tasks", n, tasks*executors)
+	}
+	for _, v := range f.vms {
+		if peak := f.peakMemory(v); peak > memory {
+			t.Errorf("%s took %d MB", v.name, peak>>20)
+		}
+	}
+}
+
+// peakMemory returns the most memory in bytes that the process of a VM has taken.
+func (f *fleet) peakMemory(v *vm) int64 {
+	f.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.process().Pid))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_, line, _ := strings.Cut(string(text), "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(line, &kilobytes); err != nil {
+		f.t.Fatal(err)
+	}
+	return kilobytes << 10
+}
