Apply operators' changes of a wave of upkeep in progress

Cause: the planner kept a wave as it was first read. A removed wave went on if it was the only one, and a state was written without a condition on the order that it is about or on the state that it replaces.

--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -17,7 +17,8 @@
 //     The pages of a list are no snapshot, so that a list may miss a machine. One that is missing for long is therefore
 //     ordered, and the answer shows whether it is gone. If its upkeep has begun, that counts as ended then.
 //
-// A wave is completed once each upkeep has ended or is not needed.
+// A wave is completed once each upkeep has ended or is not needed. Operators may change a wave at any time; a machine that they have taken
+// out of it counts as down until an upkeep that was ordered before has ended.
 package upkeep
 
 import (
@@ -35,6 +36,8 @@
 	// minMissingLists is the number of lists in a row without a machine from which on it may be gone. They must also be as
 	// far apart as an upkeep takes, so that one that an earlier holder has ordered is over.
 	minMissingLists = 5
+	// maxOrderDelay bounds how late an order without an answer may still be carried out.
+	maxOrderDelay = 12 * time.Second
 )
 
 // phase is the state of a machine of a wave.
@@ -59,12 +62,14 @@
 }
 
 type wave struct {
-	spec      workload.Wave
-	startedAt time.Time
-	machines  []*machine
-	// startReported is set once Step has returned the start of the wave to be recorded, completionReported once the
-	// completion of the wave is recorded.
-	startReported, completionReported bool
+	// spec is the operators' present order.
+	spec     workload.Wave
+	machines []*machine
+	// removed is set once the operators have removed the wave. It is kept for as long as upkeeps of it may keep machines down, because
+	// they may order it again.
+	removed bool
+	// startRecorded and completionRecorded are set once the start and the completion of the wave are recorded.
+	startRecorded, completionRecorded bool
 }
 
 type machine struct {
@@ -74,6 +79,10 @@
 	// attempted is set once an order was sent, so that the upkeep may begin at any time, until a refusal shows that it will
 	// not. unresolved is set once an order got no answer: a later refusal shows nothing about it.
 	attempted, unresolved bool
+	// notNeeded is set once the platform has refused the order because the machine does not exist or is not part of the wave.
+	notNeeded bool
+	// orderRevision is the revision of the wave by which the machine was ordered last.
+	orderRevision int64
 	// begunAt is when the answer that proves the begin of the upkeep arrived.
 	begunAt time.Time
 	// missingLists is the number of latest lists that do not contain the machine, missingSince when the first of them was
@@ -82,6 +91,22 @@
 	missingSince time.Time
 	// missingLong is set while the machine has been missing for so long that it may be gone.
 	missingLong bool
+	// withdrawnAt is when the operators took the machine out of the wave; zero if it is part of it.
+	withdrawnAt time.Time
+}
+
+func (m *machine) withdrawn() bool { return !m.withdrawnAt.IsZero() }
+
+// mayBeDown reports whether an upkeep of the wave may keep a machine down that is not part of the wave any more.
+func (m *machine) mayBeDown(now time.Time, upkeepTime time.Duration) bool {
+	switch m.phase {
+	case phaseOrdered, phaseBegun:
+		return true
+	case phaseFinished:
+		return false
+	default:
+		return m.attempted && now.Sub(m.withdrawnAt) < maxOrderDelay+upkeepTime
+	}
 }
 
 // New returns a planner without waves; upkeepTime is the duration of an upkeep.
@@ -89,25 +114,61 @@
 	return &Planner{waves: map[int64]*wave{}, upkeepTime: upkeepTime}
 }
 
-// SetWaves replaces the waves that the operators have ordered. The progress of known waves is kept.
+// SetWaves replaces the waves that the operators have ordered. The progress of known waves is kept. Their machines, times and limits may
+// have changed; a wave with further machines is in progress again.
 func (s *Planner) SetWaves(now time.Time, waves []workload.Wave) {
 	present := map[int64]bool{}
 	for _, o := range waves {
 		present[o.Number] = true
-		if s.waves[o.Number] != nil {
+		w := s.waves[o.Number]
+		if w == nil {
+			w = &wave{}
+			s.waves[o.Number] = w
+		}
+		w.change(now, o)
+	}
+	for n, w := range s.waves {
+		if present[n] {
 			continue
 		}
-		w := &wave{spec: o, startedAt: now}
-		for _, id := range o.Machines {
-			w.machines = append(w.machines, &machine{id: id})
+		w.change(now, workload.Wave{Number: n})
+		w.removed, w.startRecorded, w.completionRecorded = true, false, false
+		if !slices.ContainsFunc(w.machines, func(m *machine) bool { return m.mayBeDown(now, s.upkeepTime) }) {
+			delete(s.waves, n)
 		}
-		s.waves[o.Number] = w
 	}
-	for n := range s.waves {
-		if !present[n] {
-			delete(s.waves, n)
+}
+
+// change applies the operators' present order for a wave.
+func (w *wave) change(now time.Time, spec workload.Wave) {
+	changed := spec.Revision != w.spec.Revision
+	w.spec, w.removed = spec, false
+	for _, m := range w.machines {
+		if changed && m.notNeeded {
+			// The machine may have become a part of the wave since the refusal.
+			m.phase, m.attempted, m.notNeeded = phaseWaiting, m.unresolved, false
+			if m.attempted {
+				m.phase = phaseEvacuating
+			}
+		}
+		switch present := slices.Contains(spec.Machines, m.id); {
+		case present:
+			m.withdrawnAt = time.Time{}
+		case !m.withdrawn():
+			m.withdrawnAt = now
+			if m.phase == phaseEvacuating && !m.attempted {
+				m.phase = phaseWaiting
+			}
+		}
+	}
+	for _, id := range spec.Machines {
+		if !slices.ContainsFunc(w.machines, func(m *machine) bool { return m.id == id }) {
+			w.machines = append(w.machines, &machine{id: id})
 		}
 	}
+	if !w.done() && w.completionRecorded {
+		w.startRecorded, w.completionRecorded = false, false
+	}
 }
 
 // Active reports whether any wave is unfinished.
@@ -121,7 +182,7 @@
 }
 
 func (w *wave) done() bool {
-	return !slices.ContainsFunc(w.machines, func(m *machine) bool { return m.phase != phaseFinished })
+	return !slices.ContainsFunc(w.machines, func(m *machine) bool { return m.phase != phaseFinished && !m.withdrawn() })
 }
 
 // Order is an order for the upkeep of a machine.
@@ -137,7 +198,7 @@
 	Evacuate []workload.ExecutorID
 	// Orders lists the orders to send to the platform.
 	Orders []Order
-	// StartedWaves lists the waves that are new, so that their start is to be recorded.
+	// StartedWaves lists the waves that are in progress although their start is not recorded yet.
 	StartedWaves []int64
 	// CompletedWaves lists the waves of which every machine has had its upkeep or is gone and whose completion is not
 	// recorded yet.
@@ -182,28 +243,38 @@
 }
 
 func (s *Planner) stepWave(now time.Time, w *wave, machines map[workload.MachineID]workload.Machine, vacated []workload.ExecutorID, ordered map[workload.MachineID]bool, p *Plan) {
-	if !w.startReported {
-		w.startReported = true
-		p.StartedWaves = append(p.StartedWaves, w.spec.Number)
-	}
 	// down counts the machines that are in upkeep or may be, inProgress also those that are only evacuated. A machine may be
 	// in upkeep by the order of an earlier holder, also if the list misses it.
-	inProgress, down := 0, 0
+	// fixed counts those of down for which no order can be repeated now. Where the operators have lowered the limit, not all others are
+	// ordered again at once.
+	inProgress, down, fixed := 0, 0, 0
 	for _, m := range w.machines {
 		if m.phase == phaseEvacuating && !m.attempted && !machines[m.id].Up {
 			// It gives its place to others, because it may stay down.
 			m.phase = phaseWaiting
 		}
 		switch {
+		case m.withdrawn():
+			if m.mayBeDown(now, s.upkeepTime) {
+				inProgress++
+				down++
+				fixed++
+			}
 		case m.phase == phaseFinished:
 		case m.attempted || m.phase == phaseBegun || m.missingLists > 0 && !m.missingLong || machines[m.id].InUpkeep:
 			inProgress++
 			down++
+			if m.phase != phaseEvacuating || !machines[m.id].Up {
+				fixed++
+			}
 		case m.phase == phaseEvacuating:
 			inProgress++
 		}
 	}
 	for _, m := range w.machines {
+		if m.withdrawn() {
+			continue
+		}
 		status := machines[m.id]
 		if m.missingLong && (m.phase == phaseWaiting || m.phase == phaseEvacuating) && !ordered[m.id] && (m.attempted || down < max(1, w.spec.MaxDown)) {
 			if !m.attempted {
@@ -225,20 +296,25 @@
 			p.Evacuate = append(p.Evacuate, status.Executor)
 		case phaseEvacuating:
 			p.Evacuate = append(p.Evacuate, status.Executor)
-			if !m.attempted && down >= max(1, w.spec.MaxDown) || ordered[m.id] {
+			if !m.attempted && down >= max(1, w.spec.MaxDown) || m.attempted && fixed >= max(1, w.spec.MaxDown) || ordered[m.id] {
 				continue
 			}
 			if slices.Contains(vacated, status.Executor) || now.Sub(m.phaseSince) >= s.evacuationTime(w) {
 				if !m.attempted {
 					down++
 				}
+				fixed++
 				ordered[m.id] = true
 				p.Orders = append(p.Orders, Order{w.spec.Number, m.id})
 			}
 		}
 	}
-	if w.done() && !w.completionReported {
+	switch {
+	case w.removed:
+	case w.done() && !w.completionRecorded:
 		p.CompletedWaves = append(p.CompletedWaves, w.spec.Number)
+	case !w.done() && !w.startRecorded:
+		p.StartedWaves = append(p.StartedWaves, w.spec.Number)
 	}
 }
 
@@ -271,14 +347,14 @@
 	if waveTime <= 0 {
 		waveTime = defaultWaveTime
 	}
-	rounds := (len(w.machines) + max(1, w.spec.MaxDown) - 1) / max(1, w.spec.MaxDown)
+	rounds := (len(w.spec.Machines) + max(1, w.spec.MaxDown) - 1) / max(1, w.spec.MaxDown)
 	return max(0, time.Duration(plannedTimeShare*float64(waveTime))/time.Duration(max(1, rounds))-s.upkeepTime)
 }
 
 // MarkOrdered records that an order is sent.
 func (s *Planner) MarkOrdered(o Order) {
 	if m := s.find(o); m != nil && (m.phase == phaseEvacuating || m.phase == phaseWaiting) {
-		m.phase, m.attempted = phaseOrdered, true
+		m.phase, m.attempted, m.orderRevision = phaseOrdered, true, s.waves[o.Wave].spec.Revision
 	}
 }
 
@@ -303,17 +379,38 @@
 	}
 }
 
-// MarkNotNeeded records that a machine does not exist or is not part of the wave.
+// MarkNotNeeded records that a machine does not exist or is not part of the wave. If the operators have changed the wave since the order
+// was sent, it may be part of it now, and the order is repeated.
 func (s *Planner) MarkNotNeeded(o Order) {
-	if m := s.find(o); m != nil {
-		m.phase = phaseFinished
+	m := s.find(o)
+	switch {
+	case m == nil:
+	case m.orderRevision != s.waves[o.Wave].spec.Revision:
+		s.MarkRefused(o)
+	default:
+		m.phase, m.notNeeded = phaseFinished, true
 	}
 }
 
-// MarkCompletionRecorded records that the completion of a wave is durable.
-func (s *Planner) MarkCompletionRecorded(number int64) {
+// Revision returns the revision of the present order for a wave, 0 if there is none.
+func (s *Planner) Revision(number int64) int64 {
 	if w := s.waves[number]; w != nil {
-		w.completionReported = true
+		return w.spec.Revision
+	}
+	return 0
+}
+
+// MarkStartRecorded records that the start of a wave is durable, by the order of a revision.
+func (s *Planner) MarkStartRecorded(number, revision int64) {
+	if w := s.waves[number]; w != nil && w.spec.Revision == revision {
+		w.startRecorded = true
+	}
+}
+
+// MarkCompletionRecorded records that the completion of a wave is durable, by the order of a revision.
+func (s *Planner) MarkCompletionRecorded(number, revision int64) {
+	if w := s.waves[number]; w != nil && w.spec.Revision == revision {
+		w.completionRecorded = true
 	}
 }
 
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -42,6 +42,7 @@
 	statusReadDue struct{ fencingToken workload.FencingToken }
 	statusRead    struct {
 		fencingToken workload.FencingToken
+		revisions    map[int64]int64
 		completed    map[int64]int64
 		err          error
 	}
@@ -57,9 +58,12 @@
 		err          error
 	}
 	waveStatusRecorded struct {
-		wave      int64
-		completed bool
-		err       error
+		fencingToken workload.FencingToken
+		wave         int64
+		completed    bool
+		// orderRevision is that of the order for the wave, revision that of the new entry.
+		orderRevision, revision int64
+		err                     error
 	}
 )
 
@@ -98,7 +102,11 @@
 	// completed holds the revisions at which waves were recorded as completed, as of the begin of the term; nil until they
 	// are read. No wave is planned before.
 	completed map[int64]int64
-	planner   *upkeep.Planner
+	// statusRevisions holds the revisions of the recorded states of waves, as far as they are known. recording holds the waves whose state
+	// is being recorded.
+	statusRevisions map[int64]int64
+	recording       map[int64]bool
+	planner         *upkeep.Planner
 	// evacuating lists the executors of the last evacuation request to the holder. vacated lists those that certainly run
 	// nothing, from its reply; none before the reply.
 	evacuating []workload.ExecutorID
@@ -195,13 +203,18 @@
 	fencingToken := s.fencingToken
 	c.Spawn(func(ctx context.Context) kernel.Message {
 		items, _, err := s.store.List(ctx, operator.WaveStatusPrefix)
-		completed := map[int64]int64{}
+		revisions, completed := map[int64]int64{}, map[int64]int64{}
 		for i := range items {
-			if n, ok := operator.CompletedWave(items[i].Key, items[i].Value); ok {
+			n, isCompleted, ok := operator.DecodeWaveStatus(items[i].Key, items[i].Value)
+			if !ok {
+				continue
+			}
+			revisions[n] = items[i].Revision
+			if isCompleted {
 				completed[n] = items[i].Revision
 			}
 		}
-		return statusRead{fencingToken, completed, err}
+		return statusRead{fencingToken, revisions, completed, err}
 	})
 }
 
@@ -211,7 +224,7 @@
 		c.SendAfter(statusReadDelay, statusReadDue{m.fencingToken})
 		return
 	}
-	s.completed = m.completed
+	s.completed, s.statusRevisions, s.recording = m.completed, m.revisions, map[int64]bool{}
 	s.updatePlanner(c)
 }
 
@@ -230,7 +243,7 @@
 // updatePlanner passes the waves to the planner if this VM is the holder and there are any. It starts the periodic
 // steps when the planner becomes active.
 func (s *Service) updatePlanner(c *kernel.Context) {
-	if s.fencingToken == 0 || len(s.waves) == 0 || s.completed == nil {
+	if s.fencingToken == 0 || len(s.waves) == 0 && s.planner == nil || s.completed == nil {
 		return
 	}
 	idle := s.planner == nil || !s.planner.Active()
@@ -348,28 +361,56 @@
 		errors.As(err, &status) && status.Status == http.StatusTooManyRequests
 }
 
-// recordWaveStatus writes to the store that a wave has started or is completed.
+// recordWaveStatus writes to the store that a wave has started or is completed. The write is repeated by the next step until it has
+// succeeded.
 func (s *Service) recordWaveStatus(c *kernel.Context, wave int64, completed bool) {
+	if s.recording[wave] {
+		return
+	}
+	s.recording[wave] = true
 	key, value := operator.EncodeWaveStatus(wave, completed)
-	// A holder that has been replaced must not overwrite what the next one has recorded.
+	out := waveStatusRecorded{fencingToken: s.fencingToken, wave: wave, completed: completed, orderRevision: s.planner.Revision(wave)}
 	txn := metastore.Txn{
-		Conditions: []metastore.Condition{{Key: records.HolderKey, Revision: int64(s.fencingToken)}},
-		Writes:     []metastore.Write{{Key: key, Value: value}},
+		Conditions: []metastore.Condition{
+			// A holder that has been replaced must not overwrite what the next one has recorded.
+			{Key: records.HolderKey, Revision: int64(s.fencingToken)},
+			// The state is that of the order that this holder knows. Operators may have changed it.
+			{Key: operator.WaveKey(wave), Revision: out.orderRevision},
+			// An earlier write whose outcome is unknown may be carried out late.
+			{Key: key, Revision: s.statusRevisions[wave]},
+		},
+		Writes: []metastore.Write{{Key: key, Value: value}},
 	}
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		_, err := s.store.Commit(ctx, txn)
-		return waveStatusRecorded{wave, completed, err}
+		out.revision, out.err = s.store.Commit(ctx, txn)
+		return out
 	})
 }
 
 func (s *Service) handleWaveStatusRecorded(m waveStatusRecorded) {
-	if m.err != nil {
-		s.metrics.CountEvent("wave_status_failed", 1)
+	if m.fencingToken != s.fencingToken || s.planner == nil {
 		return
 	}
-	if !m.completed || s.planner == nil {
-		return
+	delete(s.recording, m.wave)
+	var conflict *metastore.ConflictError
+	switch {
+	case errors.As(m.err, &conflict):
+		s.metrics.CountEvent("wave_status_conflict", 1)
+		key, _ := operator.EncodeWaveStatus(m.wave, m.completed)
+		for _, item := range conflict.Items {
+			if item.Key == key {
+				s.statusRevisions[m.wave] = item.Revision
+			}
+		}
+	case m.err != nil:
+		s.metrics.CountEvent("wave_status_failed", 1)
+	default:
+		s.statusRevisions[m.wave] = m.revision
+		if !m.completed {
+			s.planner.MarkStartRecorded(m.wave, m.orderRevision)
+			return
+		}
+		klog.InfoS("wave of upkeep completed", "vm", s.vm, "service", names.Upkeep, "wave", m.wave)
+		s.planner.MarkCompletionRecorded(m.wave, m.orderRevision)
 	}
-	klog.InfoS("wave of upkeep completed", "vm", s.vm, "service", names.Upkeep, "wave", m.wave)
-	s.planner.MarkCompletionRecorded(m.wave)
 }
--- a/tests/fleet/upkeep_test.go
+++ b/tests/fleet/upkeep_test.go
@@ -186,3 +186,49 @@
 		}
 	}
 }
+
+// TestWaveChangedInProgress guards against a machine that an operator adds to a wave in progress and that never gets its upkeep, and against
+// a wave that goes on although the operator has removed it and there is no other one.
+func TestWaveChangedInProgress(t *testing.T) {
+	f, platform, ids := newFleetWithMachines(t, 2, 3)
+	f.awaitReady()
+	set := func(n int64, machines []workload.MachineID) (key string) {
+		key, value := operator.EncodeWave(workload.Wave{Number: n, Machines: machines, Within: 5 * time.Second, MaxDown: 1})
+		f.store.Set(key, value)
+		return key
+	}
+	upkeeps := func() map[workload.MachineID]int {
+		seen := map[workload.MachineID]int{}
+		for _, o := range platform.History().Orders {
+			seen[o.Machine]++
+		}
+		return seen
+	}
+	set(7, ids[:2])
+	f.eventually("first machine in upkeep", func() bool { return len(upkeeps()) > 0 })
+	set(7, ids)
+	statusKey, want := operator.EncodeWaveStatus(7, true)
+	f.eventually("wave completed", func() bool {
+		return slices.ContainsFunc(f.store.Entries(statusKey), func(item metastore.Item) bool { return bytes.Equal(item.Value, want) })
+	})
+	if seen := upkeeps(); len(seen) != 3 {
+		t.Errorf("the wave is reported as completed after the upkeep of %v", seen)
+	}
+	before := len(platform.History().Orders)
+	// All machines are occupied, so that the upkeep waits for the end of a task until it is due.
+	job := f.mustSubmit(12, 8*time.Second, false)
+	f.eventually("all tasks run", func() bool { worked, _ := f.workedRuns(job); return worked == 12 })
+	key := set(8, ids[:1])
+	status8, running := operator.EncodeWaveStatus(8, false)
+	f.eventually("wave running", func() bool {
+		return slices.ContainsFunc(f.store.Entries(status8), func(item metastore.Item) bool { return bytes.Equal(item.Value, running) })
+	})
+	f.store.Remove(key)
+	f.awaitState(job, workload.StateCompleted)
+	if n := len(platform.History().Orders) - before; n != 0 {
+		t.Errorf("%d upkeeps of the removed wave", n)
+	}
+	if n := f.checkExecutors()[job]; n != 12 {
+		t.Errorf("%d runs of 12 tasks", n)
+	}
+}
