Delay an upkeep that would end a task that may not be missed

Cause: once a machine's share of the wave's time was over, its upkeep was ordered whatever ran there; the holder's permit for the order was about its lease alone. Change: the permit names the executor and is denied while a step would miss more tasks than it may. The tasks of an executor with a permit count as missing for as long as the order may be carried out. The wait is logged and counted.

--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -195,8 +195,12 @@
 // Kind implements kernel.Message.
 func (ResignHolder) Kind() string { return "resign_holder" }
 
-// PermitQuery asks the holder whether an order that only the holder may give can be sent; answered by OrderPermit.
-type PermitQuery struct{ FencingToken workload.FencingToken }
+// PermitQuery asks the holder whether an order that only the holder may give can be sent; answered by OrderPermit or OrderDenied.
+type PermitQuery struct {
+	FencingToken workload.FencingToken
+	// Executor is the executor that the order terminates; empty if it is unknown.
+	Executor workload.ExecutorID
+}
 
 // Kind implements kernel.Message.
 func (PermitQuery) Kind() string { return "permit_query" }
@@ -207,6 +211,12 @@
 // Kind implements kernel.Message.
 func (OrderPermit) Kind() string { return "order_permit" }
 
+// OrderDenied denies an order because a step would miss more tasks than it may.
+type OrderDenied struct{}
+
+// Kind implements kernel.Message.
+func (OrderDenied) Kind() string { return "order_denied" }
+
 // VacatedExecutors lists the executors of an evacuation that certainly run nothing and get no new work.
 type VacatedExecutors struct{ Executors []workload.ExecutorID }
 
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -76,6 +76,8 @@
 	address, provenAddress string
 	// registered is set while the executor has a registry entry.
 	registered bool
+	// terminatesUntil is until when an order may terminate the executor; zero if there is none.
+	terminatesUntil time.Time
 	// used is the capacity that all task runs occupy, dispatched the part of those whose start was sent.
 	used, dispatched workload.Resources
 	taskRuns         []*taskRun
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -24,6 +24,7 @@
 	clear(f.guaranteeRooms)
 	f.collectUnits(now)
 	f.stopIncompleteRuns(now)
+	f.expireTerminations(now)
 	f.evacuateDraining(now)
 	f.restartStalled(now)
 	var waiting []*candidate
--- a/decisions/fleet/throttle.go
+++ b/decisions/fleet/throttle.go
@@ -135,13 +135,13 @@
 	return true
 }
 
-// fullyRunning reports whether all tasks of a unit run and have finished their startup.
+// fullyRunning reports whether all tasks of a unit run and have finished their startup, on executors that will not be terminated.
 func (u *unit) fullyRunning() bool {
 	if u.state != unitActive || u.ending || len(u.taskRuns) < u.size {
 		return false
 	}
 	for _, r := range u.taskRuns {
-		if r.state != taskRunning || r.progress < fullProgress {
+		if r.state != taskRunning || r.progress < fullProgress || r.executor.terminates() {
 			return false
 		}
 	}
--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -212,6 +212,16 @@
 	Machines    []workload.Machine
 }
 
+// Executor returns the executor of a machine, or "" if the list does not contain the machine.
+func (l *List) Executor(id workload.MachineID) workload.ExecutorID {
+	for i := range l.Machines {
+		if l.Machines[i].ID == id {
+			return l.Machines[i].Executor
+		}
+	}
+	return ""
+}
+
 // Step applies the platform's list of machines and the list of evacuated executors that certainly run nothing, and
 // returns the actions to carry out. An executor that is not in vacated may run tasks.
 func (s *Planner) Step(now time.Time, list List, vacated []workload.ExecutorID) Plan {
--- a/services/holder/lease.go
+++ b/services/holder/lease.go
@@ -69,6 +69,10 @@
 		e.Fail(notHolder())
 		return
 	}
+	if m.Executor != "" && !t.fleet.PermitTermination(time.Now(), m.Executor) {
+		e.Reply(message.OrderDenied{})
+		return
+	}
 	t.permitUntil = s.now() + remaining
 	e.Reply(message.OrderPermit{ValidUntil: t.permitUntil})
 }
--- a/services/upkeep/service.go
+++ b/services/upkeep/service.go
@@ -110,7 +110,9 @@
 	// evacuating lists the executors of the last evacuation request to the holder. vacated lists those that certainly run
 	// nothing, from its reply; none before the reply.
 	evacuating []workload.ExecutorID
-	vacated    []workload.ExecutorID
+	// denied holds the orders whose delay by the holder was logged.
+	denied  map[upkeep.Order]bool
+	vacated []workload.ExecutorID
 	// now is the clock of permits.
 	now boottime.Clock
 }
@@ -225,6 +227,7 @@
 		return
 	}
 	s.completed, s.statusRevisions, s.recording = m.completed, m.revisions, map[int64]bool{}
+	s.denied = map[upkeep.Order]bool{}
 	s.updatePlanner(c)
 }
 
@@ -274,7 +277,7 @@
 	}
 	p := s.planner.Step(time.Now(), m.list, s.vacated)
 	for _, o := range p.Orders {
-		s.sendOrder(c, o)
+		s.sendOrder(c, o, m.list.Executor(o.Machine))
 	}
 	for _, w := range p.StartedWaves {
 		s.recordWaveStatus(c, w, false)
@@ -296,16 +299,24 @@
 	}
 }
 
-func (s *Service) sendOrder(c *kernel.Context, o upkeep.Order) {
-	klog.InfoS("upkeep ordered", "vm", s.vm, "service", names.Upkeep, "wave", o.Wave, "machine", o.Machine, "fence", s.fencingToken)
+// sendOrder sends an order, which terminates an executor, if the holder permits it.
+func (s *Service) sendOrder(c *kernel.Context, o upkeep.Order, executor workload.ExecutorID) {
 	s.planner.MarkOrdered(o)
 	fencingToken := s.fencingToken
-	c.Request(names.Holder, message.PermitQuery{FencingToken: fencingToken}, func(r kernel.Message, err error) {
+	c.Request(names.Holder, message.PermitQuery{FencingToken: fencingToken, Executor: executor}, func(r kernel.Message, err error) {
+		if _, denied := r.(message.OrderDenied); denied && err == nil {
+			s.handleOrderDenied(o, executor, fencingToken)
+			return
+		}
 		permit, ok := r.(message.OrderPermit)
 		if err != nil || !ok {
 			s.handleOrderSent(orderSent{o, fencingToken, &PermitError{Cause: err}})
 			return
 		}
+		if fencingToken == s.fencingToken {
+			delete(s.denied, o)
+		}
+		klog.InfoS("upkeep ordered", "vm", s.vm, "service", names.Upkeep, "wave", o.Wave, "machine", o.Machine, "fence", fencingToken)
 		c.Spawn(func(ctx context.Context) kernel.Message {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
@@ -315,6 +326,19 @@
 	})
 }
 
+// handleOrderDenied keeps an order for a later step. It logs the reason once.
+func (s *Service) handleOrderDenied(o upkeep.Order, executor workload.ExecutorID, fencingToken workload.FencingToken) {
+	if s.planner == nil || fencingToken != s.fencingToken {
+		return
+	}
+	s.metrics.CountEvent("upkeep_waits", 1)
+	s.planner.MarkRefused(o)
+	if !s.denied[o] {
+		s.denied[o] = true
+		klog.InfoS("upkeep waits", "vm", s.vm, "service", names.Upkeep, "wave", o.Wave, "machine", o.Machine, "executor", executor, "reason", "a step would miss more tasks than it may")
+	}
+}
+
 // permitGuard returns a guard of an order that fails once the permit has expired. The machine service may not check
 // fencing tokens, so that a late order could reach a machine after those of the next holder.
 func permitGuard(now boottime.Clock, permit message.OrderPermit) func() error {
--- a/standins/runner/gangs.go
+++ b/standins/runner/gangs.go
@@ -17,6 +17,15 @@
 	return runTime.String() + gangSeparator + strconv.Itoa(members)
 }
 
+// ServeSpec returns the specification of a long-running task that has started up after a time and then works until it is stopped.
+func ServeSpec(startup time.Duration) string { return servePrefix + startup.String() }
+
+const (
+	servePrefix = "serve "
+	// serveTime is the run time of a long-running task. No test lasts as long.
+	serveTime = 1000 * time.Hour
+)
+
 const gangSeparator = " gang "
 
 // parseSpec returns the run time of a task, the number of members of its gang, 0 for a task without a gang, and the size of
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -82,7 +82,9 @@
 	// duration is the run time and members the size of the gang, 0 for a task that runs independently.
 	duration time.Duration
 	members  int
-	record   *RunRecord
+	// startup is the time that a long-running task takes to start up, 0 for any other.
+	startup time.Duration
+	record  *RunRecord
 	// checkpoint is the checkpoint that each report of the run shows.
 	checkpoint string
 }
@@ -90,6 +92,9 @@
 // percent returns the progress of a run.
 func (r *run) percent(now time.Time) int {
 	total := r.endsAt.Sub(r.record.Started)
+	if r.startup > 0 {
+		total = r.startup
+	}
 	if total <= 0 {
 		return 100
 	}
@@ -311,6 +316,15 @@
 		st.overCapacity++
 	}
 	r := st.runs[len(st.runs)-1]
+	if text, ok := strings.CutPrefix(o.Spec, servePrefix); ok {
+		startup, err := time.ParseDuration(text)
+		if err != nil {
+			st.endRun(r, workload.Failed)
+			return nil
+		}
+		r.startup, r.duration, r.endsAt, record.Worked = startup, serveTime, now.Add(serveTime), true
+		return nil
+	}
 	duration, members, saveBytes, err := parseSpec(o.Spec)
 	r.checkpoint = strings.Repeat("c", saveBytes)
 	if err != nil {
--- a/tests/fleet/upkeep_test.go
+++ b/tests/fleet/upkeep_test.go
@@ -17,6 +17,7 @@
 	"github.com/verbenaflow/verbenaflow/platform/operator"
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 	cloudstandin "github.com/verbenaflow/verbenaflow/standins/cloud"
+	runnerstandin "github.com/verbenaflow/verbenaflow/standins/runner"
 )
 
 // upkeepTime is the duration of the upkeeps of newFleetWithMachines.
@@ -232,3 +233,55 @@
 		t.Errorf("%d runs of 12 tasks", n)
 	}
 }
+
+// TestUpkeepWaitsForMissingTask guards against an upkeep that ends the last task at work of a step that may miss one, because another job
+// has taken the room of the missing task.
+func TestUpkeepWaitsForMissingTask(t *testing.T) {
+	f, platform, ids := newFleetWithMachines(t, 2, 2)
+	config := testConfig(2)
+	config.Accounts[0].Guaranteed = 0
+	urgent := config.Routes[0]
+	urgent.Name, urgent.Prefix, urgent.Priority = "urgent", "/urgent/", 0
+	config.Routes = append(config.Routes, urgent)
+	f.store.Set(operator.ConfigKey, operator.EncodeConfig(config))
+	f.awaitReady()
+	lasting := job(f.newID(), 2, 0, false)
+	lasting.Spec = runnerstandin.ServeSpec(300 * time.Millisecond)
+	lasting.Steps[0].Need, lasting.Steps[0].LongRunning, lasting.Steps[0].MayMiss = workload.Resources{CPU: 1000, GPU: 4}, true, 1
+	if accepted, _ := f.submit(t.Context(), lasting); !accepted {
+		t.Fatal("not accepted")
+	}
+	present := func() (n int) {
+		for _, e := range f.executors {
+			for _, r := range e.RunRecords() {
+				if r.Task.Job == lasting.ID && r.Ended.IsZero() {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	f.eventually("both tasks run", func() bool { return present() == 2 })
+	time.Sleep(2 * time.Second)
+	key, value := operator.EncodeWave(workload.Wave{Number: 7, Machines: ids, Within: 10 * time.Second, MaxDown: 1})
+	f.store.Set(key, value)
+	f.eventually("first machine in upkeep", func() bool { return len(platform.History().Orders) > 0 })
+	client := f.client(f.vms[0])
+	client.Prefix = urgent.Prefix
+	other := job(f.newID(), 1, 8*time.Second, false)
+	other.Steps[0].Need.GPU = 4
+	if r, err := client.Submit(t.Context(), other); err != nil || r.Status/100 != 2 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	statusKey, want := operator.EncodeWaveStatus(7, true)
+	f.eventually("wave completed", func() bool {
+		if present() == 0 {
+			t.Fatal("no task of the step is left")
+		}
+		return slices.ContainsFunc(f.store.Entries(statusKey), func(item metastore.Item) bool { return bytes.Equal(item.Value, want) })
+	})
+	f.awaitState(other.ID, workload.StateCompleted)
+	if n := len(platform.History().Orders); n != 2 {
+		t.Errorf("%d upkeeps, want 2", n)
+	}
+}
