Keep a job whose ID is that of one that was just removed

No caller has reported it: a job that is submitted under the ID of a removed one is accepted and never runs. Cause: the removal of a finished job's entries was unconditional, and the holder forgets the job at the answer. Until then, for long if the answer is lost, it took the entry of the next job for the one it knew; a repeated removal deleted it. Change: a removal depends on the revision of the job's acceptance. Tests changed with the types: TestLimitAfterCompletedJobs and the test of ExpiredJobs compare the same identifiers.

--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -388,8 +388,12 @@
 
 // removeExpired removes the expired jobs and returns them in the order of their identifiers.
 func (sim *simulation) removeExpired() []workload.JobID {
-	ids := sim.holder.scheduler.ExpiredJobs(sim.now, 10)
-	sim.holder.scheduler.RemoveJobs(ids)
+	expired := sim.holder.scheduler.ExpiredJobs(sim.now, 10)
+	sim.holder.scheduler.RemoveJobs(expired)
+	var ids []workload.JobID
+	for _, x := range expired {
+		ids = append(ids, x.ID)
+	}
 	slices.Sort(ids)
 	return ids
 }
--- a/decisions/fleet/records_test.go
+++ b/decisions/fleet/records_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -116,7 +115,7 @@
 	}
 	later := sim.now.Add(sim.settings.Retention + time.Second)
 	for range 2 {
-		if ids := f.ExpiredJobs(later, 1); !slices.Equal(ids, []workload.JobID{"first"}) {
+		if ids := f.ExpiredJobs(later, 1); len(ids) != 1 || ids[0].ID != "first" {
 			t.Errorf("%v have expired, want the job that ended first", ids)
 		}
 	}
@@ -124,11 +123,43 @@
 	if s, known := f.Status("first"); !known || s != workload.StateCompleted {
 		t.Errorf("the expired job is %q, known %v", s, known)
 	}
-	f.RemoveJobs([]workload.JobID{"first"})
+	f.RemoveJobs(f.ExpiredJobs(later, 1))
 	if _, known := f.Status("first"); known {
 		t.Error("the removed job is known")
 	}
-	if ids := f.ExpiredJobs(later, 10); !slices.Equal(ids, []workload.JobID{"second"}) {
+	if ids := f.ExpiredJobs(later, 10); len(ids) != 1 || ids[0].ID != "second" {
 		t.Errorf("%v have expired, want the other job", ids)
 	}
 }
+
+// TestReplacedJob guards against a job that is never run because the scheduler still knows a finished one of the same ID, and against one that
+// runs again because an entry that is no later one is taken for a new job.
+func TestReplacedJob(t *testing.T) {
+	now := time.Unix(0, 0)
+	f := New(Settings{Lease: 6 * time.Second}, 1, 1, false, now)
+	rec := oneStep("j", "normal", workload.Step{Count: 1, Need: smallTask})
+	f.AddJob(now, rec, 10, nil)
+	if f.RemoveReplaced("j", 20) {
+		t.Error("a job that has not ended is replaced")
+	}
+	f.Cancel(now, "j")
+	if f.RemoveReplaced("j", 20) {
+		t.Error("a job is replaced before its end is recorded")
+	}
+	f.MarkRecorded(f.UnrecordedProgress(10))
+	removal := ExpiredJob{ID: "j", Accepted: 10}
+	for _, revision := range []int64{5, 10} {
+		if f.RemoveReplaced("j", revision) {
+			t.Errorf("a finished job of revision 10 is replaced by one of revision %d", revision)
+		}
+	}
+	if !f.RemoveReplaced("j", 20) || !f.RemoveReplaced("unknown", 20) {
+		t.Error("a later job is not to be added")
+	}
+	f.AddJob(now, rec, 20, nil)
+	// The answer to the removal of the earlier job arrives late.
+	f.RemoveJobs([]ExpiredJob{removal})
+	if _, known := f.Status("j"); !known {
+		t.Error("the removal of the earlier job has removed the later one")
+	}
+}
--- a/services/holder/queue_position.go
+++ b/services/holder/queue_position.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 )
 
@@ -32,15 +33,15 @@
 func (q *queuePosition) includes(revision int64) bool { return revision <= q.revision }
 
 // markRemoved records that the entries of jobs were removed at a revision.
-func (q *queuePosition) markRemoved(ids []workload.JobID, revision int64) {
+func (q *queuePosition) markRemoved(jobs []fleet.ExpiredJob, revision int64) {
 	if q.includes(revision) {
 		return
 	}
 	if q.removed == nil {
 		q.removed = map[workload.JobID]int64{}
 	}
-	for _, id := range ids {
-		q.removed[id] = revision
+	for _, x := range jobs {
+		q.removed[x.ID] = revision
 	}
 }
 
--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -20,8 +20,9 @@
 	maxSaveRecords = metastore.MaxTxnEntries - 4
 	// saveRetryDelay is the delay before a failed save is repeated.
 	saveRetryDelay = 250 * time.Millisecond
-	// maxExpiredJobs is the largest number of finished jobs whose three entries are removed in one transaction.
-	maxExpiredJobs = (metastore.MaxTxnEntries - 3) / 3
+	// maxExpiredJobs is the largest number of finished jobs whose three entries are removed in one transaction, with a condition
+	// each.
+	maxExpiredJobs = (metastore.MaxTxnEntries - 3) / 4
 	// expiryInterval is the time between two checks for entries whose retention has ended.
 	expiryInterval = 5 * time.Second
 	// defaultTombstoneRetention is how long the tombstone of a cancelled job is kept. It has to exceed the time by which the
@@ -40,7 +41,7 @@
 	// probe is set if the transaction only shows whether the store takes transactions without the suspected entry.
 	probe bool
 	// expired lists the jobs whose entries the transaction removes.
-	expired []workload.JobID
+	expired []fleet.ExpiredJob
 	// roster is nil if the transaction did not contain it; rosterVersion is its version.
 	roster        workload.Roster
 	rosterVersion int64
@@ -154,11 +155,15 @@
 }
 
 // addExpired adds the removal of expired entries to a transaction: those of finished jobs or, if there are none, of
-// tombstones. A tombstone that was written again meanwhile is kept, because its revision is a condition.
+// tombstones. An entry that was written again meanwhile is kept, because its revision is a condition: a removal may be repeated
+// after it was done without an answer.
 func (s *Service) addExpired(now time.Time, out *saveDone, txn *metastore.Txn) {
 	t := s.term
 	out.expired = t.fleet.ExpiredJobs(now, maxExpiredJobs)
 	txn.Removals = recordKeys(out.expired)
+	for _, x := range out.expired {
+		txn.Conditions = append(txn.Conditions, metastore.Condition{Key: records.JobKey(x.ID), Revision: x.Accepted})
+	}
 	if len(txn.Removals) > 0 {
 		return
 	}
@@ -171,10 +176,10 @@
 	}
 }
 
-func recordKeys(ids []workload.JobID) []string {
+func recordKeys(jobs []fleet.ExpiredJob) []string {
 	var keys []string
-	for _, id := range ids {
-		keys = append(keys, records.JobKey(id), records.CancelKey(id), records.ProgressKey(id))
+	for _, x := range jobs {
+		keys = append(keys, records.JobKey(x.ID), records.CancelKey(x.ID), records.ProgressKey(x.ID))
 	}
 	return keys
 }
@@ -212,7 +217,9 @@
 		s.handleRejected(c, m, rejected)
 		return
 	case errors.As(m.err, &conflict):
-		if t.adoptSaveRevision(conflict) {
+		adopted := t.adoptSaveRevision(conflict)
+		s.applyRemovalConflict(m.expired, conflict)
+		if adopted {
 			// An earlier unanswered transaction was applied after all.
 			s.metrics.CountEvent("save_repeated", 1)
 			s.requestPlan(c)
@@ -228,6 +235,30 @@
 	s.schedulePlan(c, saveRetryDelay)
 }
 
+// applyRemovalConflict applies what a conflict shows about the entries of expired jobs: an earlier removal was done without an answer, and
+// a caller may have submitted a job of the same ID since.
+func (s *Service) applyRemovalConflict(expired []fleet.ExpiredJob, conflict *metastore.ConflictError) {
+	t := s.term
+	items := make(map[string]*metastore.Item, len(conflict.Items))
+	for i := range conflict.Items {
+		items[conflict.Items[i].Key] = &conflict.Items[i]
+	}
+	for _, x := range expired {
+		item, ok := items[records.JobKey(x.ID)]
+		switch {
+		case !ok || item.Revision == x.Accepted:
+		case item.Revision == 0:
+			s.metrics.CountEvent("removals_done_unanswered", 1)
+			t.fleet.RemoveJobs([]fleet.ExpiredJob{x})
+			t.queue.markRemoved([]fleet.ExpiredJob{x}, t.saveRevision)
+		case x.Accepted == 0 || item.Created <= x.Accepted:
+			t.fleet.CorrectAcceptance(x, item.Revision)
+		default:
+			s.applyQueueItem(time.Now(), item)
+		}
+	}
+}
+
 // adoptSaveRevision reports whether a transaction failed only because an earlier one of this holder was applied, and
 // adopts the revision of that one.
 func (t *term) adoptSaveRevision(conflict *metastore.ConflictError) bool {
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -326,7 +326,7 @@
 		}
 		return
 	}
-	if _, known := t.fleet.Status(id); known {
+	if !t.fleet.RemoveReplaced(id, item.Created) {
 		return
 	}
 	if t.queue.wasRemoved(id, item.Created) {
@@ -343,7 +343,7 @@
 }
 
 func (t *term) addJob(now time.Time, s *Service, job *workload.Job, revision int64) {
-	if _, known := t.fleet.Status(job.ID); known {
+	if !t.fleet.RemoveReplaced(job.ID, revision) {
 		return
 	}
 	if err := job.Validate(); err != nil {
--- a/standins/metastore/metastore.go
+++ b/standins/metastore/metastore.go
@@ -32,6 +32,41 @@
 	Reject func(metastore.Txn) bool
 	// RefuseTxn, if not nil, reports whether the store refuses a transaction without effect, as a busy store does.
 	RefuseTxn func(metastore.Txn) bool
+	// End, if not nil, tells how a transaction ends.
+	End func(metastore.Txn) TxnEnd
+}
+
+// TxnEnd is a way in which a transaction ends.
+type TxnEnd uint8
+
+// Ends of a transaction.
+const (
+	// TxnAnswered means that the transaction is processed and answered.
+	TxnAnswered TxnEnd = iota
+	// TxnRefused means that it is refused without effect, as by a busy store.
+	TxnRefused
+	// TxnAnswerLost means that it is processed and not answered.
+	TxnAnswerLost
+	// TxnLate means that it is not answered, and processed after lateDelay.
+	TxnLate
+	// TxnIgnored means that it is not answered and never processed.
+	TxnIgnored
+	// TxnRejected means that it is refused for good.
+	TxnRejected
+)
+
+// end returns how a transaction ends.
+func (f *Faults) end(t metastore.Txn) TxnEnd {
+	switch {
+	case f.End != nil:
+		return f.End(t)
+	case rand.Float64() < f.LateTxnShare:
+		return TxnLate
+	case rand.Float64() < f.LoseAnswerShare:
+		return TxnAnswerLost
+	default:
+		return TxnAnswered
+	}
 }
 
 // lateDelay is the time after which a late transaction is applied.
@@ -190,13 +225,19 @@
 func (s *Store) Commit(ctx context.Context, t metastore.Txn) (revision int64, err error) {
 	lost := false
 	callErr := s.do(ctx, func(st *state) {
-		if rand.Float64() < st.faults.LateTxnShare {
+		end := st.faults.end(t)
+		lost = end == TxnAnswerLost || end == TxnLate || end == TxnIgnored
+		switch end {
+		case TxnRejected:
+			err = &metastore.RejectedError{Status: http.StatusForbidden, Cause: &metastore.NotExecutedError{Cause: context.Canceled}}
+		case TxnRefused:
+			err = &metastore.NotExecutedError{Cause: context.Canceled}
+		case TxnIgnored:
+		case TxnLate:
 			st.lateTxns = append(st.lateTxns, lateTxn{time.Now().Add(lateDelay), t})
-			lost = true
-			return
+		default:
+			revision, err = st.commit(t)
 		}
-		revision, err = st.commit(t)
-		lost = rand.Float64() < st.faults.LoseAnswerShare
 	})
 	if callErr != nil {
 		return 0, callErr
--- a/tests/holder/expired_test.go
+++ b/tests/holder/expired_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -132,3 +133,26 @@
 		return len(env.store.Entries(records.QueuePrefix)) == 0 && len(env.store.Entries(records.ProgressPrefix)) == 0
 	})
 }
+
+// TestResubmissionAfterUnansweredRemoval guards against an accepted job that is never run: its ID is that of a finished job whose removal was
+// done but not answered, so that the holder repeated the removal.
+func TestResubmissionAfterUnansweredRemoval(t *testing.T) {
+	t.Parallel()
+	env, _ := newExpiringEnvironment(t)
+	var lost atomic.Bool
+	env.store.SetFaults(storestandin.Faults{End: func(txn metastore.Txn) storestandin.TxnEnd {
+		if slices.Contains(txn.Removals, records.JobKey(expiredJob)) && lost.CompareAndSwap(false, true) {
+			return storestandin.TxnAnswerLost
+		}
+		return storestandin.TxnAnswered
+	}})
+	env.eventually("the entries are removed", func() bool { return len(env.store.Entries(records.JobKey(expiredJob))) == 0 })
+	env.storeJob(expiredJob, "10ms", workload.Step{Count: 1, Need: workload.Resources{CPU: 100}, Estimate: time.Second})
+	env.eventually("the job runs again", func() bool { return env.starts() == 2 })
+	env.eventually("the job is forgotten", func() bool {
+		return env.state(expiredJob) == "" && len(env.store.Entries(records.JobKey(expiredJob))) == 0
+	})
+	if n := env.starts(); n != 2 {
+		t.Errorf("%d starts of two jobs with one task each", n)
+	}
+}
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -99,6 +99,8 @@
 	lateConfig bool
 	// refuseRunTimes makes the store refuse to read learned run times.
 	refuseRunTimes atomic.Bool
+	// startHolder starts the holder, which stopHolder ends as at the end of its VM's service.
+	startHolder, stopHolder func()
 }
 
 // observeStore counts the calls that list the progress of jobs, and refuses them while refuseRecords is set.
@@ -178,6 +180,14 @@
 		catalog = lateCatalog{config}
 	}
 	env.metrics = metrics.New()
+	env.startHolder = func() { env.serveHolder(strings.TrimPrefix(storeServer.URL, "http://"), catalog) }
+	env.startHolder()
+	t.Cleanup(func() { env.stopHolder() })
+}
+
+// serveHolder starts a kernel with the holder service.
+func (env *environment) serveHolder(storeAddress string, catalog kernel.Service) {
+	env.t.Helper()
 	service := holder.New(holder.Settings{
 		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
 		Fleet: fleet.Settings{
@@ -185,18 +195,17 @@
 			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: cmp.Or(env.retention, time.Hour),
 			LearnRunTimes: env.runTimesInterval > 0,
 		},
-	}, metastore.NewClient(strings.TrimPrefix(storeServer.URL, "http://"), cmp.Or(env.storeTimeout, time.Second)), runner.NewClient(2), nil, env.metrics)
+	}, metastore.NewClient(storeAddress, cmp.Or(env.storeTimeout, time.Second)), runner.NewClient(2), nil, env.metrics)
 	k, err := kernel.New(nil, kernel.Spec{Name: names.Relay, Service: stub{}}, service.Spec(),
 		kernel.Spec{Name: names.Catalog, Service: catalog})
 	if err != nil {
-		t.Fatal(err)
+		env.t.Fatal(err)
 	}
 	stop, err := k.Start()
 	if err != nil {
-		t.Fatal(err)
+		env.t.Fatal(err)
 	}
-	env.kernel = k
-	t.Cleanup(func() { _ = stop(nil) })
+	env.kernel, env.stopHolder = k, func() { _ = stop(nil) }
 }
 
 // serve serves until the test ends. Calls in progress are cut off then.
