Double the time for a stall with each stalled run of a unit

Found by reading: a task with a far too short estimate that seldom reports progress was stopped as stalled again and again, and never ended. Cause: the bound depends on the estimate alone, which stopped runs do not correct. Change: each stop as stalled doubles the bound for the next run of the unit.

--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -49,6 +49,8 @@
 	startedAt  time.Time
 	// progressStart is the progress from which the pace of the latest run is measured; zero before it is known.
 	progressStart progressMark
+	// stalls counts the runs that were stopped as stalled.
+	stalls int
 	// learned is the latest run if run times are learned from it, otherwise nil.
 	learned *learnedRun
 	// readyAt is when the unit first became startable, pendingSince when it last did: after its latest run has ended.
--- a/decisions/fleet/learn_test.go
+++ b/decisions/fleet/learn_test.go
@@ -284,3 +284,17 @@
 		t.Errorf("expected run time %v after eight runs that were stopped halfway through 8 s, want at least 5 s", got)
 	}
 }
+
+// TestSlowProgressEnds guards against a task that never ends because its estimate is far too short: its reports show progress so
+// seldom that each run would be stopped as stalled.
+func TestSlowProgressEnds(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 2)
+	sim.newHolder()
+	sim.advanceRuns()
+	sim.advance(100 * time.Millisecond)
+	sim.submit(oneStep("slow", "batch", workload.Step{Count: 1, Need: smallTask, Estimate: 100 * time.Millisecond}), behavior{runTime: 600 * time.Second})
+	sim.advance(650 * time.Second)
+	if state, _ := sim.holder.scheduler.Status("slow"); state != workload.StateCompleted {
+		t.Errorf("the job is %s after 650 s, %d runs were stopped as stalled", state, sim.holder.scheduler.TakeCounters()[CountStalled])
+	}
+}
--- a/decisions/fleet/move.go
+++ b/decisions/fleet/move.go
@@ -11,6 +11,9 @@
 	stallFactor        = 3.0
 	stallProgressShare = 0.15
 	minStallTime       = 2500 * time.Millisecond
+	// Each stalled run doubles the time for the next one of its unit, at most maxStallDoublings times: the estimate may be far too
+	// short, and the task would never end.
+	maxStallDoublings = 10
 )
 
 // evacuateDraining stops runs on draining and evacuated executors, so that they restart elsewhere: long-running tasks,
@@ -65,10 +68,12 @@
 			continue
 		}
 		est := f.longestRunTime(u)
-		if without < time.Duration(stallFactor*stallProgressShare*f.settings.RemoteSlowdown*float64(est)) {
+		bound := max(minStallTime, time.Duration(stallFactor*stallProgressShare*f.settings.RemoteSlowdown*float64(est)))
+		if without < bound<<min(u.stalls, maxStallDoublings) {
 			continue
 		}
 		f.count(CountStalled)
+		u.stalls++
 		for _, r := range u.taskRuns {
 			if u.size == 1 || r.progress < u.progress {
 				r.executor.suspicion.add(now, stalledWeight)
