Apply a changed wave in linear time

The comparison of the machines of a wave with its order took the square of their number, which may be 100,000; unchanged waves are skipped.

--- a/decisions/upkeep/upkeep.go
+++ b/decisions/upkeep/upkeep.go
@@ -121,9 +121,12 @@
 	for _, o := range waves {
 		present[o.Number] = true
 		w := s.waves[o.Number]
-		if w == nil {
+		switch {
+		case w == nil:
 			w = &wave{}
 			s.waves[o.Number] = w
+		case w.spec.Revision == o.Revision && !w.removed:
+			continue
 		}
 		w.change(now, o)
 	}
@@ -143,7 +146,13 @@
 func (w *wave) change(now time.Time, spec workload.Wave) {
 	changed := spec.Revision != w.spec.Revision
 	w.spec, w.removed = spec, false
+	present := make(map[workload.MachineID]bool, len(spec.Machines))
+	for _, id := range spec.Machines {
+		present[id] = true
+	}
+	known := make(map[workload.MachineID]bool, len(w.machines))
 	for _, m := range w.machines {
+		known[m.id] = true
 		if changed && m.notNeeded {
 			// The machine may have become a part of the wave since the refusal.
 			m.phase, m.attempted, m.notNeeded = phaseWaiting, m.unresolved, false
@@ -151,8 +160,8 @@
 				m.phase = phaseEvacuating
 			}
 		}
-		switch present := slices.Contains(spec.Machines, m.id); {
-		case present:
+		switch {
+		case present[m.id]:
 			m.withdrawnAt = time.Time{}
 		case !m.withdrawn():
 			m.withdrawnAt = now
@@ -162,7 +171,7 @@
 		}
 	}
 	for _, id := range spec.Machines {
-		if !slices.ContainsFunc(w.machines, func(m *machine) bool { return m.id == id }) {
+		if !known[id] {
 			w.machines = append(w.machines, &machine{id: id})
 		}
 	}
