Count an upkeep of a former holder as soon as a list shows it

The oracle of the waves took such an upkeep for unseen as long as the lists had lacked the machine at any time since its begin, also after a list had shown it, which made the check of the limit weaker than its comment says. It now counts from the first list that shows the present holder the machine in upkeep.

--- a/decisions/upkeep/oracle_test.go
+++ b/decisions/upkeep/oracle_test.go
@@ -37,10 +37,11 @@
 	busyUntil int
 	// begun holds the waves of which the upkeep of the machine has begun.
 	begun map[int64]bool
-	// wave and term are those of the present upkeep, since its begin.
-	wave  int64
-	term  int
-	since int
+	// wave and term are those of the present upkeep.
+	wave int64
+	term int
+	// shown is set once a list has shown the present holder that the machine is in upkeep.
+	shown bool
 }
 
 func (m *oracleMachine) executorID() workload.ExecutorID {
@@ -57,10 +58,9 @@
 	term     int
 	// events holds what happens at later ticks.
 	events map[int][]func()
-	// listing is set while a list is requested; listedAt is when the latest applied list was requested.
-	listing  bool
-	listedAt int
-	vacated  []workload.ExecutorID
+	// listing is set while a list is requested.
+	listing bool
+	vacated []workload.ExecutorID
 	// revision is that of the last change of a wave, known that of the last one that the holder knows. completed holds the waves that are
 	// recorded as completed.
 	revision, known int64
@@ -84,6 +84,9 @@
 	o.known = o.revision
 	o.term++
 	o.listing, o.vacated = false, nil
+	for _, m := range o.machines {
+		m.shown = false
+	}
 }
 
 // startUpkeep executes an order of a term and returns its answer, as the protocol says.
@@ -103,7 +106,7 @@
 	}
 	o.checkLimit(m, order, term, known)
 	m.begun[order.Wave] = true
-	m.up, m.inUpkeep, m.wave, m.term, m.since = false, true, order.Wave, term, o.now
+	m.up, m.inUpkeep, m.wave, m.term, m.shown = false, true, order.Wave, term, false
 	m.upAt = o.now + int(upkeepTime/tick)
 	return true, true
 }
@@ -153,8 +156,7 @@
 	}
 	down := 0
 	for _, other := range o.machines {
-		unseen := other.term != o.term && other.missingUntil > other.since
-		if other != m && !other.gone && other.inUpkeep && !unseen && other.wave == order.Wave && (other.term == o.term || other.since < o.listedAt && slices.Contains(known.Machines, other.id)) {
+		if other != m && !other.gone && other.inUpkeep && other.wave == order.Wave && (other.term == o.term || other.shown && slices.Contains(known.Machines, other.id)) {
 			down++
 		}
 	}
@@ -248,7 +250,7 @@
 		apply := func() {
 			if planner == o.planner {
 				o.listing = false
-				o.step(List{time.Unix(0, 0).Add(time.Duration(requestedAt) * tick), machines}, requestedAt)
+				o.step(List{time.Unix(0, 0).Add(time.Duration(requestedAt) * tick), machines})
 			}
 		}
 		if arrivesAfter == 0 {
@@ -259,8 +261,10 @@
 	})
 }
 
-func (o *oracle) step(list List, requestedAt int) {
-	o.listedAt = requestedAt
+func (o *oracle) step(list List) {
+	for _, m := range o.machines {
+		m.shown = m.shown || m.inUpkeep && slices.ContainsFunc(list.Machines, func(x workload.Machine) bool { return x.ID == m.id && x.InUpkeep })
+	}
 	p := o.planner.Step(o.time(), list, o.vacated)
 	o.vacated = nil
 	for _, m := range o.machines {
