--- a/review/harness-3/link.go
+++ b/review/harness-3/link.go
@@ -26,13 +26,14 @@
 	time.Sleep(time.Until(until))
 }
 
-// paced returns the address of a path to a target that carries so many megabits a second in each direction.
-func (w *world) paced(target string, mbps float64) (string, error) {
+func newPace(mbps float64) *pace { return &pace{bytes: mbps * 1e6 / 8} }
+
+// path returns the address of a path to a target with the rates of its two directions.
+func (w *world) path(target string, up, down *pace) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	up, down := &pace{bytes: mbps * 1e6 / 8}, &pace{bytes: mbps * 1e6 / 8}
 	w.run(func() {
 		<-w.ctx.Done()
 		l.Close()
--- a/review/harness-3/platform.go
+++ b/review/harness-3/platform.go
@@ -247,7 +247,7 @@
 		share, storePath := "0.4", store
 		if o.slow[i] {
 			share = "0.192"
-			if storePath, err = w.paced(store, 10); err != nil {
+			if storePath, err = w.path(store, newPace(10), newPace(10)); err != nil {
 				return err
 			}
 		}
