--- a/api/records/progress_test.go
+++ b/api/records/progress_test.go
@@ -1,9 +1,12 @@
 package records
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -102,3 +105,48 @@
 		t.Errorf("%v, want a *TooLargeError", err)
 	}
 }
+
+// TestProgressOfManyOccurrences guards against a record of a recurring job that takes memory for each occurrence that is
+// done, and against one that an earlier build reads differently.
+func TestProgressOfManyOccurrences(t *testing.T) {
+	var want earlierProgress
+	for occurrence := range 1000 {
+		if occurrence != 400 {
+			want.Steps = append(want.Steps, earlierStep{Occurrence: occurrence, Done: []byte{7}}, earlierStep{Occurrence: occurrence, Step: 1, Done: []byte{1}})
+		}
+	}
+	want.Steps = append(want.Steps, earlierStep{Occurrence: 400, Step: 1, Units: []earlierUnit{{Failed: []workload.RunNumber{7}}}})
+	p, err := Decode[workload.Progress]("k", Encode(want))
+	if err != nil || len(p.Steps) != 5 {
+		t.Fatalf("%d entries are held of the record, want 5: %+v, %v", len(p.Steps), p.Steps, err)
+	}
+	var got earlierProgress
+	if err := json.Unmarshal(Encode(p), &got); err != nil {
+		t.Fatal(err)
+	}
+	byOccurrence := func(a, b earlierStep) int { return cmp.Or(a.Occurrence-b.Occurrence, a.Step-b.Step) }
+	slices.SortFunc(want.Steps, byOccurrence)
+	slices.SortFunc(got.Steps, byOccurrence)
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("an earlier build reads %d entries, want %d", len(got.Steps), len(want.Steps))
+	}
+}
+
+// FuzzProgress guards against a record of another writer that ends the holder, and against one that changes when it is
+// written again.
+func FuzzProgress(f *testing.F) {
+	f.Add(Encode(progress))
+	f.Add([]byte(`{"Steps":[{"Occurrence":1,"Done":"AQ=="},{"Occurrence":2,"Done":"AQ=="},{"Occurrence":2}]}`))
+	f.Add([]byte(`{"Steps":null}`))
+	f.Add([]byte(`{"Steps":{"a":1},"State":5}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := Decode[workload.Progress]("k", data)
+		if err != nil {
+			return
+		}
+		again, err := Decode[workload.Progress]("k", Encode(p))
+		if err != nil || !bytes.Equal(Encode(again), Encode(p)) {
+			t.Fatalf("%q is read as %+v, written again as %+v, %v", data, p, again, err)
+		}
+	})
+}
--- a/decisions/fleet/account_test.go
+++ b/decisions/fleet/account_test.go
@@ -31,7 +31,7 @@
 // run with a higher number took its place. It counts until it has ended, because it may still occupy its executor.
 func TestUsageOfReplacedRun(t *testing.T) {
 	f, now := newTestScheduler(t)
-	replaced := f.jobs["j"].units[0].run
+	replaced := f.jobs["j"].unitAt(0).run
 	run := replaced + 1
 	var rows []workload.RunningTask
 	for i := range 2 {
@@ -62,7 +62,7 @@
 	f.Plan(now)
 	f.MarkRecorded(f.UnrecordedProgress(10))
 	f.Plan(now)
-	run := f.jobs["two"].units[0].run
+	run := f.jobs["two"].unitAt(0).run
 	now = now.Add(time.Second)
 	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{
 		Clock: 2 * time.Second, StartedAtMS: 1,
--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -45,10 +45,13 @@
 		return nil
 	}
 	key := stepKey{u.job, u.occurrence, u.step}
-	a := f.advice[key]
+	a := u.job.advice[key]
 	if a == nil {
 		a = &advice{tickets: map[workload.ExecutorID]ticket{}, answered: map[workload.ExecutorID]bool{}, askedAt: map[workload.ExecutorID]time.Time{}}
-		f.advice[key] = a
+		if u.job.advice == nil {
+			u.job.advice = map[stepKey]*advice{}
+		}
+		u.job.advice[key] = a
 	}
 	return a
 }
@@ -172,7 +175,7 @@
 	if j == nil {
 		return
 	}
-	a := f.advice[stepKey{j, query.Step.Occurrence, query.Step.Step}]
+	a := j.advice[stepKey{j, query.Step.Occurrence, query.Step.Step}]
 	if a == nil {
 		return
 	}
@@ -207,13 +210,15 @@
 	}
 }
 
-// dropAdvice removes the advice for a job that has ended, or the advice on an executor that restarted, whose tickets
-// are void. Either j is nil or id is empty.
-func (f *Scheduler) dropAdvice(j *job, id workload.ExecutorID) {
-	for key, a := range f.advice {
-		if key.job == j {
-			delete(f.advice, key)
-		} else if id != "" {
+// dropAdvice removes the advice for a step that is done.
+func (j *job) dropAdvice(occurrence, step int) {
+	delete(j.advice, stepKey{j, occurrence, step})
+}
+
+// dropTickets removes the advice on an executor that restarted, whose tickets are void.
+func (f *Scheduler) dropTickets(id workload.ExecutorID) {
+	for _, j := range f.openJobs {
+		for _, a := range j.advice {
 			delete(a.tickets, id)
 			delete(a.answered, id)
 			delete(a.askedAt, id)
--- a/decisions/fleet/executor.go
+++ b/decisions/fleet/executor.go
@@ -307,7 +307,7 @@
 	e.leaseDeadline = f.longestDeadline(now, e, 0)
 	e.suspicion = suspicion{}
 	e.nextPollAt = now
-	f.dropAdvice(nil, e.info.ID)
+	f.dropTickets(e.info.ID)
 }
 
 // forgetProcess drops what is known of the process of an executor, because it has ended.
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -114,8 +114,7 @@
 	reserveOrder   reserveOrder
 	// lowCapacityAt is when the free share of the fleet was last below lowCapacityShare.
 	lowCapacityAt time.Time
-	// advice holds the answers of the advisory service; adviceInFlight is set while a query is unanswered.
-	advice         map[stepKey]*advice
+	// adviceInFlight is set while a query of the advisory service is unanswered.
 	adviceInFlight bool
 	// evacuating holds the executors that are to be emptied for maintenance.
 	evacuating map[workload.ExecutorID]bool
@@ -123,6 +122,11 @@
 	// pendingUnits and activeUnits are scratch lists of Plan, in the order of their jobs: the units that can start, and
 	// those that still have task runs.
 	pendingUnits, activeUnits []*unit
+	// pendingSteps lists the steps of pendingUnits.
+	pendingSteps []pendingStep
+	// occurrencesHeldBack is set if a job has more due occurrences than are open in this planning pass, reservedUnits if the
+	// pass has reserved capacity for any unit.
+	occurrencesHeldBack, reservedUnits bool
 	// failedPreemptions holds the number of tasks of the smallest unit of each kind for which a preemption has failed in
 	// this planning pass.
 	failedPreemptions map[preemptionKind]int
@@ -152,7 +156,6 @@
 		runTimes:        runTimeModel{},
 		jobOrder:        joborder.InTimeFirst,
 		headroomWindow:  defaultHeadroomWindow,
-		advice:          map[stepKey]*advice{},
 		evacuating:      map[workload.ExecutorID]bool{},
 		counters:        map[Counter]int64{},
 
@@ -220,6 +223,7 @@
 	f.unmarkedJobs = append(f.unmarkedJobs, j)
 	if j.state.Final() {
 		j.endedAt = now
+		j.compact()
 		return
 	}
 	f.openJobs = append(f.openJobs, j)
@@ -242,12 +246,13 @@
 func (f *Scheduler) finish(now time.Time, j *job, s workload.State) {
 	j.state, j.endedAt = s, now
 	j.markDirty()
-	f.dropAdvice(j, "")
-	for _, u := range j.units {
+	j.advice = nil
+	for _, u := range j.allUnits() {
 		if u.state != unitDone {
 			u.state = unitAbandoned
 		}
 		f.abort(now, u)
+		u.releaseIfEnded()
 	}
 }
 
@@ -373,6 +378,9 @@
 // Gauges are the sizes of the scheduler's present state.
 type Gauges struct {
 	Jobs, OpenJobs, WaitingUnits, ActiveUnits, Executors, Eligible int
+	// OpenOccurrences is the number of occurrences and HeldUnits that of units with a state of their own. The memory of the
+	// scheduler grows with them and with Jobs.
+	OpenOccurrences, HeldUnits int
 	// UnitsAtLimit is the number of waiting units that the limits of their accounts, AccountsAtLimit, keep from starting.
 	// ExcessJobs is the number of open jobs beyond the rates of their accounts.
 	UnitsAtLimit, ExcessJobs int
@@ -387,16 +395,10 @@
 		if j.excess && !j.state.Final() {
 			g.ExcessJobs++
 		}
-		for _, u := range j.units {
-			switch u.state {
-			case unitPending:
-				g.WaitingUnits++
-				if u.waitsFor == WaitAccountLimit {
-					g.UnitsAtLimit++
-					atLimit[j.rec.Account] = true
-				}
-			case unitActive:
-				g.ActiveUnits++
+		for _, o := range j.occurrences {
+			g.OpenOccurrences++
+			for s := range o.steps {
+				f.addUnits(&g, &o.steps[s], atLimit)
 			}
 		}
 	}
@@ -409,6 +411,32 @@
 	return g
 }
 
+// addUnits adds the units of a step to the gauges. Untried units wait for what the last of the others waits for.
+func (f *Scheduler) addUnits(g *Gauges, step *stepUnits, atLimit map[workload.Account]bool) {
+	g.HeldUnits += len(step.units)
+	untried := 0
+	if !step.readyAt.IsZero() && !step.occurrence.job.state.Final() {
+		untried = step.untried()
+	}
+	g.WaitingUnits += untried
+	for i, u := range step.units {
+		switch u.state {
+		case unitPending:
+			n := 1
+			if i == len(step.units)-1 {
+				n += untried
+			}
+			g.WaitingUnits++
+			if u.waitsFor == WaitAccountLimit {
+				g.UnitsAtLimit += n
+				atLimit[u.job.rec.Account] = true
+			}
+		case unitActive:
+			g.ActiveUnits++
+		}
+	}
+}
+
 // UnverifiedExecutors returns the executors that have not reported yet which runs earlier holders started there.
 func (f *Scheduler) UnverifiedExecutors() []workload.ExecutorID {
 	var out []workload.ExecutorID
--- a/decisions/fleet/incarnation_test.go
+++ b/decisions/fleet/incarnation_test.go
@@ -67,7 +67,7 @@
 	f, now := newTestScheduler(t)
 	const earlier, present = 1, 2
 	poll := Poll{Executor: "e", Address: "e"}
-	run := f.jobs["j"].units[0].run
+	run := f.jobs["j"].unitAt(0).run
 	var rows []workload.RunningTask
 	for i := range 2 {
 		rows = append(rows, workload.RunningTask{Task: workload.TaskRef{Job: "j", Index: i}, Run: run})
--- a/decisions/fleet/incomplete_test.go
+++ b/decisions/fleet/incomplete_test.go
@@ -12,7 +12,7 @@
 // time for the stop has passed.
 func TestIncompleteReport(t *testing.T) {
 	f, now := newTestScheduler(t)
-	u := f.jobs["j"].units[0]
+	u := f.jobs["j"].unitAt(0)
 	run, clock := u.run, 2*time.Second
 	poll := Poll{Executor: "e", Address: "e"}
 	for i := range 2 {
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -11,7 +11,7 @@
 type unitState uint8
 
 const (
-	// unitBlocked waits for earlier steps or for the due time of its occurrence.
+	// unitBlocked waits for earlier steps.
 	unitBlocked unitState = iota
 	// unitPending can start.
 	unitPending
@@ -24,7 +24,9 @@
 
 // unit is the unit of scheduling, which starts and ends as a whole: a gang, or a single task of a step without a gang.
 type unit struct {
-	job              *job
+	job *job
+	// group holds the units of the same step and occurrence.
+	group            *stepUnits
 	occurrence, step int
 	// firstTask is the index of the first task, size the number of tasks.
 	firstTask, size int
@@ -109,16 +111,18 @@
 	begun bool
 	// waitReported is set once a WaitNotice was given.
 	waitReported bool
-	units        []*unit
+	// occurrences lists the occurrences with a state of their own. Those from nextOccurrence on that are not in the list have
+	// not begun, the earlier ones that are not in it are done. doneOccurrences counts all that are done.
+	occurrences     []*occurrence
+	nextOccurrence  int
+	doneOccurrences int
+	// advice holds the answers of the advisory service for the steps of open occurrences.
+	advice map[stepKey]*advice
 	// criticalPaths is the estimated time from the start of each step to the end of the job, longestPath that of the job.
 	criticalPaths []time.Duration
 	longestPath   time.Duration
 	// expectedPaths holds the learned counterparts of criticalPaths and longestPath.
 	expectedPaths expectedPaths
-	// openUnitsByStep counts the units that are not done, at the index of occurrence * steps + step.
-	openUnitsByStep []int
-	// openUnits counts the units that are not done.
-	openUnits int
 	// version counts the changes of the progress, recordedVersion is the latest version that is durable.
 	version, recordedVersion int64
 	// finalVersion is the version at which the job ended; zero before.
@@ -132,22 +136,6 @@
 	for _, d := range j.criticalPaths {
 		j.longestPath = max(j.longestPath, d)
 	}
-	steps := len(rec.Steps)
-	j.openUnitsByStep = make([]int, rec.OccurrenceCount()*steps)
-	for occ := range rec.OccurrenceCount() {
-		for s := range rec.Steps {
-			step := &rec.Steps[s]
-			count, size := step.Units(), 1
-			if step.Gang {
-				size = step.Count
-			}
-			for i := range count {
-				j.units = append(j.units, &unit{job: j, occurrence: occ, step: s, firstTask: i, size: size})
-			}
-			j.openUnitsByStep[occ*steps+s] = count
-			j.openUnits += count
-		}
-	}
 	return j
 }
 
@@ -173,28 +161,22 @@
 
 // hasRuns reports whether a run of the job may still occupy an executor.
 func (j *job) hasRuns() bool {
-	return slices.ContainsFunc(j.units, func(u *unit) bool { return len(u.taskRuns) > 0 })
-}
-
-// unitFor returns the unit of a task, or nil if the job has no such task.
-func (j *job) unitFor(t workload.TaskRef) *unit {
-	if t.Occurrence >= j.rec.OccurrenceCount() || t.Step >= len(j.rec.Steps) || t.Index >= j.rec.Steps[t.Step].Count {
-		return nil
-	}
-	i := 0
-	perOccurrence := len(j.units) / j.rec.OccurrenceCount()
-	i += t.Occurrence * perOccurrence
-	for s := range t.Step {
-		if j.rec.Steps[s].Gang {
-			i++
-		} else {
-			i += j.rec.Steps[s].Count
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			if slices.ContainsFunc(o.steps[s].units, func(u *unit) bool { return len(u.taskRuns) > 0 }) {
+				return true
+			}
 		}
 	}
-	if !j.rec.Steps[t.Step].Gang {
-		i += t.Index
-	}
-	return j.units[i]
+	return false
+}
+
+// compact drops what is only needed to start tasks, because a finished job is kept until its retention ends.
+func (j *job) compact() {
+	rec := *j.rec
+	rec.Spec = ""
+	j.rec = &rec
+	j.criticalPaths, j.expectedPaths = nil, expectedPaths{}
 }
 
 // dueAt returns when an occurrence may start; the zero time for a job without occurrences.
@@ -205,25 +187,13 @@
 	return j.rec.FirstAt.Add(time.Duration(occurrence) * j.rec.Interval)
 }
 
-// dependenciesDone reports whether the steps on which a unit depends are done.
-func (j *job) dependenciesDone(u *unit) bool {
-	steps := len(j.rec.Steps)
-	for _, s := range u.spec().After {
-		if j.openUnitsByStep[u.occurrence*steps+s] > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // completeUnit marks a unit as done. It has no effect on a unit that is done already.
 func (j *job) completeUnit(u *unit) {
 	if u.state == unitDone {
 		return
 	}
 	u.state = unitDone
-	j.openUnitsByStep[u.occurrence*len(j.rec.Steps)+u.step]--
-	j.openUnits--
+	u.group.markDone(u.firstTask)
 	j.markDirty()
 }
 
@@ -246,17 +216,9 @@
 	if j.state.Final() {
 		return p
 	}
-	for _, u := range j.units {
-		done := u.state == unitDone
-		if !done && len(u.failedRuns) == 0 && u.checkpoint == "" {
-			continue
-		}
-		sp := p.Step(u.occurrence, u.step)
-		if done {
-			sp.SetDone(u.firstTask)
-		} else {
-			sp.Units = append(sp.Units, workload.UnitProgress{First: u.firstTask, Failed: slices.Clone(u.failedRuns), Earlier: u.earlierFailures, Saved: u.checkpoint})
-		}
+	j.addDone(&p)
+	for _, o := range j.occurrences {
+		o.addProgress(&p)
 	}
 	return p
 }
@@ -266,9 +228,6 @@
 	j.mayRun, j.begun, j.inherited = p.MayRun, p.Begun, p.MayRun
 	if p.State.Final() {
 		j.state = p.State
-		for _, u := range j.units {
-			u.state = unitAbandoned
-		}
 		return
 	}
 	for i := range p.Steps {
@@ -277,34 +236,79 @@
 	j.version = 0
 }
 
-// restoreStep applies the recorded progress of a step. Records of other writers may name units that the job does not have.
-func (j *job) restoreStep(sp *workload.StepProgress) {
-	if sp.Occurrence < 0 || sp.Step < 0 || sp.Step >= len(j.rec.Steps) {
-		return
+// addDone adds the occurrences that are done and have no state.
+func (j *job) addDone(p *workload.Progress) {
+	begin := 0
+	add := func(end int) {
+		for s := range j.rec.Steps {
+			if begin < end {
+				done := workload.FullUnitSet(j.rec.Steps[s].Units())
+				p.Steps = append(p.Steps, workload.StepProgress{Occurrence: begin, Step: s, Done: done, Repeat: end - begin - 1})
+			}
+		}
 	}
-	unitAt := func(first int) *unit {
-		if first < 0 {
-			return nil
+	for _, o := range j.occurrences {
+		if o.number < j.nextOccurrence {
+			add(o.number)
+			begin = o.number + 1
 		}
-		u := j.unitFor(workload.TaskRef{Occurrence: sp.Occurrence, Step: sp.Step, Index: first})
-		if u == nil || u.firstTask != first {
-			return nil
+	}
+	add(j.nextOccurrence)
+}
+
+// addProgress adds the progress of an occurrence.
+func (o *occurrence) addProgress(p *workload.Progress) {
+	if o.openSteps == 0 {
+		for s := range o.job.rec.Steps {
+			p.Step(o.number, s).Done = workload.FullUnitSet(o.job.rec.Steps[s].Units())
 		}
-		return u
+		return
 	}
-	for first := range j.rec.Steps[sp.Step].Units() {
-		if !sp.IsDone(first) {
-			continue
+	for s := range o.steps {
+		g := &o.steps[s]
+		if len(g.done) > 0 {
+			p.Step(o.number, s).Done = slices.Clone(g.done)
+		}
+		for _, u := range g.units {
+			if u.state != unitDone && (len(u.failedRuns) > 0 || u.checkpoint != "") {
+				sp := p.Step(o.number, s)
+				sp.Units = append(sp.Units, workload.UnitProgress{First: u.firstTask, Failed: slices.Clone(u.failedRuns), Earlier: u.earlierFailures, Saved: u.checkpoint})
+			}
 		}
-		if u := unitAt(first); u != nil {
-			j.completeUnit(u)
+	}
+}
+
+// restoreStep applies the recorded progress of a step. Records of other writers may name units that the job does not have.
+func (j *job) restoreStep(sp *workload.StepProgress) {
+	for n := range sp.Repeat + 1 {
+		if !j.hasTask(workload.TaskRef{Occurrence: sp.Occurrence + n, Step: sp.Step}) {
+			return
 		}
+		j.restoreOccurrence(sp.Occurrence+n, sp)
 	}
+}
+
+func (j *job) restoreOccurrence(number int, sp *workload.StepProgress) {
+	o := j.openOccurrence(number)
+	if o == nil || o.steps == nil {
+		return
+	}
+	g := &o.steps[sp.Step]
+	o.started = o.started || len(sp.Done) > 0 || len(sp.Units) > 0
 	for i := range sp.Units {
 		up := &sp.Units[i]
-		if u := unitAt(up.First); u != nil && u.state != unitDone {
+		if up.First < 0 || up.First >= g.spec().Units() || sp.IsDone(up.First) {
+			continue
+		}
+		if u := g.unit(up.First); u != nil {
 			u.failedRuns, u.earlierFailures, u.checkpoint = slices.Clone(up.Failed), up.Earlier, up.Saved
 			u.trimFailures()
 		}
 	}
+	for first := range g.spec().Units() {
+		if sp.IsDone(first) {
+			// The last one may drop the state of the step.
+			g.markDone(first)
+		}
+	}
 }
--- a/decisions/fleet/job_features_test.go
+++ b/decisions/fleet/job_features_test.go
@@ -54,7 +54,7 @@
 	f := New(Settings{Lease: 6 * time.Second}, 1, 1, false, time.Unix(0, 0))
 	f.AddJob(time.Unix(0, 0), oneStep("j", "normal", workload.Step{Count: 4, Need: smallTask, LongRunning: true, MayMiss: 2}), 2, nil)
 	e := &executor{}
-	units := f.jobs["j"].units
+	units := f.jobs["j"].createUnits()
 	for _, u := range units {
 		u.state = unitActive
 		u.taskRuns = []*taskRun{{unit: u, executor: e, state: taskRunning, progress: fullProgress}}
--- a/decisions/fleet/lasting_test.go
+++ b/decisions/fleet/lasting_test.go
@@ -21,7 +21,7 @@
 	f.MarkRecorded(f.UnrecordedProgress(10))
 	f.Plan(now)
 	task := workload.TaskRef{Job: "j"}
-	run := f.jobs["j"].units[0].run
+	run := f.jobs["j"].unitAt(0).run
 	now = now.Add(time.Second)
 	report := workload.Report{Clock: 2 * time.Second, StartedAtMS: 1, Running: []workload.RunningTask{{Task: task, Run: run}}}
 	for i := range 4 {
@@ -29,8 +29,8 @@
 	}
 	report.Ended = append(report.Ended, workload.EndedRun{Number: 5, Task: task, Run: 5, Outcome: workload.Done})
 	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, report)
-	if j := f.jobs["j"]; j.state.Final() || j.units[0].failures() > 0 || j.units[0].ending {
-		t.Errorf("the job is %q with %d failed runs, ending %v, want it to go on without a count", j.state, j.units[0].failures(), j.units[0].ending)
+	if j := f.jobs["j"]; j.state.Final() || j.unitAt(0).failures() > 0 || j.unitAt(0).ending {
+		t.Errorf("the job is %q with %d failed runs, ending %v, want it to go on without a count", j.state, j.unitAt(0).failures(), j.unitAt(0).ending)
 	}
 }
 
--- a/decisions/fleet/learn_test.go
+++ b/decisions/fleet/learn_test.go
@@ -204,7 +204,7 @@
 	sim.submit(oneStep("active", "batch", workload.Step{Count: 1, Need: smallTask, Estimate: 10 * time.Second}), behavior{runTime: 10 * time.Second})
 	sim.advance(2 * time.Second)
 	f := sim.holder.scheduler
-	u := f.jobs["active"].units[0]
+	u := f.jobs["active"].unitAt(0)
 	if u.state != unitActive || len(u.taskRuns) != 1 || f.RunTimes().Cells() == 0 {
 		t.Fatalf("state %v, %d runs, %d cells", u.state, len(u.taskRuns), f.RunTimes().Cells())
 	}
@@ -238,7 +238,7 @@
 		"remote": {step: workload.Step{Rack: "elsewhere"}},
 		"resumed": {step: workload.Step{Checkpoint: true}, disturb: func(sim *simulation) {
 			f := sim.holder.scheduler
-			f.interrupt(sim.now, f.jobs["j"].units[0], StopMoved)
+			f.interrupt(sim.now, f.jobs["j"].unitAt(0), StopMoved)
 		}},
 		"adopted": {disturb: func(sim *simulation) { sim.newHolder() }},
 	} {
@@ -280,7 +280,7 @@
 	}
 	f := sim.holder.scheduler
 	sim.submit(oneStep("next", "batch", workload.Step{Count: 1, Need: smallTask, Estimate: 2 * time.Second}), behavior{runTime: 8 * time.Second})
-	if got := f.expectedRunTime(f.jobs["next"].units[0]); got < 5*time.Second {
+	if got := f.expectedRunTime(f.jobs["next"].unitAt(0)); got < 5*time.Second {
 		t.Errorf("expected run time %v after eight runs that were stopped halfway through 8 s, want at least 5 s", got)
 	}
 }
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -126,14 +126,14 @@
 	f.limitPass.claimed.Add(u.job.rec.Account, u.totalNeed())
 }
 
-// holdRoomForStep keeps room below the limit of its account for the first of the waiting units of a step and for those of
-// the others that the guarantee covers, too.
-func (f *Scheduler) holdRoomForStep(units []*unit) {
-	f.holdRoom(units[0])
-	if f.limitOf(units[0].job) == (workload.Resources{}) {
+// holdRoomForStep keeps room below the limit of its account for the first of the waiting units of a step, which are equal to
+// u, and for those of the others that the guarantee covers, too.
+func (f *Scheduler) holdRoomForStep(u *unit, waiting int) {
+	f.holdRoom(u)
+	if f.limitOf(u.job) == (workload.Resources{}) {
 		return
 	}
-	for _, u := range units[1:] {
+	for range waiting - 1 {
 		if !f.withinGuarantee(u) {
 			return
 		}
@@ -280,14 +280,11 @@
 			b := all
 			accounts[a] = &b
 		}
-		for _, u := range j.units {
-			if u.state == unitDone {
-				continue
-			}
+		for i := range j.rec.Steps {
 			// The other tasks of a gang of which some run are known may be running, too.
-			n := u.size - len(u.taskRuns)
-			accounts[a].Tasks = accounts[a].Tasks.Add(times(u.spec().Need, n))
-			accounts[a].Beside = accounts[a].Beside.Add(times(u.spec().Need.Sub(u.spec().CapacityNeed()), n))
+			step, n := &j.rec.Steps[i], j.openTasks(i)
+			accounts[a].Tasks = accounts[a].Tasks.Add(times(step.Need, n))
+			accounts[a].Beside = accounts[a].Beside.Add(times(step.Need.Sub(step.CapacityNeed()), n))
 		}
 	}
 	bounds := map[workload.Account]workload.Resources{}
--- a/decisions/fleet/limit_test.go
+++ b/decisions/fleet/limit_test.go
@@ -303,8 +303,8 @@
 	if n := f.TakeCounters()[CountLimitVacated]; n != 0 {
 		t.Errorf("%d tasks were stopped for an account without a guarantee", n)
 	}
-	if j := f.jobs["j9"]; !j.excess || f.classOf(j.units[0]) < classExcess || f.runningClass(j.units[0]) < classExcess {
-		t.Errorf("excess %v, class %d to start and %d while it runs, want a job beyond the rate after all other work", j.excess, f.classOf(j.units[0]), f.runningClass(j.units[0]))
+	if j := f.jobs["j9"]; !j.excess || f.classOf(j.unitAt(0)) < classExcess || f.runningClass(j.unitAt(0)) < classExcess {
+		t.Errorf("excess %v, class %d to start and %d while it runs, want a job beyond the rate after all other work", j.excess, f.classOf(j.unitAt(0)), f.runningClass(j.unitAt(0)))
 	}
 	sim.advance(60 * time.Second)
 	sim.expectDone()
@@ -322,7 +322,7 @@
 	if got := sim.running("a").GPU; got != 8 {
 		t.Errorf("%d accelerators of the account run, want the 8 of its batch job", got)
 	}
-	if r := sim.holder.scheduler.jobs["wide"].units[0].waitsFor; r != WaitAccountLimit {
+	if r := sim.holder.scheduler.jobs["wide"].unitAt(0).waitsFor; r != WaitAccountLimit {
 		t.Errorf("a gang beyond its account's limit waits for %s, want %s", r, WaitAccountLimit)
 	}
 	sim.configure(withLimits(sim.config, nil))
--- a/decisions/fleet/pause_test.go
+++ b/decisions/fleet/pause_test.go
@@ -12,7 +12,7 @@
 // report shows no progress for as long is stopped.
 func TestPauseOfHolder(t *testing.T) {
 	f, now := newTestScheduler(t)
-	run := f.jobs["j"].units[0].run
+	run := f.jobs["j"].unitAt(0).run
 	report := func(percent int) {
 		var rows []workload.RunningTask
 		for i := range 2 {
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -47,29 +47,30 @@
 
 // placeStep places the waiting units of a step until one does not fit: the units of a step have equal demands.
 func (f *Scheduler) placeStep(now time.Time, c *candidate, usable []*executor, budget *headroom, filter *backfill) {
-	for i, u := range c.units {
+	for i, waiting := 0, c.waiting(); i < waiting; i++ {
+		u := c.unit(i)
 		if now.Before(u.notBefore) {
 			u.waitsFor = WaitRetry
 			continue
 		}
 		if u.job.mayRunPending() {
 			// No unit of the job starts before the record is durable, so that no placement is needed yet.
-			setWaiting(c.units[i:], WaitRecord)
-			f.holdRoomForStep(c.units[i:])
+			c.setWaiting(i, WaitRecord)
+			f.holdRoomForStep(u, waiting-i)
 			return
 		}
 		// Each placement uses some of the account's guarantee, so that the class of the next unit may differ.
 		c.Class = f.classOf(u)
 		if reason := f.tryPlace(now, c, u, budget); reason != "" {
-			if reason == WaitAccountLimit && i+1 < len(c.units) && f.withinGuarantee(c.units[i+1]) {
+			if reason == WaitAccountLimit && i+1 < waiting && f.withinGuarantee(u) {
 				// Room below the limit is vacated for all guaranteed units at once.
 				u.waitsFor = reason
 				continue
 			}
-			setWaiting(c.units[i:], reason)
+			c.setWaiting(i, reason)
 			if reason == WaitCapacity && c.Class <= classUrgent && f.couldFit(u, usable, false) {
 				// Other work of the account does not take the room below the limit, which may have been vacated for this unit.
-				f.holdRoomForStep(c.units[i:])
+				f.holdRoomForStep(u, waiting-i)
 			}
 			if reason != WaitAccountLimit && budget.lowCapacity && f.limitsBackfill(now, c, u, usable) {
 				filter.restrictTo(c.LatestStart)
@@ -80,6 +81,30 @@
 	}
 }
 
+// waiting returns the number of pending units, including the untried ones.
+func (c *candidate) waiting() int { return len(c.units) + c.units[0].group.untried() }
+
+// unit returns the pending unit with an index. All untried units that cannot be placed are represented by a single one, so
+// that a wide step that waits takes little memory.
+func (c *candidate) unit(i int) *unit {
+	if i < len(c.units) {
+		return c.units[i]
+	}
+	last := c.units[len(c.units)-1]
+	if c.probes && last.state == unitPending {
+		return last
+	}
+	c.probes = true
+	u := last.group.nextUntried()
+	c.units = append(c.units, u)
+	return u
+}
+
+// setWaiting sets the reason of the units from an index on that are not started.
+func (c *candidate) setWaiting(i int, r WaitReason) {
+	setWaiting(c.units[min(i, len(c.units)-1):], r)
+}
+
 // tryPlace places a unit if the headroom allows it. It returns why the next unit of the step is not worth trying, or "".
 func (f *Scheduler) tryPlace(now time.Time, c *candidate, u *unit, budget *headroom) WaitReason {
 	if !f.belowLimit(now, c, u, budget.usable) {
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -13,6 +13,9 @@
 	maxPlanDelay = 100 * time.Millisecond
 	// idlePlanDelay bounds the delay until the next call of Plan while none waits.
 	idlePlanDelay = 500 * time.Millisecond
+	// heldBackPlanDelay is the delay after a planning pass that has started some of more due occurrences of a job than are open
+	// at the same time.
+	heldBackPlanDelay = 10 * time.Millisecond
 )
 
 // Plan returns the actions to carry out now, and the delay after which Plan is to be called again unless an event
@@ -21,6 +24,7 @@
 	f.expireLeases(now)
 	f.markExcess()
 	f.limitPass = limitPass{}
+	f.reservedUnits = false
 	clear(f.guaranteeRooms)
 	f.collectUnits(now)
 	f.stopIncompleteRuns(now)
@@ -48,6 +52,9 @@
 	if waiting {
 		d = maxPlanDelay
 	}
+	if f.occurrencesHeldBack && f.reservedUnits {
+		d = heldBackPlanDelay
+	}
 	for _, e := range f.sortedExecutors {
 		if !e.polling && e.needsPoll() {
 			d = min(d, max(time.Millisecond, e.nextPollAt.Sub(now)))
@@ -104,25 +111,59 @@
 	}
 }
 
-// collectUnits fills the lists of pending and active units. Blocked units become pending once the steps before them are
-// done and their occurrence is due.
+// collectUnits fills the lists of steps with pending units and of active units. Occurrences are opened once they are due,
+// and the units of a step become pending once the steps before it are done. A pending step lists at least one unit: the
+// untried ones are equal to it.
 func (f *Scheduler) collectUnits(now time.Time) {
-	f.pendingUnits, f.activeUnits = f.pendingUnits[:0], f.activeUnits[:0]
+	f.pendingUnits, f.activeUnits, f.pendingSteps = f.pendingUnits[:0], f.activeUnits[:0], f.pendingSteps[:0]
+	f.occurrencesHeldBack = false
 	for _, j := range f.openJobs {
-		for _, u := range j.units {
-			if u.state == unitBlocked && !j.state.Final() && j.dependenciesDone(u) && !now.Before(j.dueAt(u.occurrence)) {
-				u.state, u.readyAt, u.pendingSince = unitPending, now, now
-			}
-			if u.state == unitPending {
-				f.pendingUnits = append(f.pendingUnits, u)
-			}
-			if len(u.taskRuns) > 0 {
-				f.activeUnits = append(f.activeUnits, u)
+		if !j.state.Final() && j.openDue(now) {
+			f.occurrencesHeldBack = true
+		}
+		for _, o := range j.occurrences {
+			for s := range o.steps {
+				f.collectStep(now, &o.steps[s])
 			}
 		}
 	}
 }
 
+// collectStep adds the units of a step to the lists.
+func (f *Scheduler) collectStep(now time.Time, g *stepUnits) {
+	final := g.occurrence.job.state.Final()
+	o := g.occurrence
+	if g.readyAt.IsZero() && !final && g.open > 0 && o.dependenciesDone(g.step) && !now.Before(o.job.dueAt(o.number)) {
+		g.readyAt = now
+	}
+	begin := len(f.pendingUnits)
+	for _, u := range g.units {
+		if u.state == unitBlocked && !g.readyAt.IsZero() {
+			u.state, u.readyAt, u.pendingSince = unitPending, now, now
+		}
+		if u.state == unitPending {
+			f.pendingUnits = append(f.pendingUnits, u)
+		}
+		if len(u.taskRuns) > 0 {
+			f.activeUnits = append(f.activeUnits, u)
+		}
+	}
+	if len(f.pendingUnits) == begin && !g.readyAt.IsZero() && !final {
+		if u := g.nextUntried(); u != nil {
+			f.pendingUnits = append(f.pendingUnits, u)
+		}
+	}
+	if end := len(f.pendingUnits); end > begin {
+		f.pendingSteps = append(f.pendingSteps, pendingStep{g, begin, end})
+	}
+}
+
+// pendingStep is a step with pending units, which are pendingUnits[begin:end].
+type pendingStep struct {
+	group      *stepUnits
+	begin, end int
+}
+
 // stopIncompleteRuns marks runs that have lost tasks as ending, and stops the remaining tasks of ending runs after
 // gangEndGrace.
 func (f *Scheduler) stopIncompleteRuns(now time.Time) {
@@ -145,19 +186,14 @@
 func (f *Scheduler) startable(now time.Time) []*candidate {
 	unreconciled := f.unreconciledExecutors(now)
 	var out []*candidate
-	for rest := f.pendingUnits; len(rest) > 0; {
-		u := rest[0]
-		n := 1
-		for n < len(rest) && rest[n].job == u.job && rest[n].occurrence == u.occurrence && rest[n].step == u.step {
-			n++
-		}
-		units := rest[:n]
-		rest = rest[n:]
+	for _, p := range f.pendingSteps {
+		units := f.pendingUnits[p.begin:p.end:p.end]
+		u := units[0]
 		if u.job.inherited && slices.ContainsFunc(unreconciled, func(e *executor) bool { return e.mayHaveRun(u.job.rec.ID) }) {
 			setWaiting(units, WaitUnverified)
 			continue
 		}
-		if slices.ContainsFunc(units, func(u *unit) bool { return !now.Before(u.notBefore) }) {
+		if p.group.untried() > 0 || slices.ContainsFunc(units, func(u *unit) bool { return !now.Before(u.notBefore) }) {
 			out = append(out, f.newCandidate(now, units))
 		} else {
 			setWaiting(units, WaitRetry)
@@ -227,6 +263,7 @@
 		e.add(r)
 	}
 	f.activeUnits = append(f.activeUnits, u)
+	f.reservedUnits = true
 	if g := f.guaranteeRooms[f.route(u.job).Pool]; g != nil && f.occupiesGuaranteeRoom(u) {
 		for _, e := range executors {
 			g.occupy(e)
@@ -278,7 +315,10 @@
 // order.
 type candidate struct {
 	joborder.Candidate
+	// units lists the units with a state of their own. There may be untried ones besides.
 	units []*unit
+	// probes is set once an untried unit was added to units.
+	probes bool
 	// expected is the expected run time of a task.
 	expected time.Duration
 }
--- a/decisions/fleet/records_test.go
+++ b/decisions/fleet/records_test.go
@@ -43,7 +43,7 @@
 		f := New(Settings{}, 1, 1, false, now)
 		f.SetConfig((&workload.Config{Version: 2, Routes: []workload.Route{{Name: "q", MaxAttempts: 6}}}).Index())
 		f.AddJob(now, rec, 1, p)
-		return f, f.jobs["j"].units[0]
+		return f, f.jobs["j"].unitAt(0)
 	}
 	f, u := begin(nil)
 	for run := workload.RunNumber(1); run <= 5; run++ {
@@ -94,9 +94,10 @@
 		if took := time.Since(began); took > time.Second {
 			t.Errorf("%+v: restored in %v", shape, took)
 		}
-		for i, u := range f.jobs["j"].units {
-			if done := u.firstTask%2 == 0; done != (u.state == unitDone) || !done && (len(u.failedRuns) != 1 || u.checkpoint != "c") {
-				t.Fatalf("%+v: unit %d is in state %d with failed runs %v and checkpoint %q", shape, i, u.state, u.failedRuns, u.checkpoint)
+		for i := range shape.count * rec.OccurrenceCount() {
+			u := f.jobs["j"].unitFor(workload.TaskRef{Occurrence: i / shape.count, Index: i % shape.count})
+			if done := i%shape.count%2 == 0; done != (u == nil) || !done && (len(u.failedRuns) != 1 || u.checkpoint != "c") {
+				t.Fatalf("%+v: unit %d is %+v, want done %v", shape, i, u, done)
 			}
 		}
 	}
--- a/decisions/fleet/remaining_test.go
+++ b/decisions/fleet/remaining_test.go
@@ -18,7 +18,7 @@
 	sim.submit(oneStep("lasting", "batch", workload.Step{Count: 1, Need: smallTask, LongRunning: true}), behavior{runTime: time.Hour})
 	expect := func(when string, id workload.JobID, want time.Duration) {
 		t.Helper()
-		got, known := f().remaining(sim.now, f().jobs[id].units[0])
+		got, known := f().remaining(sim.now, f().jobs[id].unitAt(0))
 		if !known || (got-want).Abs() > 600*time.Millisecond {
 			t.Errorf("%s, job %s has %v left (%v), want about %v", when, id, got, known, want)
 		}
@@ -28,15 +28,15 @@
 	sim.advance(4700 * time.Millisecond)
 	expect("after reports", "misjudged", 5*time.Second)
 	expect("after reports", "saving", 5*time.Second)
-	if _, known := f().remaining(sim.now, f().jobs["lasting"].units[0]); known {
+	if _, known := f().remaining(sim.now, f().jobs["lasting"].unitAt(0)); known {
 		t.Error("a long-running task has no remaining time")
 	}
 	sim.newHolder()
 	sim.advance(2500 * time.Millisecond)
 	expect("with a new holder", "misjudged", 2500*time.Millisecond)
-	f().interrupt(sim.now, f().jobs["saving"].units[0], StopMoved)
+	f().interrupt(sim.now, f().jobs["saving"].unitAt(0), StopMoved)
 	sim.advance(600 * time.Millisecond)
-	if _, known := f().remaining(sim.now, f().jobs["saving"].units[0]); known {
+	if _, known := f().remaining(sim.now, f().jobs["saving"].unitAt(0)); known {
 		t.Error("the remaining time of a resumed run is known before a report")
 	}
 }
--- a/decisions/fleet/report.go
+++ b/decisions/fleet/report.go
@@ -177,12 +177,10 @@
 func (f *Scheduler) adopt(now time.Time, e *executor, row workload.RunningTask) *taskRun {
 	r := &taskRun{task: row.Task, run: row.Run, executor: e, state: taskRunning, startSentAt: now, confirmedAt: now, speedPercent: fullSpeedPercent}
 	var u *unit
-	if j := f.jobs[row.Task.Job]; j != nil {
+	if j := f.jobs[row.Task.Job]; j != nil && j.hasTask(row.Task) {
 		u = j.unitFor(row.Task)
-	}
-	if u != nil {
-		r.load = u.spec().CapacityNeed()
-		r.charge = f.chargeOf(u.job, u.spec())
+		step := &j.rec.Steps[row.Task.Step]
+		r.load, r.charge = step.CapacityNeed(), f.chargeOf(j, step)
 	}
 	if u == nil || !f.attachRun(now, u, r) {
 		f.count(CountOrphan)
@@ -228,6 +226,7 @@
 func (u *unit) activate(now time.Time, run workload.RunNumber) {
 	u.state, u.run = unitActive, run
 	u.ending = false
+	u.group.occurrence.started = true
 	u.progress, u.progressAt, u.startedAt = 0, now, now
 	u.progressStart, u.learned = progressMark{}, nil
 }
@@ -247,6 +246,10 @@
 		} else if row.Outcome == workload.Done && !u.spec().LongRunning || u.state != unitActive || u.run == row.Run {
 			r = &taskRun{unit: u, task: row.Task, run: row.Run, executor: e, state: taskRunning}
 		}
+	} else if r == nil && j != nil && j.hasTask(row.Task) {
+		// The unit has ended before.
+		f.markBegun(j)
+		f.countOutcome(row.Outcome)
 	}
 	if r != nil {
 		if r.unit != nil {
--- a/decisions/fleet/restart_test.go
+++ b/decisions/fleet/restart_test.go
@@ -108,7 +108,7 @@
 func TestClockOfNextProcess(t *testing.T) {
 	f, now := newTestScheduler(t)
 	e := f.executors["e"]
-	run := f.jobs["j"].units[0].run
+	run := f.jobs["j"].unitAt(0).run
 	now = now.Add(time.Second)
 	f.Started(now, "e", workload.TaskRef{Job: "j"}, run, 2*time.Second)
 	if !e.verified {
@@ -128,7 +128,7 @@
 	before := e.leaseExpiry()
 	now = now.Add(4 * time.Second)
 	const lag = 2 * time.Second
-	f.Started(now, "e", workload.TaskRef{Job: "j"}, f.jobs["j"].units[0].run, 5*time.Second-lag)
+	f.Started(now, "e", workload.TaskRef{Job: "j"}, f.jobs["j"].unitAt(0).run, 5*time.Second-lag)
 	if d := e.leaseExpiry().Sub(before); d < lag {
 		t.Errorf("the lease ends %v later, want at least %v", d, lag)
 	}
@@ -155,7 +155,7 @@
 	find[Poll](t, actions)
 	latestArrival := now.Add(maxAnswerDelay)
 	now = now.Add(500 * time.Millisecond)
-	f.StopAnswered(now, "e", workload.TaskRef{Job: "j"}, f.jobs["j"].units[0].run, true, time.Second)
+	f.StopAnswered(now, "e", workload.TaskRef{Job: "j"}, f.jobs["j"].unitAt(0).run, true, time.Second)
 	if e.clock != time.Second {
 		t.Fatalf("clock %v, want that of the next process", e.clock)
 	}
@@ -168,7 +168,7 @@
 // acknowledgement of a poll that was sent to the earlier process was counted as one of the next process.
 func TestAcknowledgementOfEarlierProcess(t *testing.T) {
 	f, now := newTestScheduler(t)
-	run := f.jobs["j"].units[0].run
+	run := f.jobs["j"].unitAt(0).run
 	rows := []workload.RunningTask{{Task: workload.TaskRef{Job: "j"}, Run: run}, {Task: workload.TaskRef{Job: "j", Index: 1}, Run: run}}
 	now = now.Add(time.Second)
 	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{Clock: 2 * time.Second, StartedAtMS: 1, Running: rows, Ended: []workload.EndedRun{
@@ -194,7 +194,7 @@
 // answer: a poll on a new connection is a query only, and the next one renews the lease on any connection.
 func TestRenewalAfterQuery(t *testing.T) {
 	f, now := newTestScheduler(t)
-	run := f.jobs["j"].units[0].run
+	run := f.jobs["j"].unitAt(0).run
 	rows := []workload.RunningTask{{Task: workload.TaskRef{Job: "j"}, Run: run}, {Task: workload.TaskRef{Job: "j", Index: 1}, Run: run}}
 	f.Report(now, "e", now, Poll{Executor: "e", Address: "e"}, workload.Report{Clock: time.Second, StartedAtMS: 1, Running: rows})
 	for _, queryOnly := range []bool{false, true, false, true} {
@@ -250,7 +250,7 @@
 		first := find[Start](t, actions)
 		begin := now
 		f.StartFailed(now, "e", first.Task, first.Run, result, 0)
-		for ; len(f.jobs["s"].units[0].taskRuns) > 0 && now.Sub(begin) < time.Minute; now = now.Add(100 * time.Millisecond) {
+		for ; len(f.jobs["s"].unitAt(0).taskRuns) > 0 && now.Sub(begin) < time.Minute; now = now.Add(100 * time.Millisecond) {
 			f.SetLeaseAge(now, 0)
 			actions, _ := f.Plan(now)
 			for _, a := range actions {
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -180,11 +180,19 @@
 	if u.state == unitActive {
 		u.state, u.pendingSince = unitPending, now
 	}
+	u.releaseIfEnded()
+}
+
+// releaseIfEnded drops the state of a unit that does not start any more and has no runs.
+func (u *unit) releaseIfEnded() {
+	if len(u.taskRuns) == 0 && (u.state == unitDone || u.state == unitAbandoned) {
+		u.group.release(u)
+	}
 }
 
 // completeIfDone completes a job once all of its units are done.
 func (f *Scheduler) completeIfDone(now time.Time, j *job) {
-	if j.openUnits == 0 && !j.state.Final() {
+	if j.doneOccurrences == j.rec.OccurrenceCount() && !j.state.Final() {
 		j.state, j.endedAt = workload.StateCompleted, now
 		j.markDirty()
 		f.count(CountJobsCompleted)
@@ -253,6 +261,10 @@
 		}
 	}
 	f.openJobs = slices.DeleteFunc(f.openJobs, func(j *job) bool {
-		return j.state.Final() && j.recordedVersion >= j.version && !j.hasRuns()
+		ended := j.state.Final() && j.recordedVersion >= j.version && !j.hasRuns()
+		if ended {
+			j.compact()
+		}
+		return ended
 	})
 }
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -428,7 +429,7 @@
 			return
 		}
 		for _, r := range records {
-			sim.progress[r.Job] = r.Progress
+			sim.progress[r.Job] = stored(sim.t, r.Progress)
 		}
 		sim.roster, h.rosterVersion = roster, version
 		h.scheduler.MarkRosterRecorded(roster)
@@ -441,6 +442,18 @@
 // of the executor, or another executor does if addressTaken is set. A call that is reported as unanswered takes effect late.
 // A call to a silent executor reaches its next process if that starts within the timeout of the call, unless the call was sent
 // on a connection to the earlier one.
+// stored returns progress as the next holder reads it.
+func stored(t testing.TB, p workload.Progress) (out workload.Progress) {
+	value, err := json.Marshal(p)
+	if err == nil {
+		err = json.Unmarshal(value, &out)
+	}
+	if err != nil {
+		t.Errorf("the progress can't be stored: %v", err)
+	}
+	return out
+}
+
 func (sim *simulation) call(h *holder, id workload.ExecutorID, address string, timeout time.Duration, deliver func(e *fakeExecutor), fail func(r CallFailure)) {
 	e := sim.executors[id]
 	switch {
@@ -1077,7 +1090,7 @@
 // describe returns the state of a job's units and of the executors, to show why the job has not ended.
 func (sim *simulation) describe(id workload.JobID) string {
 	out := ""
-	for _, u := range sim.holder.scheduler.jobs[id].units {
+	for _, u := range sim.holder.scheduler.jobs[id].allUnits() {
 		if u.state == unitDone {
 			continue
 		}
--- a/decisions/fleet/start_test.go
+++ b/decisions/fleet/start_test.go
@@ -48,7 +48,7 @@
 		}
 	}
 	f.Started(now, "e", first.Task, first.Run, time.Second)
-	if u := f.jobs["g"].units[0]; u.ending || len(u.taskRuns) != 2 || u.taskRuns[0].state != taskRunning {
+	if u := f.jobs["g"].unitAt(0); u.ending || len(u.taskRuns) != 2 || u.taskRuns[0].state != taskRunning {
 		t.Errorf("%+v, want a running gang", u)
 	}
 
@@ -57,7 +57,7 @@
 		f.StartFailed(now, "e", first.Task, first.Run, CallUnanswered, 0)
 		f.Plan(now)
 	}
-	if u := f.jobs["g"].units[0]; !u.ending {
+	if u := f.jobs["g"].unitAt(0); !u.ending {
 		t.Error("the gang is not given up after the last attempt")
 	}
 }
@@ -97,7 +97,7 @@
 			t.Fatalf("%+v while the first start may still arrive", s)
 		}
 	}
-	if n := len(f.jobs["g"].units[0].taskRuns); n == 0 {
+	if n := len(f.jobs["g"].unitAt(0).taskRuns); n == 0 {
 		t.Error("the run whose first start may still arrive is not tracked")
 	}
 }
--- a/decisions/fleet/terminate_test.go
+++ b/decisions/fleet/terminate_test.go
@@ -14,7 +14,7 @@
 	f := New(Settings{Lease: 6 * time.Second}, 1, 1, false, now)
 	f.AddJob(now, oneStep("j", "normal", workload.Step{Count: 4, Need: smallTask, LongRunning: true, MayMiss: 2}), 2, nil)
 	f.AddJob(now, oneStep("batch", "normal", workload.Step{Count: 1, Need: smallTask}), 3, nil)
-	units := f.jobs["j"].units
+	units := f.jobs["j"].createUnits()
 	place := func(u *unit, id workload.ExecutorID) {
 		f.UpsertExecutor(now, workload.Executor{ID: id, Address: string(id), Capacity: workload.Resources{CPU: 32000, Memory: 64000}})
 		u.state = unitActive
@@ -26,7 +26,7 @@
 	place(units[1], "e1")
 	place(units[2], "e2")
 	place(units[3], "e2")
-	place(f.jobs["batch"].units[0], "e3")
+	place(f.jobs["batch"].unitAt(0), "e3")
 	for _, step := range []struct {
 		executor workload.ExecutorID
 		want     bool
--- a/decisions/fleet/throttle.go
+++ b/decisions/fleet/throttle.go
@@ -78,10 +78,10 @@
 
 // missingTasks returns how many tasks of a unit's step do not run or have not finished their startup.
 func (u *unit) missingTasks() int {
-	missing := 0
-	for _, other := range u.job.units {
-		if other.occurrence == u.occurrence && other.step == u.step && !other.fullyRunning() {
-			missing += other.size
+	missing := u.spec().Count
+	for _, other := range u.group.units {
+		if other.fullyRunning() {
+			missing -= other.size
 		}
 	}
 	return missing
--- a/decisions/fleet/waiting_test.go
+++ b/decisions/fleet/waiting_test.go
@@ -34,11 +34,11 @@
 	}
 	f.SetLeaseAge(now, HolderLease)
 	f.Plan(now)
-	if r := f.jobs["large"].units[0].waitsFor; r != WaitLease {
+	if r := f.jobs["large"].unitAt(0).waitsFor; r != WaitLease {
 		t.Errorf("waits for %s while the lease is not confirmed, want %s", r, WaitLease)
 	}
 	f.SetLeaseAge(now, 0)
-	run := f.jobs["j"].units[0].run
+	run := f.jobs["j"].unitAt(0).run
 	rows := []workload.EndedRun{
 		{Number: 1, Task: workload.TaskRef{Job: "j"}, Run: run, Outcome: workload.Done},
 		{Number: 2, Task: workload.TaskRef{Job: "j", Index: 1}, Run: run, Outcome: workload.Done},
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -115,8 +115,8 @@
 	if !t.loadLogged {
 		t.loadLogged = true
 		g := t.fleet.Gauges(now)
-		s.log("records loaded", "term", t.number, "jobs", g.Jobs, "open_jobs", g.OpenJobs, "executors", g.Executors,
-			"took_ms", now.Sub(t.startedAt).Milliseconds())
+		s.log("records loaded", "term", t.number, "jobs", g.Jobs, "open_jobs", g.OpenJobs, "occurrences_open", g.OpenOccurrences, "units_held", g.HeldUnits,
+			"executors", g.Executors, "took_ms", now.Sub(t.startedAt).Milliseconds())
 	}
 	t.lastPlanAt = now
 	t.fleet.SetLeaseAge(now, s.leaseAge())
@@ -164,14 +164,14 @@
 	g := t.fleet.Gauges(now)
 	for name, v := range map[string]int{
 		"jobs_open": g.OpenJobs, "units_waiting": g.WaitingUnits, "units_active": g.ActiveUnits,
-		"executors": g.Executors, "executors_eligible": g.Eligible,
+		"executors": g.Executors, "executors_eligible": g.Eligible, "occurrences_open": g.OpenOccurrences, "units_held": g.HeldUnits,
 		"units_at_account_limit": g.UnitsAtLimit, "accounts_at_limit": len(g.AccountsAtLimit), "jobs_excess_open": g.ExcessJobs,
 	} {
 		s.metrics.SetGauge(name, int64(v))
 	}
 	s.updateRunTimeGauges()
 	s.log("fleet summary", "term", t.number, "jobs_open", g.OpenJobs, "units_waiting", g.WaitingUnits, "units_active", g.ActiveUnits,
-		"executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.UnverifiedExecutors(),
+		"occurrences_open", g.OpenOccurrences, "units_held", g.HeldUnits, "executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.UnverifiedExecutors(),
 		"accounts_at_limit", g.AccountsAtLimit, "jobs_excess", g.ExcessJobs, "counts", t.summaryCounts)
 	t.summaryCounts = map[fleet.Counter]int64{}
 }
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -101,8 +101,10 @@
 type (
 	recordsLoaded struct {
 		termScoped
-		progress []metastore.Item
-		roster   workload.Roster
+		progress map[workload.JobID]*workload.Progress
+		// unreadable holds the errors of entries that were ignored.
+		unreadable []error
+		roster     workload.Roster
 		// saveRevision is the revision of SaveKey; 0 if there is none.
 		saveRevision int64
 		err          error
@@ -179,7 +181,7 @@
 
 func (s *Service) loadRecords(c *kernel.Context, t *term) {
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		out := recordsLoaded{termScoped: termScoped{t.number}}
+		out := recordsLoaded{termScoped: termScoped{t.number}, progress: map[workload.JobID]*workload.Progress{}}
 		var (
 			wg                              conc.WaitGroup
 			rosters, saves                  []metastore.Item
@@ -187,7 +189,7 @@
 		)
 		// The reads run concurrently, because with a slow store sequential calls would delay the first start after a change
 		// of holders. This is safe: no other VM writes these entries while this VM holds the fleet.
-		wg.Go(func() { out.progress, _, errProgress = s.store.List(ctx, records.ProgressPrefix) })
+		wg.Go(func() { _, errProgress = s.store.ListPages(ctx, records.ProgressPrefix, out.addProgress) })
 		wg.Go(func() { rosters, _, errRoster = s.store.List(ctx, records.RosterKey) })
 		wg.Go(func() { saves, _, errSave = s.store.List(ctx, records.SaveKey) })
 		wg.Wait()
@@ -204,6 +206,18 @@
 	})
 }
 
+// addProgress decodes a page of progress. The decoded form of a job with many occurrences is far smaller than the encoded one.
+func (m *recordsLoaded) addProgress(page []metastore.Item) {
+	for i := range page {
+		p, err := records.Decode[workload.Progress](page[i].Key, page[i].Value)
+		if err != nil {
+			m.unreadable = append(m.unreadable, err)
+			continue
+		}
+		m.progress[records.ParseProgressKey(page[i].Key)] = &p
+	}
+}
+
 func (s *Service) endTerm(reason string, keysAndValues ...any) {
 	t := s.term
 	t.cancel()
@@ -254,16 +268,11 @@
 		c.SendAfter(recordsRetryDelay, recordsDue{termScoped{t.number}})
 		return
 	}
-	t.progress = make(map[workload.JobID]*workload.Progress, len(m.progress))
-	for i := range m.progress {
-		p, err := records.Decode[workload.Progress](m.progress[i].Key, m.progress[i].Value)
-		if err != nil {
-			s.log("unreadable progress ignored", "error", err.Error())
-			s.metrics.CountEvent("records_unreadable", 1)
-			continue
-		}
-		t.progress[records.ParseProgressKey(m.progress[i].Key)] = &p
+	for _, err := range m.unreadable {
+		s.log("unreadable progress ignored", "error", err.Error())
+		s.metrics.CountEvent("records_unreadable", 1)
 	}
+	t.progress = m.progress
 	t.saveRevision = m.saveRevision
 	t.fleet.InheritRoster(time.Now(), m.roster)
 	updates := t.pendingUpdates
