Refuse submissions before accepted jobs exceed the memory of holders

VMs have 144 MB and more, and each must be able to hold the fleet. Change: the holder counts an estimate of the memory of each accepted job. The holder writes these accounts to vf/h/backlog, under the prefix that all VMs watch, and each VM refuses their submissions before it stores anything: 429 backlog_full, with the limit in "detail" and a Retry-After. A job that is stored already is confirmed. Accepted jobs always run.

--- a/api/failure/reason.go
+++ b/api/failure/reason.go
@@ -45,6 +45,7 @@
 	AcceptanceUnknown
 	AccountLimit
 	RequestTimeout
+	BacklogFull
 	reasonCount
 )
 
@@ -93,6 +94,7 @@
 	AcceptanceUnknown:  {"acceptance_unknown", http.StatusGatewayTimeout, Unknown},
 	AccountLimit:       {"account_limit", http.StatusTooManyRequests, NotRun},
 	RequestTimeout:     {"request_timeout", http.StatusRequestTimeout, NotRun},
+	BacklogFull:        {"backlog_full", http.StatusTooManyRequests, NotRun},
 }
 
 // Reasons returns all reasons of refusals.
--- a/api/message/fleet.go
+++ b/api/message/fleet.go
@@ -58,6 +58,16 @@
 // Kind implements kernel.Message.
 func (HolderChanged) Kind() string { return KindHolderChanged }
 
+// BacklogChanged is published when the set of client accounts changes that may not submit jobs, because the accepted jobs
+// take all the memory that holders have for them.
+type BacklogChanged struct{ AtLimit []workload.Account }
+
+// KindBacklogChanged is the kind of BacklogChanged, for subscriptions.
+const KindBacklogChanged = "backlog_changed"
+
+// Kind implements kernel.Message.
+func (BacklogChanged) Kind() string { return KindBacklogChanged }
+
 // ClientCall holds the fields that all client calls have in common.
 type ClientCall struct {
 	Host, Path string
--- a/api/records/records.go
+++ b/api/records/records.go
@@ -13,12 +13,14 @@
 
 // Keys and prefixes of the entries.
 const (
-	// HolderPrefix covers the holder and the term.
+	// HolderPrefix covers the holder, the term and the backlog, which all VMs watch.
 	HolderPrefix = "vf/h/"
 	// HolderKey holds the current holder. The entry is bound to the holder's lease.
 	HolderKey = HolderPrefix + "holder"
 	// TermKey holds the number of the last term and outlives its holder's lease.
 	TermKey = HolderPrefix + "term"
+	// BacklogKey holds the client accounts that may not submit jobs.
+	BacklogKey = HolderPrefix + "backlog"
 	// QueuePrefix covers accepted jobs, cancellations and tombstones.
 	QueuePrefix     = "vf/q/"
 	jobPrefix       = QueuePrefix + "j/"
@@ -92,6 +94,12 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// Backlog is the entry of BacklogKey.
+type Backlog struct {
+	// AtLimit lists the accounts whose submissions are refused, because the accepted jobs take all the memory for them.
+	AtLimit []workload.Account `json:"at_limit"`
+}
+
 // DecodeError reports an entry that cannot be decoded.
 type DecodeError struct {
 	Key   string
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/accountlimit"
+	"github.com/verbenaflow/verbenaflow/decisions/backlog"
 	"github.com/verbenaflow/verbenaflow/decisions/joborder"
 	"github.com/verbenaflow/verbenaflow/decisions/runtimes"
 )
@@ -85,6 +86,8 @@
 	config          *workload.Config
 	excludedDomains map[workload.Domain]bool
 	jobs            map[workload.JobID]*job
+	// accepted counts the memory that jobs take.
+	accepted backlog.Usage
 	// openJobs lists, in the order of their arrival, the jobs that have not ended, whose end is not durable yet or that
 	// still have runs.
 	openJobs  []*job
@@ -217,13 +220,14 @@
 	}
 	j := newJob(now, rec, createdRevision)
 	f.jobs[rec.ID] = j
+	f.countBytes(j, backlog.JobBytes(rec, false))
 	if progress != nil {
 		j.restore(progress)
 	}
 	f.unmarkedJobs = append(f.unmarkedJobs, j)
 	if j.state.Final() {
 		j.endedAt = now
-		j.compact()
+		f.compact(j)
 		return
 	}
 	f.openJobs = append(f.openJobs, j)
@@ -328,7 +332,7 @@
 func (f *Scheduler) RemoveJobs(jobs []ExpiredJob) {
 	for _, x := range jobs {
 		if j := f.jobs[x.ID]; j != nil && j.createdRevision == x.Accepted {
-			delete(f.jobs, x.ID)
+			f.removeJob(j)
 		}
 	}
 }
@@ -350,10 +354,35 @@
 	if !j.state.Final() || j.recordedVersion < j.version || j.hasRuns() || j.createdRevision == 0 || revision <= j.createdRevision {
 		return false
 	}
-	delete(f.jobs, id)
+	f.removeJob(j)
 	return true
 }
 
+func (f *Scheduler) removeJob(j *job) {
+	f.countBytes(j, 0)
+	delete(f.jobs, j.rec.ID)
+}
+
+// countBytes replaces what a job counts with in the memory of accepted jobs.
+func (f *Scheduler) countBytes(j *job, bytes int64) {
+	f.accepted.Add(j.rec.Account, bytes-j.bytes)
+	j.bytes = bytes
+}
+
+// AccountsAtBacklogLimit returns the accounts that may not submit jobs, because the accepted ones take limit bytes. atLimit
+// lists those that were at the limit until now.
+func (f *Scheduler) AccountsAtBacklogLimit(limit int64, atLimit []workload.Account) []workload.Account {
+	configured := make([]workload.Account, len(f.config.Accounts))
+	for i := range f.config.Accounts {
+		configured[i] = f.config.Accounts[i].Name
+	}
+	if slices.ContainsFunc(f.config.Routes, func(r workload.Route) bool { return r.Public }) {
+		// Calls without a key, of public routes, count as those of an account without a name.
+		configured = append(configured, "")
+	}
+	return f.accepted.AtLimit(limit, configured, atLimit)
+}
+
 // SetEvacuating replaces the set of executors that are evacuated: they get no new work and their runs are moved where
 // possible.
 func (f *Scheduler) SetEvacuating(ids []workload.ExecutorID) {
@@ -381,6 +410,8 @@
 	// OpenOccurrences is the number of occurrences and HeldUnits that of units with a state of their own. The memory of the
 	// scheduler grows with them and with Jobs.
 	OpenOccurrences, HeldUnits int
+	// AcceptedBytes is the memory that the limit of accepted jobs counts for them.
+	AcceptedBytes int64
 	// UnitsAtLimit is the number of waiting units that the limits of their accounts, AccountsAtLimit, keep from starting.
 	// ExcessJobs is the number of open jobs beyond the rates of their accounts.
 	UnitsAtLimit, ExcessJobs int
@@ -389,7 +420,7 @@
 
 // Gauges returns the sizes of the scheduler's present state.
 func (f *Scheduler) Gauges(now time.Time) Gauges {
-	g := Gauges{Jobs: len(f.jobs), OpenJobs: len(f.openJobs), Executors: len(f.executors)}
+	g := Gauges{Jobs: len(f.jobs), OpenJobs: len(f.openJobs), Executors: len(f.executors), AcceptedBytes: f.accepted.Total()}
 	atLimit := map[workload.Account]bool{}
 	for _, j := range f.openJobs {
 		if j.excess && !j.state.Final() {
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/backlog"
 )
 
 // unitState is the state of a unit.
@@ -127,6 +128,8 @@
 	version, recordedVersion int64
 	// finalVersion is the version at which the job ended; zero before.
 	finalVersion int64
+	// bytes is what the job counts with in Scheduler.accepted.
+	bytes int64
 	// recordedAt is the number of the latest call of MarkRecorded that has recorded a version of the job; zero before.
 	recordedAt int64
 }
@@ -172,11 +175,16 @@
 }
 
 // compact drops what is only needed to start tasks, because a finished job is kept until its retention ends.
-func (j *job) compact() {
+func (f *Scheduler) compact(j *job) {
+	f.countBytes(j, backlog.JobBytes(j.rec, true))
 	rec := *j.rec
 	rec.Spec = ""
 	j.rec = &rec
 	j.criticalPaths, j.expectedPaths = nil, expectedPaths{}
+	if !j.inherited || f.reconcileBy.IsZero() {
+		// Otherwise boundUnreported needs to know which tasks are done.
+		j.occurrences = nil
+	}
 }
 
 // dueAt returns when an occurrence may start; the zero time for a job without occurrences.
--- a/decisions/fleet/occurrence.go
+++ b/decisions/fleet/occurrence.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/backlog"
 )
 
 // maxWaitingOccurrences is the number of due occurrences of a job that are open at the same time before any of their tasks
 // has started. Further ones are opened when these start, so that a backlog of occurrences takes no memory.
-const maxWaitingOccurrences = 8
+const maxWaitingOccurrences = backlog.WaitingOccurrences
 
 // occurrence is the state of an occurrence of a job that is due and not done. Occurrences that are not due, or that are
 // done, have no state.
--- a/decisions/fleet/occurrence_test.go
+++ b/decisions/fleet/occurrence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,7 @@
 		"occurrences that are due":     {Steps: []workload.Step{small}, Occurrences: 10000, FirstAt: now.Add(-time.Hour), Interval: time.Millisecond},
 		"a wide step":                  {Steps: []workload.Step{wide}},
 		"many steps":                   {Steps: chain},
+		"many steps that are due":      {Steps: chain, Occurrences: 100, FirstAt: now.Add(-time.Hour), Interval: time.Millisecond},
 	}
 }
 
@@ -192,3 +194,44 @@
 		t.Errorf("the job is %s after all occurrences are done", s)
 	}
 }
+
+// TestBacklogCoversMemory guards against a limit of accepted jobs that counts less than they take, so that holders exceed their
+// memory before it is reached.
+func TestBacklogCoversMemory(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	const jobs = 200
+	shapes := waitingShapes(now)
+	shapes["a small job"] = *oneStep("j", "q", workload.Step{Count: 4, Need: smallTask, Checkpoint: true})
+	for name, shape := range shapes {
+		for _, finished := range []bool{false, true} {
+			f := New(Settings{Lease: 6 * time.Second, HolderLease: time.Minute}, 1, 1, false, now)
+			f.SetLeaseAge(now, 0)
+			before := heapBytes()
+			for i := range jobs {
+				rec := shape
+				rec.ID, rec.Queue, rec.Account = workload.JobID(fmt.Sprint("j", i)), "q", "a"
+				rec.Steps = slices.Clone(shape.Steps)
+				f.AddJob(now, &rec, int64(i+1), nil)
+			}
+			f.Plan(now)
+			for i := range jobs {
+				if finished {
+					f.Cancel(now, workload.JobID(fmt.Sprint("j", i)))
+				}
+			}
+			for range 2 {
+				f.Plan(now)
+				f.MarkRecorded(f.UnrecordedProgress(jobs))
+			}
+			if took, counted := heapBytes()-before, f.accepted.Total(); took > counted {
+				t.Errorf("%s, finished %v: %d bytes a job, %d are counted", name, finished, took/jobs, counted/jobs)
+			}
+			if finished {
+				f.RemoveJobs(f.ExpiredJobs(now.Add(time.Hour), jobs))
+				if n := f.accepted.Total(); n != 0 {
+					t.Errorf("%s: %d bytes are counted after all jobs were removed", name, n)
+				}
+			}
+		}
+	}
+}
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -115,6 +115,10 @@
 // and the units of a step become pending once the steps before it are done. A pending step lists at least one unit: the
 // untried ones are equal to it.
 func (f *Scheduler) collectUnits(now time.Time) {
+	// Stale entries would keep the state of jobs that have ended.
+	clear(f.pendingUnits)
+	clear(f.activeUnits)
+	clear(f.pendingSteps)
 	f.pendingUnits, f.activeUnits, f.pendingSteps = f.pendingUnits[:0], f.activeUnits[:0], f.pendingSteps[:0]
 	f.occurrencesHeldBack = false
 	for _, j := range f.openJobs {
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -263,7 +263,7 @@
 	f.openJobs = slices.DeleteFunc(f.openJobs, func(j *job) bool {
 		ended := j.state.Final() && j.recordedVersion >= j.version && !j.hasRuns()
 		if ended {
-			j.compact()
+			f.compact(j)
 		}
 		return ended
 	})
--- a/decisions/retryafter/retryafter.go
+++ b/decisions/retryafter/retryafter.go
@@ -27,6 +27,8 @@
 	StoreAway
 	// NoHolder is a fleet whose holder is lost.
 	NoHolder
+	// BacklogFull is an account whose accepted jobs take all the memory for them. Room returns as jobs end.
+	BacklogFull
 	// BeyondLimit is work that the limits of its account never permit. Only an operator can change that.
 	BeyondLimit
 )
@@ -44,7 +46,9 @@
 	// The return of the store is noticed within half a second, and a VM asks it again a second after a lost answer.
 	StoreAway: {time.Second, time.Second},
 	// The lease of a lost holder ends after two seconds, and its successor reads the records.
-	NoHolder:    {2 * time.Second, 2 * time.Second},
+	NoHolder: {2 * time.Second, 2 * time.Second},
+	// Jobs run for seconds to minutes.
+	BacklogFull: {5 * time.Second, 10 * time.Second},
 	BeyondLimit: {time.Minute, 0},
 }
 
--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -132,8 +132,8 @@
 		w.Header().Set("Retry-After", strconv.Itoa(retryafter.Seconds(retryafter.Delay(retryCause(f.Reason), rand.Float64()))))
 	}
 	detail := ""
-	if f.Reason == failure.Malformed || f.Reason == failure.TooLarge {
-		// The client can change the call if it knows the limit.
+	if f.Reason == failure.Malformed || f.Reason == failure.TooLarge || f.Reason == failure.BacklogFull {
+		// The client can change the call, or its other jobs, if it knows the limit.
 		detail = f.Detail
 	}
 	write(w, status, front.EncodeError(f.Reason.Code(), detail))
@@ -162,6 +162,8 @@
 		return retryafter.StoreAway
 	case failure.NoHolder, failure.NotHolder:
 		return retryafter.NoHolder
+	case failure.BacklogFull:
+		return retryafter.BacklogFull
 	case failure.AccountLimit:
 		return retryafter.BeyondLimit
 	default:
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -80,6 +80,8 @@
 	case adviceDone:
 		t.fleet.AdviceReceived(time.Now(), m.action, m.advice.Tickets, m.advice.ValidFor, m.err == nil)
 		s.requestPlan(c)
+	case backlogSaved:
+		s.handleBacklogSaved(c, m)
 	case saveDone:
 		s.handleSaveDone(c, m)
 	}
@@ -145,6 +147,7 @@
 	}
 	s.save(c)
 	s.saveRunTimes(c, now)
+	s.saveBacklog(c, now)
 	s.flushRunLog(now, false)
 	s.updateMetrics(now)
 	s.schedulePlan(c, next)
@@ -165,13 +168,15 @@
 	for name, v := range map[string]int{
 		"jobs_open": g.OpenJobs, "units_waiting": g.WaitingUnits, "units_active": g.ActiveUnits,
 		"executors": g.Executors, "executors_eligible": g.Eligible, "occurrences_open": g.OpenOccurrences, "units_held": g.HeldUnits,
+		"accepted_bytes": int(g.AcceptedBytes), "accounts_at_backlog_limit": len(s.election.backlog.atLimit),
 		"units_at_account_limit": g.UnitsAtLimit, "accounts_at_limit": len(g.AccountsAtLimit), "jobs_excess_open": g.ExcessJobs,
 	} {
 		s.metrics.SetGauge(name, int64(v))
 	}
 	s.updateRunTimeGauges()
 	s.log("fleet summary", "term", t.number, "jobs_open", g.OpenJobs, "units_waiting", g.WaitingUnits, "units_active", g.ActiveUnits,
-		"occurrences_open", g.OpenOccurrences, "units_held", g.HeldUnits, "executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.UnverifiedExecutors(),
+		"occurrences_open", g.OpenOccurrences, "units_held", g.HeldUnits,
+		"accepted_bytes", g.AcceptedBytes, "executors", g.Executors, "executors_eligible", g.Eligible, "unverified", t.fleet.UnverifiedExecutors(),
 		"accounts_at_limit", g.AccountsAtLimit, "jobs_excess", g.ExcessJobs, "counts", t.summaryCounts)
 	t.summaryCounts = map[fleet.Counter]int64{}
 }
--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -102,6 +102,7 @@
 	// abstainUntil is when this VM may stand for election again.
 	abstainUntil time.Time
 	published    message.HolderChanged
+	backlog      backlogEntry
 }
 
 // heldByEarlierProcess reports whether the current holder is an earlier process of this VM. That process has ended, so
@@ -151,6 +152,7 @@
 	if u.Snapshot {
 		el.loaded = true
 		el.record, el.revision = records.Holder{}, 0
+		el.backlog.clear()
 		for i := range u.Items {
 			s.applyHolderItem(&u.Items[i])
 		}
@@ -164,6 +166,7 @@
 			s.applyHolderItem(&u.Events[i].Item)
 		}
 	}
+	s.publishBacklog(c)
 	if el.loaded && (el.revision != before || u.Snapshot) {
 		s.handleHolderChange(c)
 	}
@@ -190,6 +193,8 @@
 		if item.Revision >= el.termRevision {
 			el.lastTerm, el.termRevision = r, item.Revision
 		}
+	case records.BacklogKey:
+		s.applyBacklogItem(item)
 	}
 }
 
--- a/services/holder/service.go
+++ b/services/holder/service.go
@@ -16,6 +16,7 @@
 	"github.com/verbenaflow/verbenaflow/api/names"
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/backlog"
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
 	"github.com/verbenaflow/verbenaflow/platform/advisor"
@@ -33,6 +34,8 @@
 	// Weight is the VM's share of a processor; VMs with a small share stand for election later.
 	Weight float64
 	Fleet  fleet.Settings
+	// BacklogLimit is the memory in bytes that accepted jobs may take; 0 means backlog.DefaultLimit.
+	BacklogLimit int64
 	// CheckpointMemory bounds the memory in bytes that the large checkpoints in the reports of all executors take together; 0 means
 	// no bound besides that of a report.
 	CheckpointMemory int64
@@ -69,6 +72,7 @@
 	if s.Clock == nil {
 		s.Clock = boottime.Now
 	}
+	s.BacklogLimit = cmp.Or(s.BacklogLimit, backlog.DefaultLimit)
 	s.RunTimesInterval = cmp.Or(s.RunTimesInterval, defaultRunTimesInterval)
 	s.TombstoneRetention = cmp.Or(s.TombstoneRetention, defaultTombstoneRetention)
 	return &Service{
--- a/services/holder/term.go
+++ b/services/holder/term.go
@@ -72,6 +72,9 @@
 	rejections rejections
 	// savedRosterVersion is the version of the roster that was last saved.
 	savedRosterVersion int64
+	// backlogInFlight is set while the entry of the backlog is written, nextBacklogAt is when it may be written again.
+	backlogInFlight bool
+	nextBacklogAt   time.Time
 
 	// lastPlanAt is the time of the last planning pass, planAt that of the next one if planScheduled is set.
 	lastPlanAt    time.Time
--- a/services/intake/deadline_test.go
+++ b/services/intake/deadline_test.go
@@ -95,20 +95,24 @@
 // startVM starts the intake of a VM that relays calls to another one.
 func startVM(t *testing.T, store Store, relay kernel.Service) *kernel.Kernel {
 	t.Helper()
-	return startVMWith(t, store, relay, &workload.Config{
+	return startVMWith(t, store, relay, testConfig())
+}
+
+func testConfig() *workload.Config {
+	return &workload.Config{
 		Version: 1, Routes: []workload.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "pool"}},
 		Accounts: []workload.AccountConfig{{Name: "a", Keys: []string{"k"}, Limit: workload.Resources{CPU: testLimit * 1000}}, {Name: "b", Keys: []string{"k2"}}},
-	})
+	}
 }
 
 // startVMWith is startVM with a configuration.
-func startVMWith(t *testing.T, store Store, relay kernel.Service, config *workload.Config) *kernel.Kernel {
+func startVMWith(t *testing.T, store Store, relay kernel.Service, config *workload.Config, published ...kernel.Message) *kernel.Kernel {
 	t.Helper()
 	config.Index()
 	k, err := kernel.New(nil, New(Settings{VM: "vm"}, store, metrics.New()).Spec(),
 		kernel.Spec{Name: names.Catalog, Service: publisher{}}, kernel.Spec{Name: names.Holder, Service: publisher{}},
 		kernel.Spec{Name: names.Relay, Service: relay},
-		kernel.Spec{Name: "test", Service: publisher{message.CatalogChanged{Config: config}, message.HolderChanged{VM: "other", Address: "other"}}})
+		kernel.Spec{Name: "test", Service: publisher(append(published, message.CatalogChanged{Config: config}, message.HolderChanged{VM: "other", Address: "other"}))})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/services/intake/limit.go
+++ b/services/intake/limit.go
@@ -28,8 +28,7 @@
 		notLookedUp = failure.New(failure.AcceptanceUnknown, "too many lookups of the account: %s", f.Error())
 	}
 	switch {
-	case notLookedUp != nil && f.Reason == failure.RateLimited:
-		// limitRecords logs bursts of these.
+	case notLookedUp != nil && comesInBursts(f.Reason):
 		s.metrics.CountRefusal(notLookedUp)
 		e.Fail(notLookedUp)
 		return
--- a/services/intake/service.go
+++ b/services/intake/service.go
@@ -44,6 +44,8 @@
 	storeReachable bool
 	// undecidedAt is when a transaction last ended without a known outcome.
 	undecidedAt time.Time
+	// atBacklogLimit holds the accounts that may not submit jobs, because the accepted ones take all the memory for them.
+	atBacklogLimit map[workload.Account]bool
 	// records bounds what each account adds to the store.
 	records *recordlimit.Limiter
 	// lookups counts the lookups in progress of submissions that are refused if their job is not stored.
@@ -74,7 +76,7 @@
 func (s *Service) Spec() kernel.Spec {
 	return kernel.Spec{
 		Name: names.Intake, Service: s, DependsOn: []kernel.Name{names.Catalog, names.Relay, names.Holder},
-		Subscriptions: []string{message.KindCatalogChanged, message.KindHolderChanged, message.KindStoreReachability, message.KindSettingsChanged},
+		Subscriptions: []string{message.KindCatalogChanged, message.KindHolderChanged, message.KindBacklogChanged, message.KindStoreReachability, message.KindSettingsChanged},
 	}
 }
 
@@ -99,6 +101,11 @@
 		s.forgetAccounts()
 	case message.HolderChanged:
 		s.holder = m
+	case message.BacklogChanged:
+		s.atBacklogLimit = map[workload.Account]bool{}
+		for _, a := range m.AtLimit {
+			s.atBacklogLimit[a] = true
+		}
 	case message.StoreReachability:
 		s.storeReachable = m.Reachable
 		if m.Reachable {
@@ -151,12 +158,31 @@
 	if s.records.Allow(now, account, k, units) {
 		return nil
 	}
+	s.countLimited(now, account)
+	return failure.New(failure.RateLimited, "the account exceeds its records a second, or in ten minutes")
+}
+
+// limitBacklog returns a failure if the accepted jobs leave no memory for another one of an account.
+func (s *Service) limitBacklog(account workload.Account) *failure.Error {
+	if !s.atBacklogLimit[account] {
+		return nil
+	}
+	s.countLimited(time.Now(), account)
+	return failure.New(failure.BacklogFull, "the accepted jobs take all the memory for them, and the account has more than its share: wait until some of its jobs have ended, or cancel some")
+}
+
+// countLimited counts a refused call and logs bursts of them.
+func (s *Service) countLimited(now time.Time, account workload.Account) {
 	s.limited[account]++
 	if now.Sub(s.limitedLogged) >= limitedLogInterval {
 		s.log("calls refused because an account exceeds its records", "calls", s.limited)
 		s.limited, s.limitedLogged = map[workload.Account]int{}, now
 	}
-	return failure.New(failure.RateLimited, "the account exceeds its records a second, or in ten minutes")
+}
+
+// comesInBursts reports whether a refusal is logged by countLimited only.
+func comesInBursts(r failure.Reason) bool {
+	return r == failure.RateLimited || r == failure.BacklogFull
 }
 
 // admitted is a client call that the configuration permits.
@@ -199,8 +225,7 @@
 // refuse fails a call, counts the reason and logs it.
 func (s *Service) refuse(e kernel.Envelope, call string, id any, f *failure.Error) {
 	s.metrics.CountRefusal(f)
-	if f.Reason == failure.RateLimited {
-		// limitRecords logs bursts of these.
+	if comesInBursts(f.Reason) {
 		e.Fail(f)
 		return
 	}
--- a/services/intake/submit.go
+++ b/services/intake/submit.go
@@ -105,6 +105,10 @@
 		s.refuseUnlessStored(c, job, deadline, e, failure.New(failure.TooLarge, "%v", err))
 		return
 	}
+	if f := s.limitBacklog(job.Account); f != nil {
+		s.refuseUnlessStored(c, job, deadline, e, f)
+		return
+	}
 	// A repeated submission writes no record, but it is a write call of the store, too. The VM that took a relayed call counts
 	// it, whether it stores the job itself or relays it.
 	if mayRelay {
@@ -311,7 +315,7 @@
 		switch {
 		case f.Outcome == failure.NotRun && f.Reason.HTTPStatus() == http.StatusServiceUnavailable:
 			f = failure.New(failure.StoreUnavailable, "%s", f.Error())
-		case f.Outcome == failure.NotRun && (f.Reason == failure.JobGone || f.Reason == failure.TooLarge || f.Reason == failure.KeyReused):
+		case f.Outcome == failure.NotRun && (f.Reason == failure.JobGone || f.Reason == failure.TooLarge || f.Reason == failure.KeyReused || f.Reason == failure.BacklogFull):
 		default:
 			f = failure.New(failure.AcceptanceUnknown, "%s", f.Detail)
 		}
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -83,6 +83,8 @@
 	recordReads   atomic.Int64
 	// tombstoneRetention is that of the holder; 0 means its default.
 	tombstoneRetention time.Duration
+	// backlogLimit is the memory that accepted jobs may take; 0 means the default.
+	backlogLimit int64
 	// retention is how long the holder keeps the state of finished jobs; 0 means an hour.
 	retention time.Duration
 	// queueLists counts the lists of jobs and cancellations. holdQueueLists keeps their answers back while it is set, and
@@ -190,6 +192,7 @@
 	env.t.Helper()
 	service := holder.New(holder.Settings{
 		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
+		BacklogLimit: env.backlogLimit,
 		Fleet: fleet.Settings{
 			Lease: 6 * time.Second, HolderLease: fleet.HolderLease, RenewalGrace: fleet.RenewalGrace, PollWait: 50 * time.Millisecond,
 			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: cmp.Or(env.retention, time.Hour),
