Let other VMs come first if a process ends twice in a row as the holder

Cause: the next process of a holder revoked the lease and stood for election in one step, whatever had ended the former. Change: it does so once. The entry of the holder says if the fleet was taken back from an earlier process; if that process ends too, the next one revokes its lease and stands for election 1.5 s after the others. Cost the other way: a VM that is the only one left takes the fleet 1.5 s later after its second end in a row. Result: TestRetakeOnce fails without the change (the VM claims the fleet after 2 ms) and passes.

--- a/api/records/records.go
+++ b/api/records/records.go
@@ -86,6 +86,8 @@
 	Term        int64  `json:"term"`
 	// Released is set once the holder has resigned.
 	Released bool `json:"released,omitempty"`
+	// Retaken is set if the holder took the fleet back from an earlier process of its VM.
+	Retaken bool `json:"retaken,omitempty"`
 }
 
 // Term is the entry of TermKey.
--- a/services/holder/election.go
+++ b/services/holder/election.go
@@ -35,6 +35,9 @@
 	// electionCallTimeout bounds a call of the election. It exceeds the response time of a store that is 100 times slower
 	// than its usual 4 ms. Longer calls would hide the return of a silent store.
 	electionCallTimeout = 500 * time.Millisecond
+	// retakeDelay is how much later than others a VM stands for election if its process has ended for the second time in a row
+	// while it was the holder. It exceeds the delays of all other candidates.
+	retakeDelay = 1500 * time.Millisecond
 	// candidacyRetryDelay is the delay before a failed candidacy is repeated.
 	candidacyRetryDelay = 300 * time.Millisecond
 )
@@ -99,6 +102,8 @@
 	campaigning bool
 	// releasing is set while this VM's holder entry is being marked as released.
 	releasing bool
+	// yielded is the revision of the entry of an earlier process whose lease was revoked for other candidates.
+	yielded int64
 	// abstainUntil is when this VM may stand for election again.
 	abstainUntil time.Time
 	published    message.HolderChanged
@@ -106,7 +111,8 @@
 }
 
 // heldByEarlierProcess reports whether the current holder is an earlier process of this VM. That process has ended, so
-// that this one need not wait for its lease to expire.
+// that this one need not wait for its lease to expire. It takes the fleet back once; if the process that did so has ended,
+// too, the fleet may be more than the VM can hold.
 func (e *election) heldByEarlierProcess(vm string) bool {
 	return e.revision != 0 && !e.record.Released && e.record.VM == vm && e.record.Incarnation != e.incarnation
 }
@@ -210,6 +216,12 @@
 	if s.draining || !vacant && !el.heldByEarlierProcess(s.settings.VM) {
 		return
 	}
+	if !vacant && el.record.Retaken && el.yielded != el.revision {
+		el.yielded, el.abstainUntil = el.revision, time.Now().Add(retakeDelay)
+		s.log("process ended again while it held the fleet; other VMs come first", "term", el.record.Term)
+		s.metrics.CountEvent("election_yielded", 1)
+		s.revoke(c, el.holderLease)
+	}
 	if s.term != nil || !vacant && time.Now().After(el.abstainUntil) {
 		s.campaign(c)
 		return
@@ -250,7 +262,7 @@
 		return
 	}
 	el.campaigning = true
-	record := records.Holder{VM: s.settings.VM, Address: s.settings.Address, Incarnation: el.incarnation, Term: el.lastTerm.Term + 1}
+	record := records.Holder{VM: s.settings.VM, Address: s.settings.Address, Incarnation: el.incarnation, Term: el.lastTerm.Term + 1, Retaken: earlierProcess}
 	term := records.Term{Term: record.Term, Incarnation: el.incarnation}
 	conditions := []metastore.Condition{
 		{Key: records.HolderKey, Revision: el.revision},
--- a/tests/holder/backlog_test.go
+++ b/tests/holder/backlog_test.go
@@ -1,14 +1,17 @@
 package holder
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/records"
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/backlog"
+	"github.com/verbenaflow/verbenaflow/platform/metastore"
 	storestandin "github.com/verbenaflow/verbenaflow/standins/metastore"
 )
 
@@ -61,3 +64,50 @@
 	}
 	env.eventually("the account may submit again", func() bool { return len(env.accountsAtLimit()) == 0 })
 }
+
+// TestRetakeOnce guards against a process that ends because of the fleet and whose VM takes it back each time, before any other VM can
+// hold it.
+func TestRetakeOnce(t *testing.T) {
+	t.Parallel()
+	for _, retaken := range []bool{false, true} {
+		env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}}
+		var (
+			began   time.Time
+			claimed atomic.Int64
+		)
+		env.prepare = func() {
+			lease, err := env.store.Grant(context.Background(), time.Minute)
+			if err != nil {
+				t.Fatal(err)
+			}
+			earlier := records.Holder{VM: "vm", Address: "127.0.0.1:1", Incarnation: "earlier", Term: 3, Retaken: retaken}
+			if _, err := env.store.Commit(context.Background(), metastore.Txn{Writes: []metastore.Write{
+				{Key: records.HolderKey, Value: records.Encode(earlier), Lease: lease},
+				{Key: records.TermKey, Value: records.Encode(records.Term{Term: 3, Incarnation: "earlier"})},
+			}}); err != nil {
+				t.Fatal(err)
+			}
+			env.store.SetFaults(storestandin.Faults{RefuseTxn: func(txn metastore.Txn) bool {
+				if len(txn.Writes) > 0 && txn.Writes[0].Key == records.HolderKey {
+					claimed.CompareAndSwap(0, int64(time.Since(began)))
+				}
+				return false
+			}})
+			began = time.Now()
+		}
+		env.start()
+		holder := func() (h records.Holder) {
+			for _, item := range env.store.Entries(records.HolderKey) {
+				h, _ = records.Decode[records.Holder](item.Key, item.Value)
+			}
+			return h
+		}
+		env.eventually("the next process holds the fleet", func() bool { return holder().Term == 4 })
+		if h := holder(); h.Retaken == retaken {
+			t.Errorf("retaken before: %v, now: %v", retaken, h.Retaken)
+		}
+		if waited := time.Duration(claimed.Load()); retaken && waited < time.Second {
+			t.Errorf("the VM that ended twice claims the fleet after %v, before other VMs can", waited)
+		}
+	}
+}
