Let queries for advice follow the policy of their queue

Cause: a query named 30 executors and was given up after 2 s, whatever the policy takes. decide_ms and each_ms were not read. Change: time limit and number of executors follow the policy. What the service permits does not change, so that room is reserved on executors whose tickets have ended, and all tickets that would end meanwhile are renewed in one query: a gang needs no tickets that outlast several queries. Queues that ask share the time of the service.

--- a/api/workload/config.go
+++ b/api/workload/config.go
@@ -26,6 +26,8 @@
 	Advised bool
 	// TicketValid is how long a ticket of the advisory service is valid.
 	TicketValid time.Duration
+	// AdviceDecideTime is the time of a query of the advisory service, AdviceExecutorTime what each executor adds to it.
+	AdviceDecideTime, AdviceExecutorTime time.Duration
 }
 
 // PoolConfig is the configuration of a pool of executors.
--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -51,7 +51,10 @@
 // AdviceQuery asks the advisory service which executors may run a step. The answer is applied by AdviceReceived.
 type AdviceQuery struct {
 	Step      workload.TaskRef
+	Queue     workload.Queue
 	Executors []workload.ExecutorID
+	// Timeout is the time after which no answer is expected any more.
+	Timeout time.Duration
 }
 
 // Poll polls an executor: it renews its lease and asks for a report. The result is applied by Report or PollFailed.
--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -6,12 +6,10 @@
 	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	policy "github.com/verbenaflow/verbenaflow/decisions/advice"
 )
 
 const (
-	// adviceBatchSize is the largest number of executors in one query. The service accepts at most 100, and its response
-	// time grows with their number.
-	adviceBatchSize = 30
 	// adviceRetryDelay is the shortest time between two queries for a step that name the same executor, and after a query
 	// without an answer.
 	adviceRetryDelay = 300 * time.Millisecond
@@ -20,23 +18,31 @@
 	// maxAdviceWait is how long a unit that may preempt others waits for advice on better executors: free ones, or more of
 	// a rack. Capacity that becomes free all the time would otherwise keep it from what it may reclaim.
 	maxAdviceWait = time.Second
+	// adviceMargin is the time by which an answer may be later than the policy says: the service may still be busy with an earlier
+	// query that was given up. It doubles with each query of a queue without an answer, up to adviceMarginDoublings times,
+	// because a policy may take longer than the configuration says.
+	adviceMargin          = 2 * time.Second
+	adviceMarginDoublings = 2
 )
 
 // advice is the set of answers of the advisory service for a step.
 type advice struct {
-	tickets map[workload.ExecutorID]ticket
-	// answered holds the executors of answered queries; those without a ticket may not run the step.
-	answered map[workload.ExecutorID]bool
-	// askedAt is when the last query named an executor.
-	askedAt map[workload.ExecutorID]time.Time
+	executors map[workload.ExecutorID]advised
 	// retryAt is when the next query may be sent after one without an answer.
 	retryAt time.Time
+	// waitsSince is when the step began to wait for its next query; zero if it does not.
+	waitsSince time.Time
 }
 
-type ticket struct {
-	value string
+// advised is what the service has answered about an executor for a step.
+type advised struct {
+	// answered is set once the service has answered, permitted if the executor may run the step.
+	answered, permitted bool
+	ticket              string
 	// usableUntil is when the ticket has less than its minimum validity left.
 	usableUntil time.Time
+	// askedAt is when the last query named the executor.
+	askedAt time.Time
 }
 
 // adviceFor returns the advice for a unit's step, empty at first, or nil if its queue needs none.
@@ -47,7 +53,7 @@
 	key := stepKey{u.job, u.occurrence, u.step}
 	a := u.job.advice[key]
 	if a == nil {
-		a = &advice{tickets: map[workload.ExecutorID]ticket{}, answered: map[workload.ExecutorID]bool{}, askedAt: map[workload.ExecutorID]time.Time{}}
+		a = &advice{executors: map[workload.ExecutorID]advised{}}
 		if u.job.advice == nil {
 			u.job.advice = map[stepKey]*advice{}
 		}
@@ -56,54 +62,147 @@
 	return a
 }
 
-// permits reports whether an executor may run the step now. Nil advice permits every executor.
-func (a *advice) permits(now time.Time, id workload.ExecutorID) bool {
-	return a == nil || a.tickets[id].usableUntil.After(now)
+// hasTicket reports whether an executor may run the step now. Nil advice permits every executor.
+func (a *advice) hasTicket(now time.Time, id workload.ExecutorID) bool {
+	return a == nil || a.executors[id].usableUntil.After(now)
 }
 
-// isOpen reports whether it is not known now whether an executor may run the step: it was never asked about, or its ticket
-// has expired.
-func (a *advice) isOpen(now time.Time, id workload.ExecutorID) bool {
-	_, hadTicket := a.tickets[id]
-	return !a.permits(now, id) && (hadTicket || !a.answered[id])
+// adviceFails reports whether the last query of a unit's queue had no answer.
+func (f *Scheduler) adviceFails(u *unit) bool { return f.adviceQueues[u.job.rec.Queue].failures > 0 }
+
+// mayReserve reports whether capacity of an executor may be reserved for a unit: it has a ticket, or the service has permitted it
+// before. What the service permits does not change, so that it issues a new ticket if it answers. Nil advice permits every executor.
+func (f *Scheduler) mayReserve(now time.Time, u *unit, a *advice, id workload.ExecutorID) bool {
+	return a.hasTicket(now, id) || a.executors[id].permitted && !f.adviceFails(u)
+}
+
+// isOpen reports whether an answer of the service can show that an executor may run a unit for which its capacity must not be reserved now.
+func (f *Scheduler) isOpen(now time.Time, u *unit, a *advice, id workload.ExecutorID) bool {
+	return !f.mayReserve(now, u, a, id) && !a.denies(id)
+}
+
+// denies reports whether an executor may not run the step.
+func (a *advice) denies(id workload.ExecutorID) bool {
+	e := a.executors[id]
+	return e.answered && !e.permitted
+}
+
+func (f *Scheduler) policyOf(j *job) policy.Policy { return policyOf(f.route(j)) }
+
+func policyOf(r *workload.Route) policy.Policy {
+	// A route of an accepted job may have been written by another build.
+	return policy.Policy{Decide: max(0, r.AdviceDecideTime), PerExecutor: max(0, r.AdviceExecutorTime), Valid: max(0, r.TicketValid)}
 }
 
-// queryAdvice adds a query for the first executors of a list on which advice is open, and reports whether there are any. The
-// service handles one call at a time, so that the scheduler keeps at most one query in flight.
-func (f *Scheduler) queryAdvice(now time.Time, u *unit, executors []*executor) (open bool) {
+// adviceRequest is a query that a step waits for.
+type adviceRequest struct {
+	unit      *unit
+	advice    *advice
+	executors []workload.ExecutorID
+	// reserved is set if units that have reserved capacity wait for it.
+	reserved bool
+}
+
+// adviceQueue is what is known of the queries of a queue.
+type adviceQueue struct {
+	// failures counts the queries without an answer since the last one with an answer.
+	failures int
+}
+
+// requestAdvice requests a query for the first executors of a list on which advice is open, and reports whether there are any.
+// needed is how many executors the unit needs at once.
+func (f *Scheduler) requestAdvice(now time.Time, u *unit, executors []*executor, needed int) (open bool) {
 	a := f.adviceFor(u)
 	if a == nil {
 		return false
 	}
 	var ids []workload.ExecutorID
+	size := f.adviceBatchSize(u, needed)
 	for _, e := range executors {
 		id := e.info.ID
-		if !a.isOpen(now, id) {
+		if !f.isOpen(now, u, a, id) {
 			continue
 		}
 		open = true
-		if asked, known := a.askedAt[id]; known && now.Before(asked.Add(adviceRetryDelay)) {
-			continue
+		if len(ids) < size && !now.Before(a.executors[id].askedAt.Add(adviceRetryDelay)) {
+			ids = append(ids, id)
 		}
-		if ids = append(ids, id); len(ids) == adviceBatchSize {
-			break
+	}
+	f.addAdviceRequest(now, adviceRequest{unit: u, advice: a, executors: ids}, size)
+	return open
+}
+
+// adviceBatchSize returns the number of executors to name in a query for a unit. It halves with each query without an answer:
+// the service may take longer for each executor than the configuration says.
+func (f *Scheduler) adviceBatchSize(u *unit, needed int) int {
+	return max(1, f.policyOf(u.job).BatchSize(needed)>>f.adviceQueues[u.job.rec.Queue].failures)
+}
+
+// addAdviceRequest adds a query to those that may be sent after this planning pass, or joins it to one of the same step that names
+// at most size executors.
+func (f *Scheduler) addAdviceRequest(now time.Time, r adviceRequest, size int) {
+	if len(r.executors) == 0 || f.adviceInFlight || now.Before(r.advice.retryAt) {
+		return
+	}
+	if r.advice.waitsSince.IsZero() {
+		r.advice.waitsSince = now
+	}
+	i := slices.IndexFunc(f.adviceRequests, func(other adviceRequest) bool { return other.advice == r.advice })
+	if i < 0 {
+		f.adviceRequests = append(f.adviceRequests, r)
+		return
+	}
+	other := &f.adviceRequests[i]
+	other.reserved = other.reserved || r.reserved
+	for _, id := range r.executors {
+		if len(other.executors) < size && !slices.Contains(other.executors, id) {
+			other.executors = append(other.executors, id)
 		}
 	}
-	if len(ids) == 0 || f.adviceInFlight || now.Before(a.retryAt) {
-		return open
+}
+
+// sendAdviceQuery adds a query for one of the requests to the actions: of the queue whose turn it is, for units that have
+// reserved capacity or, if there are none, for the step that has waited for longest. The service handles one query at a time, so
+// that at most one is in flight.
+func (f *Scheduler) sendAdviceQuery(now time.Time) {
+	defer func() {
+		clear(f.adviceRequests)
+		f.adviceRequests = f.adviceRequests[:0]
+	}()
+	if f.adviceInFlight || len(f.adviceRequests) == 0 {
+		return
 	}
-	for _, id := range ids {
-		a.askedAt[id] = now
+	rank := func(reserved bool) int {
+		if reserved {
+			return 0
+		}
+		return 1
 	}
+	r := slices.MinFunc(f.adviceRequests, func(a, b adviceRequest) int {
+		return cmp.Or(
+			cmp.Compare(f.adviceTurns.Start(a.unit.job.rec.Queue), f.adviceTurns.Start(b.unit.job.rec.Queue)),
+			cmp.Compare(rank(a.reserved), rank(b.reserved)), a.advice.waitsSince.Compare(b.advice.waitsSince),
+		)
+	})
+	for _, id := range r.executors {
+		e := r.advice.executors[id]
+		e.askedAt = now
+		r.advice.executors[id] = e
+	}
+	queue := r.unit.job.rec.Queue
+	takes := f.policyOf(r.unit.job).Duration(len(r.executors))
+	f.adviceTurns.Take(queue, takes)
+	r.advice.waitsSince = time.Time{}
 	f.adviceInFlight = true
 	f.count(CountAdviceQuery)
-	f.actions = append(f.actions, AdviceQuery{Step: u.task(0), Executors: ids})
-	return open
+	f.actions = append(f.actions, AdviceQuery{
+		Step: r.unit.task(0), Queue: queue, Executors: r.executors, Timeout: takes + adviceMargin<<min(f.adviceQueues[queue].failures, adviceMarginDoublings),
+	})
 }
 
-// queryVacatable asks for advice on executors that a preemption for a unit could vacate, those with the least lost work
+// requestVacatable requests advice on executors that a preemption for a unit could vacate, those with the least lost work
 // first, and for a unit that needs a rack one rack after the other. It reports whether advice on any of them may be open.
-func (f *Scheduler) queryVacatable(now time.Time, c *candidate, u *unit, usable []*executor) (open bool) {
+func (f *Scheduler) requestVacatable(now time.Time, c *candidate, u *unit, usable []*executor) (open bool) {
 	type option struct {
 		e              *executor
 		rank           int
@@ -120,7 +219,7 @@
 	var options []option
 	rackCost := map[string]float64{}
 	for _, e := range usable {
-		if !a.isOpen(now, e.info.ID) || !e.matches(pool, step) || step.MaxPerExecutor > 0 && e.stepTaskCount(u) >= step.MaxPerExecutor {
+		if !f.isOpen(now, u, a, e.info.ID) || !e.matches(pool, step) || step.MaxPerExecutor > 0 && e.stepTaskCount(u) >= step.MaxPerExecutor {
 			continue
 		}
 		_, cost, ok := f.selectVictims(now, c.Class, e, load.Sub(e.free().Add(e.endingLoad())), nil, budgets)
@@ -152,25 +251,108 @@
 	for i := range options {
 		executors[i] = options[i].e
 	}
-	return f.queryAdvice(now, u, executors)
+	return f.requestAdvice(now, u, executors, executorsNeeded(u, executors))
+}
+
+// executorsNeeded returns how many of some executors, in their order, hold a unit if they are empty.
+func executorsNeeded(u *unit, executors []*executor) int {
+	left := u.size
+	for i, e := range executors {
+		if left -= max(1, capacityFor(u.spec(), e.info.Capacity)); left <= 0 {
+			return i + 1
+		}
+	}
+	return len(executors)
+}
+
+// findAdvised returns a placement of a unit that needs advice on some of the executors on which it fits, or nil. The placement may
+// need new tickets. Without one, advice on the others is requested.
+func (f *Scheduler) findAdvised(now time.Time, u *unit, usable []*executor, fit []fitOption, a *advice) ([]*executor, string) {
+	u.adviceOpen = false
+	withTicket := slices.DeleteFunc(slices.Clone(fit), func(option fitOption) bool { return !a.hasTicket(now, option.executor.info.ID) })
+	if placement, reason := f.choosePlacement(now, u, usable, withTicket); placement != nil {
+		return placement, reason
+	}
+	permitted := slices.DeleteFunc(slices.Clone(fit), func(option fitOption) bool { return !f.mayReserve(now, u, a, option.executor.info.ID) })
+	if placement, reason := f.choosePlacement(now, u, usable, permitted); placement != nil {
+		return placement, reason
+	}
+	free := make([]*executor, len(fit))
+	for i := range fit {
+		free[i] = fit[i].executor
+	}
+	u.adviceOpen = f.requestAdvice(now, u, free, executorsNeeded(u, free))
+	return nil, ""
 }
 
-// renewTickets reports whether all executors of a reserved unit have a usable ticket, and asks for those that are missing.
-func (f *Scheduler) renewTickets(now time.Time, u *unit) bool {
+// ticketState says whether a reserved unit may start with its tickets.
+type ticketState uint8
+
+const (
+	// ticketsUsable means that all executors of the unit have usable tickets.
+	ticketsUsable ticketState = iota
+	// ticketsAwaited means that new tickets are needed, and may be issued.
+	ticketsAwaited
+	// ticketsDenied means that an executor of the unit may not run it.
+	ticketsDenied
+)
+
+// checkTickets reports whether all executors of a reserved unit have a usable ticket, and requests those that are missing together with
+// those that would expire meanwhile.
+func (f *Scheduler) checkTickets(now time.Time, u *unit) ticketState {
+	a := f.adviceFor(u)
+	if a == nil {
+		return ticketsUsable
+	}
+	state := ticketsUsable
+	for _, r := range u.taskRuns {
+		switch id := r.executor.info.ID; {
+		case a.hasTicket(now, id):
+		case a.denies(id):
+			return ticketsDenied
+		default:
+			state = ticketsAwaited
+		}
+	}
+	if state == ticketsUsable {
+		return state
+	}
+	lasts := now.Add(f.policyOf(u.job).Duration(min(len(u.taskRuns), policy.MaxExecutors)) + minTicketValidity)
+	var ids []workload.ExecutorID
+	for _, r := range u.taskRuns {
+		id := r.executor.info.ID
+		if e := a.executors[id]; !e.usableUntil.After(lasts) && !now.Before(e.askedAt.Add(adviceRetryDelay)) && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	f.addAdviceRequest(now, adviceRequest{unit: u, advice: a, executors: ids[:min(len(ids), policy.MaxExecutors)], reserved: true}, policy.MaxExecutors)
+	return state
+}
+
+// ticketTime returns how long a reservation of a unit may wait for tickets: for its own query and for one of another queue before it.
+func (f *Scheduler) ticketTime(u *unit) time.Duration {
 	if f.adviceFor(u) == nil {
-		return true
+		return 0
 	}
-	executors := make([]*executor, len(u.taskRuns))
-	for i, r := range u.taskRuns {
-		executors[i] = r.executor
+	longest := time.Duration(0)
+	for i := range f.config.Routes {
+		if r := &f.config.Routes[i]; r.Advised {
+			p := policyOf(r)
+			longest = max(longest, p.Duration(p.BatchSize(1)))
+		}
 	}
-	return !f.queryAdvice(now, u, executors)
+	return longest + f.policyOf(u.job).Duration(min(u.size, policy.MaxExecutors)) + adviceMargin
 }
 
 // AdviceReceived applies an answer of the advisory service: the tickets of the executors that may run the step, and the
 // duration of their validity. ok is false if there was no answer.
 func (f *Scheduler) AdviceReceived(now time.Time, query AdviceQuery, tickets map[workload.ExecutorID]string, valid time.Duration, ok bool) {
 	f.adviceInFlight = false
+	if ok {
+		delete(f.adviceQueues, query.Queue)
+	} else {
+		f.adviceQueues[query.Queue] = adviceQueue{failures: f.adviceQueues[query.Queue].failures + 1}
+	}
 	j := f.jobs[query.Step.Job]
 	if j == nil {
 		return
@@ -183,19 +365,22 @@
 		a.retryAt = now.Add(adviceRetryDelay)
 		return
 	}
-	for _, id := range query.Executors {
-		a.answered[id] = true
-		delete(a.tickets, id)
+	if valid <= 0 {
+		valid = f.route(j).TicketValid
 	}
-	for id, value := range tickets {
-		a.tickets[id] = ticket{value, now.Add(valid - min(minTicketValidity, valid/2))}
+	for _, id := range query.Executors {
+		e := advised{answered: true, askedAt: a.executors[id].askedAt}
+		if e.ticket, e.permitted = tickets[id]; e.permitted {
+			e.usableUntil = now.Add(valid - min(minTicketValidity, valid/2))
+		}
+		a.executors[id] = e
 	}
 }
 
 // ticketFor returns the ticket for a start, or "".
 func (f *Scheduler) ticketFor(u *unit, id workload.ExecutorID) string {
 	if a := f.adviceFor(u); a != nil {
-		return a.tickets[id].value
+		return a.executors[id].ticket
 	}
 	return ""
 }
@@ -204,9 +389,7 @@
 func (f *Scheduler) dropTicket(u *unit, id workload.ExecutorID) {
 	f.count(CountTicketRefused)
 	if a := f.adviceFor(u); a != nil {
-		delete(a.tickets, id)
-		delete(a.answered, id)
-		delete(a.askedAt, id)
+		delete(a.executors, id)
 	}
 }
 
@@ -219,9 +402,7 @@
 func (f *Scheduler) dropTickets(id workload.ExecutorID) {
 	for _, j := range f.openJobs {
 		for _, a := range j.advice {
-			delete(a.tickets, id)
-			delete(a.answered, id)
-			delete(a.askedAt, id)
+			delete(a.executors, id)
 		}
 	}
 }
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/accountlimit"
+	policy "github.com/verbenaflow/verbenaflow/decisions/advice"
 	"github.com/verbenaflow/verbenaflow/decisions/backlog"
 	"github.com/verbenaflow/verbenaflow/decisions/joborder"
 	"github.com/verbenaflow/verbenaflow/decisions/runtimes"
@@ -119,6 +120,11 @@
 	lowCapacityAt time.Time
 	// adviceInFlight is set while a query of the advisory service is unanswered.
 	adviceInFlight bool
+	// adviceRequests lists the queries that steps wait for, in this planning pass. adviceTurns shares the service among the queues, and
+	// adviceQueues holds the queues whose last query had no answer.
+	adviceRequests []adviceRequest
+	adviceTurns    policy.Turns[workload.Queue]
+	adviceQueues   map[workload.Queue]adviceQueue
 	// evacuating holds the executors that are to be emptied for maintenance.
 	evacuating map[workload.ExecutorID]bool
 
@@ -159,6 +165,7 @@
 		runTimes:        runTimeModel{},
 		jobOrder:        joborder.InTimeFirst,
 		headroomWindow:  defaultHeadroomWindow,
+		adviceQueues:    map[workload.Queue]adviceQueue{},
 		evacuating:      map[workload.ExecutorID]bool{},
 		counters:        map[Counter]int64{},
 
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -187,7 +187,9 @@
 		return mayRunRecorded && f.preempt(now, c, u, usable)
 	case mayRunRecorded:
 		f.reserve(now, u, placement)
-		f.start(now, u, reason)
+		if f.checkTickets(now, u) == ticketsUsable {
+			f.start(now, u, reason)
+		}
 	}
 	return true
 }
@@ -197,13 +199,13 @@
 func (f *Scheduler) findPlacement(now time.Time, u *unit, usable []*executor) ([]*executor, string) {
 	fit := f.fittingExecutors(now, u, usable)
 	if a := f.adviceFor(u); a != nil {
-		free := make([]*executor, len(fit))
-		for i := range fit {
-			free[i] = fit[i].executor
-		}
-		u.adviceOpen = f.queryAdvice(now, u, free)
-		fit = slices.DeleteFunc(fit, func(option fitOption) bool { return !a.permits(now, option.executor.info.ID) })
+		return f.findAdvised(now, u, usable, fit, a)
 	}
+	return f.choosePlacement(now, u, usable, fit)
+}
+
+// choosePlacement is findPlacement on the executors on which tasks of the unit fit.
+func (f *Scheduler) choosePlacement(now time.Time, u *unit, usable []*executor, fit []fitOption) ([]*executor, string) {
 	if len(fit) == 0 {
 		return nil, ""
 	}
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -40,6 +40,7 @@
 		setWaiting(f.pendingUnits, WaitLease)
 	}
 	f.reportWaiting(now)
+	f.sendAdviceQuery(now)
 	f.planStops(now)
 	f.planPolls(now)
 	out := f.actions
@@ -281,14 +282,22 @@
 		if u.state != unitActive || !u.reserved() {
 			continue
 		}
+		vacated := f.canStart(now, u)
+		tickets := ticketsAwaited
+		if vacated || f.ticketsInAdvance(u) {
+			tickets = f.checkTickets(now, u)
+		}
 		switch {
-		case f.canStart(now, u) && f.mayDispatch(now, u) && f.renewTickets(now, u):
+		case tickets == ticketsDenied:
+			u.notBefore = now.Add(startRetryDelay)
+			f.cancelReservation(now, u)
+		case vacated && f.mayDispatch(now, u) && tickets == ticketsUsable:
 			f.start(now, u, "room_vacated")
 		case u.awaitsInVain(now):
 			f.count(CountAwaitFailed)
 			u.awaitFailed = true
 			f.cancelReservation(now, u)
-		case now.Sub(u.startedAt) > f.settings.MaxStopTime+reservationMargin || f.isBlocked(now, u) || !f.mayDispatch(now, u):
+		case now.Sub(u.startedAt) > f.settings.MaxStopTime+reservationMargin+f.ticketTime(u) || f.isBlocked(now, u) || !f.mayDispatch(now, u):
 			f.count(CountReservationCancelled)
 			u.notBefore = now.Add(startRetryDelay)
 			f.cancelReservation(now, u)
@@ -296,6 +305,12 @@
 	}
 }
 
+// ticketsInAdvance reports whether new tickets for a reserved unit are requested before its room is free, because they take
+// longer than that.
+func (f *Scheduler) ticketsInAdvance(u *unit) bool {
+	return f.adviceFor(u) != nil && f.policyOf(u.job).Duration(len(u.taskRuns)) > f.settings.MaxStopTime
+}
+
 // canStart reports whether all tasks of a reserved unit fit beside the runs that were dispatched to their executors.
 func (f *Scheduler) canStart(now time.Time, u *unit) bool {
 	need := map[*executor]workload.Resources{}
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -22,12 +22,15 @@
 	maxWaitOver := now.Sub(u.pendingSince) >= maxAdviceWait
 	if advised && u.adviceOpen && !maxWaitOver {
 		// An executor with free capacity may be permitted.
+		if p := f.policyOf(u.job); p.DecideDominates(p.BatchSize(1)) {
+			f.requestVacatable(now, c, u, usable)
+		}
 		return false
 	}
 	step := u.spec()
 	if !u.needsRack() {
 		p := f.findPreemption(now, c, u, usable)
-		if p == nil && advised && f.queryVacatable(now, c, u, usable) && !maxWaitOver {
+		if p == nil && advised && f.requestVacatable(now, c, u, usable) && !maxWaitOver {
 			// An executor that can be vacated may be permitted.
 			return false
 		}
@@ -54,7 +57,7 @@
 			best = p
 		}
 	}
-	if best == nil && advised && f.queryVacatable(now, c, u, usable) && !maxWaitOver {
+	if best == nil && advised && f.requestVacatable(now, c, u, usable) && !maxWaitOver {
 		// A rack that can hold the unit may be permitted.
 		return false
 	}
@@ -100,7 +103,7 @@
 	pool := f.route(u.job).Pool
 	var hosts []*executor
 	for _, e := range usable {
-		if advice.permits(now, e.info.ID) && e.matches(pool, u.spec()) && load.Fits(e.info.Capacity) {
+		if f.mayReserve(now, u, advice, e.info.ID) && e.matches(pool, u.spec()) && load.Fits(e.info.Capacity) {
 			hosts = append(hosts, e)
 			freed[e] = e.endingLoad()
 		}
--- a/decisions/fleet/simulation_test.go
+++ b/decisions/fleet/simulation_test.go
@@ -140,11 +140,16 @@
 	permits func(workload.ExecutorID) bool
 	// decide and each are the time of a query and, in addition, of each executor that it names. Tickets are valid for valid.
 	decide, each, valid time.Duration
+	// byRoute is set if these times are those of the configuration of the queue.
+	byRoute bool
 	// silent is the number of queries that get no answer from now on.
 	silent int
 	// queries counts the queries, refused the starts without a valid ticket.
 	queries, refused int
 	tickets          map[string]time.Time
+	// busyUntil is when the service has handled all queries, unanswered counts those that were given up before.
+	busyUntil  time.Time
+	unanswered int
 }
 
 // holder is a holder of the fleet. Messages to a replaced one are dropped.
@@ -632,16 +637,36 @@
 		})
 		return
 	}
-	sim.schedule(adv.decide+time.Duration(len(a.Executors))*adv.each+2*callLatency, func() {
+	// A query that is given up keeps the service busy all the same.
+	decide, each, valid := adv.decide, adv.each, adv.valid
+	if r := sim.config.Route(a.Queue); adv.byRoute {
+		decide, each, valid = r.AdviceDecideTime, r.AdviceExecutorTime, r.TicketValid
+	}
+	adv.busyUntil = latest(sim.now, adv.busyUntil).Add(decide + time.Duration(len(a.Executors))*each)
+	if len(a.Executors) > 100 {
+		sim.recordViolation("advice: %d executors in a query", len(a.Executors))
+	}
+	takes := adv.busyUntil.Sub(sim.now) + 2*callLatency
+	if takes > a.Timeout {
+		sim.schedule(a.Timeout, func() {
+			adv.unanswered++
+			if !h.replaced {
+				h.scheduler.AdviceReceived(sim.now, a, nil, 0, false)
+				sim.plan(h)
+			}
+		})
+		return
+	}
+	sim.schedule(takes, func() {
 		tickets := map[workload.ExecutorID]string{}
 		for _, id := range a.Executors {
 			if adv.permits(id) {
 				tickets[id] = fmt.Sprintf("%s %d.%d %s at %v", a.Step.Job, a.Step.Occurrence, a.Step.Step, id, sim.now)
-				adv.tickets[tickets[id]] = sim.now.Add(adv.valid)
+				adv.tickets[tickets[id]] = sim.now.Add(valid)
 			}
 		}
 		if !h.replaced {
-			h.scheduler.AdviceReceived(sim.now, a, tickets, adv.valid, true)
+			h.scheduler.AdviceReceived(sim.now, a, tickets, valid, true)
 			sim.plan(h)
 		}
 	})
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -73,7 +73,7 @@
 	// index holds the indices of units in running, or -1 for those that are neither stopped nor awaited.
 	index := map[*unit]int{}
 	for _, e := range usable {
-		if !advice.permits(now, e.info.ID) || !e.matches(pool, step) || !load.Fits(e.info.Capacity) {
+		if !f.mayReserve(now, u, advice, e.info.ID) || !e.matches(pool, step) || !load.Fits(e.info.Capacity) {
 			continue
 		}
 		host := victims.Host{Free: e.free(), Slots: capacityFor(step, e.info.Capacity)}
--- a/services/holder/actions.go
+++ b/services/holder/actions.go
@@ -78,8 +78,7 @@
 	case throttleDone:
 		s.handleThrottleDone(c, m)
 	case adviceDone:
-		t.fleet.AdviceReceived(time.Now(), m.action, m.advice.Tickets, m.advice.ValidFor, m.err == nil)
-		s.requestPlan(c)
+		s.handleAdviceDone(c, m)
 	case backlogSaved:
 		s.handleBacklogSaved(c, m)
 	case saveDone:
--- a/services/holder/throttle_advice.go
+++ b/services/holder/throttle_advice.go
@@ -12,10 +12,6 @@
 	"github.com/verbenaflow/verbenaflow/platform/advisor"
 )
 
-// adviceTimeout bounds a call to the advisory service. The service needs some time for each executor of a call and
-// handles the calls of a VM one after the other.
-const adviceTimeout = 2 * time.Second
-
 type (
 	throttleDone struct {
 		termScoped
@@ -26,6 +22,7 @@
 		termScoped
 		action fleet.AdviceQuery
 		advice advisor.Advice
+		took   time.Duration
 		err    error
 	}
 )
@@ -75,10 +72,23 @@
 	step := a.Step.String()
 	step = step[:strings.LastIndexByte(step, '.')]
 	c.Spawn(func(ctx context.Context) kernel.Message {
-		ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+		ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 		defer cancel()
 		out := adviceDone{termScoped: termScoped{t.number}, action: a}
+		start := time.Now()
 		out.advice, out.err = s.advisor.Advise(ctx, step, a.Executors)
+		out.took = time.Since(start)
+		s.metrics.RecordLatency("advice", out.took)
 		return out
 	})
 }
+
+func (s *Service) handleAdviceDone(c *kernel.Context, m adviceDone) {
+	if m.err != nil {
+		s.metrics.CountEvent("advice_failed", 1)
+		s.log("advice not received; asking again", "step", m.action.Step, "executors", len(m.action.Executors), "took_ms", m.took.Milliseconds(),
+			"timeout_ms", m.action.Timeout.Milliseconds(), "error", m.err.Error())
+	}
+	s.term.fleet.AdviceReceived(time.Now(), m.action, m.advice.Tickets, m.advice.ValidFor, m.err == nil)
+	s.requestPlan(c)
+}
--- a/tests/holder/lease_test.go
+++ b/tests/holder/lease_test.go
@@ -22,6 +22,7 @@
 	"github.com/verbenaflow/verbenaflow/api/workload"
 	"github.com/verbenaflow/verbenaflow/decisions/fleet"
 	"github.com/verbenaflow/verbenaflow/kernel"
+	"github.com/verbenaflow/verbenaflow/platform/advisor"
 	"github.com/verbenaflow/verbenaflow/platform/metastore"
 	"github.com/verbenaflow/verbenaflow/platform/runner"
 	"github.com/verbenaflow/verbenaflow/services/holder"
@@ -85,6 +86,9 @@
 	tombstoneRetention time.Duration
 	// backlogLimit is the memory that accepted jobs may take; 0 means the default.
 	backlogLimit int64
+	// advisor answers queries for advice; nil if no queue needs any. adviceTime is the time of a query by the configuration.
+	advisor    http.Handler
+	adviceTime time.Duration
 	// retention is how long the holder keeps the state of finished jobs; 0 means an hour.
 	retention time.Duration
 	// queueLists counts the lists of jobs and cancellations. holdQueueLists keeps their answers back while it is set, and
@@ -174,7 +178,9 @@
 	env.store.Set(runner.RegistryPrefix+"e", runner.EncodeRegistryEntry(info))
 
 	config := message.CatalogChanged{Config: (&workload.Config{
-		Version: 1, Routes: []workload.Route{{Name: "q", Pool: "pool", Stretch: 3, Latency: time.Second}}, Pools: []workload.PoolConfig{{Name: "pool"}},
+		Version: 1, Routes: []workload.Route{{
+			Name: "q", Pool: "pool", Stretch: 3, Latency: time.Second, Advised: env.advisor != nil, AdviceDecideTime: env.adviceTime, TicketValid: time.Minute,
+		}}, Pools: []workload.PoolConfig{{Name: "pool"}},
 		Accounts: []workload.AccountConfig{{Name: limitedAccount, Limit: workload.Resources{GPU: 1}}},
 	}).Index()}
 	var catalog kernel.Service = stub{publish: config}
@@ -190,6 +196,10 @@
 // serveHolder starts a kernel with the holder service.
 func (env *environment) serveHolder(storeAddress string, catalog kernel.Service) {
 	env.t.Helper()
+	var adviceClient *advisor.Client
+	if env.advisor != nil {
+		adviceClient = advisor.NewClient(strings.TrimPrefix(serve(env.t, env.advisor).URL, "http://"))
+	}
 	service := holder.New(holder.Settings{
 		VM: "vm", Address: "127.0.0.1:1", Weight: 1, Clock: env.clock.now, TombstoneRetention: env.tombstoneRetention, RunTimesInterval: env.runTimesInterval,
 		BacklogLimit: env.backlogLimit,
@@ -198,7 +208,7 @@
 			MaxStopTime: 100 * time.Millisecond, RemoteSlowdown: 3, Retention: cmp.Or(env.retention, time.Hour),
 			LearnRunTimes: env.runTimesInterval > 0,
 		},
-	}, metastore.NewClient(storeAddress, cmp.Or(env.storeTimeout, time.Second)), runner.NewClient(2), nil, env.metrics)
+	}, metastore.NewClient(storeAddress, cmp.Or(env.storeTimeout, time.Second)), runner.NewClient(2), adviceClient, env.metrics)
 	k, err := kernel.New(nil, kernel.Spec{Name: names.Relay, Service: stub{}}, service.Spec(),
 		kernel.Spec{Name: names.Catalog, Service: catalog})
 	if err != nil {
