Repeat a failed removal of finished jobs as soon as other writes

Entries of a finished job were in the store after 30 s. Cause: a removal without an answer delayed the next one by the 5 s between two checks.

--- a/services/holder/save.go
+++ b/services/holder/save.go
@@ -232,6 +232,11 @@
 	}
 	s.log("saving the progress failed; retrying", "jobs", len(m.records), "expired", len(m.expired), "error", m.err.Error())
 	t.nextSaveAt = time.Now().Add(saveRetryDelay)
+	if len(m.records) == 0 && m.roster == nil {
+		// The transaction only removes entries. Waiting for expiryInterval each time would leave them in the store for minutes
+		// while it loses answers.
+		t.nextExpiryAt = time.Time{}
+	}
 	s.schedulePlan(c, saveRetryDelay)
 }
 
--- a/tests/holder/expired_test.go
+++ b/tests/holder/expired_test.go
@@ -156,3 +156,17 @@
 		t.Errorf("%d starts of two jobs with one task each", n)
 	}
 }
+
+// TestRemovalIsRetriedSoon guards against entries of finished jobs that stay in the store for minutes, because each removal without an
+// answer delays the next one as long as one that found nothing to remove.
+func TestRemovalIsRetriedSoon(t *testing.T) {
+	t.Parallel()
+	env := &environment{t: t, store: storestandin.New(), clock: &suspendableClock{}, retention: 100 * time.Millisecond, storeTimeout: waitLimit}
+	env.start()
+	// Eight delays of 5 s exceed the limit of a wait.
+	var failures atomic.Int64
+	env.store.SetFaults(storestandin.Faults{RefuseTxn: func(txn metastore.Txn) bool { return len(txn.Removals) > 0 && failures.Add(1) <= 8 }})
+	env.storeJob(expiredJob, "10ms", workload.Step{Count: 1, Need: workload.Resources{CPU: 100}, Estimate: time.Second})
+	env.eventually("the job completes", func() bool { return env.state(expiredJob) == workload.StateCompleted })
+	env.eventually("the entries are removed", func() bool { return len(env.store.Entries(records.JobKey(expiredJob))) == 0 })
+}
