--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -84,17 +84,17 @@
 // waiting returns the number of pending units, including the untried ones.
 func (c *candidate) waiting() int { return len(c.units) + c.units[0].group.untried() }
 
-// unit returns the pending unit with an index. All untried units that cannot be placed are represented by a single one, so
-// that a wide step that waits takes little memory.
+// unit returns the pending unit with an index. The first untried unit that cannot be placed stands for all others, so that a
+// wide step that waits takes little memory.
 func (c *candidate) unit(i int) *unit {
 	if i < len(c.units) {
 		return c.units[i]
 	}
 	last := c.units[len(c.units)-1]
-	if c.probes && last.state == unitPending {
+	if c.triesUntried && last.state == unitPending {
 		return last
 	}
-	c.probes = true
+	c.triesUntried = true
 	u := last.group.nextUntried()
 	c.units = append(c.units, u)
 	return u
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -136,8 +136,8 @@
 
 // collectStep adds the units of a step to the lists.
 func (f *Scheduler) collectStep(now time.Time, g *stepUnits) {
-	final := g.occurrence.job.state.Final()
 	o := g.occurrence
+	final := o.job.state.Final()
 	if g.readyAt.IsZero() && !final && g.open > 0 && o.dependenciesDone(g.step) && !now.Before(o.job.dueAt(o.number)) {
 		g.readyAt = now
 	}
@@ -336,8 +336,8 @@
 	joborder.Candidate
 	// units lists the units with a state of their own. There may be untried ones besides.
 	units []*unit
-	// probes is set once an untried unit was added to units.
-	probes bool
+	// triesUntried is set once an untried unit was added to units.
+	triesUntried bool
 	// expected is the expected run time of a task.
 	expected time.Duration
 }
