--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -68,7 +68,7 @@
 }
 
 // adviceFails reports whether the last query of a unit's queue had no answer.
-func (f *Scheduler) adviceFails(u *unit) bool { return f.adviceQueues[u.job.rec.Queue].failures > 0 }
+func (f *Scheduler) adviceFails(u *unit) bool { return f.adviceFailures[u.job.rec.Queue] > 0 }
 
 // mayReserve reports whether capacity of an executor may be reserved for a unit: it has a ticket, or the service has permitted it
 // before. What the service permits does not change, so that it issues a new ticket if it answers. Nil advice permits every executor.
@@ -103,12 +103,6 @@
 	reserved bool
 }
 
-// adviceQueue is what is known of the queries of a queue.
-type adviceQueue struct {
-	// failures counts the queries without an answer since the last one with an answer.
-	failures int
-}
-
 // requestAdvice requests a query for the first executors of a list on which advice is open, and reports whether there are any.
 // needed is how many executors the unit needs at once.
 func (f *Scheduler) requestAdvice(now time.Time, u *unit, executors []*executor, needed int) (open bool) {
@@ -135,7 +129,7 @@
 // adviceBatchSize returns the number of executors to name in a query for a unit. It halves with each query without an answer:
 // the service may take longer for each executor than the configuration says.
 func (f *Scheduler) adviceBatchSize(u *unit, needed int) int {
-	return max(1, f.policyOf(u.job).BatchSize(needed)>>f.adviceQueues[u.job.rec.Queue].failures)
+	return max(1, f.policyOf(u.job).BatchSize(needed)>>f.adviceFailures[u.job.rec.Queue])
 }
 
 // addAdviceRequest adds a query to those that may be sent after this planning pass, or joins it to one of the same step that names
@@ -196,7 +190,7 @@
 	f.adviceInFlight = true
 	f.count(CountAdviceQuery)
 	f.actions = append(f.actions, AdviceQuery{
-		Step: r.unit.task(0), Queue: queue, Executors: r.executors, Timeout: takes + adviceMargin<<min(f.adviceQueues[queue].failures, adviceMarginDoublings),
+		Step: r.unit.task(0), Queue: queue, Executors: r.executors, Timeout: takes + adviceMargin<<min(f.adviceFailures[queue], adviceMarginDoublings),
 	})
 }
 
@@ -349,9 +343,9 @@
 func (f *Scheduler) AdviceReceived(now time.Time, query AdviceQuery, tickets map[workload.ExecutorID]string, valid time.Duration, ok bool) {
 	f.adviceInFlight = false
 	if ok {
-		delete(f.adviceQueues, query.Queue)
+		delete(f.adviceFailures, query.Queue)
 	} else {
-		f.adviceQueues[query.Queue] = adviceQueue{failures: f.adviceQueues[query.Queue].failures + 1}
+		f.adviceFailures[query.Queue]++
 	}
 	j := f.jobs[query.Step.Job]
 	if j == nil {
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -121,10 +121,10 @@
 	// adviceInFlight is set while a query of the advisory service is unanswered.
 	adviceInFlight bool
 	// adviceRequests lists the queries that steps wait for, in this planning pass. adviceTurns shares the service among the queues, and
-	// adviceQueues holds the queues whose last query had no answer.
+	// adviceFailures counts the queries of a queue without an answer since the last one with an answer.
 	adviceRequests []adviceRequest
 	adviceTurns    policy.Turns[workload.Queue]
-	adviceQueues   map[workload.Queue]adviceQueue
+	adviceFailures map[workload.Queue]int
 	// evacuating holds the executors that are to be emptied for maintenance.
 	evacuating map[workload.ExecutorID]bool
 
@@ -165,7 +165,7 @@
 		runTimes:        runTimeModel{},
 		jobOrder:        joborder.InTimeFirst,
 		headroomWindow:  defaultHeadroomWindow,
-		adviceQueues:    map[workload.Queue]adviceQueue{},
+		adviceFailures:  map[workload.Queue]int{},
 		evacuating:      map[workload.ExecutorID]bool{},
 		counters:        map[Counter]int64{},
 
