--- a/decisions/advice/advice.go
+++ b/decisions/advice/advice.go
@@ -42,21 +42,22 @@
 // further executors in the first one.
 func (p Policy) DecideDominates(n int) bool { return time.Duration(n)*p.PerExecutor <= p.Decide }
 
-// lasts reports whether the tickets of a first query are valid when the last query of n executors each for a number of executors
-// is answered, and for half of their time beyond.
+// lasts reports whether queries of n executors each cover the needed executors before the first tickets have used up half of
+// their validity. The other half is left for the starts.
 func (p Policy) lasts(n, needed int) bool {
 	further := (needed+n-1)/n - 1
 	return time.Duration(further)*p.Duration(n) <= p.Valid/2
 }
 
-// Turns shares the time of the service equally among the queues that ask. The zero value is ready to use.
+// Turns shares the time of the service equally among the queues that ask, by start-time fair queueing. The zero value is ready to
+// use.
 type Turns[Q comparable] struct {
-	// served is the start of the latest turn in the time that the queues have used, next the start of the next turn of each queue.
+	// served is the virtual start time of the latest turn, next that of the next turn of each queue.
 	served time.Duration
 	next   map[Q]time.Duration
 }
 
-// Start returns the position of the next turn of a queue. Of the queues that ask, the one with the lowest is next.
+// Start returns the virtual start time of the next turn of a queue. Of the queues that ask, the one with the earliest is next.
 func (t *Turns[Q]) Start(q Q) time.Duration { return max(t.served, t.next[q]) }
 
 // Take gives a queue its turn for a query of the given duration.
--- a/decisions/fleet/advice.go
+++ b/decisions/fleet/advice.go
@@ -76,7 +76,8 @@
 	return a.hasTicket(now, id) || a.executors[id].permitted && !f.adviceFails(u)
 }
 
-// isOpen reports whether an answer of the service can show that an executor may run a unit for which its capacity must not be reserved now.
+// isOpen reports whether a query about an executor can help a unit: its capacity may not be reserved for the unit now, and the
+// service has not denied it.
 func (f *Scheduler) isOpen(now time.Time, u *unit, a *advice, id workload.ExecutorID) bool {
 	return !f.mayReserve(now, u, a, id) && !a.denies(id)
 }
@@ -132,8 +133,8 @@
 	return max(1, f.policyOf(u.job).BatchSize(needed)>>f.adviceFailures[u.job.rec.Queue])
 }
 
-// addAdviceRequest adds a query to those that may be sent after this planning pass, or joins it to one of the same step that names
-// at most size executors.
+// addAdviceRequest adds a request to those of this planning pass. Requests of the same step are merged into one query of at most
+// size executors.
 func (f *Scheduler) addAdviceRequest(now time.Time, r adviceRequest, size int) {
 	if len(r.executors) == 0 || f.adviceInFlight || now.Before(r.advice.retryAt) {
 		return
@@ -259,8 +260,8 @@
 	return len(executors)
 }
 
-// findAdvised returns a placement of a unit that needs advice on some of the executors on which it fits, or nil. The placement may
-// need new tickets. Without one, advice on the others is requested.
+// findAdvised returns a placement, on some of the executors on which it fits, of a unit whose queue needs advice. The placement may
+// need new tickets. If there is none, it requests advice on the other executors and returns nil.
 func (f *Scheduler) findAdvised(now time.Time, u *unit, usable []*executor, fit []fitOption, a *advice) ([]*executor, string) {
 	u.adviceOpen = false
 	withTicket := slices.DeleteFunc(slices.Clone(fit), func(option fitOption) bool { return !a.hasTicket(now, option.executor.info.ID) })
--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -370,7 +370,7 @@
 	delete(f.jobs, j.rec.ID)
 }
 
-// countBytes replaces what a job counts with in the memory of accepted jobs.
+// countBytes sets what a job adds to the memory of accepted jobs.
 func (f *Scheduler) countBytes(j *job, bytes int64) {
 	f.accepted.Add(j.rec.Account, bytes-j.bytes)
 	j.bytes = bytes
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -128,7 +128,7 @@
 	version, recordedVersion int64
 	// finalVersion is the version at which the job ended; zero before.
 	finalVersion int64
-	// bytes is what the job counts with in Scheduler.accepted.
+	// bytes is what the job has added to Scheduler.accepted.
 	bytes int64
 	// recordedAt is the number of the latest call of MarkRecorded that has recorded a version of the job; zero before.
 	recordedAt int64
@@ -315,7 +315,7 @@
 	}
 	for first := range g.spec().Units() {
 		if sp.IsDone(first) {
-			// The last one may drop the state of the step.
+			// Marking the last unit may clear o.steps.
 			g.markDone(first)
 		}
 	}
--- a/decisions/fleet/occurrence.go
+++ b/decisions/fleet/occurrence.go
@@ -209,7 +209,7 @@
 		first = 0
 	}
 	if j.state.Final() {
-		// Only runs that are left are of interest.
+		// A job that has ended keeps only units that still have runs.
 		if i, found := j.findOccurrence(t.Occurrence); found && t.Step < len(j.occurrences[i].steps) {
 			g := &j.occurrences[i].steps[t.Step]
 			if i, found := g.find(first); found {
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -13,8 +13,8 @@
 	maxPlanDelay = 100 * time.Millisecond
 	// idlePlanDelay bounds the delay until the next call of Plan while none waits.
 	idlePlanDelay = 500 * time.Millisecond
-	// heldBackPlanDelay is the delay after a planning pass that has started some of more due occurrences of a job than are open
-	// at the same time.
+	// heldBackPlanDelay is the delay after a planning pass that has started units while a job has more due occurrences than may
+	// be open at the same time, so that the next ones are opened soon.
 	heldBackPlanDelay = 10 * time.Millisecond
 )
 
