Log what occupies the pool of a job that waits

Cause: `job waits` gave only the reason, `capacity` or `guarantee`. It did not tell whether the room is occupied by runs that do not give way, or out of use, or kept for guarantees.

Change: the notice names the capacity of the executors that may be given work, what runs occupy there that do not give way to the job, the accelerators that are out of use, and those that accounts may still reclaim.

TestWaitReasons checks the use of the pool.

--- a/decisions/fleet/waiting.go
+++ b/decisions/fleet/waiting.go
@@ -48,6 +48,19 @@
 	Excess bool
 	// Guaranteed is set if the unit lies within the guarantee of its account, which is to be reclaimed within seconds.
 	Guaranteed bool
+	// Pool is the use of the executors of the unit's pool.
+	Pool PoolUse
+}
+
+// PoolUse says what keeps a waiting unit from the executors of its pool.
+type PoolUse struct {
+	// Capacity is the capacity of the executors that may be given work, Staying the part of it that runs occupy which do not
+	// give way to the unit.
+	Capacity, Staying workload.Resources
+	// OutOfUse is the number of accelerators of executors that are registered and may not be given work for a while.
+	OutOfUse int
+	// Reclaimable is the number of accelerators that accounts may still reclaim.
+	Reclaimable int
 }
 
 func (WaitNotice) action() {}
@@ -61,18 +74,53 @@
 
 // reportWaiting adds a notice for each job that has waited for long and was not reported yet.
 func (f *Scheduler) reportWaiting(now time.Time) {
+	// Many jobs of a burst are reported in one pass.
+	type kind struct {
+		pool  workload.Pool
+		class int
+	}
+	uses := map[kind]PoolUse{}
 	for _, u := range f.pendingUnits {
 		if u.state != unitPending || u.job.waitReported || now.Sub(u.pendingSince) < noticeDelay {
 			continue
 		}
 		u.job.waitReported = true
 		f.count(CountWait + "_" + Counter(u.waitsFor))
-		guaranteed := f.classOf(u) == classGuaranteed
+		class := f.classOf(u)
+		guaranteed := class == classGuaranteed
 		if guaranteed {
 			f.count(CountGuaranteedWait)
 		}
+		k := kind{f.route(u.job).Pool, class}
+		use, known := uses[k]
+		if !known {
+			use = f.poolUse(now, k.pool, class)
+			uses[k] = use
+		}
 		f.actions = append(f.actions, WaitNotice{
 			Job: u.job.rec.ID, Occurrence: u.occurrence, Step: u.step, Waited: now.Sub(u.pendingSince), Reason: u.waitsFor, Excess: u.job.excess, Guaranteed: guaranteed,
+			Pool: use,
 		})
 	}
 }
+
+// poolUse returns the use of a pool as seen by waiting units of a class.
+func (f *Scheduler) poolUse(now time.Time, pool workload.Pool, class int) PoolUse {
+	use := PoolUse{Reclaimable: f.reclaimable(pool)}
+	for _, e := range f.sortedExecutors {
+		switch {
+		case e.info.Pool != pool || e.closed():
+			continue
+		case !f.eligible(now, e):
+			use.OutOfUse += e.info.Capacity.GPU
+			continue
+		}
+		use.Capacity = use.Capacity.Add(e.info.Capacity)
+		for _, r := range e.taskRuns {
+			if r.unit == nil || r.unit.isFixed() || f.runningClass(r.unit) <= class {
+				use.Staying = use.Staying.Add(r.load)
+			}
+		}
+	}
+	return use
+}
--- a/decisions/fleet/waiting_test.go
+++ b/decisions/fleet/waiting_test.go
@@ -24,6 +24,9 @@
 				if a.Job != "large" || a.Reason != WaitCapacity || a.Waited < noticeDelay {
 					t.Errorf("%+v, want a notice that job large waits for capacity", a)
 				}
+				if use := (PoolUse{Capacity: workload.Resources{CPU: 32000, Memory: 64000, GPU: 8}, Staying: times(smallTask, 2)}); a.Pool != use {
+					t.Errorf("use of the pool %+v, want %+v", a.Pool, use)
+				}
 			case Start:
 				t.Fatalf("%+v although the executor is occupied", a)
 			}
--- a/services/holder/log.go
+++ b/services/holder/log.go
@@ -132,7 +132,10 @@
 
 func (s *Service) logWait(a fleet.WaitNotice) {
 	s.log("job waits", "job", a.Job, "step", strconv.Itoa(a.Occurrence)+"."+strconv.Itoa(a.Step), "waited_ms", a.Waited.Milliseconds(), "waits_for", a.Reason,
-		"excess", a.Excess, "guaranteed", a.Guaranteed)
+		"excess", a.Excess, "guaranteed", a.Guaranteed,
+		"capacity_cpu", a.Pool.Capacity.CPU, "capacity_mem_mb", a.Pool.Capacity.Memory, "capacity_gpu", a.Pool.Capacity.GPU,
+		"staying_cpu", a.Pool.Staying.CPU, "staying_mem_mb", a.Pool.Staying.Memory, "staying_gpu", a.Pool.Staying.GPU,
+		"out_of_use_gpu", a.Pool.OutOfUse, "reclaimable_gpu", a.Pool.Reclaimable)
 }
 
 func (s *Service) logLoss(a fleet.LossNotice) {
