Count executors that are out of use as room for guarantees

Cause: such tasks start only where executors without them still hold all guarantees. The guarantees counted in full, the executors without those of the domain: 18 of 256 accelerators were left, two executors. Evidence: `job waits` on the old code gave waits_for guarantee, capacity_gpu 256, staying_gpu 16, out_of_use_gpu 128, reclaimable_gpu 238. Ruled out: executors that may not be given work (capacity_gpu), other runs (staying_gpu).

Change: executors of a domain that is out, or in upkeep, count as room unless such tasks run there. Executors in use that hold all guarantees are still preferred.

--- a/decisions/fleet/guarantee.go
+++ b/decisions/fleet/guarantee.go
@@ -77,8 +77,9 @@
 type guaranteeRoom struct {
 	// occupied holds the other executors.
 	occupied map[*executor]bool
-	// spare is the number of accelerators of the room beyond what accounts may still reclaim.
-	spare int
+	// spare is the number of accelerators of the room beyond what accounts may still reclaim, not counting executors that are
+	// out of use for a while; outOfUse is the number on these.
+	spare, outOfUse int
 	// limited is set if the room has to be kept: accounts have guarantees that the pool can hold.
 	limited bool
 }
@@ -99,13 +100,15 @@
 		if e.info.Pool != pool || e.closed() {
 			continue
 		}
-		total += e.info.Capacity.GPU
-		if f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID] {
-			continue
-		}
-		g.spare += e.info.Capacity.GPU
-		if slices.ContainsFunc(e.taskRuns, func(r *taskRun) bool { return r.unit != nil && f.occupiesGuaranteeRoom(r.unit) }) {
-			g.occupy(e)
+		gpus := e.info.Capacity.GPU
+		total += gpus
+		switch {
+		case slices.ContainsFunc(e.taskRuns, func(r *taskRun) bool { return r.unit != nil && f.occupiesGuaranteeRoom(r.unit) }):
+			g.occupied[e] = true
+		case f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID]:
+			g.outOfUse += gpus
+		default:
+			g.spare += gpus
 		}
 	}
 	g.spare -= reclaimable
@@ -142,7 +145,7 @@
 	return sum
 }
 
-// occupy takes an executor out of the room.
+// occupy takes an executor that is in use out of the room.
 func (g *guaranteeRoom) occupy(e *executor) {
 	if !g.occupied[e] {
 		g.occupied[e] = true
@@ -150,13 +153,9 @@
 	}
 }
 
-// besideGuarantees returns the executors on which fixed tasks of a unit leave enough room for what accounts may reclaim.
-func (f *Scheduler) besideGuarantees(u *unit, usable []*executor) []*executor {
-	g := f.guaranteeRoomOf(f.route(u.job).Pool)
-	if !g.limited {
-		return usable
-	}
-	spare := g.spare
+// beside returns the executors on which fixed tasks of a unit leave the room for guarantees if the room has so many
+// accelerators to spare.
+func (g *guaranteeRoom) beside(u *unit, usable []*executor, spare int) []*executor {
 	var out []*executor
 	for _, e := range usable {
 		switch gpus := e.info.Capacity.GPU; {
@@ -172,6 +171,23 @@
 	return out
 }
 
+// besideGuarantees returns the executors on which fixed tasks of a unit may start, in sets of which an earlier one is preferred.
+//
+// The first start of a task has to leave the room that accounts may reclaim. Executors that are out of use for a while count
+// as room if the others do not suffice: idle capacity is not withheld meanwhile, and what may be reclaimed is there
+// when they return.
+func (f *Scheduler) besideGuarantees(u *unit, usable []*executor) [][]*executor {
+	g := f.guaranteeRoomOf(f.route(u.job).Pool)
+	if !g.limited {
+		return [][]*executor{usable}
+	}
+	sets := [][]*executor{g.beside(u, usable, g.spare)}
+	if g.outOfUse > 0 {
+		sets = append(sets, g.beside(u, usable, g.spare+g.outOfUse))
+	}
+	return sets
+}
+
 // fixedUse returns the accelerators that fixed tasks of an account use outside its guarantee.
 func (f *Scheduler) fixedUse(a workload.Account) int {
 	sum := 0
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -136,15 +136,24 @@
 // tryPlaceFixed places a unit whose tasks cannot give way to guaranteed work, where enough room for that is left. It returns
 // what tryPlace returns.
 func (f *Scheduler) tryPlaceFixed(now time.Time, c *candidate, u *unit, usable []*executor) WaitReason {
-	beside := f.besideGuarantees(u, usable)
+	sets := f.besideGuarantees(u, usable)
+	i := slices.IndexFunc(sets, func(executors []*executor) bool {
+		placement, _ := f.findPlacement(now, u, executors)
+		return placement != nil
+	})
+	// Only the largest set is worth a preemption.
+	executors := sets[len(sets)-1]
+	if i >= 0 {
+		executors = sets[i]
+	}
 	switch {
-	case f.placeUnit(now, c, u, beside):
+	case f.placeUnit(now, c, u, executors):
 		if u.job.mayRunPending() {
 			u.waitsFor = WaitRecord
 			f.holdRoom(u)
 		}
 		return ""
-	case len(beside) < len(usable):
+	case len(executors) < len(usable):
 		return WaitGuarantee
 	default:
 		return WaitCapacity
