Let lasting tasks that have run keep their place beside guarantees

Cause: the room for guarantees was asked for at each start of such a task. A task that does not run counted nowhere.

Change: the executor that such a task comes back to counts as occupied, and its step comes before other work below priority 0. If the executor can no longer be given work, the task starts wherever it fits, and the others follow it.

Ruled out by trial: letting every task that has run start wherever it fits.

--- a/decisions/fleet/action.go
+++ b/decisions/fleet/action.go
@@ -110,6 +110,11 @@
 	StopStalled StopReason = "stalled"
 )
 
+// forOtherWork reports whether a run is stopped so that other work can start.
+func (r StopReason) forOtherWork() bool {
+	return r == StopPreempted || r == StopRelocated || r == StopAccountLimit
+}
+
 // Counters of the scheduler.
 const (
 	CountStart           Counter = "start"
--- a/decisions/fleet/guarantee.go
+++ b/decisions/fleet/guarantee.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
 )
@@ -73,7 +74,8 @@
 }
 
 // guaranteeRoom is the room of a pool in which guaranteed work can start. It consists of the executors that carry no
-// fixed tasks and no lasting tasks within a guarantee: the rest of such an executor may not hold the next guaranteed task.
+// fixed tasks and no lasting tasks within a guarantee, and to which no fixed task is to come back: the rest of such an
+// executor may not hold the next guaranteed task.
 type guaranteeRoom struct {
 	// occupied holds the other executors.
 	occupied map[*executor]bool
@@ -95,6 +97,12 @@
 	if reclaimable == 0 {
 		return g
 	}
+	returns := map[*executor]bool{}
+	for _, u := range f.pendingUnits {
+		if u.state == unitPending && u.isFixed() {
+			returns[u.lastHost] = true
+		}
+	}
 	total := 0
 	for _, e := range f.sortedExecutors {
 		if e.info.Pool != pool || e.closed() {
@@ -103,7 +111,7 @@
 		gpus := e.info.Capacity.GPU
 		total += gpus
 		switch {
-		case slices.ContainsFunc(e.taskRuns, func(r *taskRun) bool { return r.unit != nil && f.occupiesGuaranteeRoom(r.unit) }):
+		case returns[e] || slices.ContainsFunc(e.taskRuns, func(r *taskRun) bool { return r.unit != nil && f.occupiesGuaranteeRoom(r.unit) }):
 			g.occupied[e] = true
 		case f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID]:
 			g.outOfUse += gpus
@@ -175,8 +183,8 @@
 //
 // The first start of a task has to leave the room that accounts may reclaim. Executors that are out of use for a while count
 // as room if the others do not suffice: idle capacity is not withheld meanwhile, and what may be reclaimed is there
-// when they return.
-func (f *Scheduler) besideGuarantees(u *unit, usable []*executor) [][]*executor {
+// when they return. A task that cannot come back to its executor starts wherever it fits, because it was admitted before.
+func (f *Scheduler) besideGuarantees(now time.Time, u *unit, usable []*executor) [][]*executor {
 	g := f.guaranteeRoomOf(f.route(u.job).Pool)
 	if !g.limited {
 		return [][]*executor{usable}
@@ -185,9 +193,22 @@
 	if g.outOfUse > 0 {
 		sets = append(sets, g.beside(u, usable, g.spare+g.outOfUse))
 	}
+	if u.lastHost != nil && !f.eligible(now, u.lastHost) {
+		sets = append(sets, usable)
+	}
 	return sets
 }
 
+// moveReturns lets the fixed tasks that were to come back to one executor come back to another, on which the first of them
+// has started: together they occupy no more room than before.
+func (f *Scheduler) moveReturns(from, to *executor) {
+	for _, u := range f.pendingUnits {
+		if u.lastHost == from {
+			u.lastHost = to
+		}
+	}
+}
+
 // fixedUse returns the accelerators that fixed tasks of an account use outside its guarantee.
 func (f *Scheduler) fixedUse(a workload.Account) int {
 	sum := 0
--- a/decisions/fleet/job.go
+++ b/decisions/fleet/job.go
@@ -52,6 +52,8 @@
 	startedAt  time.Time
 	// progressStart is the progress from which the pace of the latest run is measured; zero before it is known.
 	progressStart progressMark
+	// lastHost is the executor on which the unit last ran, nil if it has not run or was stopped for other work.
+	lastHost *executor
 	// stalls counts the runs that were stopped as stalled.
 	stalls int
 	// learned is the latest run if run times are learned from it, otherwise nil.
--- a/decisions/fleet/lasting_room_test.go
+++ b/decisions/fleet/lasting_room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,3 +81,81 @@
 		}
 	}
 }
+
+// TestAdmittedLastingTasksComeBack guards against lasting tasks of which only some may be missing that have run and never come
+// back after a failure, the loss of their executor or its upkeep, because the room beside the guarantees has shrunk or they
+// still count on the executor that they have to leave. It also guards against an upkeep that waits for ever for that reason.
+func TestAdmittedLastingTasksComeBack(t *testing.T) {
+	for name, tc := range map[string]struct {
+		step    workload.Step
+		trouble func(*simulation, *fakeRun)
+		// alone is set if no task may remain on the executor of the first one.
+		alone bool
+	}{
+		"executor lost": {lasting(8, 1), func(sim *simulation, r *fakeRun) { sim.crash(r.executor.info.ID) }, true},
+		"executor in upkeep": {lasting(8, 1), func(sim *simulation, r *fakeRun) {
+			sim.holder.scheduler.SetEvacuating([]workload.ExecutorID{r.executor.info.ID})
+		}, true},
+		"task failed beside a higher guarantee": {
+			workload.Step{Count: 2, Need: workload.Resources{CPU: 8000, GPU: 5}, LongRunning: true, MayMiss: 1},
+			func(sim *simulation, r *fakeRun) {
+				sim.config.Accounts[0].Guaranteed = 32
+				sim.advance(100 * time.Millisecond)
+				sim.endRun(r, workload.Failed)
+			},
+			false,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+				executors := 3
+				if tc.step.Count == 2 {
+					executors = 4
+				}
+				sim := startGuaranteed(t, 1, executors, 16, configure)
+				sim.submitFor("guest", "lasting", "normal", tc.step, time.Hour)
+				sim.advance(3 * time.Second)
+				first := sim.activeRuns[workload.TaskRef{Job: "lasting"}]
+				if n := sim.running("guest").GPU; n != tc.step.Count*tc.step.Need.GPU {
+					t.Fatalf("%d accelerators of the lasting job run before the trouble", n)
+				}
+				tc.trouble(sim, first)
+				sim.advance(20 * time.Second)
+				if n := sim.running("guest").GPU; n != tc.step.Count*tc.step.Need.GPU {
+					t.Errorf("%d accelerators of the lasting job run 20s after the trouble, want %d", n, tc.step.Count*tc.step.Need.GPU)
+				}
+				if tc.alone && len(first.executor.runs) > 0 {
+					t.Errorf("%d tasks are still on %s", len(first.executor.runs), first.executor.info.ID)
+				}
+				if !tc.alone && slices.Contains(first.executor.runs, first) {
+					t.Error("the failed run goes on")
+				}
+				for _, v := range sim.violations {
+					t.Error(v)
+				}
+			})
+		})
+	}
+}
+
+// TestFailedLastingTaskKeepsItsPlace guards against a lasting task of which only some may be missing whose place is taken by
+// waiting work as soon as it fails, so that it waits beside idle executors that are kept for guarantees.
+func TestFailedLastingTaskKeepsItsPlace(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 3, 16, configure)
+		sim.submitFor("guest", "lasting", "batch", lasting(8, 1), time.Hour)
+		sim.advance(3 * time.Second)
+		sim.submitFor("guest", "short", "normal", workload.Step{Count: 16, Need: smallTask}, 12*time.Second)
+		sim.advance(3 * time.Second)
+		sim.submitFor("guest", "waiting", "normal", workload.Step{Count: 4, Need: smallTask}, time.Hour)
+		sim.advance(time.Second)
+		first := workload.TaskRef{Job: "lasting"}
+		failed := sim.activeRuns[first]
+		sim.endRun(failed, workload.Failed)
+		sim.advance(20 * time.Second)
+		if r := sim.activeRuns[first]; r == failed || !slices.Contains(r.executor.runs, r) {
+			t.Error("the failed task has not come back after 20s")
+		}
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 2, Need: workload.Resources{CPU: 13000, GPU: 8}})
+	})
+}
--- a/decisions/fleet/place.go
+++ b/decisions/fleet/place.go
@@ -136,7 +136,7 @@
 // tryPlaceFixed places a unit whose tasks cannot give way to guaranteed work, where enough room for that is left. It returns
 // what tryPlace returns.
 func (f *Scheduler) tryPlaceFixed(now time.Time, c *candidate, u *unit, usable []*executor) WaitReason {
-	sets := f.besideGuarantees(u, usable)
+	sets := f.besideGuarantees(now, u, usable)
 	i := slices.IndexFunc(sets, func(executors []*executor) bool {
 		placement, _ := f.findPlacement(now, u, executors)
 		return placement != nil
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -206,6 +206,7 @@
 	}
 	f.markOverShare(out)
 	slices.SortStableFunc(out, func(a, b *candidate) int { return f.jobOrder(now, &a.Candidate, &b.Candidate) })
+	returningFirst(out)
 	return out
 }
 
@@ -270,6 +271,9 @@
 	f.activeUnits = append(f.activeUnits, u)
 	f.reservedUnits = true
 	if g := f.guaranteeRooms[f.route(u.job).Pool]; g != nil && f.occupiesGuaranteeRoom(u) {
+		if from := u.lastHost; from != nil && !g.occupied[executors[0]] {
+			f.moveReturns(from, executors[0])
+		}
 		for _, e := range executors {
 			g.occupy(e)
 		}
@@ -342,6 +346,31 @@
 	expected time.Duration
 }
 
+// returningFirst moves the candidates with tasks that are to come back to their executors behind those of priority 0 at the
+// beginning of a list and before all others. Other work would take what they have left there, and they may start on few
+// other executors.
+func returningFirst(candidates []*candidate) {
+	begin := slices.IndexFunc(candidates, func(c *candidate) bool { return c.Class > classUrgent })
+	if begin < 0 || !slices.ContainsFunc(candidates[begin:], (*candidate).returns) {
+		return
+	}
+	slices.SortStableFunc(candidates[begin:], func(a, b *candidate) int {
+		switch {
+		case a.returns() == b.returns():
+			return 0
+		case a.returns():
+			return -1
+		default:
+			return 1
+		}
+	})
+}
+
+// returns reports whether a task of the candidate is to come back to its executor.
+func (c *candidate) returns() bool {
+	return c.units[0].isFixed() && slices.ContainsFunc(c.units, func(u *unit) bool { return u.lastHost != nil })
+}
+
 const (
 	// classGuaranteed is the class of priority 0 within the guarantee of its account, classUrgent that of priority 0
 	// beyond it. Lower priorities follow.
--- a/decisions/fleet/runs.go
+++ b/decisions/fleet/runs.go
@@ -41,6 +41,9 @@
 		u.taskRuns = slices.Delete(u.taskRuns, i, i+1)
 	}
 	r.unit = nil
+	if r.state == taskRunning {
+		u.leaveHost(r.executor)
+	}
 	f.learnFromEnd(now, u, r, outcome)
 	if checkpoint != "" && u.state == unitActive {
 		u.checkpoint = checkpoint
@@ -72,6 +75,15 @@
 	f.resetIfEnded(now, u)
 }
 
+// leaveHost records the executor on which a run of the unit has ended that had begun. The unit is not to come back there if
+// it was stopped for other work.
+func (u *unit) leaveHost(e *executor) {
+	u.lastHost = e
+	if u.ending && u.endReason.forOtherWork() {
+		u.lastHost = nil
+	}
+}
+
 func (f *Scheduler) countOutcome(outcome workload.Outcome) {
 	switch outcome {
 	case workload.Done:
