Count processors and memory against guarantees

Cause: what a guarantee covers was decided by accelerators alone, so that work with few of them lay within the guarantee of its account whatever else it took. Evidence: `job waits` on the old code gave waits_for capacity, guaranteed true, staying_cpu 1536000 of 1536000, staying_gpu 0 of 384.

Work of priority 0 of which the guarantee covers only the accelerators still reclaims from all work beyond guarantees, and gives way to work within one.

--- a/decisions/fleet/fleet.go
+++ b/decisions/fleet/fleet.go
@@ -96,8 +96,10 @@
 	// sortedExecutors lists the executors by identifier, so that decisions do not depend on the iteration order of a map.
 	sortedExecutors []*executor
 	// use counts what the runs of client accounts occupy.
-	use        accountUse
-	guaranteed guaranteedUnits
+	use accountUse
+	// coverage caches what guarantees cover, by account. fleetShape is read through shape.
+	coverage   map[workload.Account]*accountCoverage
+	fleetShape fleetShape
 	// guaranteeRooms holds the rooms of the pools in this planning pass, as far as they were asked for.
 	guaranteeRooms map[workload.Pool]*guaranteeRoom
 	limitPass      limitPass
@@ -171,6 +173,9 @@
 
 		failedPreemptions: map[preemptionKind]int{},
 		guaranteeRooms:    map[workload.Pool]*guaranteeRoom{},
+		coverage:          map[workload.Account]*accountCoverage{},
+		fleetShape:        fleetShape{rosterVersion: -1},
+		use:               accountUse{urgentShare: map[workload.Account]int{}, urgentVersion: map[workload.Account]int64{}},
 
 		leaseConfirmedAt: now,
 	}
--- a/decisions/fleet/guarantee.go
+++ b/decisions/fleet/guarantee.go
@@ -3,133 +3,198 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/verbenaflow/verbenaflow/api/workload"
+	"github.com/verbenaflow/verbenaflow/decisions/joborder"
 )
 
-// guaranteeCovers reports whether the guarantee of an account covers all its runs of priority 0 and further accelerators.
-// Work of lower priorities does not count: it gives way to any guaranteed work.
-func (f *Scheduler) guaranteeCovers(a workload.Account, further int) bool {
-	t := f.config.Account(a)
-	return t != nil && t.Guaranteed > 0 && f.use.urgent.Occupied(a).GPU+further <= t.Guaranteed
-}
-
-// guaranteedUnits caches, for each account whose runs of priority 0 exceed its guarantee, the units that the guarantee
-// covers.
-type guaranteedUnits struct {
-	// version is that of the counts of priority 0 for which the units were determined.
-	version  int64
-	accounts map[workload.Account]map[*unit]bool
-}
+// The guarantee of an account is a number of accelerators for its work of priority 0. To each accelerator belong as many
+// processors and as much memory as the fleet has for one, and work counts with the accelerators to which all that it
+// needs belongs. So guarantees that the fleet can hold can be used at once, whatever resources their work needs most.
+// This file says what a guarantee covers and which class work has that starts or runs; work gives way to that of lower
+// classes.
+
+const (
+	// classGuaranteed is the class of priority 0 within the guarantee of its account, and classPartlyGuaranteed that of work
+	// of which it covers the accelerators, but not the processors or the memory. Such work may reclaim from all that lies beyond
+	// guarantees, and gives way to work within one. classUrgent is the class of priority 0 beyond the guarantee. Lower
+	// priorities follow.
+	classGuaranteed       = joborder.Guaranteed
+	classPartlyGuaranteed = joborder.PartlyGuaranteed
+	classUrgent           = joborder.PartlyGuaranteed + 1
+)
 
-// runsWithinGuarantee reports whether the guarantee of its account covers a running unit of priority 0. It covers the
-// units that were accepted first, so that an account that also runs work beyond its guarantee keeps what it guarantees.
-func (f *Scheduler) runsWithinGuarantee(u *unit) bool {
+// classOf returns the class of a unit that is to start. Units of a lower class may preempt those of a higher one.
+func (f *Scheduler) classOf(u *unit) int {
+	if p := f.route(u.job).Priority; p > 0 {
+		return demoted(u.job, classUrgent+p)
+	}
 	a := u.job.rec.Account
-	if f.guaranteeCovers(a, 0) {
-		return true
+	if !f.coversAccelerators(a, u.totalNeed().GPU) {
+		return demoted(u.job, classUrgent)
 	}
-	t := f.config.Account(a)
-	if t == nil || t.Guaranteed == 0 {
-		return false
+	share := f.shape().share(u.spec().CapacityNeed())
+	if share == milli*u.spec().Need.GPU || f.use.urgentShare[a]+u.size*share <= f.guaranteedShare(a) {
+		return classGuaranteed
 	}
-	g := &f.guaranteed
-	if g.accounts == nil || g.version != f.use.urgentVersion {
-		*g = guaranteedUnits{version: f.use.urgentVersion, accounts: map[workload.Account]map[*unit]bool{}}
+	return classPartlyGuaranteed
+}
+
+// runningClass returns the class of a running unit.
+func (f *Scheduler) runningClass(u *unit) int {
+	if p := f.route(u.job).Priority; p > 0 {
+		return demoted(u.job, classUrgent+p)
 	}
-	if g.accounts[a] == nil {
-		g.accounts[a] = f.coveredUnits(t)
+	switch f.coverageOf(u) {
+	case coveredWhole:
+		return classGuaranteed
+	case coveredAccelerators:
+		return classPartlyGuaranteed
+	default:
+		return demoted(u.job, classUrgent)
 	}
-	return g.accounts[a][u]
 }
 
-// coveredUnits returns the running units of priority 0 that the guarantee of an account covers.
-func (f *Scheduler) coveredUnits(t *workload.AccountConfig) map[*unit]bool {
-	var units []*unit
-	for _, u := range f.activeUnits {
-		if u.job.rec.Account == t.Name && u.state == unitActive && f.route(u.job).Priority == 0 {
-			units = append(units, u)
+// coversAccelerators reports whether the guarantee of an account covers the accelerators of all its runs of priority 0 and
+// further ones. Work of lower priorities does not count: it gives way to any guaranteed work.
+func (f *Scheduler) coversAccelerators(a workload.Account, further int) bool {
+	t := f.config.Account(a)
+	return t != nil && t.Guaranteed > 0 && f.use.urgent.Occupied(a).GPU+further <= t.Guaranteed
+}
+
+// guaranteedShare returns the guarantee of an account in thousandths of an accelerator.
+func (f *Scheduler) guaranteedShare(a workload.Account) int {
+	if t := f.config.Account(a); t != nil {
+		return milli * t.Guaranteed
+	}
+	return 0
+}
+
+// fleetShape is the capacity of all registered executors that have accelerators, also of those that are out of use for a while.
+type fleetShape struct {
+	capacity workload.Resources
+	// rosterVersion is the version of the roster for which the capacity was determined.
+	rosterVersion int64
+}
+
+// shape returns the shape of the fleet.
+func (f *Scheduler) shape() *fleetShape {
+	if s := &f.fleetShape; s.rosterVersion != f.rosterVersion {
+		*s = fleetShape{rosterVersion: f.rosterVersion}
+		for _, e := range f.sortedExecutors {
+			if e.registered && e.info.Capacity.GPU > 0 {
+				s.capacity = s.capacity.Add(e.info.Capacity)
+			}
 		}
 	}
-	slices.SortStableFunc(units, func(a, b *unit) int {
-		return cmp.Or(cmp.Compare(a.job.createdRevision, b.job.createdRevision), cmp.Compare(a.job.rec.ID, b.job.rec.ID))
-	})
-	covered := map[*unit]bool{}
-	left := t.Guaranteed
-	for _, u := range units {
-		if gpus := u.totalNeed().GPU; gpus <= left {
-			covered[u] = true
-			left -= gpus
+	return &f.fleetShape
+}
+
+// milli is the number of parts of an accelerator in which shares are counted.
+const milli = 1000
+
+// share returns the accelerators to which resources belong, in thousandths: those among them or, if that is more, those to
+// which the processors or the memory belong.
+func (s *fleetShape) share(r workload.Resources) int {
+	n := milli * r.GPU
+	for _, p := range [...]struct{ need, capacity int }{{r.CPU, s.capacity.CPU}, {r.Memory, s.capacity.Memory}} {
+		if p.need > 0 && p.capacity > 0 {
+			n = max(n, (milli*p.need*s.capacity.GPU+p.capacity-1)/p.capacity)
 		}
 	}
-	return covered
+	return n
 }
 
-// isFixed reports whether running tasks of a unit cannot give way to guaranteed work at once: tasks that last and of which
-// only some may be missing.
-func (u *unit) isFixed() bool {
-	s := u.spec()
-	return s.LongRunning && s.MayMiss > 0 && s.MayMiss < s.Count
+// coverage says which part of a running unit of priority 0 the guarantee of its account covers.
+type coverage uint8
+
+const (
+	coveredNothing coverage = iota
+	coveredAccelerators
+	coveredWhole
+)
+
+// accountCoverage caches the coverage of the running units of an account whose runs of priority 0 exceed its guarantee.
+type accountCoverage struct {
+	// version is that of the runs of the account, shape that of the fleet and guaranteed the guarantee for which the coverage was determined.
+	version    int64
+	shape      workload.Resources
+	guaranteed int
+	units      map[*unit]coverage
 }
 
-// guaranteeRoom is the room of a pool in which guaranteed work can start. It consists of the executors that carry no
-// fixed tasks and no lasting tasks within a guarantee, and to which no fixed task is to come back: the rest of such an
-// executor may not hold the next guaranteed task.
-type guaranteeRoom struct {
-	// occupied holds the other executors.
-	occupied map[*executor]bool
-	// spare is the number of accelerators of the room beyond what accounts may still reclaim, not counting executors that are
-	// out of use for a while; outOfUse is the number on these.
-	spare, outOfUse int
-	// limited is set if the room has to be kept: accounts have guarantees that the pool can hold.
-	limited bool
+// coverageOf returns the coverage of a running unit of priority 0. A guarantee covers first the units that need no more than
+// belongs to their accelerators, so that work of other shapes does not take it away, and of these, as of the
+// others, the units that were accepted first: an account that also runs work beyond its guarantee keeps what it
+// guarantees.
+func (f *Scheduler) coverageOf(u *unit) coverage {
+	a := u.job.rec.Account
+	guaranteed := f.guaranteedShare(a)
+	if guaranteed == 0 {
+		return coveredNothing
+	}
+	if f.use.urgentShare[a] <= guaranteed {
+		return coveredWhole
+	}
+	c, version, shape := f.coverage[a], f.use.urgentVersion[a], f.shape().capacity
+	if c == nil || c.version != version || c.shape != shape || c.guaranteed != guaranteed {
+		c = &accountCoverage{version: version, shape: shape, guaranteed: guaranteed, units: f.coverUnits(a, guaranteed)}
+		f.coverage[a] = c
+	}
+	return c.units[u]
 }
 
-// guaranteeRoomOf returns the room of a pool in this planning pass.
-func (f *Scheduler) guaranteeRoomOf(pool workload.Pool) *guaranteeRoom {
-	if g := f.guaranteeRooms[pool]; g != nil {
-		return g
-	}
-	g := &guaranteeRoom{occupied: map[*executor]bool{}}
-	f.guaranteeRooms[pool] = g
-	reclaimable := f.reclaimable(pool)
-	if reclaimable == 0 {
-		return g
-	}
-	returns := map[*executor]bool{}
-	for _, u := range f.pendingUnits {
-		if u.state == unitPending && u.isFixed() {
-			returns[u.lastHost] = true
+// coverUnits returns the coverage of the running units of priority 0 of an account by a guarantee, in thousandths of an
+// accelerator.
+func (f *Scheduler) coverUnits(a workload.Account, guaranteed int) map[*unit]coverage {
+	type option struct {
+		u *unit
+		// share is that of the unit, gpus the part of it that is due to accelerators.
+		share, gpus int
+	}
+	var options []option
+	for _, u := range f.activeUnits {
+		if u.job.rec.Account == a && u.state == unitActive && f.route(u.job).Priority == 0 {
+			options = append(options, option{u, u.size * f.shape().share(u.spec().CapacityNeed()), milli * u.totalNeed().GPU})
 		}
 	}
-	total := 0
-	for _, e := range f.sortedExecutors {
-		if e.info.Pool != pool || e.closed() {
-			continue
+	disproportionate := func(o option) int {
+		if o.share > o.gpus {
+			return 1
 		}
-		gpus := e.info.Capacity.GPU
-		total += gpus
-		switch {
-		case returns[e] || slices.ContainsFunc(e.taskRuns, func(r *taskRun) bool { return r.unit != nil && f.occupiesGuaranteeRoom(r.unit) }):
-			g.occupied[e] = true
-		case f.excludedDomains[e.info.Domain] || f.evacuating[e.info.ID]:
-			g.outOfUse += gpus
-		default:
-			g.spare += gpus
+		return 0
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		x, y := a.u, b.u
+		return cmp.Or(
+			cmp.Compare(disproportionate(a), disproportionate(b)), cmp.Compare(x.job.createdRevision, y.job.createdRevision), cmp.Compare(x.job.rec.ID, y.job.rec.ID),
+			cmp.Compare(x.occurrence, y.occurrence), cmp.Compare(x.step, y.step), cmp.Compare(x.firstTask, y.firstTask),
+		)
+	})
+	covered := make(map[*unit]coverage, len(options))
+	left, leftGPUs := guaranteed, guaranteed
+	for _, o := range options {
+		if o.share <= left {
+			covered[o.u] = coveredWhole
+			left -= o.share
+			leftGPUs -= o.gpus
+		}
+	}
+	for _, o := range options {
+		if covered[o.u] == coveredNothing && o.gpus <= leftGPUs {
+			covered[o.u] = coveredAccelerators
+			leftGPUs -= o.gpus
 		}
 	}
-	g.spare -= reclaimable
-	// Guarantees that exceed the pool cannot be kept, and would keep lasting tasks from running at all. Executors that are
-	// out of use for a while do not make them so.
-	g.limited = reclaimable <= total
-	return g
+	return covered
 }
 
-// occupiesGuaranteeRoom reports whether running tasks of a unit cannot be stopped for guaranteed work of other accounts
-// before their job ends.
-func (f *Scheduler) occupiesGuaranteeRoom(u *unit) bool {
-	return u.isFixed() || u.spec().LongRunning && f.route(u.job).Priority == 0 && f.runsWithinGuarantee(u)
+// guaranteedTo returns the accelerators that the guarantee of an account promises below its limit.
+func guaranteedTo(t *workload.AccountConfig) int {
+	if t.Limit.GPU == 0 {
+		return t.Guaranteed
+	}
+	return min(t.Guaranteed, t.Limit.GPU)
 }
 
 // reclaimable returns the accelerators of a pool that accounts may still reclaim: their guarantees less what their lasting
@@ -141,91 +206,14 @@
 	}
 	used := map[workload.Account]int{}
 	for _, u := range f.activeUnits {
-		if u.spec().LongRunning && f.route(u.job).Priority == 0 && f.runsWithinGuarantee(u) {
-			used[u.job.rec.Account] += u.totalNeed().GPU
+		if u.spec().LongRunning && f.runningClass(u) == classGuaranteed {
+			used[u.job.rec.Account] += u.size * f.shape().share(u.spec().CapacityNeed())
 		}
 	}
 	sum := 0
 	for i := range f.config.Accounts {
 		a := &f.config.Accounts[i]
-		sum += max(0, a.Guaranteed-used[a.Name])
+		sum += max(0, a.Guaranteed-(used[a.Name]+milli-1)/milli)
 	}
 	return sum
 }
-
-// occupy takes an executor that is in use out of the room.
-func (g *guaranteeRoom) occupy(e *executor) {
-	if !g.occupied[e] {
-		g.occupied[e] = true
-		g.spare -= e.info.Capacity.GPU
-	}
-}
-
-// beside returns the executors on which fixed tasks of a unit leave the room for guarantees if the room has so many
-// accelerators to spare.
-func (g *guaranteeRoom) beside(u *unit, usable []*executor, spare int) []*executor {
-	var out []*executor
-	for _, e := range usable {
-		switch gpus := e.info.Capacity.GPU; {
-		case g.occupied[e] || gpus == 0:
-		case gpus > spare:
-			continue
-		case u.size > 1:
-			// The tasks of a gang may take all of these executors.
-			spare -= gpus
-		}
-		out = append(out, e)
-	}
-	return out
-}
-
-// besideGuarantees returns the executors on which fixed tasks of a unit may start, in sets of which an earlier one is preferred.
-//
-// The first start of a task has to leave the room that accounts may reclaim. Executors that are out of use for a while count
-// as room if the others do not suffice: idle capacity is not withheld meanwhile, and what may be reclaimed is there
-// when they return. A task that cannot come back to its executor starts wherever it fits, because it was admitted before.
-func (f *Scheduler) besideGuarantees(now time.Time, u *unit, usable []*executor) [][]*executor {
-	g := f.guaranteeRoomOf(f.route(u.job).Pool)
-	if !g.limited {
-		return [][]*executor{usable}
-	}
-	sets := [][]*executor{g.beside(u, usable, g.spare)}
-	if g.outOfUse > 0 {
-		sets = append(sets, g.beside(u, usable, g.spare+g.outOfUse))
-	}
-	if u.lastHost != nil && !f.eligible(now, u.lastHost) {
-		sets = append(sets, usable)
-	}
-	return sets
-}
-
-// moveReturns lets the fixed tasks that were to come back to one executor come back to another, on which the first of them
-// has started: together they occupy no more room than before.
-func (f *Scheduler) moveReturns(from, to *executor) {
-	for _, u := range f.pendingUnits {
-		if u.lastHost == from {
-			u.lastHost = to
-		}
-	}
-}
-
-// fixedUse returns the accelerators that fixed tasks of an account use outside its guarantee.
-func (f *Scheduler) fixedUse(a workload.Account) int {
-	sum := 0
-	for _, u := range f.activeUnits {
-		if u.job.rec.Account == a && u.state == unitActive && u.isFixed() && f.route(u.job).Priority > 0 {
-			sum += u.totalNeed().GPU
-		}
-	}
-	return sum
-}
-
-// leavesGuarantee reports whether the limit of its account leaves room for the guarantee of the account beside a unit: fixed
-// tasks of the account could not be stopped for its guaranteed work.
-func (f *Scheduler) leavesGuarantee(u *unit) bool {
-	t := f.config.Account(u.job.rec.Account)
-	if t == nil || t.Guaranteed == 0 || t.Limit.GPU == 0 || !u.isFixed() || f.route(u.job).Priority == 0 {
-		return true
-	}
-	return f.fixedUse(t.Name)+u.totalNeed().GPU+min(t.Guaranteed, t.Limit.GPU) <= t.Limit.GPU
-}
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -14,23 +14,27 @@
 type charge struct {
 	account workload.Account
 	need    workload.Resources
-	// urgent is set for a run of priority 0, to which the guarantee applies.
+	// urgent is set for a run of priority 0, to which the guarantee applies, and share is what it counts with against that, in
+	// thousandths of an accelerator.
 	urgent bool
+	share  int
 }
 
 // accountUse counts what the runs of client accounts occupy: all of them, those that may be running because a start was
 // sent, and those of priority 0.
 type accountUse struct {
 	occupied, dispatched, urgent accountlimit.Ledger
-	// urgentVersion counts the changes of urgent.
-	urgentVersion int64
+	// urgentShare is the sum of the shares of the runs of priority 0 of each account, urgentVersion counts the changes of these runs.
+	urgentShare   map[workload.Account]int
+	urgentVersion map[workload.Account]int64
 }
 
 func (u *accountUse) add(c charge) {
 	u.occupied.Add(c.account, c.need)
 	if c.urgent {
 		u.urgent.Add(c.account, c.need)
-		u.urgentVersion++
+		u.urgentShare[c.account] += c.share
+		u.urgentVersion[c.account]++
 	}
 }
 
@@ -38,14 +42,17 @@
 	u.occupied.Remove(c.account, c.need)
 	if c.urgent {
 		u.urgent.Remove(c.account, c.need)
-		u.urgentVersion++
+		if u.urgentShare[c.account] -= c.share; u.urgentShare[c.account] == 0 {
+			delete(u.urgentShare, c.account)
+		}
+		u.urgentVersion[c.account]++
 	}
 }
 
 // chargeOf returns what a task of a step of a job counts with. Processors that do not count against the capacity of an
 // executor count in full.
 func (f *Scheduler) chargeOf(j *job, s *workload.Step) charge {
-	return charge{account: j.rec.Account, need: s.Need, urgent: f.route(j).Priority == 0}
+	return charge{account: j.rec.Account, need: s.Need, urgent: f.route(j).Priority == 0, share: f.shape().share(s.CapacityNeed())}
 }
 
 // limitOf returns the present limit of a job's client account, or that at the job's acceptance if the account was
@@ -157,7 +164,7 @@
 // room was held.
 func (f *Scheduler) withinGuarantee(u *unit) bool {
 	a := u.job.rec.Account
-	return f.route(u.job).Priority == 0 && f.guaranteeCovers(a, f.limitPass.guaranteed.Occupied(a).GPU+u.totalNeed().GPU)
+	return f.route(u.job).Priority == 0 && f.coversAccelerators(a, f.limitPass.guaranteed.Occupied(a).GPU+u.totalNeed().GPU)
 }
 
 // vacateLimit stops work of an account below priority 0, that with the least lost work first, so that what the account
--- a/decisions/fleet/plan.go
+++ b/decisions/fleet/plan.go
@@ -371,25 +371,6 @@
 	return c.units[0].isFixed() && slices.ContainsFunc(c.units, func(u *unit) bool { return u.lastHost != nil })
 }
 
-const (
-	// classGuaranteed is the class of priority 0 within the guarantee of its account, classUrgent that of priority 0
-	// beyond it. Lower priorities follow.
-	classGuaranteed = joborder.Guaranteed + iota
-	classUrgent
-)
-
-// classOf returns the class of a unit that is to start. Units of a lower class may preempt those of a higher one.
-func (f *Scheduler) classOf(u *unit) int {
-	r := f.route(u.job)
-	if r.Priority > 0 {
-		return f.demoted(u.job, classUrgent+r.Priority, workload.Resources{})
-	}
-	if f.guaranteeCovers(u.job.rec.Account, u.totalNeed().GPU) {
-		return classGuaranteed
-	}
-	return f.demoted(u.job, classUrgent, f.use.urgent.Occupied(u.job.rec.Account).Add(u.totalNeed()))
-}
-
 // expiryFactor is the multiple of its objective after which the completion of a job earns no credit.
 const expiryFactor = 3
 
--- a/decisions/fleet/preempt.go
+++ b/decisions/fleet/preempt.go
@@ -12,7 +12,7 @@
 // first, and reserves it for the unit. It reports whether it succeeded.
 func (f *Scheduler) preempt(now time.Time, c *candidate, u *unit, usable []*executor) bool {
 	// Only priority 0 preempts, and beyond the guarantee of its account only while it can still meet its objective.
-	if c.Class > classUrgent || c.Class > classGuaranteed && now.After(c.LatestStart) {
+	if c.Class > classUrgent || c.Class > classPartlyGuaranteed && now.After(c.LatestStart) {
 		return false
 	}
 	if f.settings.ChooseVictims && f.failsLike(c, u) {
@@ -199,19 +199,6 @@
 	return out, cost, missing.CPU <= 0 && missing.Memory <= 0 && missing.GPU <= 0
 }
 
-// runningClass returns the class of a running unit. Priority 0 beyond the guarantee of its account may be preempted by
-// guaranteed work.
-func (f *Scheduler) runningClass(u *unit) int {
-	r := f.route(u.job)
-	if r.Priority > 0 {
-		return f.demoted(u.job, classUrgent+r.Priority, workload.Resources{})
-	}
-	if f.runsWithinGuarantee(u) {
-		return classGuaranteed
-	}
-	return f.demoted(u.job, classUrgent, f.use.urgent.Occupied(u.job.rec.Account))
-}
-
 const (
 	// restartOverhead is the time that a stopped run loses in addition to its work: the stop, the wait for capacity and
 	// the start.
--- a/decisions/fleet/rate.go
+++ b/decisions/fleet/rate.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/verbenaflow/verbenaflow/api/workload"
 )
 
 // classExcess is added to the class of a job beyond its account's rate. Excess work comes after all other work, preempts
@@ -59,14 +57,10 @@
 	return j.rec.Accepted
 }
 
-// demoted returns the class of a job's work given that without regard to the account's rate. Work within the guarantee
-// of its account is never excess.
-func (f *Scheduler) demoted(j *job, class int, urgentUse workload.Resources) int {
-	if !j.excess {
-		return class
-	}
-	if t := f.config.Account(j.rec.Account); class == classUrgent && t != nil && t.Guaranteed > 0 && urgentUse.GPU <= t.Guaranteed {
-		return class
+// demoted returns the class of a job's work given that without regard to the account's rate.
+func demoted(j *job, class int) int {
+	if j.excess {
+		return class + classExcess
 	}
-	return class + classExcess
+	return class
 }
--- a/decisions/fleet/reclaim_fuzz_test.go
+++ b/decisions/fleet/reclaim_fuzz_test.go
@@ -154,7 +154,15 @@
 	return s.LongRunning && s.MayMiss > 0 && s.MayMiss < s.Count
 }
 
-// checkPreemption checks that a preemption stops an urgent run only if its account runs urgent work beyond its guarantee.
+// shareOf returns the accelerators to which what a step needs for a task belongs: its own, or more if it needs more processors or memory
+// than executors have for each.
+func shareOf(s *workload.Step) float64 {
+	load := s.CapacityNeed()
+	return max(float64(load.GPU), float64(load.CPU)/4000, float64(load.Memory)/8000)
+}
+
+// checkPreemption checks that a preemption stops an urgent run only if its account runs urgent work beyond its guarantee: more
+// accelerators or, if the run needs more processors or memory than belong to its accelerators, a larger share.
 func (f *reclaimFuzz) checkPreemption(a Stop) {
 	j := f.jobs[a.Task.Job]
 	unit := unitOf(j, a.Task)
@@ -167,10 +175,12 @@
 		// Starts that have not arrived count, too.
 		return
 	}
-	sum := 0
+	gpus, share := 0, 0.0
 	add := func(task workload.TaskRef) {
 		if other := f.jobs[task.Job]; other.Account == j.Account && other.Queue == "urgent" {
-			sum += other.Steps[task.Step].Need.GPU
+			s := &other.Steps[task.Step]
+			gpus += s.Need.GPU
+			share += shareOf(s)
 		}
 	}
 	for _, e := range f.executors {
@@ -184,8 +194,11 @@
 			add(end.Task)
 		}
 	}
-	if g := f.config.Account(j.Account).Guaranteed; sum <= g && sum > 0 {
-		f.t.Errorf("%s was stopped for others while %s runs %d urgent accelerators within its guarantee of %d", a.Task, j.Account, sum, g)
+	g := f.config.Account(j.Account).Guaranteed
+	s := &j.Steps[a.Task.Step]
+	proportionate := shareOf(s) == float64(s.Need.GPU)
+	if within := gpus <= g && gpus > 0 && proportionate || share <= float64(g) && share > 0; within {
+		f.t.Errorf("%s was stopped for others while %s runs %d urgent accelerators and a share of %.3f within its guarantee of %d", a.Task, j.Account, gpus, share, g)
 	}
 }
 
--- a/decisions/fleet/throttle.go
+++ b/decisions/fleet/throttle.go
@@ -90,15 +90,15 @@
 // stopBudgets holds how many more tasks of each long-running step may be stopped by one decision. It is determined when
 // a step is first asked for.
 type stopBudgets struct {
-	// guaranteed is set if the decision is for work within the guarantee of its account. Long-running tasks without MayMiss
-	// give way to that only: a guarantee can always be reclaimed.
+	// guaranteed is set if the decision is for work whose accelerators lie within the guarantee of its account. Long-running
+	// tasks without MayMiss give way to that only: a guarantee can always be reclaimed.
 	guaranteed bool
 	steps      map[stepKey]*victims.Budget
 }
 
 // newStopBudgets returns the budgets of a decision for work of a class.
 func newStopBudgets(class int) stopBudgets {
-	return stopBudgets{guaranteed: class == classGuaranteed, steps: map[stepKey]*victims.Budget{}}
+	return stopBudgets{guaranteed: class <= classPartlyGuaranteed, steps: map[stepKey]*victims.Budget{}}
 }
 
 // of returns the budget of a unit's step, or nil if there is no limit.
--- a/decisions/joborder/joborder.go
+++ b/decisions/joborder/joborder.go
@@ -28,12 +28,17 @@
 // Order compares two candidates at a time: the result is negative if a comes first and positive if b does.
 type Order func(now time.Time, a, b *Candidate) int
 
-// Guaranteed is the class of work within the guarantee of its account. It comes before all other classes.
-const Guaranteed = 0
+// Classes of work that can reclaim capacity. They come before all others.
+const (
+	// Guaranteed is the class of work within the guarantee of its account.
+	Guaranteed = iota
+	// PartlyGuaranteed is the class of work of which the guarantee covers the accelerators only.
+	PartlyGuaranteed
+)
 
 // InTimeFirst orders candidates by class. Within a class, those that can still meet their objective come first, of these
 // the ones of accounts within their share, by latest start; then late ones, by work, so that a backlog delays as few jobs as possible. Candidates that can no
-// longer earn credit come after all classes, and excess work after these, except for candidates of the guaranteed class.
+// longer earn credit come after all classes, and excess work after these, except for candidates that can reclaim capacity.
 func InTimeFirst(now time.Time, a, b *Candidate) int {
 	if c := cmp.Compare(a.rank(now), b.rank(now)); c != 0 {
 		return c
@@ -46,7 +51,7 @@
 		return c
 	}
 	if stageOfA == inTime {
-		if a.OverShare != b.OverShare && a.Class != Guaranteed {
+		if a.OverShare != b.OverShare && a.Class > PartlyGuaranteed {
 			if a.OverShare {
 				return 1
 			}
@@ -61,7 +66,7 @@
 // it can no longer earn credit, and 2 for excess work.
 func (c *Candidate) rank(now time.Time) int {
 	switch {
-	case c.Class == Guaranteed:
+	case c.Class <= PartlyGuaranteed:
 		return 0
 	case c.Excess:
 		return 2
