Let urgent work beyond its share give way at the limit of its account

Callers saw: with a limit of its account, a guaranteed job does not begin while work of priority 0 of the same account, with more processors than belong to its accelerators, occupies the limit (RECLAIM).

Cause: what gives way at the limit was decided by priority, beside the rule of guarantee.go.

Change: it is decided by class.

--- a/decisions/fleet/guarantee_share_test.go
+++ b/decisions/fleet/guarantee_share_test.go
@@ -185,3 +185,24 @@
 		}
 	}
 }
+
+// TestGuaranteeAtLimitOfWideWork guards against guaranteed work that does not begin because work of priority 0 of the same account,
+// with more processors than belong to its accelerators, has reached the limit of the account.
+func TestGuaranteeAtLimitOfWideWork(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 6, 16, configure)
+		sim.configure(withLimits(sim.config, map[workload.Account]workload.Resources{"host": {CPU: 96000}}))
+		wide := workload.Step{Count: 3, Need: workload.Resources{CPU: 32000}}
+		sim.submitFor("host", "wide", "urgent", wide, time.Hour)
+		sim.advance(6 * time.Second)
+		sim.expectReclaimed("host", "guaranteed", workload.Step{Count: 8, Need: workload.Resources{CPU: 3700, Memory: 7600, GPU: 1}})
+		if n := sim.holder.scheduler.TakeCounters()[CountLimitVacated]; n != 1 {
+			t.Errorf("%d tasks were stopped for the limit, want 1", n)
+		}
+		sim.submitFor("host", "second", "urgent", wide, time.Hour)
+		sim.advance(20 * time.Second)
+		if begun, again := sim.startsOf("wide"); begun != 3 || again != 1 {
+			t.Errorf("%d of 3 tasks have begun and %d were started again, want one restart after the guaranteed job", begun, again)
+		}
+	})
+}
--- a/decisions/fleet/limit.go
+++ b/decisions/fleet/limit.go
@@ -110,7 +110,7 @@
 	case !f.couldFit(u, usable, false):
 		// The room below the limit would not let the unit start.
 	case guaranteed:
-		f.vacateLimit(now, a, accountlimit.Missing(limit, present, need))
+		f.vacateLimit(now, a, c.Class, accountlimit.Missing(limit, present, need))
 		// The record is durable before the room is free.
 		u.job.requestMayRun()
 		f.holdRoom(u)
@@ -167,9 +167,9 @@
 	return f.route(u.job).Priority == 0 && f.coversAccelerators(a, f.limitPass.guaranteed.Occupied(a).GPU+u.totalNeed().GPU)
 }
 
-// vacateLimit stops work of an account below priority 0, that with the least lost work first, so that what the account
-// occupies beyond its limit ends. It stops nothing unless that suffices.
-func (f *Scheduler) vacateLimit(now time.Time, a workload.Account, missing workload.Resources) {
+// vacateLimit stops work of an account that gives way to a class, that with the least lost work first, so that what the
+// account occupies beyond its limit ends. It stops nothing unless that suffices.
+func (f *Scheduler) vacateLimit(now time.Time, a workload.Account, class int, missing workload.Resources) {
 	if !f.reconciled(now) {
 		// What is missing is known only once all executors have reported.
 		return
@@ -188,12 +188,12 @@
 	}
 	var options, victims []victim
 	for _, u := range f.activeUnits {
-		if u.job.rec.Account == a && u.state == unitActive && !u.ending && !u.reserved() && f.route(u.job).Priority > 0 {
+		if u.job.rec.Account == a && u.state == unitActive && !u.ending && !u.reserved() && f.runningClass(u) > class {
 			options = append(options, victim{u, times(u.spec().Need, len(u.taskRuns)), f.lostWork(now, u)})
 		}
 	}
 	slices.SortStableFunc(options, func(x, y victim) int { return cmp.Compare(x.cost, y.cost) })
-	budgets := newStopBudgets(classGuaranteed)
+	budgets := newStopBudgets(class)
 	for _, v := range options {
 		if reduces(missing, v.need) && budgets.take(v.u) {
 			victims = append(victims, v)
