Remember failed preemptions of lasting work apart

Callers saw: urgent work does not begin on a fleet full of batch work, because lasting work with may_miss and the same needs waits, too (RECLAIM).

Cause: a failed search for work to stop counts for all units with the same needs in a planning pass, but that for a lasting unit leaves out the room for guarantees.

Change: such searches are remembered apart.

--- a/decisions/fleet/guarantee_share_test.go
+++ b/decisions/fleet/guarantee_share_test.go
@@ -206,3 +206,20 @@
 		}
 	})
 }
+
+// TestLastingWorkBesideWideWork guards against urgent work that cannot stop others, because lasting work with the same needs, which
+// may not take the room of guarantees, has found no one to stop in the same planning pass.
+func TestLastingWorkBesideWideWork(t *testing.T) {
+	forEachChoice(t, func(t *testing.T, configure func(*Settings)) {
+		sim := startGuaranteed(t, 1, 6, 16, configure)
+		sim.config.Accounts[1].Guaranteed = 16
+		sim.submitFor("guest", "batch", "batch", workload.Step{Count: 48, Need: smallTask}, time.Hour)
+		sim.advance(6 * time.Second)
+		step := wideTasks["lasting, one may be missing"]
+		step.Estimate = 4 * time.Second
+		j := oneStep("lasting", "urgent", step)
+		j.Account = "host"
+		sim.submit(j, behavior{runTime: time.Hour})
+		sim.expectReclaimed("host", "wide", workload.Step{Count: 1, Need: workload.Resources{CPU: 32000, Memory: 5700}})
+	})
+}
--- a/decisions/fleet/victims.go
+++ b/decisions/fleet/victims.go
@@ -147,11 +147,13 @@
 	requires, rack string
 	maxPerExecutor int
 	needsRack      bool
+	// fixed units may start on few executors only.
+	fixed bool
 }
 
 func (f *Scheduler) preemptionKind(c *candidate, u *unit) preemptionKind {
 	s := u.spec()
-	return preemptionKind{c.Class, s.CapacityNeed(), f.route(u.job).Pool, s.Requires, s.Rack, s.MaxPerExecutor, u.needsRack()}
+	return preemptionKind{c.Class, s.CapacityNeed(), f.route(u.job).Pool, s.Requires, s.Rack, s.MaxPerExecutor, u.needsRack(), u.isFixed()}
 }
 
 // failsLike reports whether the preemption for a unit of the same kind with no more tasks has failed in this planning
